Thin whole path: four programs, stand-ins, process test

Cause: an empty repository; everything else branches from a path that runs. Change: log service -> fold -> placement -> chunk exchange -> verified load -> gated requests, as entryd, endpointd, nutmegdock and platformd, and in one process with 'nutmegdock dev'.

--- /dev/null
+++ b/internal/adminclient/adminclient.go
@@ -0,0 +1,97 @@
+// Package adminclient calls the operators' interface of an entry host.
+package adminclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/nutmegdock/nutmegdock/internal/admin"
+	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/reducer"
+)
+
+const maxAnswerBytes = 64 << 20
+
+// Client calls one entry host. Set its fields before use.
+type Client struct {
+	// URL is the base address of the entry host's second address.
+	URL string
+	// Token is the operator's secret.
+	Token string
+	// HTTP sends the requests.
+	HTTP *http.Client
+}
+
+// Change publishes a change. It is safe to call again with the same id.
+func (c *Client) Change(ctx context.Context, rec catalog.Record) (reducer.Audit, error) {
+	return call[reducer.Audit](ctx, c, http.MethodPost, "/admin/v1/changes", rec)
+}
+
+// Object returns one object, or a zero entry when it does not exist.
+func (c *Client) Object(ctx context.Context, o ident.Object) (reducer.Entry, error) {
+	list, err := c.Objects(ctx, string(o))
+	for _, item := range list {
+		if item.Object == o {
+			return item.Entry, nil
+		}
+	}
+	return reducer.Entry{}, err
+}
+
+// Objects lists the objects whose paths start with prefix.
+func (c *Client) Objects(ctx context.Context, prefix string) ([]admin.Object, error) {
+	return call[[]admin.Object](ctx, c, http.MethodGet, "/admin/v1/objects?prefix="+url.QueryEscape(prefix), nil)
+}
+
+// History returns the audit trail, oldest first.
+func (c *Client) History(ctx context.Context) ([]reducer.Audit, error) {
+	return call[[]reducer.Audit](ctx, c, http.MethodGet, "/admin/v1/history", nil)
+}
+
+// Status returns the entry host's picture of the system.
+func (c *Client) Status(ctx context.Context) (admin.Status, error) {
+	return call[admin.Status](ctx, c, http.MethodGet, "/admin/v1/status", nil)
+}
+
+func call[A any](ctx context.Context, c *Client, method, path string, q any) (A, error) {
+	var a A
+	var body io.Reader = http.NoBody
+	if q != nil {
+		data, err := json.Marshal(q)
+		if err != nil {
+			return a, fmt.Errorf("%s: %w", path, err)
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.URL+path, body)
+	if err != nil {
+		return a, fmt.Errorf("%s: %w", path, err)
+	}
+	req.Header.Set("Authorization", "Bearer "+c.Token)
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return a, fmt.Errorf("entry host cannot be reached; check --admin: %w", err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return a, fmt.Errorf("%s: %w", path, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		e := &admin.Error{Status: resp.StatusCode}
+		if json.Unmarshal(data, e) != nil || e.Text == "" {
+			e.Text = fmt.Sprintf("entry host answered %d: %s", resp.StatusCode, data)
+		}
+		return a, e
+	}
+	if err := json.Unmarshal(data, &a); err != nil {
+		return a, fmt.Errorf("%s: %w", path, err)
+	}
+	return a, nil
+}
--- /dev/null
+++ b/internal/core/manifest/manifest.go
@@ -0,0 +1,96 @@
+// Package manifest describes artifacts, the chunked files of a model version or an adapter.
+package manifest
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+)
+
+// Limits on what a manifest may state.
+const (
+	MaxChunkBytes ident.Bytes = 64 << 20
+	MaxChunks                 = 1 << 16
+)
+
+// Chunk is one piece of an artifact, addressed by the digest of its content.
+type Chunk struct {
+	Digest ident.Digest `json:"digest"`
+	Size   ident.Bytes  `json:"size"`
+}
+
+// Artifact lists the chunks of one model version or one adapter version, in order.
+type Artifact struct {
+	Name    string      `json:"name"`
+	Version string      `json:"version"`
+	Size    ident.Bytes `json:"size"`
+	Chunks  []Chunk     `json:"chunks"`
+}
+
+// Error reports a manifest that breaks a rule.
+type Error struct {
+	Artifact string
+	Reason   string
+}
+
+// Error names the artifact and the rule.
+func (e *Error) Error() string {
+	return fmt.Sprintf("manifest of %q: %s; publish it again", e.Artifact, e.Reason)
+}
+
+// Sum returns the digest of data.
+func Sum(data []byte) ident.Digest {
+	sum := sha256.Sum256(data)
+	return ident.Digest(hex.EncodeToString(sum[:]))
+}
+
+// Encode returns the canonical encoding of the artifact.
+func (a Artifact) Encode() ([]byte, error) {
+	return json.Marshal(a)
+}
+
+// Decode parses and checks an artifact, and compares it with the digest that was asked for.
+func Decode(data []byte, want ident.Digest) (Artifact, error) {
+	if Sum(data) != want {
+		return Artifact{}, &Error{Artifact: string(want), Reason: "content does not match its digest"}
+	}
+	var a Artifact
+	if err := json.Unmarshal(data, &a); err != nil {
+		return Artifact{}, &Error{Artifact: string(want), Reason: err.Error()}
+	}
+	return a, a.Check()
+}
+
+// Check reports the first rule that the artifact breaks.
+func (a Artifact) Check() error {
+	if len(a.Chunks) == 0 || len(a.Chunks) > MaxChunks {
+		return &Error{Artifact: a.Name, Reason: fmt.Sprintf("has %d chunks, want 1 to %d", len(a.Chunks), MaxChunks)}
+	}
+	var total ident.Bytes
+	for i, c := range a.Chunks {
+		if len(c.Digest) != sha256.Size*2 {
+			return &Error{Artifact: a.Name, Reason: fmt.Sprintf("chunk %d has no valid digest", i)}
+		}
+		if c.Size <= 0 || c.Size > MaxChunkBytes {
+			return &Error{Artifact: a.Name, Reason: fmt.Sprintf("chunk %d has %d bytes, want 1 to %d", i, c.Size, MaxChunkBytes)}
+		}
+		total += c.Size
+	}
+	if total != a.Size {
+		return &Error{Artifact: a.Name, Reason: fmt.Sprintf("chunks add up to %d bytes, the manifest states %d", total, a.Size)}
+	}
+	return nil
+}
+
+// Set returns the weight set made of the given artifacts, the model first and the adapters in order.
+func Set(artifacts ...ident.Digest) ident.WeightSet {
+	lines := make([]string, len(artifacts))
+	for i, d := range artifacts {
+		lines[i] = string(d)
+	}
+	return ident.WeightSet(Sum([]byte(strings.Join(lines, "\n"))))
+}
--- /dev/null
+++ b/internal/core/outcome/outcome.go
@@ -0,0 +1,49 @@
+// Package outcome classifies how a request ended, by whether it may have been run.
+package outcome
+
+import (
+	"fmt"
+	"time"
+)
+
+// Kind is one of the three outcomes of a request.
+type Kind string
+
+// Kinds of outcomes.
+const (
+	NotRun   Kind = "not-run"
+	Answered Kind = "answered"
+	Unknown  Kind = "unknown"
+)
+
+// Reason is a short, stable word for the cause of a failure.
+type Reason string
+
+// Reasons of failures.
+const (
+	NoEndpoint  Reason = "no-endpoint"
+	Unreachable Reason = "unreachable"
+	Refused     Reason = "refused"
+	Leaving     Reason = "leaving"
+	Overload    Reason = "overload"
+	Lost        Reason = "lost"
+	Deadline    Reason = "deadline"
+	Mismatch    Reason = "mismatch"
+	LogDown     Reason = "log-down"
+	KeyConflict Reason = "key-conflict"
+	Condemned   Reason = "condemned"
+)
+
+// Error is the end of a request without an answer.
+type Error struct {
+	Kind   Kind
+	Reason Reason
+	// After is when the caller may try again; zero means that it should not.
+	After time.Duration
+	Text  string
+}
+
+// Error names the outcome, the reason and the details.
+func (e *Error) Error() string {
+	return fmt.Sprintf("request %s (%s): %s", e.Kind, e.Reason, e.Text)
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,49 @@
+// Package daemon starts a program from its settings file and stops it gracefully on a signal.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+
+	"github.com/nutmegdock/nutmegdock/internal/settings"
+)
+
+type args struct {
+	Settings string `arg:"--settings,required" help:"JSON settings file"`
+	Check    bool   `arg:"--check" help:"check the settings and exit"`
+}
+
+// Main runs a program with settings of type T and returns its exit code.
+func Main[T any](name string, run func(ctx context.Context, cfg T, l log.Interface) error) int {
+	var a args
+	p, err := arg.NewParser(arg.Config{Program: name}, &a)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	p.MustParse(os.Args[1:])
+	cfg, err := settings.Load[T](a.Settings)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
+		return 2
+	}
+	if a.Check {
+		fmt.Printf("%s: settings are valid\n", a.Settings)
+		return 0
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	logger := &log.Logger{Handler: json.New(os.Stderr), Level: log.InfoLevel}
+	if err := run(ctx, cfg, logger); err != nil {
+		logger.WithError(err).Error("process failed")
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/endpoint/endpoint.go
@@ -0,0 +1,224 @@
+// Package endpoint runs an endpoint host: the gate before its back end, the exchange of weights, and the orders to its engine.
+package endpoint
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/bits-and-blooms/bitset"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/nutmegdock/nutmegdock/internal/chunkserver"
+	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
+	"github.com/nutmegdock/nutmegdock/internal/core/gate"
+	"github.com/nutmegdock/nutmegdock/internal/core/holder"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/event"
+	"github.com/nutmegdock/nutmegdock/internal/fetcher"
+	"github.com/nutmegdock/nutmegdock/internal/follower"
+	"github.com/nutmegdock/nutmegdock/internal/forwarder"
+	"github.com/nutmegdock/nutmegdock/internal/loader"
+	"github.com/nutmegdock/nutmegdock/internal/logclient"
+	"github.com/nutmegdock/nutmegdock/internal/membership"
+	"github.com/nutmegdock/nutmegdock/internal/messages"
+	"github.com/nutmegdock/nutmegdock/internal/reporter"
+	"github.com/nutmegdock/nutmegdock/internal/rpc"
+	"github.com/nutmegdock/nutmegdock/internal/runner"
+	"github.com/nutmegdock/nutmegdock/internal/switcher"
+	"github.com/nutmegdock/nutmegdock/internal/webserver"
+	"github.com/nutmegdock/nutmegdock/internal/weightclient"
+)
+
+// Settings configure an endpoint host.
+type Settings struct {
+	Host    ident.Host   `json:"host" validate:"required"`
+	Zone    ident.Zone   `json:"zone" validate:"required"`
+	Region  ident.Region `json:"region" validate:"required"`
+	Pool    ident.Pool   `json:"pool" validate:"required"`
+	Kind    catalog.Kind `json:"kind" validate:"required,oneof=engine service"`
+	Listen  string       `json:"listen" validate:"required,tcp_addr"`
+	Control string       `json:"control" validate:"required,tcp_addr"`
+	Backend string       `json:"backend" validate:"required,url"`
+	Log     string       `json:"log" validate:"required,url"`
+	Members string       `json:"members" validate:"required,url"`
+	Store   string       `json:"store" validate:"required,url"`
+	Origin  string       `json:"origin" validate:"required,url"`
+	// Memory is the number of bytes that held chunks may take.
+	Memory ident.Bytes `json:"memory" validate:"min=1"`
+	// Grace is the number of seconds that requests in progress get at a stop.
+	Grace int `json:"grace" validate:"min=1,max=3600"`
+}
+
+// Server is one endpoint host. Set its fields before Run.
+type Server struct {
+	Settings Settings
+	Logger   log.Interface
+
+	birth    int64
+	gate     gate.Gate
+	holder   *holder.Holder
+	chunks   *chunkserver.Server
+	follower *follower.Follower
+	members  *membership.List
+	fetcher  *fetcher.Fetcher
+	switcher *switcher.Switcher
+	reporter *reporter.Reporter
+}
+
+// Run serves until ctx ends, then refuses new work and finishes the requests in progress.
+func (s *Server) Run(ctx context.Context) error {
+	data, err := net.Listen("tcp", s.Settings.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	control, err := net.Listen("tcp", s.Settings.Control)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	s.build()
+	event.Started.Log(s.Logger, log.Fields{"host": s.Settings.Host, "role": membership.RoleEndpoint})
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var tasks errgroup.Group
+	rpcs := &rpc.Server{Methods: map[string]rpc.Handler{messages.HaveMethod: rpc.Handle(s.have)}}
+	tasks.Go(func() error { return s.follower.Run(background) })
+	tasks.Go(func() error { return s.members.Run(background) })
+	tasks.Go(func() error { return s.reporter.Run(background) })
+	tasks.Go(func() error { return rpcs.Serve(background, control) })
+	if s.Settings.Kind == catalog.KindEngine {
+		tasks.Go(func() error { return s.switcher.Run(ctx) })
+	} else {
+		s.gate.Open("")
+	}
+	served := make(chan error, 1)
+	web, endWeb := context.WithCancel(background)
+	defer endWeb()
+	grace := time.Duration(s.Settings.Grace) * time.Second
+	go func() {
+		w := webserver.Server{Listener: data, Handler: s.handler(), Grace: grace}
+		served <- w.Run(web)
+	}()
+	select {
+	case err = <-served:
+	case <-ctx.Done():
+		s.drain(background, grace)
+		endWeb()
+		err = <-served
+	}
+	stop()
+	_ = tasks.Wait()
+	event.Stopped.Log(s.Logger, log.Fields{"host": s.Settings.Host})
+	return err
+}
+
+// drain refuses new work, tells the others, and waits for the requests in progress.
+func (s *Server) drain(ctx context.Context, grace time.Duration) {
+	event.Stopping.Log(s.Logger, log.Fields{"host": s.Settings.Host})
+	idle := s.gate.Leave()
+	s.reporter.Send(ctx)
+	_ = s.members.Leave(ctx)
+	select {
+	case <-idle:
+	case <-time.After(grace):
+	}
+}
+
+func (s *Server) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(runner.Prefix+"/", &runner.Runner{
+		Gate: &s.gate, Backend: s.Settings.Backend, Forwarder: &forwarder.Forwarder{HTTP: forwarder.NewClient()},
+	})
+	s.chunks.Register(mux)
+	return mux
+}
+
+func (s *Server) build() {
+	s.birth = time.Now().UnixNano()
+	s.holder = &holder.Holder{Limit: s.Settings.Memory}
+	s.chunks = &chunkserver.Server{Holder: s.holder}
+	s.buildPlatform()
+	s.buildWeights()
+	s.reporter = &reporter.Reporter{
+		Entries: func() []membership.Member { return s.members.Members(membership.RoleEntry) },
+		Report:  s.report,
+	}
+}
+
+func (s *Server) buildPlatform() {
+	logs := &logclient.Client{URL: s.Settings.Log, HTTP: &http.Client{}}
+	s.follower = &follower.Follower{
+		Read: func(ctx context.Context, from ident.Offset, limit int, wait time.Duration) (logclient.Page, error) {
+			return logs.Read(ctx, logclient.Config, from, limit, wait)
+		},
+		Logger: s.Logger,
+	}
+	s.members = &membership.List{
+		URL: s.Settings.Members, HTTP: &http.Client{}, Logger: s.Logger,
+		Self: membership.Member{
+			Host: s.Settings.Host, Role: membership.RoleEndpoint, Zone: s.Settings.Zone, Region: s.Settings.Region,
+			Pool: s.Settings.Pool, Data: s.Settings.Listen, Control: s.Settings.Control, Birth: s.birth,
+		},
+	}
+}
+
+func (s *Server) buildWeights() {
+	weights := &weightclient.Client{HTTP: forwarder.NewClient()}
+	controls := &rpc.Pool{}
+	s.fetcher = &fetcher.Fetcher{
+		Self: s.Settings.Host, Sources: []string{s.Settings.Store, s.Settings.Origin}, Holder: s.holder,
+		Peers: s.peers, Artifact: weights.Artifact, Chunk: weights.Chunk, Logger: s.Logger,
+		Have: func(ctx context.Context, p fetcher.Peer, d ident.Digest) (messages.HaveAnswer, error) {
+			q := messages.HaveQuery{Artifact: d, Offset: s.follower.Offset()}
+			return rpc.Call[messages.HaveAnswer](ctx, controls.Client(p.Control), messages.HaveMethod, q)
+		},
+	}
+	s.switcher = &switcher.Switcher{
+		Self: s.Settings.Host, Gate: &s.gate, Holder: s.holder,
+		Fetch: s.fetcher.Fetch, View: s.follower.View, Changed: s.follower.Changed,
+		Hosts: func() []membership.Member { return s.members.Members(membership.RoleEndpoint) },
+		Loader: &loader.Loader{
+			Engine: s.Settings.Backend, Source: "http://" + s.Settings.Listen, HTTP: &http.Client{},
+		},
+		Logger: s.Logger,
+	}
+}
+
+func (s *Server) peers() []fetcher.Peer {
+	var out []fetcher.Peer
+	for _, m := range s.members.Members(membership.RoleEndpoint) {
+		if m.Host != s.Settings.Host && m.Pool == s.Settings.Pool {
+			out = append(out, fetcher.Peer{Host: m.Host, Data: m.Data, Control: m.Control})
+		}
+	}
+	return out
+}
+
+func (s *Server) have(_ context.Context, q messages.HaveQuery) (messages.HaveAnswer, error) {
+	a, ok := s.holder.Artifact(q.Artifact)
+	out := messages.HaveAnswer{Offset: s.follower.Offset()}
+	if !ok {
+		return out, nil
+	}
+	bits := bitset.New(uint(len(a.Chunks)))
+	for i, c := range a.Chunks {
+		if _, held := s.holder.Chunk(c.Digest); held {
+			bits.Set(uint(i))
+		}
+	}
+	out.Bits = bits.Words()
+	return out, nil
+}
+
+func (s *Server) report() messages.Report {
+	st := s.gate.Status()
+	have, total := s.fetcher.Progress()
+	return messages.Report{
+		Host: s.Settings.Host, Zone: s.Settings.Zone, Region: s.Settings.Region, Pool: s.Settings.Pool,
+		Data: s.Settings.Listen, Birth: s.birth, Offset: s.follower.Offset(), Open: st.Open, Leaving: st.Leaving,
+		Set: st.Set, Want: s.switcher.Want(), Running: st.Running, Chunks: have, Total: total,
+	}
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,185 @@
+// Package entry runs an entry host: the callers' interface, the operators' interface and the control listener.
+package entry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/nutmegdock/nutmegdock/internal/admin"
+	"github.com/nutmegdock/nutmegdock/internal/callers"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/router"
+	"github.com/nutmegdock/nutmegdock/internal/core/view"
+	"github.com/nutmegdock/nutmegdock/internal/dispatcher"
+	"github.com/nutmegdock/nutmegdock/internal/event"
+	"github.com/nutmegdock/nutmegdock/internal/follower"
+	"github.com/nutmegdock/nutmegdock/internal/forwarder"
+	"github.com/nutmegdock/nutmegdock/internal/logclient"
+	"github.com/nutmegdock/nutmegdock/internal/membership"
+	"github.com/nutmegdock/nutmegdock/internal/messages"
+	"github.com/nutmegdock/nutmegdock/internal/rpc"
+	"github.com/nutmegdock/nutmegdock/internal/webserver"
+	"github.com/nutmegdock/nutmegdock/internal/weightclient"
+)
+
+// Settings configure an entry host.
+type Settings struct {
+	Host    ident.Host   `json:"host" validate:"required"`
+	Zone    ident.Zone   `json:"zone" validate:"required"`
+	Region  ident.Region `json:"region" validate:"required"`
+	Listen  string       `json:"listen" validate:"required,tcp_addr"`
+	Admin   string       `json:"admin" validate:"required,tcp_addr"`
+	Control string       `json:"control" validate:"required,tcp_addr"`
+	Log     string       `json:"log" validate:"required,url"`
+	Members string       `json:"members" validate:"required,url"`
+	Store   string       `json:"store" validate:"required,url"`
+	Tokens  string       `json:"tokens" validate:"required"`
+	// Grace is the number of seconds that requests in progress get at a stop.
+	Grace int `json:"grace" validate:"min=1,max=3600"`
+}
+
+// Server is one entry host. Set its fields before Run.
+type Server struct {
+	Settings Settings
+	Logger   log.Interface
+
+	follower *follower.Follower
+	members  *membership.List
+	view     *view.View
+	registry *prometheus.Registry
+}
+
+// Run serves until ctx ends, then finishes the requests in progress.
+func (s *Server) Run(ctx context.Context) error {
+	tokens, err := admin.LoadTokens(s.Settings.Tokens)
+	if err != nil {
+		return err
+	}
+	listeners, err := s.listen()
+	if err != nil {
+		return err
+	}
+	s.build()
+	event.Started.Log(s.Logger, log.Fields{"host": s.Settings.Host, "role": membership.RoleEntry})
+	grace := time.Duration(s.Settings.Grace) * time.Second
+	// The background tasks outlive ctx, so that requests in progress can still be routed.
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var tasks errgroup.Group
+	control := &rpc.Server{Methods: map[string]rpc.Handler{messages.ReportMethod: rpc.Handle(s.report)}}
+	tasks.Go(func() error { return s.follower.Run(background) })
+	tasks.Go(func() error { return s.members.Run(background) })
+	tasks.Go(func() error { return control.Serve(background, listeners.control) })
+
+	g, gctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		w := webserver.Server{Listener: listeners.callers, Handler: s.callers(), Grace: grace}
+		return w.Run(gctx)
+	})
+	g.Go(func() error {
+		w := webserver.Server{Listener: listeners.admin, Handler: s.admin(tokens), Grace: grace}
+		return w.Run(gctx)
+	})
+	g.Go(func() error {
+		<-gctx.Done()
+		event.Stopping.Log(s.Logger, log.Fields{"host": s.Settings.Host})
+		return nil
+	})
+	err = g.Wait()
+	stop()
+	_ = tasks.Wait()
+	event.Stopped.Log(s.Logger, log.Fields{"host": s.Settings.Host})
+	return err
+}
+
+type listeners struct {
+	callers, admin, control net.Listener
+}
+
+func (s *Server) listen() (listeners, error) {
+	var ls listeners
+	for _, l := range []struct {
+		to      *net.Listener
+		address string
+	}{{&ls.callers, s.Settings.Listen}, {&ls.admin, s.Settings.Admin}, {&ls.control, s.Settings.Control}} {
+		ln, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return ls, fmt.Errorf("listen: %w", err)
+		}
+		*l.to = ln
+	}
+	return ls, nil
+}
+
+func (s *Server) build() {
+	logs := &logclient.Client{URL: s.Settings.Log, HTTP: &http.Client{}}
+	s.view = &view.View{}
+	s.registry = prometheus.NewRegistry()
+	s.follower = &follower.Follower{
+		Read: func(ctx context.Context, from ident.Offset, limit int, wait time.Duration) (logclient.Page, error) {
+			return logs.Read(ctx, logclient.Config, from, limit, wait)
+		},
+		Logger: s.Logger,
+	}
+	s.members = &membership.List{
+		URL: s.Settings.Members, HTTP: &http.Client{}, Logger: s.Logger,
+		Self: membership.Member{
+			Host: s.Settings.Host, Role: membership.RoleEntry, Zone: s.Settings.Zone, Region: s.Settings.Region,
+			Data: s.Settings.Listen, Control: s.Settings.Control, Birth: time.Now().UnixNano(),
+		},
+	}
+}
+
+func (s *Server) report(_ context.Context, r messages.Report) (messages.Ack, error) {
+	s.view.Put(r)
+	return messages.Ack{Offset: s.follower.Offset()}, nil
+}
+
+func (s *Server) callers() http.Handler {
+	d := &dispatcher.Dispatcher{
+		View:      s.view,
+		Router:    &router.Router{Zone: s.Settings.Zone, Intn: rand.IntN},
+		Forwarder: &forwarder.Forwarder{HTTP: forwarder.NewClient()},
+	}
+	c := &callers.Callers{View: s.follower.View, Dispatch: d.Do, Logger: s.Logger}
+	return c.Handler()
+}
+
+func (s *Server) admin(tokens []admin.Token) http.Handler {
+	logs := &logclient.Client{URL: s.Settings.Log, HTTP: &http.Client{}}
+	store := &weightclient.Client{HTTP: &http.Client{}}
+	a := &admin.Admin{
+		Tokens: tokens,
+		Append: func(ctx context.Context, data []byte) (ident.Offset, error) {
+			return logs.Append(ctx, logclient.Config, data)
+		},
+		View:    s.follower.View,
+		Changed: s.follower.Changed,
+		Resolve: func(ctx context.Context, name, version string) (ident.Digest, error) {
+			return store.Resolve(ctx, s.Settings.Store, name, version)
+		},
+		Reports: s.view.Reports,
+		Logger:  s.Logger,
+	}
+	mux := http.NewServeMux()
+	a.Register(mux)
+	mux.Handle("GET /metrics", promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !s.follower.Ready() {
+			http.Error(w, "configuration is not complete yet", http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/event/process.go
@@ -0,0 +1,10 @@
+package event
+
+import "github.com/apex/log"
+
+// Events of all daemons, 1000 to 1099.
+var (
+	Started  = Event{1001, log.InfoLevel, "process started"}
+	Stopping = Event{1002, log.InfoLevel, "graceful shutdown began"}
+	Stopped  = Event{1003, log.InfoLevel, "process stopped"}
+)
--- /dev/null
+++ b/internal/headers/headers.go
@@ -0,0 +1,28 @@
+// Package headers names the HTTP header fields between the system's processes and towards callers.
+package headers
+
+// Header fields.
+const (
+	// Request carries the id of the caller's request on each hop.
+	Request = "Nutmeg-Request"
+	// Set names the weight set that a request is pinned to, and that an answer was made with.
+	Set = "Nutmeg-Set"
+	// Outcome tells whether a request was run.
+	Outcome = "Nutmeg-Outcome"
+	// Reason tells why a request was not answered.
+	Reason = "Nutmeg-Reason"
+	// Offset carries the sender's offset in the configuration log.
+	Offset = "Nutmeg-Offset"
+	// Key carries the caller's idempotency key between the system's processes. It has a name of its own because
+	// net/http sends a request again by itself when it sees the usual one.
+	Key = "Nutmeg-Key"
+	// CallerKey is the field in which callers and plain services exchange idempotency keys.
+	CallerKey = "Idempotency-Key"
+)
+
+// Outcome values.
+const (
+	NotRun   = "not-run"
+	Answered = "answered"
+	Unknown  = "unknown"
+)
--- /dev/null
+++ b/internal/logclient/logclient.go
@@ -0,0 +1,112 @@
+// Package logclient talks to the platform's log service over HTTP.
+package logclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+)
+
+// Stream names one append-only stream of the log service.
+type Stream string
+
+// Config is the stream of configuration changes.
+const Config Stream = "config"
+
+const maxPageBytes = 64 << 20
+
+// Client reads and appends records.
+type Client struct {
+	// URL is the base address of the log service.
+	URL string
+	// HTTP sends the requests.
+	HTTP *http.Client
+}
+
+// Record is one record of a stream.
+type Record struct {
+	Offset ident.Offset `json:"offset"`
+	Data   []byte       `json:"data"`
+}
+
+// Page is the answer to a read.
+type Page struct {
+	// First is the lowest offset that the service still keeps.
+	First ident.Offset `json:"first"`
+	// Next is the offset that the next append gets.
+	Next    ident.Offset `json:"next"`
+	Records []Record     `json:"records"`
+}
+
+// Appended is the answer to an append.
+type Appended struct {
+	Offset ident.Offset `json:"offset"`
+}
+
+// Error is an answer of the log service other than success.
+type Error struct {
+	Status int
+	Text   string
+}
+
+// Error names the status.
+func (e *Error) Error() string {
+	return fmt.Sprintf("log service answered %d: %s", e.Status, e.Text)
+}
+
+// Append adds one record and returns its offset. After an error the record may be in the log all the same.
+func (c *Client) Append(ctx context.Context, s Stream, data []byte) (ident.Offset, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.address(s), bytes.NewReader(data))
+	if err != nil {
+		return 0, fmt.Errorf("append to %s: %w", s, err)
+	}
+	var out Appended
+	err = c.do(req, &out)
+	return out.Offset, err
+}
+
+// Read returns up to limit records from an offset on. It waits up to wait for the first record.
+func (c *Client) Read(ctx context.Context, s Stream, from ident.Offset, limit int, wait time.Duration) (Page, error) {
+	q := url.Values{}
+	q.Set("from", strconv.FormatInt(int64(from), 10))
+	q.Set("max", strconv.Itoa(limit))
+	q.Set("wait", strconv.FormatInt(wait.Milliseconds(), 10))
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.address(s)+"?"+q.Encode(), nil)
+	if err != nil {
+		return Page{}, fmt.Errorf("read %s: %w", s, err)
+	}
+	var out Page
+	err = c.do(req, &out)
+	return out, err
+}
+
+func (c *Client) address(s Stream) string {
+	return c.URL + "/streams/" + url.PathEscape(string(s))
+}
+
+func (c *Client) do(req *http.Request, out any) error {
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return fmt.Errorf("log service: %w", err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPageBytes))
+	if err != nil {
+		return fmt.Errorf("log service: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return &Error{Status: resp.StatusCode, Text: string(body)}
+	}
+	if err := json.Unmarshal(body, out); err != nil {
+		return fmt.Errorf("log service: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/messages/messages.go
@@ -0,0 +1,2 @@
+// Package messages defines the JSON-RPC messages between the system's processes.
+package messages
--- /dev/null
+++ b/internal/rapidtest/rapidtest.go
@@ -0,0 +1,42 @@
+// Package rapidtest runs stateful tests in virtual time, with the seed and count that script/test and script/fuzz set.
+package rapidtest
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"testing/synctest"
+
+	"pgregory.net/rapid"
+)
+
+// Check runs a stateful test. Each check runs in a synctest bubble of its own, so that time is virtual.
+func Check(t *testing.T, prop func(t *testing.T, rt *rapid.T)) {
+	t.Helper()
+	configure(t)
+	rapid.Check(t, func(rt *rapid.T) {
+		var failure any
+		synctest.Test(t, func(st *testing.T) {
+			defer func() { failure = recover() }()
+			prop(st, rt)
+		})
+		if failure != nil {
+			panic(failure)
+		}
+	})
+}
+
+// configure passes the environment's seed and count to rapid, which reads them from flags.
+func configure(t *testing.T) {
+	t.Helper()
+	for name, env := range map[string]string{"rapid.seed": "RAPID_SEED", "rapid.checks": "RAPID_CHECKS"} {
+		if v := os.Getenv(env); v != "" {
+			if err := flag.Set(name, v); err != nil {
+				t.Fatalf("set %s from %s: %v", name, env, err)
+			}
+		}
+	}
+	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
+		t.Fatalf("set rapid.nofailfile: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/rpc/pool.go
@@ -0,0 +1,24 @@
+package rpc
+
+import "sync"
+
+// Pool keeps one client for each address. The zero value is empty.
+type Pool struct {
+	mu      sync.Mutex
+	clients map[string]*Client
+}
+
+// Client returns the client for an address.
+func (p *Pool) Client(address string) *Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.clients == nil {
+		p.clients = make(map[string]*Client)
+	}
+	c, ok := p.clients[address]
+	if !ok {
+		c = &Client{Address: address}
+		p.clients[address] = c
+	}
+	return c
+}
--- /dev/null
+++ b/internal/rpc/rpc.go
@@ -0,0 +1,157 @@
+// Package rpc carries typed JSON-RPC 2.0 messages between the system's processes over long-lived TCP connections.
+package rpc
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+const dialTimeout = time.Second
+
+// Handler answers one method.
+type Handler func(ctx context.Context, params json.RawMessage) (any, error)
+
+// Handle makes a handler from a typed function.
+func Handle[Q, A any](fn func(ctx context.Context, q Q) (A, error)) Handler {
+	return func(ctx context.Context, params json.RawMessage) (any, error) {
+		var q Q
+		if err := json.Unmarshal(params, &q); err != nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+		}
+		return fn(ctx, q)
+	}
+}
+
+// Server answers calls. Set its fields before Serve.
+type Server struct {
+	// Methods maps a method's name to its handler.
+	Methods map[string]Handler
+
+	mu    sync.Mutex
+	conns map[*jsonrpc2.Conn]bool
+}
+
+// Serve accepts connections until ctx ends, then closes them all.
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	stop := context.AfterFunc(ctx, func() {
+		_ = ln.Close()
+		s.closeAll()
+	})
+	defer stop()
+	for {
+		c, err := ln.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("accept control connection: %w", err)
+		}
+		s.add(ctx, c)
+	}
+}
+
+func (s *Server) add(ctx context.Context, c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conns == nil {
+		s.conns = make(map[*jsonrpc2.Conn]bool)
+	}
+	stream := jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{})
+	conn := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle)), quiet())
+	s.conns[conn] = true
+	go func() {
+		<-conn.DisconnectNotify()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.conns, conn)
+	}()
+}
+
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.Close()
+	}
+}
+
+func (s *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	h, ok := s.Methods[req.Method]
+	if !ok {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no method " + req.Method}
+	}
+	var params json.RawMessage
+	if req.Params != nil {
+		params = *req.Params
+	}
+	return h(ctx, params)
+}
+
+// Client calls the server at one address, over one connection that it makes again when it is lost.
+type Client struct {
+	// Address is the server's TCP address by IP number.
+	Address string
+
+	mu   sync.Mutex
+	conn *jsonrpc2.Conn
+}
+
+// Call sends one typed request and returns the typed answer.
+func Call[A, Q any](ctx context.Context, c *Client, method string, q Q) (A, error) {
+	var a A
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return a, err
+	}
+	if err := conn.Call(ctx, method, q, &a); err != nil {
+		return a, fmt.Errorf("call %s at %s: %w", method, c.Address, err)
+	}
+	return a, nil
+}
+
+func (c *Client) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		select {
+		case <-c.conn.DisconnectNotify():
+		default:
+			return c.conn, nil
+		}
+	}
+	d := net.Dialer{Timeout: dialTimeout}
+	nc, err := d.DialContext(ctx, "tcp", c.Address)
+	if err != nil {
+		return nil, fmt.Errorf("connect to %s: %w", c.Address, err)
+	}
+	stream := jsonrpc2.NewBufferedStream(nc, jsonrpc2.VarintObjectCodec{})
+	c.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, jsonrpc2.HandlerWithError(refuse), quiet())
+	return c.conn, nil
+}
+
+// quiet keeps the library from writing to the standard logger; the callers see its errors.
+func quiet() jsonrpc2.ConnOpt {
+	return jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+}
+
+func refuse(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this side answers no calls"}
+}
+
+// Close ends the connection.
+func (c *Client) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == nil {
+		return nil
+	}
+	return c.conn.Close()
+}
