Order engines by a core without I/O, confirm answers, join membership with direct signs

Cause: the engine was read and ordered by the shell in one go; a paused endpointd, a second orderer, a restarted engine or a lost answer could leave the gate open on other weights than it names. Change: core/orderer (readings and results in, one action out), gate with epoch and a bound in time, runner that compares the answer's set and holds back the end of an answer until the engine's epoch is confirmed; core/waver for the order of switches; core/roster for membership. Ruled out: a lease alone (a pause between check and hand-over gets past it).

--- a/internal/core/gate/gate.go
+++ b/internal/core/gate/gate.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 )
@@ -30,22 +31,43 @@
 	return fmt.Sprintf("endpoint refused the request (%s): it serves set %.12q, the request names %.12q", e.Reason, e.Have, e.Want)
 }
 
+// Epoch identifies a stretch of time in which the engine kept its weights.
+type Epoch struct {
+	Birth int64
+	Loads int64
+	Fence ident.Fence
+}
+
 // Gate counts the requests in progress and refuses those for another weight set. The zero value is closed.
 type Gate struct {
 	mu      sync.Mutex
 	open    bool
 	leaving bool
 	set     ident.WeightSet
+	epoch   Epoch
+	until   time.Time
 	running int
 	idle    []chan struct{}
 }
 
-// Open lets requests for set pass.
+// Open lets requests for set pass, without a bound in time.
 func (g *Gate) Open(set ident.WeightSet) {
+	g.OpenUntil(set, Epoch{}, time.Time{})
+}
+
+// OpenUntil lets requests for set pass until a time, after which the engine must have been read again.
+// The zero time means no bound.
+func (g *Gate) OpenUntil(set ident.WeightSet, e Epoch, until time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.open = true
 	g.set = set
+	g.epoch = e
+	g.until = until
+}
+
+func (g *Gate) isOpen() bool {
+	return g.open && (g.until.IsZero() || time.Now().Before(g.until))
 }
 
 // Close refuses new requests and returns a channel that is closed when none is in progress.
@@ -81,7 +103,7 @@
 	switch {
 	case g.leaving:
 		return &Error{Reason: Leaving, Want: set, Have: g.set}
-	case !g.open:
+	case !g.isOpen():
 		return &Error{Reason: Closed, Want: set, Have: g.set}
 	case g.set != set:
 		return &Error{Reason: Other, Want: set, Have: g.set}
@@ -109,6 +131,7 @@
 	Open    bool
 	Leaving bool
 	Set     ident.WeightSet
+	Epoch   Epoch
 	Running int
 }
 
@@ -116,5 +139,5 @@
 func (g *Gate) Status() Status {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return Status{Open: g.open && !g.leaving, Leaving: g.leaving, Set: g.set, Running: g.running}
+	return Status{Open: g.isOpen() && !g.leaving, Leaving: g.leaving, Set: g.set, Epoch: g.epoch, Running: g.running}
 }
--- /dev/null
+++ b/internal/core/orderer/orderer.go
@@ -0,0 +1,268 @@
+// Package orderer decides when the engine beside an endpoint host is read, ordered to load, and let serve.
+// It does no I/O: it is told what was read and what became of an order, and returns the next action.
+package orderer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/gate"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/engineapi"
+)
+
+const (
+	// FreshTime is how old a reading of the engine may be when an action rests on it.
+	FreshTime = 250 * time.Millisecond
+	// LapseTime is how long after a reading was asked for the gate stays open on it.
+	LapseTime = 3 * time.Second
+	// LoadTime is how long a load that the engine has begun may take before it is ordered again.
+	LoadTime = 10 * time.Minute
+
+	lateTime    = time.Second
+	minRetry    = 250 * time.Millisecond
+	maxRetry    = 8 * time.Second
+	maxFailures = 2
+)
+
+// Want is what the configuration asks of the host.
+type Want struct {
+	// Set is the weight set to serve; empty means that the host has no part.
+	Set ident.WeightSet
+	// Offset is the configuration offset that asked for the set.
+	Offset ident.Offset
+	// Verified tells that all chunks of the set are held and verified.
+	Verified bool
+	// Permitted tells that the host may stop serving another set now.
+	Permitted bool
+	// Accepted are the sets that the host may go on serving meanwhile.
+	Accepted []ident.WeightSet
+}
+
+// Kind is a kind of action.
+type Kind string
+
+// Kinds of actions.
+const (
+	// Wait means that there is nothing to do until something changes.
+	Wait Kind = "wait"
+	// Read means that the engine's state is to be read.
+	Read Kind = "read"
+	// Open means that the gate is to be opened on Set until Until.
+	Open Kind = "open"
+	// Close means that the gate is to be closed.
+	Close Kind = "close"
+	// Order means that the engine is to be ordered to load Set with Fence.
+	Order Kind = "order"
+	// Cancel means that the order in progress is to be given up.
+	Cancel Kind = "cancel"
+)
+
+// Action is what the caller has to do next.
+type Action struct {
+	Kind  Kind
+	Set   ident.WeightSet
+	Epoch gate.Epoch
+	Until time.Time
+	Fence ident.Fence
+}
+
+// Result tells how an order ended.
+type Result int
+
+// Results of orders.
+const (
+	// Done means that the engine answered that it has loaded the set.
+	Done Result = iota
+	// Refused means that the engine refused the order and did not begin it.
+	Refused
+	// Failed means that the engine answered that the load failed.
+	Failed
+	// Lost means that no answer came, so that the order may still be carried out.
+	Lost
+)
+
+type reading struct {
+	state engineapi.State
+	asked time.Time
+	known bool
+}
+
+type order struct {
+	set    ident.WeightSet
+	fence  ident.Fence
+	before engineapi.State
+	given  time.Time
+	ended  time.Time
+	result Result
+	// running tells that the call has not returned; cancelled, that it was given up.
+	running   bool
+	cancelled bool
+}
+
+type opening struct {
+	set   ident.WeightSet
+	epoch gate.Epoch
+	asked time.Time
+}
+
+// Orderer orders one engine, one order at a time. The zero value knows nothing of the engine. It is not safe for
+// concurrent use.
+type Orderer struct {
+	reading  reading
+	failures int
+	failed   time.Time
+	last     *order
+	open     *opening
+	goal     ident.WeightSet
+	retries  int
+	retryAt  time.Time
+	fence    ident.Fence
+}
+
+// Observe takes the engine's state, which was asked for at a time.
+func (o *Orderer) Observe(asked time.Time, st engineapi.State) {
+	if asked.Before(o.reading.asked) {
+		return
+	}
+	o.reading = reading{state: st, asked: asked, known: true}
+	o.failures = 0
+	o.fence = max(o.fence, st.Fence)
+}
+
+// Unreachable records that the state could not be read.
+func (o *Orderer) Unreachable(now time.Time) {
+	o.failures++
+	o.failed = now
+}
+
+// Ended takes the result of the order in progress.
+func (o *Orderer) Ended(now time.Time, r Result) {
+	if o.last == nil || !o.last.running {
+		return
+	}
+	o.last.running = false
+	o.last.ended = now
+	o.last.result = r
+	// A reading that was asked for before the order ended does not tell what it led to.
+	o.reading.known = false
+	if r == Done {
+		return
+	}
+	o.retryAt = now.Add(min(maxRetry, minRetry<<min(o.retries, 8)))
+	o.retries++
+}
+
+// Running tells whether an order is in progress.
+func (o *Orderer) Running() bool {
+	return o.last != nil && o.last.running
+}
+
+// Next returns the next action. Running is the number of requests that the engine has from this host.
+func (o *Orderer) Next(now time.Time, w Want, running int) Action {
+	if o.open != nil && !o.holds() {
+		o.open = nil
+		return Action{Kind: Close}
+	}
+	if !o.fresh(now) {
+		if o.failures > 0 && now.Sub(o.failed) < FreshTime {
+			return Action{Kind: Wait}
+		}
+		return Action{Kind: Read}
+	}
+	if o.Running() {
+		return o.watch(w)
+	}
+	st := o.reading.state
+	if w.Set != o.goal {
+		o.goal = ""
+	}
+	switch {
+	case w.Set != "" && st.Set == w.Set:
+		o.goal = ""
+		o.retries = 0
+		return o.serve(st)
+	case st.Set != "" && slices.Contains(w.Accepted, st.Set):
+		return o.replace(now, w, running)
+	case o.open != nil:
+		o.open = nil
+		return Action{Kind: Close}
+	case w.Set == "" || !w.Verified || o.isLoading(now) || now.Before(o.retryAt):
+		return Action{Kind: Wait}
+	}
+	return o.order(now, w)
+}
+
+// holds tells whether the engine still is as it was when the gate was opened.
+func (o *Orderer) holds() bool {
+	if o.failures >= maxFailures {
+		return false
+	}
+	if !o.reading.known {
+		return true
+	}
+	return o.reading.state.Set == o.open.set && Epoch(o.reading.state) == o.open.epoch
+}
+
+func (o *Orderer) fresh(now time.Time) bool {
+	return o.reading.known && now.Sub(o.reading.asked) < FreshTime
+}
+
+// watch looks after the order in progress.
+func (o *Orderer) watch(w Want) Action {
+	if o.last.set != w.Set && !o.last.cancelled {
+		o.last.cancelled = true
+		return Action{Kind: Cancel}
+	}
+	return Action{Kind: Wait}
+}
+
+func (o *Orderer) serve(st engineapi.State) Action {
+	if o.open != nil && o.open.asked.Equal(o.reading.asked) {
+		return Action{Kind: Wait}
+	}
+	o.open = &opening{set: st.Set, epoch: Epoch(st), asked: o.reading.asked}
+	return Action{Kind: Open, Set: st.Set, Epoch: o.open.epoch, Until: o.reading.asked.Add(LapseTime)}
+}
+
+// replace goes on serving an accepted set until the wanted one may take its place. Once the gate is closed for the
+// wanted set it stays so, because other hosts count on the order of the switches.
+func (o *Orderer) replace(now time.Time, w Want, running int) Action {
+	st := o.reading.state
+	if o.goal == "" && (w.Set == "" || !w.Verified || !w.Permitted) {
+		return o.serve(st)
+	}
+	o.goal = w.Set
+	switch {
+	case o.open != nil:
+		o.open = nil
+		return Action{Kind: Close}
+	case running > 0 || !w.Verified || now.Before(o.retryAt):
+		return Action{Kind: Wait}
+	}
+	return o.order(now, w)
+}
+
+// isLoading tells whether the last order, whose answer was lost, may still be in progress in the engine.
+func (o *Orderer) isLoading(now time.Time) bool {
+	l, st := o.last, o.reading.state
+	if l == nil || l.result != Lost || l.cancelled || st.Set != "" || st.Birth != l.before.Birth {
+		return false
+	}
+	if st.Fence == l.fence || st.Loads == l.before.Loads+1 {
+		return now.Sub(l.given) < LoadTime
+	}
+	return now.Sub(l.ended) < lateTime
+}
+
+func (o *Orderer) order(now time.Time, w Want) Action {
+	st := o.reading.state
+	o.fence = max(o.fence, st.Fence, ident.Fence(w.Offset)) + 1
+	o.last = &order{set: w.Set, fence: o.fence, before: st, given: now, running: true}
+	return Action{Kind: Order, Set: w.Set, Fence: o.fence}
+}
+
+// Epoch returns the epoch that an engine's state belongs to.
+func Epoch(st engineapi.State) gate.Epoch {
+	return gate.Epoch{Birth: st.Birth, Loads: st.Loads, Fence: st.Fence}
+}
--- /dev/null
+++ b/internal/core/waver/waver.go
@@ -0,0 +1,187 @@
+// Package waver decides when a host may stop serving one weight set to load another, so that enough replicas of each
+// deployment go on serving. There is no coordinator: hosts rank each other alike, and each assumes that all hosts of a
+// higher rank that still have to switch are doing so now.
+package waver
+
+import (
+	"time"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/ranker"
+)
+
+const (
+	// FreshTime is how long counts may be used after they were asked for.
+	FreshTime = 2 * time.Second
+	// Patience is the time without progress after which one host of a higher rank is taken for stuck and stepped over.
+	Patience = time.Minute
+)
+
+// Replica is an endpoint host as another host knows it.
+type Replica struct {
+	Host ident.Host
+	Set  ident.WeightSet
+	Want ident.WeightSet
+}
+
+// Count tells how many other hosts serve a weight set.
+type Count struct {
+	Set ident.WeightSet `json:"set"`
+	// Steady counts those that serve the set and are to keep it.
+	Steady int `json:"steady"`
+	// After counts those that are to leave the set and rank after the host that asks.
+	After int `json:"after,omitempty"`
+	// Before counts those that are to leave the set and rank before it.
+	Before int `json:"before,omitempty"`
+}
+
+// rankKey is the rendezvous key of the order in which hosts switch.
+const rankKey = "wave"
+
+// Precedes tells whether host a switches before host b.
+func Precedes(a, b ident.Host) bool {
+	sa, sb := ranker.Score(rankKey, string(a)), ranker.Score(rankKey, string(b))
+	if sa == sb {
+		return a < b
+	}
+	return sa > sb
+}
+
+// Tally counts the replicas whose gates are open, as self needs them.
+func Tally(self ident.Host, open []Replica) []Count {
+	var out []Count
+	index := make(map[ident.WeightSet]int)
+	for _, r := range open {
+		if r.Host == self || r.Set == "" {
+			continue
+		}
+		i, ok := index[r.Set]
+		if !ok {
+			i = len(out)
+			index[r.Set] = i
+			out = append(out, Count{Set: r.Set})
+		}
+		switch {
+		case r.Want == r.Set:
+			out[i].Steady++
+		case Precedes(self, r.Host):
+			out[i].After++
+		default:
+			out[i].Before++
+		}
+	}
+	return out
+}
+
+// Group is the weight sets that can answer for one deployment, with the number of replicas that have to serve.
+type Group struct {
+	Sets  []ident.WeightSet
+	Floor int
+}
+
+// Waver holds the counts that one host was given. The zero value has none. It is not safe for concurrent use.
+type Waver struct {
+	sources  map[ident.Host]source
+	steady   int
+	progress time.Time
+}
+
+type source struct {
+	asked  time.Time
+	counts map[ident.WeightSet]Count
+}
+
+// Hear takes the counts that an entry host answered with to a report that was sent at a time.
+func (w *Waver) Hear(from ident.Host, asked time.Time, counts []Count) {
+	if w.sources == nil {
+		w.sources = make(map[ident.Host]source)
+	}
+	s := source{asked: asked, counts: make(map[ident.WeightSet]Count, len(counts))}
+	for _, c := range counts {
+		s.counts[c.Set] = c
+	}
+	w.sources[from] = s
+}
+
+// Permit tells whether the host may stop serving the set now. Each source's counts are a lower bound, so that one
+// source whose counts suffice is enough.
+func (w *Waver) Permit(now time.Time, set ident.WeightSet, groups []Group) bool {
+	affected := groups[:0:0]
+	for _, g := range groups {
+		if g.has(set) && g.Floor > 0 {
+			affected = append(affected, g)
+		}
+	}
+	if len(affected) == 0 {
+		return true
+	}
+	w.watch(now, affected)
+	stuck := int(now.Sub(w.progress) / Patience)
+	for host, s := range w.sources {
+		if now.Sub(s.asked) > FreshTime {
+			delete(w.sources, host)
+			continue
+		}
+		if s.permits(affected, stuck) {
+			return true
+		}
+	}
+	return false
+}
+
+// watch restarts the clock of Patience when more hosts are seen to have switched.
+func (w *Waver) watch(now time.Time, groups []Group) {
+	steady := 0
+	for _, s := range w.sources {
+		n := 0
+		for _, g := range groups {
+			n += s.sum(g).Steady
+		}
+		steady = max(steady, n)
+	}
+	if steady != w.steady || w.progress.IsZero() {
+		w.steady = steady
+		w.progress = now
+	}
+}
+
+// Reset forgets what was seen of an earlier wave.
+func (w *Waver) Reset() {
+	w.progress = time.Time{}
+	w.steady = 0
+}
+
+func (g Group) has(set ident.WeightSet) bool {
+	for _, s := range g.Sets {
+		if s == set {
+			return true
+		}
+	}
+	return false
+}
+
+func (s source) sum(g Group) Count {
+	var out Count
+	for _, set := range g.Sets {
+		c := s.counts[set]
+		out.Steady += c.Steady
+		out.After += c.After
+		out.Before += c.Before
+	}
+	return out
+}
+
+func (s source) permits(groups []Group, stuck int) bool {
+	for _, g := range groups {
+		c := s.sum(g)
+		floor := g.Floor
+		if stuck > 0 {
+			// No order of the switches keeps a floor that all replicas together only just reach.
+			floor = min(floor, c.Steady+c.After+c.Before)
+		}
+		if c.Steady+c.After+min(stuck, c.Before) < floor {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -47,6 +47,8 @@
 	Members string       `json:"members" validate:"required,url"`
 	Store   string       `json:"store" validate:"required,url"`
 	Origin  string       `json:"origin" validate:"required,url"`
+	// Unfenced names an engine that does not check who orders it.
+	Unfenced bool `json:"unfenced,omitempty"`
 	// Memory is the number of bytes that held chunks may take.
 	Memory ident.Bytes `json:"memory" validate:"min=1"`
 	// Grace is the number of seconds that requests in progress get at a stop.
@@ -129,9 +131,13 @@
 
 func (s *Server) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(runner.Prefix+"/", &runner.Runner{
+	run := &runner.Runner{
 		Gate: &s.gate, Backend: s.Settings.Backend, Forwarder: &forwarder.Forwarder{HTTP: forwarder.NewClient()},
-	})
+	}
+	if s.Settings.Kind == catalog.KindEngine {
+		run.Watch = s.watch
+	}
+	mux.Handle(runner.Prefix+"/", run)
 	s.chunks.Register(mux)
 	return mux
 }
@@ -145,6 +151,9 @@
 	s.reporter = &reporter.Reporter{
 		Entries: func() []membership.Member { return s.members.Members(membership.RoleEntry) },
 		Report:  s.report,
+		Heard: func(from ident.Host, sent time.Time, a messages.Ack) {
+			s.switcher.Hear(from, sent, a.Wave)
+		},
 	}
 }
 
@@ -177,7 +186,7 @@
 		},
 	}
 	s.switcher = &switcher.Switcher{
-		Self: s.Settings.Host, Gate: &s.gate, Holder: s.holder,
+		Self: s.Settings.Host, Pool: s.Settings.Pool, Gate: &s.gate, Holder: s.holder,
 		Fetch: s.fetcher.Fetch, View: s.follower.View, Changed: s.follower.Changed,
 		Hosts: func() []membership.Member { return s.members.Members(membership.RoleEndpoint) },
 		Loader: &loader.Loader{
@@ -219,6 +228,7 @@
 	return messages.Report{
 		Host: s.Settings.Host, Zone: s.Settings.Zone, Region: s.Settings.Region, Pool: s.Settings.Pool,
 		Data: s.Settings.Listen, Birth: s.birth, Offset: s.follower.Offset(), Open: st.Open, Leaving: st.Leaving,
+		Unfenced: s.Settings.Unfenced, Slots: s.switcher.Slots(),
 		Set: st.Set, Want: s.switcher.Want(), Running: st.Running, Chunks: have, Total: total,
 	}
 }
--- /dev/null
+++ b/internal/endpoint/orders.go
@@ -0,0 +1,29 @@
+package endpoint
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/apex/log"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/orderer"
+	"github.com/nutmegdock/nutmegdock/internal/event"
+	"github.com/nutmegdock/nutmegdock/internal/runner"
+)
+
+// watch notes the epoch on which the gate is open, and returns a check that the engine is still in it.
+func (s *Server) watch(set ident.WeightSet) runner.Confirm {
+	begin := s.gate.Status()
+	return func(ctx context.Context) error {
+		st, err := s.switcher.Loader.State(ctx)
+		if err == nil && st.Set == set && begin.Set == set && orderer.Epoch(st) == begin.Epoch {
+			return nil
+		}
+		event.SetMismatch.Log(s.Logger, log.Fields{"set": set, "engine": st.Set})
+		if err != nil {
+			return fmt.Errorf("weights are not confirmed: %w", err)
+		}
+		return fmt.Errorf("weights are not confirmed: request is pinned to set %.12q, engine reports %.12q", set, st.Set)
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -140,8 +140,9 @@
 }
 
 func (s *Server) report(_ context.Context, r messages.Report) (messages.Ack, error) {
+	r = s.join(r)
 	s.view.Put(r)
-	return messages.Ack{Offset: s.follower.Offset()}, nil
+	return messages.Ack{Offset: s.follower.Offset(), Wave: s.wave(r)}, nil
 }
 
 func (s *Server) callers() http.Handler {
--- a/internal/event/order.go
+++ b/internal/event/order.go
@@ -6,4 +6,7 @@
 var (
 	SetLoaded   = Event{1601, log.InfoLevel, "engine serves the weight set"}
 	OrderFailed = Event{1602, log.WarnLevel, "order to the engine failed and will be tried again"}
+	GateClosed  = Event{1603, log.WarnLevel, "engine does not serve what the gate was opened on; the gate is closed"}
+	OrderGiven  = Event{1604, log.InfoLevel, "engine was ordered to load a weight set"}
+	SetMismatch = Event{1605, log.WarnLevel, "answer was not made by the weight set that the request is pinned to and was broken off"}
 )
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -5,16 +5,22 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"time"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
-	"github.com/nutmegdock/nutmegdock/internal/core/manifest"
+	"github.com/nutmegdock/nutmegdock/internal/core/orderer"
 	"github.com/nutmegdock/nutmegdock/internal/engineapi"
 )
 
-const maxStateBytes = 64 << 10
+const (
+	maxStateBytes = 64 << 10
+	stateTime     = time.Second
+)
 
 // Loader orders one engine, serially. Set its fields before use.
 type Loader struct {
@@ -29,6 +35,8 @@
 // Error reports an engine that did not do as ordered.
 type Error struct {
 	Engine string
+	// Status is the HTTP status of the engine's answer.
+	Status int
 	Reason string
 }
 
@@ -39,6 +47,8 @@
 
 // State reads the engine's report on itself.
 func (l *Loader) State(ctx context.Context) (engineapi.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, stateTime)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, l.Engine+engineapi.StatePath, nil)
 	if err != nil {
 		return engineapi.State{}, fmt.Errorf("engine state: %w", err)
@@ -46,33 +56,37 @@
 	return l.do(req)
 }
 
-// Load orders the engine to load the artifacts, and returns nil once the engine reports their weight set.
-// The fencing number is above floor and above any that the engine reports.
-func (l *Loader) Load(ctx context.Context, artifacts []ident.Digest, floor ident.Fence) error {
-	st, err := l.State(ctx)
-	if err != nil {
-		return err
-	}
-	order := engineapi.Order{Fence: max(floor, st.Fence) + 1, Artifacts: artifacts, Source: l.Source}
+// Order tells the engine to load the artifacts and waits for its answer. The error explains any result but Done.
+func (l *Loader) Order(ctx context.Context, artifacts []ident.Digest, fence ident.Fence) (orderer.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderer.LoadTime)
+	defer cancel()
+	order := engineapi.Order{Fence: fence, Artifacts: artifacts, Source: l.Source}
 	body, err := json.Marshal(order)
 	if err != nil {
-		return fmt.Errorf("engine order: %w", err)
+		return orderer.Refused, fmt.Errorf("engine order: %w", err)
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, l.Engine+engineapi.LoadPath, bytes.NewReader(body))
 	if err != nil {
-		return fmt.Errorf("engine order: %w", err)
-	}
-	if _, err := l.do(req); err != nil {
-		return err
-	}
-	st, err = l.State(ctx)
-	if err != nil {
-		return err
+		return orderer.Refused, fmt.Errorf("engine order: %w", err)
 	}
-	if want := manifest.Set(artifacts...); st.Set != want {
-		return &Error{Engine: l.Engine, Reason: fmt.Sprintf("loaded set %.12q, ordered %.12q", st.Set, want)}
+	_, err = l.do(req)
+	return result(err), err
+}
+
+func result(err error) orderer.Result {
+	var e *Error
+	var op *net.OpError
+	switch {
+	case err == nil:
+		return orderer.Done
+	case errors.As(err, &e) && e.Status == http.StatusConflict:
+		return orderer.Refused
+	case errors.As(err, &e):
+		return orderer.Failed
+	case errors.As(err, &op) && op.Op == "dial":
+		return orderer.Refused
 	}
-	return nil
+	return orderer.Lost
 }
 
 func (l *Loader) do(req *http.Request) (engineapi.State, error) {
@@ -87,7 +101,7 @@
 		return st, fmt.Errorf("engine %s: %w", l.Engine, err)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return st, &Error{Engine: l.Engine, Reason: fmt.Sprintf("status %d: %s", resp.StatusCode, body)}
+		return st, &Error{Engine: l.Engine, Status: resp.StatusCode, Reason: fmt.Sprintf("status %d: %s", resp.StatusCode, body)}
 	}
 	if err := json.Unmarshal(body, &st); err != nil {
 		return st, fmt.Errorf("engine %s: %w", l.Engine, err)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -6,18 +6,24 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/roster"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 )
 
-const pollInterval = 500 * time.Millisecond
+const (
+	pollInterval = 500 * time.Millisecond
+	maxListBytes = 4 << 20
+)
 
 // Role tells which program a host runs.
 type Role string
@@ -53,7 +59,8 @@
 	Logger log.Interface
 
 	mu      sync.Mutex
-	members []Member
+	members map[ident.Host]Member
+	roster  roster.Roster
 	leaving bool
 }
 
@@ -92,13 +99,63 @@
 	}
 	defer resp.Body.Close()
 	var members []Member
-	if err := json.NewDecoder(resp.Body).Decode(&members); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&members); err != nil {
 		return fmt.Errorf("membership: %w", err)
 	}
+	l.merge(members)
+	return nil
+}
+
+// merge keeps the hosts that the roster does not take for gone, with what the list said last of each.
+func (l *List) merge(list []Member) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.members = members
-	return nil
+	now := time.Now()
+	signs := make([]roster.Sighting, len(list))
+	for i, m := range list {
+		signs[i] = roster.Sighting{Host: m.Host, Zone: m.Zone, Birth: m.Birth, Leaving: m.Leaving}
+	}
+	l.roster.List(now, signs)
+	known := make(map[ident.Host]Member)
+	for _, h := range l.roster.Hosts(now) {
+		if m, ok := l.members[h.Host]; ok {
+			known[h.Host] = m
+		}
+	}
+	for _, m := range list {
+		if old, ok := known[m.Host]; (!ok || m.Birth >= old.Birth) && l.roster.State(now, m.Host) != roster.Gone {
+			known[m.Host] = m
+		}
+	}
+	l.members = known
+}
+
+// Hear takes a sign that a host gave directly. It tells whether the sign is of its latest known incarnation.
+func (l *List) Hear(s roster.Sighting) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.roster.Hear(time.Now(), s)
+}
+
+// Fail records that a host could not be reached.
+func (l *List) Fail(h ident.Host) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.roster.Fail(time.Now(), h)
+}
+
+// Refused records that a host refused work because it is leaving.
+func (l *List) Refused(h ident.Host) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.roster.Leave(h)
+}
+
+// State returns what is known of a host.
+func (l *List) State(h ident.Host) roster.State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.roster.State(time.Now(), h)
 }
 
 // Leave announces at once that this host is leaving.
@@ -109,9 +166,20 @@
 	return l.poll(ctx)
 }
 
-// Members returns the hosts of one role from the last answer.
+// Members returns the hosts of one role that are not gone, in the order of their names.
 func (l *List) Members(role Role) []Member {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(l.members), func(m Member) bool { return m.Role != role })
+	now := time.Now()
+	var out []Member
+	for h, m := range l.members {
+		st := l.roster.State(now, h)
+		if m.Role != role || st == roster.Gone {
+			continue
+		}
+		m.Leaving = m.Leaving || st == roster.Leaving
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(string(a.Host), string(b.Host)) })
+	return out
 }
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -23,6 +23,8 @@
 	Entries func() []membership.Member
 	// Report returns the current state.
 	Report func() messages.Report
+	// Heard takes the answer to a report that was sent at a time.
+	Heard func(from ident.Host, sent time.Time, a messages.Ack)
 
 	mu      sync.Mutex
 	clients map[ident.Host]*rpc.Client
@@ -49,7 +51,11 @@
 	var wg sync.WaitGroup
 	for _, m := range r.Entries() {
 		wg.Go(func() {
-			_, _ = rpc.Call[messages.Ack](ctx, r.client(m), messages.ReportMethod, report)
+			sent := time.Now()
+			a, err := rpc.Call[messages.Ack](ctx, r.client(m), messages.ReportMethod, report)
+			if err == nil {
+				r.Heard(m.Host, sent, a)
+			}
 		})
 	}
 	wg.Wait()
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -25,6 +25,8 @@
 	Backend string
 	// Forwarder sends the requests.
 	Forwarder *forwarder.Forwarder
+	// Watch notes the engine's weights before a request for set is handed over. Nil means a back end without weights.
+	Watch func(set ident.WeightSet) Confirm
 }
 
 // ServeHTTP runs one request, or refuses it as not run.
@@ -34,17 +36,24 @@
 		return
 	}
 	defer u.Gate.Exit()
+	confirm := u.watch(r)
 	resp, err := u.Forwarder.Send(r.Context(), u.call(r))
 	if err != nil {
 		fail(w, err)
 		return
 	}
 	defer resp.Body.Close()
+	if err := u.check(r, resp); err != nil {
+		fail(w, err)
+		return
+	}
+	stream := strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+	body := &sealed{ReadCloser: resp.Body, ctx: r.Context(), confirm: confirm, stream: stream}
 	CopyHeader(w.Header(), resp.Header)
 	w.Header().Set(headers.Outcome, headers.Answered)
 	w.Header().Set(headers.Request, r.Header.Get(headers.Request))
 	w.WriteHeader(resp.StatusCode)
-	if err := forwarder.Copy(w, resp.Body); err != nil {
+	if err := forwarder.Copy(w, body); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -42,6 +42,8 @@
 
 	mu      sync.Mutex
 	set     ident.WeightSet
+	loaded  map[ident.Digest]bool
+	loads   int64
 	fence   ident.Fence
 	running int
 	birth   int64
@@ -76,7 +78,7 @@
 
 func (e *Engine) state(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
-	s := engineapi.State{Set: e.set, Fence: e.fence, Running: e.running, Slots: e.Slots, Birth: e.birth}
+	s := engineapi.State{Set: e.set, Fence: e.fence, Loads: e.loads, Running: e.running, Slots: e.Slots, Birth: e.birth}
 	e.mu.Unlock()
 	reply(w, s)
 }
@@ -92,13 +94,18 @@
 	if !stale {
 		e.fence = o.Fence
 		e.set = ""
+		e.loads++
 	}
+	loaded := e.loaded
 	e.mu.Unlock()
 	if stale {
 		http.Error(w, "fencing number is too old", http.StatusConflict)
 		return
 	}
 	for _, d := range o.Artifacts {
+		if loaded[d] {
+			continue
+		}
 		if err := e.readArtifact(r.Context(), o.Source, d); err != nil {
 			http.Error(w, err.Error(), http.StatusBadGateway)
 			return
@@ -107,6 +114,10 @@
 	e.mu.Lock()
 	if e.fence == o.Fence || e.IgnoreFence {
 		e.set = manifest.Set(o.Artifacts...)
+		e.loaded = make(map[ident.Digest]bool)
+		for _, d := range o.Artifacts {
+			e.loaded[d] = true
+		}
 	}
 	e.mu.Unlock()
 	e.state(w, r)
@@ -204,7 +215,7 @@
 	}
 	w.Header().Set(headers.Set, string(set))
 	w.Header().Set(headers.Request, r.Header.Get(headers.Request))
-	run := &run{engine: e, crash: crash, chat: r.URL.Path == engineapi.ChatPath, set: set, prompt: prompt, q: q, id: r.Header.Get(headers.Request)}
+	run := &run{engine: e, crash: crash, chat: r.URL.Path == engineapi.ChatPath, prompt: prompt, q: q, id: r.Header.Get(headers.Request)}
 	if q.Stream {
 		run.stream(w, r)
 		return
@@ -219,6 +230,13 @@
 	return e.set, e.crash
 }
 
+// current returns the set that makes the next token. It changes when the engine is ordered while it answers.
+func (e *Engine) current() ident.WeightSet {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.set
+}
+
 func (e *Engine) end() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -231,6 +249,8 @@
 	close(e.crash)
 	e.crash = make(chan struct{})
 	e.set = ""
+	e.loaded = nil
+	e.loads = 0
 	e.downTo = time.Now().Add(e.Restart)
 	e.birth = time.Now().UnixNano()
 }
@@ -239,7 +259,6 @@
 	engine *Engine
 	crash  <-chan struct{}
 	chat   bool
-	set    ident.WeightSet
 	prompt string
 	id     string
 	q      engineapi.Request
@@ -260,7 +279,7 @@
 	rc := http.NewResponseController(w)
 	for i := u.q.Resume; i < u.q.Tokens; i++ {
 		u.wait(r.Context())
-		u.event(w, u.answer(Token(u.set, u.prompt, i), true, nil))
+		u.event(w, u.answer(Token(u.engine.current(), u.prompt, i), true, nil))
 		_ = rc.Flush()
 	}
 	stop := "stop"
@@ -277,11 +296,13 @@
 }
 
 func (u *run) whole(w http.ResponseWriter, r *http.Request) {
-	for range u.q.Tokens {
+	var text strings.Builder
+	for i := range u.q.Tokens {
 		u.wait(r.Context())
+		text.WriteString(Token(u.engine.current(), u.prompt, i))
 	}
 	stop := "stop"
-	reply(w, u.answer(Text(u.set, u.prompt, u.q.Tokens), false, &stop))
+	reply(w, u.answer(text.String(), false, &stop))
 }
 
 func (u *run) answer(text string, chunk bool, finish *string) engineapi.Answer {
--- a/internal/switcher/switcher.go
+++ b/internal/switcher/switcher.go
@@ -11,19 +11,22 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/gate"
 	"github.com/nutmegdock/nutmegdock/internal/core/holder"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
-	"github.com/nutmegdock/nutmegdock/internal/core/placer"
+	"github.com/nutmegdock/nutmegdock/internal/core/orderer"
 	"github.com/nutmegdock/nutmegdock/internal/core/reducer"
+	"github.com/nutmegdock/nutmegdock/internal/core/waver"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/loader"
 	"github.com/nutmegdock/nutmegdock/internal/membership"
 )
 
-const checkInterval = 500 * time.Millisecond
+const retryWait = 500 * time.Millisecond
 
 // Switcher serves one engine. Set its fields before Run.
 type Switcher struct {
 	// Self is the host's own id.
 	Self ident.Host
+	// Pool is the host's own pool.
+	Pool ident.Pool
 	// Gate is closed while the engine changes its weights.
 	Gate *gate.Gate
 	// Holder keeps the chunks.
@@ -41,8 +44,16 @@
 	// Logger receives the events.
 	Logger log.Interface
 
-	mu   sync.Mutex
-	want ident.WeightSet
+	mu       sync.Mutex
+	want     ident.WeightSet
+	waver    waver.Waver
+	orderer  orderer.Orderer
+	planner  planner
+	fetching fetching
+	opened   ident.WeightSet
+	slots    int
+	cancel   context.CancelFunc
+	results  chan orderer.Result
 }
 
 // Want returns the weight set that the host is to serve.
@@ -52,109 +63,137 @@
 	return s.want
 }
 
+// Slots returns the number of requests that the engine said it runs at once.
+func (s *Switcher) Slots() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.slots
+}
+
+// Hear takes the counts with which an entry host answered a report that was sent at a time.
+func (s *Switcher) Hear(from ident.Host, asked time.Time, counts []waver.Count) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waver.Hear(from, asked, counts)
+}
+
 // Run keeps the engine on the wanted set until ctx ends.
 func (s *Switcher) Run(ctx context.Context) error {
+	s.results = make(chan orderer.Result, 1)
+	s.fetching.done = make(chan struct{}, 1)
+	defer s.stop()
 	for ctx.Err() == nil {
 		changed := s.Changed()
-		need, offset, ok := s.need()
-		if ok {
-			s.reach(ctx, need, offset)
-		}
+		p := s.plan()
+		s.fetch(ctx, p)
+		s.act(ctx, p)
 		select {
 		case <-ctx.Done():
 		case <-changed:
-		case <-time.After(checkInterval):
+		case <-s.fetching.done:
+		case r := <-s.results:
+			s.ended(r)
+		case <-time.After(orderer.FreshTime):
 		}
 	}
 	return nil
 }
 
-func (s *Switcher) need() (placer.Need, ident.Offset, bool) {
-	var needs []placer.Need
-	var offset ident.Offset
-	s.View(func(st *reducer.Reducer) {
-		needs = placer.Needs(st.Deployments())
-		offset = st.Offset()
-	})
-	var nodes []placer.Node
-	for _, m := range s.Hosts() {
-		if !m.Leaving {
-			nodes = append(nodes, placer.Node{Host: m.Host, Zone: m.Zone, Pool: m.Pool})
-		}
-	}
-	need, ok := placer.Place(needs, nodes)[s.Self]
-	if ok {
-		s.mu.Lock()
-		s.want = need.Set
-		s.mu.Unlock()
+// stop waits for what Run has started.
+func (s *Switcher) stop() {
+	if s.orderer.Running() {
+		s.cancel()
+		s.ended(<-s.results)
 	}
-	return need, offset, ok
+	s.fetching.stop()
 }
 
-// reach fetches and loads the set. It gives up early when another set is wanted while chunks are fetched.
-func (s *Switcher) reach(ctx context.Context, need placer.Need, offset ident.Offset) {
-	st := s.Gate.Status()
-	if st.Open && st.Set == need.Set {
-		s.verify(ctx, need)
-		return
-	}
-	artifacts := digests(need)
-	fetchCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go s.watch(fetchCtx, cancel, need.Set)
-	event.BurstStarted.Log(s.Logger, log.Fields{"set": need.Set})
-	if err := s.Fetch(fetchCtx, artifacts); err != nil {
-		event.FetchFailed.Log(s.Logger, log.Fields{"set": need.Set, "error": err.Error()})
-		return
+func (s *Switcher) plan() plan {
+	p := s.planner.plan(s)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.need.Set != s.want {
+		s.waver.Reset()
 	}
-	event.BurstFinished.Log(s.Logger, log.Fields{"set": need.Set})
-	s.load(ctx, need, offset)
+	s.want = p.need.Set
+	return p
 }
 
-// watch cancels a fetch once its set is superseded.
-func (s *Switcher) watch(ctx context.Context, cancel context.CancelFunc, set ident.WeightSet) {
-	for {
-		changed := s.Changed()
-		if need, _, ok := s.need(); !ok || need.Set != set {
-			cancel()
-			return
-		}
-		select {
-		case <-ctx.Done():
+// act does what the orderer says until it has nothing more to do.
+func (s *Switcher) act(ctx context.Context, p plan) {
+	for ctx.Err() == nil {
+		st := s.Gate.Status()
+		a := s.orderer.Next(time.Now(), s.wanted(p, st), st.Running)
+		switch a.Kind {
+		case orderer.Wait:
 			return
-		case <-changed:
+		case orderer.Read:
+			s.read(ctx)
+		case orderer.Open:
+			s.open(a, p)
+		case orderer.Close:
+			s.Gate.Close()
+			event.GateClosed.Log(s.Logger, log.Fields{"set": st.Set, "want": p.need.Set})
+		case orderer.Cancel:
+			s.cancel()
+		case orderer.Order:
+			s.order(ctx, a, p)
 		}
 	}
 }
 
-func (s *Switcher) load(ctx context.Context, need placer.Need, offset ident.Offset) {
-	select {
-	case <-s.Gate.Close():
-	case <-ctx.Done():
-		return
+func (s *Switcher) wanted(p plan, st gate.Status) orderer.Want {
+	w := orderer.Want{Set: p.need.Set, Offset: p.offset, Accepted: p.accepted, Verified: s.fetching.held(p.need)}
+	if s.opened != "" {
+		w.Accepted = append(w.Accepted[:len(w.Accepted):len(w.Accepted)], s.opened)
 	}
-	if err := s.Loader.Load(ctx, digests(need), ident.Fence(offset)); err != nil {
-		event.OrderFailed.Log(s.Logger, log.Fields{"set": need.Set, "error": err.Error()})
-		return
+	if !w.Verified || st.Set == w.Set {
+		return w
 	}
-	s.Gate.Open(need.Set)
-	s.Holder.Retain(digests(need))
-	event.SetLoaded.Log(s.Logger, log.Fields{"set": need.Set})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.Permitted = !st.Open || s.waver.Permit(time.Now(), st.Set, p.groups)
+	return w
 }
 
-// verify closes the gate when the engine serves another set than it was ordered to.
-func (s *Switcher) verify(ctx context.Context, need placer.Need) {
+func (s *Switcher) read(ctx context.Context) {
+	asked := time.Now()
 	st, err := s.Loader.State(ctx)
-	if err == nil && st.Set == need.Set {
+	if err != nil {
+		s.orderer.Unreachable(time.Now())
 		return
 	}
-	s.Gate.Close()
+	s.orderer.Observe(asked, st)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slots = st.Slots
 }
 
-func digests(need placer.Need) []ident.Digest {
-	out := make([]ident.Digest, len(need.Refs))
-	for i, r := range need.Refs {
-		out[i] = r.Digest
+func (s *Switcher) open(a orderer.Action, p plan) {
+	s.Gate.OpenUntil(a.Set, a.Epoch, a.Until)
+	if a.Set == s.opened {
+		return
 	}
-	return out
+	s.opened = a.Set
+	event.SetLoaded.Log(s.Logger, log.Fields{"set": a.Set})
+	if a.Set == p.need.Set {
+		s.Holder.Retain(p.digests())
+	}
+}
+
+func (s *Switcher) order(ctx context.Context, a orderer.Action, p plan) {
+	event.OrderGiven.Log(s.Logger, log.Fields{"set": a.Set, "fence": a.Fence})
+	ctx, s.cancel = context.WithCancel(ctx)
+	go func() {
+		r, err := s.Loader.Order(ctx, p.digests(), a.Fence)
+		if err != nil {
+			event.OrderFailed.Log(s.Logger, log.Fields{"set": a.Set, "error": err.Error()})
+		}
+		s.results <- r
+	}()
+}
+
+func (s *Switcher) ended(r orderer.Result) {
+	s.cancel()
+	s.orderer.Ended(time.Now(), r)
 }
