platformd: fault switches over HTTP

Cause: process tests need outages, lost answers and lag of the platform while programs run. Change: POST /faults on platformd switches them; absent parts stay as they are. Not covered yet: stalled and corrupt chunks, engine faults.

--- a/internal/standin/logservice/logservice.go
+++ b/internal/standin/logservice/logservice.go
@@ -44,6 +44,13 @@
 	s.down = down
 }
 
+// SetRetention changes how long a record is kept; zero keeps it for ever.
+func (s *Service) SetRetention(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Retention = d
+}
+
 // LoseAnswers makes the next n appends take effect without an answer.
 func (s *Service) LoseAnswers(n int) {
 	s.mu.Lock()
--- a/internal/standin/members/members.go
+++ b/internal/standin/members/members.go
@@ -44,6 +44,13 @@
 	s.down = down
 }
 
+// SetLag changes the age of the list that callers get.
+func (s *Service) SetLag(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Lag = d
+}
+
 // Handler returns the service's routes.
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -139,6 +139,7 @@
 	mux.Handle("/members/", http.StripPrefix("/members", p.Members.Handler()))
 	mux.Handle("/store/", http.StripPrefix("/store", p.Store.Handler()))
 	mux.Handle("/origin/", http.StripPrefix("/origin", p.Origin.Handler()))
+	mux.HandleFunc("POST /faults", p.serveFaults)
 	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(p.Counts())
