reducer: checks with all faults, history, state at an offset, preview, undo

Cause: the fold computed all deployments at every commit, checked only that a template exists, and kept its whole history. Change: objects and effective deployments lie in a persistent map, so that a change costs the deployments that it moves and Clone is cheap; Check names all faults; audit entries carry before, after and the other author of a conflict; audit and seen ids are bounded by the last 10,000 records, a pure function of the log. A deployment's organisation must exist.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -99,8 +99,17 @@
 	return fmt.Sprintf("change record: %s", e.Reason)
 }
 
+// Bounds of a record in the log. A record beyond them is malformed.
+const (
+	MaxRecordBytes = 64 << 10
+	MaxObjectChars = 256
+)
+
 // Decode parses a record of the log.
 func Decode(data []byte) (Record, error) {
+	if len(data) > MaxRecordBytes {
+		return Record{}, &Error{Reason: fmt.Sprintf("is longer than %d bytes", MaxRecordBytes)}
+	}
 	var r Record
 	if err := json.Unmarshal(data, &r); err != nil {
 		return Record{}, &Error{Reason: err.Error()}
@@ -108,6 +117,9 @@
 	if r.ID == "" || r.Object == "" {
 		return Record{}, &Error{Reason: "has no id or no object"}
 	}
+	if len(r.ID) > MaxIDLength || len(r.Author) > MaxAuthorChars || len(r.Object) > MaxObjectChars {
+		return Record{}, &Error{Reason: "id, author or object is too long"}
+	}
 	return r, nil
 }
 
--- a/internal/core/reducer/reducer.go
+++ b/internal/core/reducer/reducer.go
@@ -4,15 +4,19 @@
 
 import (
 	"fmt"
-	"sort"
-	"strings"
+	"slices"
 	"time"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/manifest"
+	"github.com/nutmegdock/nutmegdock/internal/core/sharder"
 )
 
+// Horizon is the number of the latest records whose audit entries and change ids are kept. An append that is
+// repeated later than this is refused by its base instead of its id.
+const Horizon = 10_000
+
 // Verdict tells what became of a record.
 type Verdict string
 
@@ -35,6 +39,13 @@
 	Verdict  Verdict        `json:"verdict"`
 	Revision ident.Revision `json:"revision,omitempty"`
 	Reason   string         `json:"reason,omitempty"`
+	// Other is the author of the revision that a conflicting record met.
+	Other ident.Author `json:"other,omitempty"`
+	// Faults are the rules that a refused record breaks.
+	Faults []catalog.Fault `json:"faults,omitempty"`
+	// Before and After are the object's states around an accepted record. Before is absent for a new object.
+	Before *Entry `json:"before,omitempty"`
+	After  *Entry `json:"after,omitempty"`
 }
 
 // Entry is the current state of one object. A deleted object keeps its revision.
@@ -43,23 +54,33 @@
 	Record   catalog.Record `json:"record"`
 }
 
-// Reducer holds the state after a prefix of the log. It is not safe for concurrent use.
+// Reducer holds the state after a prefix of the log. Its state is persistent: Clone is cheap, and a clone that no one
+// applies records to may be read by many goroutines at once.
 type Reducer struct {
-	offset   ident.Offset
-	digest   ident.Digest
-	objects  map[ident.Object]Entry
-	seen     map[ident.Change]Audit
-	previous map[ident.Object]ident.WeightSet
-	history  []Audit
+	offset    ident.Offset
+	digest    ident.Digest
+	objects   sharder.Map[ident.Object, *Entry]
+	effective sharder.Map[ident.Object, *catalog.Effective]
+	previous  sharder.Map[ident.Object, ident.WeightSet]
+	keys      sharder.Map[ident.Digest, ident.Organisation]
+	seen      sharder.Map[ident.Change, ident.Offset]
+	// history holds the latest Horizon audit entries without gaps; the last is of offset-1.
+	history []Audit
+	// uses lists the deployments of each template. A clone builds it at its first record.
+	uses *usage
 }
 
 // New returns the state of an empty log.
 func New() *Reducer {
-	return &Reducer{
-		objects:  make(map[ident.Object]Entry),
-		seen:     make(map[ident.Change]Audit),
-		previous: make(map[ident.Object]ident.WeightSet),
-	}
+	return &Reducer{uses: newUsage()}
+}
+
+// Clone returns an independent copy. Its cost does not depend on the size of the state.
+func (r *Reducer) Clone() *Reducer {
+	out := *r
+	out.history = slices.Clip(r.history)
+	out.uses = nil
+	return &out
 }
 
 // Offset returns the number of records folded.
@@ -67,51 +88,38 @@
 	return r.offset
 }
 
-// Digest returns the running digest of the records folded.
+// Digest returns the running digest of the records folded and their verdicts.
 func (r *Reducer) Digest() ident.Digest {
 	return r.digest
 }
 
-// History returns the audit trail, oldest first.
-func (r *Reducer) History() []Audit {
-	return append([]Audit(nil), r.history...)
-}
-
-// Find returns the audit entry of a change that was folded.
-func (r *Reducer) Find(id ident.Change) (Audit, bool) {
-	a, ok := r.seen[id]
-	return a, ok
-}
-
-// Object returns the state of one object.
-func (r *Reducer) Object(o ident.Object) (Entry, bool) {
-	e, ok := r.objects[o]
-	return e, ok
-}
-
-// Objects returns the paths that start with prefix and are not deleted, in order.
-func (r *Reducer) Objects(prefix string) []ident.Object {
-	var out []ident.Object
-	for o, e := range r.objects {
-		if !e.Record.Delete && strings.HasPrefix(string(o), prefix) {
-			out = append(out, o)
-		}
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
-	return out
-}
-
 // Apply folds the next record.
 func (r *Reducer) Apply(data []byte) Audit {
+	if r.uses == nil {
+		r.uses = r.countUses()
+	}
 	a := r.judge(data)
 	a.Offset = r.offset
 	r.offset++
-	r.digest = manifest.Sum(append([]byte(r.digest), data...))
+	verdict := fmt.Sprintf("%s %s %d %s\n", r.digest, a.Verdict, a.Revision, a.Reason)
+	r.digest = manifest.Sum(append([]byte(verdict), data...))
+	r.remember(a)
+	return a
+}
+
+func (r *Reducer) remember(a Audit) {
+	if a.ID != "" && a.Verdict != Repeated && a.Verdict != Malformed {
+		r.seen = r.seen.Set(a.ID, a.Offset)
+	}
 	r.history = append(r.history, a)
-	if a.ID != "" && a.Verdict != Repeated {
-		r.seen[a.ID] = a
+	if len(r.history) <= Horizon {
+		return
 	}
-	return a
+	old := r.history[0]
+	if at, ok := r.seen.Get(old.ID); ok && at == old.Offset {
+		r.seen = r.seen.Delete(old.ID)
+	}
+	r.history = r.history[1:]
 }
 
 func (r *Reducer) judge(data []byte) Audit {
@@ -120,102 +128,57 @@
 		return Audit{Verdict: Malformed, Reason: err.Error()}
 	}
 	a := Audit{ID: rec.ID, Object: rec.Object, Author: rec.Author, Time: rec.Time}
-	if _, ok := r.seen[rec.ID]; ok {
+	if _, ok := r.seen.Get(rec.ID); ok {
 		a.Verdict = Repeated
 		return a
 	}
-	cur := r.objects[rec.Object]
+	cur, exists := r.Object(rec.Object)
 	if cur.Revision != rec.Base {
 		a.Verdict = Conflict
 		a.Revision = cur.Revision
+		a.Other = cur.Record.Author
 		a.Reason = fmt.Sprintf("revision is %d, by %s", cur.Revision, cur.Record.Author)
 		return a
 	}
-	if err := r.check(rec); err != nil {
+	if faults := r.Check(rec); len(faults) > 0 {
 		a.Verdict = Refused
-		a.Reason = err.Error()
+		a.Faults = faults
+		a.Reason = (&catalog.FaultsError{Faults: faults}).Error()
 		return a
 	}
-	r.commit(rec, cur.Revision+1)
+	next := &Entry{Revision: cur.Revision + 1, Record: rec}
+	r.commit(next)
 	a.Verdict = Accepted
-	a.Revision = cur.Revision + 1
-	return a
-}
-
-func (r *Reducer) check(rec catalog.Record) error {
-	if rec.Delete || rec.Deployment == nil {
-		return nil
-	}
-	t, ok := r.objects[ident.TemplateObject(rec.Deployment.Template)]
-	if !ok || t.Record.Delete {
-		return &catalog.Error{Reason: fmt.Sprintf("template %q does not exist", rec.Deployment.Template)}
-	}
-	return nil
-}
-
-func (r *Reducer) commit(rec catalog.Record, rev ident.Revision) {
-	before := r.sets()
-	r.objects[rec.Object] = Entry{Revision: rev, Record: rec}
-	for o, set := range r.sets() {
-		if old := before[o]; old != "" && old != set {
-			r.previous[o] = old
-		}
+	a.Revision = next.Revision
+	a.After = next
+	if exists {
+		a.Before = &cur
 	}
+	return a
 }
 
-func (r *Reducer) sets() map[ident.Object]ident.WeightSet {
-	out := make(map[ident.Object]ident.WeightSet)
-	for _, e := range r.Deployments() {
-		out[ident.DeploymentObject(e.Organisation, e.Name)] = e.Set
+// commit puts an object's next state into force.
+func (r *Reducer) commit(next *Entry) {
+	rec := next.Record
+	old, _ := r.Object(rec.Object)
+	r.objects = r.objects.Set(rec.Object, next)
+	kind, names := catalog.Split(rec.Object)
+	switch kind {
+	case "organisation":
+		r.commitKey(ident.Organisation(names[0]), old.Record.Organisation, rec.Organisation)
+	case "deployment":
+		r.uses.move(rec.Object, old.Record.Deployment, rec.Deployment)
+		r.refresh([]ident.Object{rec.Object})
+	case "template":
+		r.refresh(r.uses.of(ident.Template(names[0])))
 	}
-	return out
 }
 
-// Deployments returns all deployments with their templates applied, in the order of their paths.
-func (r *Reducer) Deployments() []catalog.Effective {
-	var out []catalog.Effective
-	for _, o := range r.Objects("deployment/") {
-		if e, ok := r.effective(o); ok {
-			out = append(out, e)
-		}
+func (r *Reducer) commitKey(org ident.Organisation, old, next *catalog.Organisation) {
+	if old != nil {
+		r.keys = r.keys.Delete(old.Key)
 	}
-	return out
-}
-
-// Deployment returns one deployment with its template applied.
-func (r *Reducer) Deployment(org ident.Organisation, name ident.Deployment) (catalog.Effective, bool) {
-	return r.effective(ident.DeploymentObject(org, name))
-}
-
-func (r *Reducer) effective(o ident.Object) (catalog.Effective, bool) {
-	e, ok := r.objects[o]
-	if !ok || e.Record.Delete || e.Record.Deployment == nil {
-		return catalog.Effective{}, false
-	}
-	d := e.Record.Deployment
-	t, ok := r.objects[ident.TemplateObject(d.Template)]
-	if !ok || t.Record.Template == nil {
-		return catalog.Effective{}, false
-	}
-	parts := strings.SplitN(string(o), "/", 3)
-	spec := d.Apply(*t.Record.Template)
-	return catalog.Effective{
-		Organisation: ident.Organisation(parts[1]),
-		Name:         ident.Deployment(parts[2]),
-		Template:     d.Template,
-		Spec:         spec,
-		Set:          spec.Set(),
-		Previous:     r.previous[o],
-	}, true
-}
-
-// Organisation returns the organisation whose key has the given digest.
-func (r *Reducer) Organisation(key ident.Digest) (ident.Organisation, bool) {
-	for _, o := range r.Objects("organisation/") {
-		org := r.objects[o].Record.Organisation
-		if org != nil && org.Key == key {
-			return ident.Organisation(strings.TrimPrefix(string(o), "organisation/")), true
-		}
+	if next != nil {
+		r.keys = r.keys.Set(next.Key, org)
 	}
-	return "", false
 }
--- /dev/null
+++ b/internal/core/reducer/reducer_test.go
@@ -0,0 +1,176 @@
+package reducer
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+)
+
+func apply(t *testing.T, r *Reducer, rec catalog.Record) Audit {
+	t.Helper()
+	data, err := rec.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r.Apply(data)
+}
+
+func organisation(name string) catalog.Record {
+	return catalog.Record{
+		ID: ident.Change("org-" + name), Object: ident.OrganisationObject(ident.Organisation(name)), Author: "ana",
+		Organisation: &catalog.Organisation{Key: ident.Digest("key-" + name), Weight: 1},
+	}
+}
+
+func template(id ident.Change, base ident.Revision, version string) catalog.Record {
+	return catalog.Record{
+		ID: id, Object: "template/chat", Base: base, Author: "bob",
+		Template: &catalog.Template{
+			Kind: catalog.KindEngine, Pool: "lm", Replicas: 4, Floor: 2, Open: []string{"replicas"},
+			Model: &catalog.Ref{Name: "m", Version: version, Digest: ident.Digest("d" + version)},
+		},
+	}
+}
+
+func deployment(id ident.Change, org string, replicas *int) catalog.Record {
+	return catalog.Record{
+		ID: id, Object: ident.DeploymentObject(ident.Organisation(org), "chat"), Author: "ana",
+		Deployment: &catalog.Deployment{Template: "chat", Replicas: replicas},
+	}
+}
+
+func filled(t *testing.T) *Reducer {
+	t.Helper()
+	r := New()
+	for _, rec := range []catalog.Record{organisation("acme"), template("t1", 0, "1"), deployment("d1", "acme", nil)} {
+		if a := apply(t, r, rec); a.Verdict != Accepted {
+			t.Fatalf("%s: %s: %s", rec.ID, a.Verdict, a.Reason)
+		}
+	}
+	return r
+}
+
+func TestConflictNamesTheOtherChange(t *testing.T) {
+	is := is.New(t)
+	r := filled(t)
+	a := apply(t, r, template("t2", 0, "2"))
+	is.Equal(a.Verdict, Conflict)
+	is.Equal(a.Revision, ident.Revision(1))
+	is.Equal(a.Other, ident.Author("bob"))
+	is.Equal(apply(t, r, template("t1", 0, "1")).Verdict, Repeated)
+	found, ok := r.Find("t2")
+	is.True(ok)
+	is.Equal(found.Verdict, Conflict)
+}
+
+func TestTemplateMovesItsDeployments(t *testing.T) {
+	is := is.New(t)
+	r := filled(t)
+	old, _ := r.Deployment("acme", "chat")
+	preview, err := r.Preview(template("t2", 1, "2"))
+	is.NoErr(err)
+	is.Equal(preview.Audit.Verdict, Accepted)
+	is.Equal(len(preview.Moves), 1)
+	is.Equal(preview.Moves[0].Before.Set, old.Set)
+	now, _ := r.Deployment("acme", "chat")
+	is.Equal(now.Set, old.Set) // the preview changed nothing
+
+	apply(t, r, template("t2", 1, "2"))
+	now, _ = r.Deployment("acme", "chat")
+	is.Equal(now.Set, preview.Moves[0].After.Set)
+	is.Equal(now.Previous, old.Set)
+}
+
+func TestStateChecks(t *testing.T) {
+	r := filled(t)
+	one := 1
+	key := organisation("other")
+	key.Organisation.Key = "key-acme"
+	priority := deployment("p", "acme", nil)
+	priority.Base, priority.Deployment.Priority = 1, &one
+	service := template("s", 1, "1")
+	service.Template.Open = nil
+	service.Template.Floor = 3
+	for name, rec := range map[string]catalog.Record{
+		"same key":         key,
+		"closed override":  priority,
+		"below floor":      {ID: "f", Object: "deployment/acme/chat", Base: 1, Deployment: &catalog.Deployment{Template: "chat", Replicas: &one}},
+		"no template":      {ID: "n", Object: "deployment/acme/x", Deployment: &catalog.Deployment{Template: "none"}},
+		"no organisation":  deployment("o", "nobody", nil),
+		"template in use":  {ID: "u", Object: "template/chat", Base: 1, Delete: true},
+		"organisation use": {ID: "v", Object: "organisation/acme", Base: 1, Delete: true},
+		"delete of none":   {ID: "w", Object: "template/none", Delete: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a := apply(t, r.Clone(), rec)
+			is.Equal(a.Verdict, Refused)
+			is.True(len(a.Faults) > 0)
+		})
+	}
+}
+
+func TestHistoryAndUndo(t *testing.T) {
+	is := is.New(t)
+	r := filled(t)
+	apply(t, r, template("t2", 1, "2"))
+	apply(t, r, catalog.Record{ID: "x", Object: "deployment/acme/chat", Base: 1, Delete: true, Author: "eve"})
+	is.Equal(len(r.Select(Filter{Organisation: "acme"})), 3)
+	is.Equal(len(r.Select(Filter{Author: "bob", Limit: 1})), 1)
+	is.Equal(r.Select(Filter{Author: "bob", Limit: 1})[0].ID, ident.Change("t2"))
+
+	at, err := r.At(3)
+	is.NoErr(err)
+	is.Equal(at["template/chat"].Record.ID, ident.Change("t1"))
+	is.Equal(at["deployment/acme/chat"].Revision, ident.Revision(1))
+	at, err = r.At(0)
+	is.NoErr(err)
+	is.Equal(len(at), 0)
+	_, err = r.At(99)
+	is.True(err != nil)
+
+	undo, err := r.Undo("x")
+	is.NoErr(err)
+	undo.ID = "undo-x"
+	is.Equal(apply(t, r, undo).Verdict, Accepted)
+	_, ok := r.Deployment("acme", "chat")
+	is.True(ok)
+	e, _ := r.Object("deployment/acme/chat")
+	is.Equal(e.Revision, ident.Revision(3)) // a deleted object keeps its revision
+}
+
+func TestHorizonIsBounded(t *testing.T) {
+	is := is.New(t)
+	r := New()
+	for i := range Horizon + 10 {
+		rec := organisation("acme")
+		rec.ID, rec.Base = ident.Change(fmt.Sprint(i)), ident.Revision(i)
+		apply(t, r, rec)
+	}
+	is.Equal(len(r.History()), Horizon)
+	is.Equal(r.seen.Len(), Horizon)
+	_, ok := r.Find("9")
+	is.True(!ok)
+	rec := organisation("acme")
+	rec.ID = "9"
+	rec.Base = 9
+	is.Equal(apply(t, r, rec).Verdict, Conflict) // beyond the horizon the base still refuses a repeated append
+}
+
+func TestCloneIsIndependent(t *testing.T) {
+	is := is.New(t)
+	r := filled(t)
+	c := r.Clone()
+	apply(t, r, template("t2", 1, "2"))
+	is.Equal(apply(t, c, template("t3", 1, "3")).Verdict, Accepted)
+	_, ok := r.Find("t3")
+	is.True(!ok)
+	_, ok = c.Find("t2")
+	is.True(!ok)
+	is.Equal(len(r.History()), len(c.History()))
+	is.True(r.Digest() != c.Digest())
+}
