Second address of endpointd, process metrics, control bytes counted

Change: endpointd serves health, readiness and metrics on its second address; both daemons export nutmegdock_control_bytes_total and the process collector. Connections that a JSON-RPC client dials are not counted yet.

--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -106,7 +106,7 @@
 	bin, err := programs()
 	is.NoErr(err)
 	c := &cluster{t: t, bin: bin, dir: t.TempDir(), procs: make(map[ident.Host]*process)}
-	next := addresses(t, 7+3*(engines+2))
+	next := addresses(t, 7+4*(engines+2))
 	cfg := platform.Settings{
 		Listen:    next(),
 		Artifacts: []platform.Artifact{{Name: "m", Version: "1", Size: modelBytes, Chunk: chunkBytes, Seed: 7}},
@@ -115,7 +115,7 @@
 	for i := range engines + 2 {
 		e := endpoint.Settings{
 			Host: ident.Host(fmt.Sprintf("endpoint-%d", i)), Zone: ident.Zone(fmt.Sprintf("zone-%d", i%3)), Region: "r",
-			Pool: "lm", Kind: catalog.KindEngine, Listen: next(), Control: next(),
+			Pool: "lm", Kind: catalog.KindEngine, Listen: next(), Control: next(), Admin: next(),
 			Log: c.base + "/log", Members: c.base + "/members", Store: c.base + "/store", Origin: c.base + "/origin",
 			Memory: 1 << 30, Grace: 20,
 		}
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -10,8 +10,10 @@
 
 	"github.com/apex/log"
 	"github.com/bits-and-blooms/bitset"
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/nutmegdock/nutmegdock/internal/bytecounter"
 	"github.com/nutmegdock/nutmegdock/internal/chunkserver"
 	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
 	"github.com/nutmegdock/nutmegdock/internal/core/gate"
@@ -42,6 +44,7 @@
 	Kind    catalog.Kind `json:"kind" validate:"required,oneof=engine service"`
 	Listen  string       `json:"listen" validate:"required,tcp_addr"`
 	Control string       `json:"control" validate:"required,tcp_addr"`
+	Admin   string       `json:"admin" validate:"required,tcp_addr"`
 	Backend string       `json:"backend" validate:"required,url"`
 	Log     string       `json:"log" validate:"required,url"`
 	Members string       `json:"members" validate:"required,url"`
@@ -69,6 +72,8 @@
 	fetcher  *fetcher.Fetcher
 	switcher *switcher.Switcher
 	reporter *reporter.Reporter
+	registry *prometheus.Registry
+	control  bytecounter.Counter
 }
 
 // Run serves until ctx ends, then refuses new work and finishes the requests in progress.
@@ -81,6 +86,10 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	second, err := net.Listen("tcp", s.Settings.Admin)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
 	s.build()
 	event.Started.Log(s.Logger, log.Fields{"host": s.Settings.Host, "role": membership.RoleEndpoint})
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -90,7 +99,11 @@
 	tasks.Go(func() error { return s.follower.Run(background) })
 	tasks.Go(func() error { return s.members.Run(background) })
 	tasks.Go(func() error { return s.reporter.Run(background) })
-	tasks.Go(func() error { return rpcs.Serve(background, control) })
+	tasks.Go(func() error { return rpcs.Serve(background, s.control.Listener(control)) })
+	tasks.Go(func() error {
+		w := webserver.Server{Listener: second, Handler: s.admin(), Grace: time.Second}
+		return w.Run(background)
+	})
 	if s.Settings.Kind == catalog.KindEngine {
 		tasks.Go(func() error { return s.switcher.Run(ctx) })
 	} else {
@@ -144,6 +157,8 @@
 
 func (s *Server) build() {
 	s.birth = time.Now().UnixNano()
+	s.registry = newRegistry()
+	_ = s.control.Register(s.registry)
 	s.holder = &holder.Holder{Limit: s.Settings.Memory}
 	s.chunks = &chunkserver.Server{Holder: s.holder}
 	s.buildPlatform()
@@ -158,7 +173,7 @@
 }
 
 func (s *Server) buildPlatform() {
-	logs := &logclient.Client{URL: s.Settings.Log, HTTP: &http.Client{}}
+	logs := &logclient.Client{URL: s.Settings.Log, HTTP: s.control.Client()}
 	s.follower = &follower.Follower{
 		Read: func(ctx context.Context, from ident.Offset, limit int, wait time.Duration) (logclient.Page, error) {
 			return logs.Read(ctx, logclient.Config, from, limit, wait)
@@ -166,7 +181,7 @@
 		Logger: s.Logger,
 	}
 	s.members = &membership.List{
-		URL: s.Settings.Members, HTTP: &http.Client{}, Logger: s.Logger,
+		URL: s.Settings.Members, HTTP: s.control.Client(), Logger: s.Logger,
 		Self: membership.Member{
 			Host: s.Settings.Host, Role: membership.RoleEndpoint, Zone: s.Settings.Zone, Region: s.Settings.Region,
 			Pool: s.Settings.Pool, Data: s.Settings.Listen, Control: s.Settings.Control, Birth: s.birth,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,9 +11,11 @@
 
 	"github.com/apex/log"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmegdock/nutmegdock/internal/authorizer"
+	"github.com/nutmegdock/nutmegdock/internal/bytecounter"
 	"github.com/nutmegdock/nutmegdock/internal/callers"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/router"
@@ -54,6 +56,7 @@
 	members  *membership.List
 	view     *view.View
 	registry *prometheus.Registry
+	control  bytecounter.Counter
 }
 
 // Run serves until ctx ends, then finishes the requests in progress.
@@ -76,7 +79,7 @@
 	control := &rpc.Server{Methods: map[string]rpc.Handler{messages.ReportMethod: rpc.Handle(s.report)}}
 	tasks.Go(func() error { return s.follower.Run(background) })
 	tasks.Go(func() error { return s.members.Run(background) })
-	tasks.Go(func() error { return control.Serve(background, listeners.control) })
+	tasks.Go(func() error { return control.Serve(background, s.control.Listener(listeners.control)) })
 
 	g, gctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
@@ -119,9 +122,11 @@
 }
 
 func (s *Server) build() {
-	logs := &logclient.Client{URL: s.Settings.Log, HTTP: &http.Client{}}
+	logs := &logclient.Client{URL: s.Settings.Log, HTTP: s.control.Client()}
 	s.view = &view.View{}
 	s.registry = prometheus.NewRegistry()
+	s.registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
+	_ = s.control.Register(s.registry)
 	s.follower = &follower.Follower{
 		Read: func(ctx context.Context, from ident.Offset, limit int, wait time.Duration) (logclient.Page, error) {
 			return logs.Read(ctx, logclient.Config, from, limit, wait)
@@ -129,7 +134,7 @@
 		Logger: s.Logger,
 	}
 	s.members = &membership.List{
-		URL: s.Settings.Members, HTTP: &http.Client{}, Logger: s.Logger,
+		URL: s.Settings.Members, HTTP: s.control.Client(), Logger: s.Logger,
 		Self: membership.Member{
 			Host: s.Settings.Host, Role: membership.RoleEntry, Zone: s.Settings.Zone, Region: s.Settings.Region,
 			Data: s.Settings.Listen, Control: s.Settings.Control, Birth: time.Now().UnixNano(),
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -112,7 +112,7 @@
 }
 
 func (l *Lab) start(ctx, platformCtx context.Context, daemons, platformDone *errgroup.Group) error {
-	ports, err := freeAddresses(1 + 3*2 + 3*(l.Engines+2))
+	ports, err := freeAddresses(1 + 3*2 + 4*(l.Engines+2))
 	if err != nil {
 		return err
 	}
@@ -130,7 +130,7 @@
 	for i := range l.Engines + 2 {
 		e := endpoint.Settings{
 			Host: ident.Host(fmt.Sprintf("endpoint-%d", i)), Zone: zones[i%3], Region: regions[i%3],
-			Pool: enginePool, Kind: catalog.KindEngine, Listen: next(), Control: next(),
+			Pool: enginePool, Kind: catalog.KindEngine, Listen: next(), Control: next(), Admin: next(),
 			Log: base + "/log", Members: base + "/members", Store: base + "/store", Origin: base + "/origin",
 			Memory: memoryBytes, Grace: graceSeconds,
 		}
