--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -72,7 +72,7 @@
 }
 
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	bin     string
 	dir     string
 	base    string
@@ -81,7 +81,7 @@
 	procs   map[ident.Host]*process
 }
 
-func addresses(t *testing.T, n int) func() string {
+func addresses(t testing.TB, n int) func() string {
 	t.Helper()
 	var out []string
 	for range n {
@@ -100,7 +100,7 @@
 }
 
 // start runs platformd, two entry hosts, the engines and two plain services.
-func start(t *testing.T, engines int) *cluster {
+func start(t testing.TB, engines int) *cluster {
 	t.Helper()
 	is := is.New(t)
 	bin, err := programs()
