--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,10 +11,11 @@
 
 	"github.com/apex/log"
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/nutmegdock/nutmegdock/internal/admin"
+	"github.com/nutmegdock/nutmegdock/internal/authorizer"
+	"github.com/nutmegdock/nutmegdock/internal/bytecounter"
 	"github.com/nutmegdock/nutmegdock/internal/callers"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/router"
@@ -28,7 +29,6 @@
 	"github.com/nutmegdock/nutmegdock/internal/messages"
 	"github.com/nutmegdock/nutmegdock/internal/rpc"
 	"github.com/nutmegdock/nutmegdock/internal/webserver"
-	"github.com/nutmegdock/nutmegdock/internal/weightclient"
 )
 
 // Settings configure an entry host.
@@ -56,11 +56,12 @@
 	members  *membership.List
 	view     *view.View
 	registry *prometheus.Registry
+	control  bytecounter.Counter
 }
 
 // Run serves until ctx ends, then finishes the requests in progress.
 func (s *Server) Run(ctx context.Context) error {
-	tokens, err := admin.LoadTokens(s.Settings.Tokens)
+	tokens, err := authorizer.Load(s.Settings.Tokens)
 	if err != nil {
 		return err
 	}
@@ -78,7 +79,7 @@
 	control := &rpc.Server{Methods: map[string]rpc.Handler{messages.ReportMethod: rpc.Handle(s.report)}}
 	tasks.Go(func() error { return s.follower.Run(background) })
 	tasks.Go(func() error { return s.members.Run(background) })
-	tasks.Go(func() error { return control.Serve(background, listeners.control) })
+	tasks.Go(func() error { return control.Serve(background, s.control.Listener(listeners.control)) })
 
 	g, gctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
@@ -121,9 +122,11 @@
 }
 
 func (s *Server) build() {
-	logs := &logclient.Client{URL: s.Settings.Log, HTTP: &http.Client{}}
+	logs := &logclient.Client{URL: s.Settings.Log, HTTP: s.control.Client()}
 	s.view = &view.View{}
 	s.registry = prometheus.NewRegistry()
+	s.registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
+	_ = s.control.Register(s.registry)
 	s.follower = &follower.Follower{
 		Read: func(ctx context.Context, from ident.Offset, limit int, wait time.Duration) (logclient.Page, error) {
 			return logs.Read(ctx, logclient.Config, from, limit, wait)
@@ -131,7 +134,7 @@
 		Logger: s.Logger,
 	}
 	s.members = &membership.List{
-		URL: s.Settings.Members, HTTP: &http.Client{}, Logger: s.Logger,
+		URL: s.Settings.Members, HTTP: s.control.Client(), Logger: s.Logger,
 		Self: membership.Member{
 			Host: s.Settings.Host, Role: membership.RoleEntry, Zone: s.Settings.Zone, Region: s.Settings.Region,
 			Data: s.Settings.Listen, Control: s.Settings.Control, Birth: time.Now().UnixNano(),
@@ -154,33 +157,3 @@
 	c := &callers.Callers{View: s.follower.View, Dispatch: d.Do, Logger: s.Logger}
 	return c.Handler()
 }
-
-func (s *Server) admin(tokens []admin.Token) http.Handler {
-	logs := &logclient.Client{URL: s.Settings.Log, HTTP: &http.Client{}}
-	store := &weightclient.Client{HTTP: &http.Client{}}
-	a := &admin.Admin{
-		Tokens: tokens,
-		Append: func(ctx context.Context, data []byte) (ident.Offset, error) {
-			return logs.Append(ctx, logclient.Config, data)
-		},
-		View:    s.follower.View,
-		Changed: s.follower.Changed,
-		Resolve: func(ctx context.Context, name, version string) (ident.Digest, error) {
-			return store.Resolve(ctx, s.Settings.Store, name, version)
-		},
-		Reports: s.view.Reports,
-		Logger:  s.Logger,
-	}
-	mux := http.NewServeMux()
-	a.Register(mux)
-	mux.Handle("GET /metrics", promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{}))
-	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
-	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
-		if !s.follower.Ready() {
-			http.Error(w, "configuration is not complete yet", http.StatusServiceUnavailable)
-			return
-		}
-		w.WriteHeader(http.StatusNoContent)
-	})
-	return mux
-}
