--- a/internal/core/waver/waver.go
+++ b/internal/core/waver/waver.go
@@ -13,7 +13,8 @@
 const (
 	// FreshTime is how long counts may be used after they were asked for.
 	FreshTime = 2 * time.Second
-	// Patience is the time without progress after which one host of a higher rank is taken for stuck and stepped over.
+	// Patience is the time without progress after which the floor counts for one less, so that a host of a higher rank
+	// that is stuck is stepped over, and a floor that only just all replicas reach does not stop a change for ever.
 	Patience = time.Minute
 )
 
@@ -22,17 +23,17 @@
 	Host ident.Host
 	Set  ident.WeightSet
 	Want ident.WeightSet
+	// Offset is the configuration offset that Want was decided at.
+	Offset ident.Offset
 }
 
 // Count tells how many other hosts serve a weight set.
 type Count struct {
 	Set ident.WeightSet `json:"set"`
-	// Steady counts those that serve the set and are to keep it.
+	// Steady counts those that serve the set and are to keep it, by a configuration that is new enough.
 	Steady int `json:"steady"`
 	// After counts those that are to leave the set and rank after the host that asks.
 	After int `json:"after,omitempty"`
-	// Before counts those that are to leave the set and rank before it.
-	Before int `json:"before,omitempty"`
 }
 
 // rankKey is the rendezvous key of the order in which hosts switch.
@@ -47,8 +48,9 @@
 	return sa > sb
 }
 
-// Tally counts the replicas whose gates are open, as self needs them.
-func Tally(self ident.Host, open []Replica) []Count {
+// Tally counts the replicas whose gates are open, as self needs them. Since is the offset of the change that self
+// follows: a replica whose configuration is older may have to leave its set as well.
+func Tally(self ident.Host, since ident.Offset, open []Replica) []Count {
 	var out []Count
 	index := make(map[ident.WeightSet]int)
 	for _, r := range open {
@@ -62,12 +64,10 @@
 			out = append(out, Count{Set: r.Set})
 		}
 		switch {
-		case r.Want == r.Set:
+		case r.Want == r.Set && r.Offset >= since:
 			out[i].Steady++
 		case Precedes(self, r.Host):
 			out[i].After++
-		default:
-			out[i].Before++
 		}
 	}
 	return out
@@ -166,7 +166,6 @@
 		c := s.counts[set]
 		out.Steady += c.Steady
 		out.After += c.After
-		out.Before += c.Before
 	}
 	return out
 }
@@ -174,12 +173,7 @@
 func (s source) permits(groups []Group, stuck int) bool {
 	for _, g := range groups {
 		c := s.sum(g)
-		floor := g.Floor
-		if stuck > 0 {
-			// No order of the switches keeps a floor that all replicas together only just reach.
-			floor = min(floor, c.Steady+c.After+c.Before)
-		}
-		if c.Steady+c.After+min(stuck, c.Before) < floor {
+		if c.Steady+c.After+stuck < g.Floor {
 			return false
 		}
 	}
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -240,10 +240,11 @@
 func (s *Server) report() messages.Report {
 	st := s.gate.Status()
 	have, total := s.fetcher.Progress()
+	want, since := s.switcher.Want()
 	return messages.Report{
 		Host: s.Settings.Host, Zone: s.Settings.Zone, Region: s.Settings.Region, Pool: s.Settings.Pool,
 		Data: s.Settings.Listen, Birth: s.birth, Offset: s.follower.Offset(), Open: st.Open, Leaving: st.Leaving,
 		Unfenced: s.Settings.Unfenced, Slots: s.switcher.Slots(),
-		Set: st.Set, Want: s.switcher.Want(), Running: st.Running, Chunks: have, Total: total,
+		Set: st.Set, Want: want, Since: since, Running: st.Running, Chunks: have, Total: total,
 	}
 }
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -24,9 +24,9 @@
 	var open []waver.Replica
 	for _, o := range s.view.Reports() {
 		if o.Pool == r.Pool && o.Open && !o.Leaving {
-			open = append(open, waver.Replica{Host: o.Host, Set: o.Set, Want: o.Want})
+			open = append(open, waver.Replica{Host: o.Host, Set: o.Set, Want: o.Want, Offset: o.Offset})
 		}
 	}
-	counts := waver.Tally(r.Host, open)
+	counts := waver.Tally(r.Host, r.Since, open)
 	return counts[:min(len(counts), maxWaveSets)]
 }
--- /dev/null
+++ b/internal/measure/orders/fleet_test.go
@@ -0,0 +1,202 @@
+// Package orders measures waves of switching and the placement.
+package orders
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/gate"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/orderer"
+	"github.com/nutmegdock/nutmegdock/internal/core/waver"
+	"github.com/nutmegdock/nutmegdock/internal/engineapi"
+)
+
+const (
+	oldSet ident.WeightSet = "old"
+	newSet ident.WeightSet = "new"
+
+	reportTime = 250 * time.Millisecond
+	staleTime  = 5 * time.Second
+	loadTime   = 10 * time.Second
+)
+
+// replica is one endpoint host with the real orderer, gate and waver, and an engine that loads in a given time.
+type replica struct {
+	id      ident.Host
+	engine  engineapi.State
+	ready   time.Time // when the load in progress ends
+	orderer orderer.Orderer
+	gate    gate.Gate
+	waver   waver.Waver
+	want    ident.WeightSet
+	fetched time.Time // when all chunks are held
+	frozen  time.Time
+	offset  ident.Offset
+	dead    bool
+}
+
+type sample struct {
+	time time.Time
+	open []waver.Replica
+}
+
+// fleet is the replicas of one deployment and the view that an entry host has of them.
+type fleet struct {
+	floor    int
+	load     func() time.Duration
+	replicas []*replica
+	reports  map[ident.Host]waver.Replica
+	heard    map[ident.Host]time.Time
+	past     []sample
+	lag      time.Duration
+	least    int
+	dead     int
+}
+
+func newFleet(n, floor int) *fleet {
+	f := &fleet{floor: floor, least: n, reports: make(map[ident.Host]waver.Replica), heard: make(map[ident.Host]time.Time)}
+	f.load = func() time.Duration { return loadTime }
+	for i := range n {
+		f.replicas = append(f.replicas, &replica{
+			id: ident.Host(fmt.Sprintf("host-%d", i)), want: oldSet,
+			engine: engineapi.State{Birth: 1, Set: oldSet},
+		})
+	}
+	for range 4 {
+		f.step()
+	}
+	f.least = n
+	return f
+}
+
+// change asks all replicas for the new set, whose chunks they hold at once.
+func (f *fleet) change() {
+	for _, r := range f.replicas {
+		r.want = newSet
+		r.offset++
+		r.fetched = time.Now()
+	}
+}
+
+// step passes one report interval.
+func (f *fleet) step() {
+	time.Sleep(reportTime)
+	now := time.Now()
+	open := f.view(now)
+	serving := 0
+	for _, r := range f.replicas {
+		if r.dead {
+			continue
+		}
+		if !r.ready.IsZero() && !now.Before(r.ready) {
+			r.ready = time.Time{}
+			r.engine.Set = r.want
+			r.orderer.Ended(now, orderer.Done)
+		}
+		if now.Before(r.frozen) {
+			if st := r.gate.Status(); st.Open && r.engine.Set == st.Set {
+				serving++
+			}
+			continue
+		}
+		f.report(now, r, open)
+		r.act(now, f)
+		if st := r.gate.Status(); st.Open && r.engine.Set == st.Set {
+			serving++
+		}
+	}
+	f.least = min(f.least, serving)
+}
+
+// view returns the open replicas as the entry host knew them a lag ago.
+func (f *fleet) view(now time.Time) []waver.Replica {
+	s := sample{time: now}
+	for _, r := range f.replicas {
+		rep, ok := f.reports[r.id]
+		if ok && now.Sub(f.heard[r.id]) < staleTime {
+			s.open = append(s.open, rep)
+		}
+	}
+	f.past = append(f.past, s)
+	for len(f.past) > 1 && now.Sub(f.past[1].time) >= f.lag {
+		f.past = f.past[1:]
+	}
+	return f.past[0].open
+}
+
+func (f *fleet) report(now time.Time, r *replica, open []waver.Replica) {
+	st := r.gate.Status()
+	delete(f.reports, r.id)
+	if !st.Open {
+		return
+	}
+	f.reports[r.id] = waver.Replica{Host: r.id, Set: st.Set, Want: r.want, Offset: r.offset}
+	f.heard[r.id] = now
+	if st.Set != r.want {
+		r.waver.Hear("entry", now, waver.Tally(r.id, r.offset, open))
+	}
+}
+
+func (r *replica) act(now time.Time, f *fleet) {
+	groups := []waver.Group{{Sets: []ident.WeightSet{newSet, oldSet}, Floor: f.floor}}
+	for {
+		st := r.gate.Status()
+		w := orderer.Want{
+			Set: r.want, Offset: 1, Accepted: []ident.WeightSet{oldSet, newSet},
+			Verified: !now.Before(r.fetched), Permitted: !st.Open || r.waver.Permit(now, st.Set, groups),
+		}
+		a := r.orderer.Next(now, w, 0)
+		switch a.Kind {
+		case orderer.Wait, orderer.Cancel:
+			return
+		case orderer.Read:
+			r.orderer.Observe(now, r.engine)
+		case orderer.Open:
+			r.gate.OpenUntil(a.Set, a.Epoch, a.Until)
+		case orderer.Close:
+			r.gate.Close()
+		case orderer.Order:
+			r.engine.Set = ""
+			r.engine.Loads++
+			r.engine.Fence = a.Fence
+			r.ready = now.Add(f.load())
+		}
+	}
+}
+
+func (f *fleet) kill(r *replica) {
+	if !r.dead {
+		r.dead = true
+		f.dead++
+	}
+}
+
+// done tells whether all replicas that live serve the set.
+func (f *fleet) done(set ident.WeightSet) bool {
+	for _, r := range f.replicas {
+		st := r.gate.Status()
+		if !r.dead && (!st.Open || st.Set != set) {
+			return false
+		}
+	}
+	return true
+}
+
+// wave runs until the change is everywhere or the time is over, and returns how long it took.
+func (f *fleet) wave(most time.Duration, each func()) (time.Duration, bool) {
+	begin := time.Now()
+	for time.Since(begin) < most {
+		each()
+		f.step()
+		if f.done(newSet) {
+			return time.Since(begin), true
+		}
+	}
+	return most, false
+}
+
+func seeded(seed uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, seed))
+}
--- a/internal/messages/report.go
+++ b/internal/messages/report.go
@@ -23,10 +23,12 @@
 	Unfenced bool            `json:"unfenced,omitempty"`
 	Set      ident.WeightSet `json:"set,omitempty"`
 	Want     ident.WeightSet `json:"want,omitempty"`
-	Running  int             `json:"running"`
-	Slots    int             `json:"slots"`
-	Chunks   int             `json:"chunks"`
-	Total    int             `json:"total"`
+	// Since is the configuration offset at which Want became what it is.
+	Since   ident.Offset `json:"since,omitempty"`
+	Running int          `json:"running"`
+	Slots   int          `json:"slots"`
+	Chunks  int          `json:"chunks"`
+	Total   int          `json:"total"`
 }
 
 // Ack answers a Report with the receiver's offset. Wave is given while the reporting host is to leave the set it serves.
--- a/internal/switcher/switcher.go
+++ b/internal/switcher/switcher.go
@@ -46,6 +46,7 @@
 
 	mu       sync.Mutex
 	want     ident.WeightSet
+	since    ident.Offset
 	waver    waver.Waver
 	orderer  orderer.Orderer
 	planner  planner
@@ -56,11 +57,11 @@
 	results  chan orderer.Result
 }
 
-// Want returns the weight set that the host is to serve.
-func (s *Switcher) Want() ident.WeightSet {
+// Want returns the weight set that the host is to serve, and the configuration offset at which it became that.
+func (s *Switcher) Want() (ident.WeightSet, ident.Offset) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.want
+	return s.want, s.since
 }
 
 // Slots returns the number of requests that the engine said it runs at once.
@@ -114,6 +115,7 @@
 	defer s.mu.Unlock()
 	if p.need.Set != s.want {
 		s.waver.Reset()
+		s.since = p.offset
 	}
 	s.want = p.need.Set
 	return p
