Spread, checkpoints and catch-up of the configuration, wired into entryd and endpointd

Cause: every process polled the log, and an expired log was folded as if it were an empty one. Change: in each zone the first two hosts in rendezvous order read the log, each other one takes from two hosts before it by long pulls over jsonrpc2; state moves in compressed parts; entry hosts write checkpoints to two streams of their own, parts and marks; a gap is an error that names both offsets, and /ready gives the reason.

--- /dev/null
+++ b/internal/endpoint/config.go
@@ -0,0 +1,43 @@
+package endpoint
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/nutmegdock/nutmegdock/internal/checkpointer"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/follower"
+	"github.com/nutmegdock/nutmegdock/internal/logclient"
+	"github.com/nutmegdock/nutmegdock/internal/messages"
+	"github.com/nutmegdock/nutmegdock/internal/rpc"
+	"github.com/nutmegdock/nutmegdock/internal/spreader"
+)
+
+// buildConfig makes what follows and spreads the configuration.
+func (s *Server) buildConfig() {
+	logs := &logclient.Client{URL: s.Settings.Log, HTTP: &http.Client{}}
+	s.follower = &follower.Follower{
+		Read: func(ctx context.Context, from ident.Offset, limit int, wait time.Duration) (logclient.Page, error) {
+			return logs.Read(ctx, logclient.Config, from, limit, wait)
+		},
+		Logger: s.Logger,
+	}
+	restorer := &checkpointer.Checkpointer{
+		Self: s.Settings.Host, Follower: s.follower, Read: logs.Read, Logger: s.Logger,
+	}
+	s.spread = spreader.New(s.Settings.Host, s.Settings.Zone, s.follower, &s.configPeers, s.Logger)
+	s.spread.Peers = func() []spreader.Peer { return spreader.Peers(s.members.Members) }
+	s.spread.Restore = restorer.Restore
+}
+
+// configMethods adds the answers to peers.
+func (s *Server) configMethods(methods map[string]rpc.Handler) {
+	methods[messages.PullMethod] = rpc.Handle(s.spread.AnswerPull)
+	methods[messages.StateMethod] = rpc.Handle(s.spread.AnswerState)
+}
+
+func (s *Server) runConfig(ctx context.Context) error {
+	defer s.configPeers.Close()
+	return s.spread.Run(ctx)
+}
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -22,12 +22,12 @@
 	"github.com/nutmegdock/nutmegdock/internal/follower"
 	"github.com/nutmegdock/nutmegdock/internal/forwarder"
 	"github.com/nutmegdock/nutmegdock/internal/loader"
-	"github.com/nutmegdock/nutmegdock/internal/logclient"
 	"github.com/nutmegdock/nutmegdock/internal/membership"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
 	"github.com/nutmegdock/nutmegdock/internal/reporter"
 	"github.com/nutmegdock/nutmegdock/internal/rpc"
 	"github.com/nutmegdock/nutmegdock/internal/runner"
+	"github.com/nutmegdock/nutmegdock/internal/spreader"
 	"github.com/nutmegdock/nutmegdock/internal/switcher"
 	"github.com/nutmegdock/nutmegdock/internal/webserver"
 	"github.com/nutmegdock/nutmegdock/internal/weightclient"
@@ -63,6 +63,10 @@
 	holder   *holder.Holder
 	chunks   *chunkserver.Server
 	follower *follower.Follower
+	spread   *spreader.Spreader
+
+	configPeers rpc.Pool
+
 	members  *membership.List
 	fetcher  *fetcher.Fetcher
 	switcher *switcher.Switcher
@@ -85,7 +89,8 @@
 	defer stop()
 	var tasks errgroup.Group
 	rpcs := &rpc.Server{Methods: map[string]rpc.Handler{messages.HaveMethod: rpc.Handle(s.have)}}
-	tasks.Go(func() error { return s.follower.Run(background) })
+	s.configMethods(rpcs.Methods)
+	tasks.Go(func() error { return s.runConfig(background) })
 	tasks.Go(func() error { return s.members.Run(background) })
 	tasks.Go(func() error { return s.reporter.Run(background) })
 	tasks.Go(func() error { return rpcs.Serve(background, control) })
@@ -149,13 +154,7 @@
 }
 
 func (s *Server) buildPlatform() {
-	logs := &logclient.Client{URL: s.Settings.Log, HTTP: &http.Client{}}
-	s.follower = &follower.Follower{
-		Read: func(ctx context.Context, from ident.Offset, limit int, wait time.Duration) (logclient.Page, error) {
-			return logs.Read(ctx, logclient.Config, from, limit, wait)
-		},
-		Logger: s.Logger,
-	}
+	s.buildConfig()
 	s.members = &membership.List{
 		URL: s.Settings.Members, HTTP: &http.Client{}, Logger: s.Logger,
 		Self: membership.Member{
--- /dev/null
+++ b/internal/entry/config.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/nutmegdock/nutmegdock/internal/checkpointer"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/follower"
+	"github.com/nutmegdock/nutmegdock/internal/logclient"
+	"github.com/nutmegdock/nutmegdock/internal/membership"
+	"github.com/nutmegdock/nutmegdock/internal/messages"
+	"github.com/nutmegdock/nutmegdock/internal/rpc"
+	"github.com/nutmegdock/nutmegdock/internal/spreader"
+)
+
+// buildConfig makes what follows, spreads and checkpoints the configuration.
+func (s *Server) buildConfig() {
+	logs := &logclient.Client{URL: s.Settings.Log, HTTP: &http.Client{}}
+	s.follower = &follower.Follower{
+		Read: func(ctx context.Context, from ident.Offset, limit int, wait time.Duration) (logclient.Page, error) {
+			return logs.Read(ctx, logclient.Config, from, limit, wait)
+		},
+		Logger: s.Logger,
+	}
+	s.checkpoints = &checkpointer.Checkpointer{
+		Self: s.Settings.Host, Follower: s.follower, Writers: s.writers, Read: logs.Read, Append: logs.Append,
+		Interval: time.Duration(s.Settings.Checkpoint) * time.Second, Logger: s.Logger,
+	}
+	s.spread = spreader.New(s.Settings.Host, s.Settings.Zone, s.follower, &s.peers, s.Logger)
+	s.spread.Peers = func() []spreader.Peer { return spreader.Peers(s.members.Members) }
+	s.spread.Restore = s.checkpoints.Restore
+}
+
+func (s *Server) writers() []ident.Host {
+	out := []ident.Host{s.Settings.Host}
+	for _, m := range s.members.Members(membership.RoleEntry) {
+		if m.Host != s.Settings.Host && !m.Leaving {
+			out = append(out, m.Host)
+		}
+	}
+	return out
+}
+
+// configMethods adds the answers to peers.
+func (s *Server) configMethods(methods map[string]rpc.Handler) {
+	methods[messages.PullMethod] = rpc.Handle(s.spread.AnswerPull)
+	methods[messages.StateMethod] = rpc.Handle(s.spread.AnswerState)
+}
+
+func (s *Server) runConfig(ctx context.Context, tasks *errgroup.Group) {
+	tasks.Go(func() error {
+		defer s.peers.Close()
+		return s.spread.Run(ctx)
+	})
+	tasks.Go(func() error { return s.checkpoints.Run(ctx) })
+}
+
+// serveReady tells whether the configuration is complete, and why not.
+func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !s.follower.Ready() {
+		http.Error(w, "configuration is not complete yet: "+s.spread.Reason(), http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,7 @@
 
 	"github.com/nutmegdock/nutmegdock/internal/admin"
 	"github.com/nutmegdock/nutmegdock/internal/callers"
+	"github.com/nutmegdock/nutmegdock/internal/checkpointer"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/router"
 	"github.com/nutmegdock/nutmegdock/internal/core/view"
@@ -27,6 +28,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/membership"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
 	"github.com/nutmegdock/nutmegdock/internal/rpc"
+	"github.com/nutmegdock/nutmegdock/internal/spreader"
 	"github.com/nutmegdock/nutmegdock/internal/webserver"
 	"github.com/nutmegdock/nutmegdock/internal/weightclient"
 )
@@ -43,6 +45,9 @@
 	Members string       `json:"members" validate:"required,url"`
 	Store   string       `json:"store" validate:"required,url"`
 	Tokens  string       `json:"tokens" validate:"required"`
+	// Checkpoint is the age in seconds at which the configuration's checkpoint is written again, well below the
+	// log's retention; zero stands for five minutes.
+	Checkpoint int `json:"checkpoint,omitempty" validate:"min=0,max=86400"`
 	// Grace is the number of seconds that requests in progress get at a stop.
 	Grace int `json:"grace" validate:"min=1,max=3600"`
 }
@@ -52,10 +57,13 @@
 	Settings Settings
 	Logger   log.Interface
 
-	follower *follower.Follower
-	members  *membership.List
-	view     *view.View
-	registry *prometheus.Registry
+	follower    *follower.Follower
+	spread      *spreader.Spreader
+	checkpoints *checkpointer.Checkpointer
+	peers       rpc.Pool
+	members     *membership.List
+	view        *view.View
+	registry    *prometheus.Registry
 }
 
 // Run serves until ctx ends, then finishes the requests in progress.
@@ -76,7 +84,8 @@
 	defer stop()
 	var tasks errgroup.Group
 	control := &rpc.Server{Methods: map[string]rpc.Handler{messages.ReportMethod: rpc.Handle(s.report)}}
-	tasks.Go(func() error { return s.follower.Run(background) })
+	s.configMethods(control.Methods)
+	s.runConfig(background, &tasks)
 	tasks.Go(func() error { return s.members.Run(background) })
 	tasks.Go(func() error { return control.Serve(background, listeners.control) })
 
@@ -121,15 +130,8 @@
 }
 
 func (s *Server) build() {
-	logs := &logclient.Client{URL: s.Settings.Log, HTTP: &http.Client{}}
 	s.view = &view.View{}
 	s.registry = prometheus.NewRegistry()
-	s.follower = &follower.Follower{
-		Read: func(ctx context.Context, from ident.Offset, limit int, wait time.Duration) (logclient.Page, error) {
-			return logs.Read(ctx, logclient.Config, from, limit, wait)
-		},
-		Logger: s.Logger,
-	}
 	s.members = &membership.List{
 		URL: s.Settings.Members, HTTP: &http.Client{}, Logger: s.Logger,
 		Self: membership.Member{
@@ -137,9 +139,11 @@
 			Data: s.Settings.Listen, Control: s.Settings.Control, Birth: time.Now().UnixNano(),
 		},
 	}
+	s.buildConfig()
 }
 
 func (s *Server) report(_ context.Context, r messages.Report) (messages.Ack, error) {
+	s.spread.Saw(r.Host, r.Offset)
 	s.view.Put(r)
 	return messages.Ack{Offset: s.follower.Offset()}, nil
 }
@@ -174,12 +178,6 @@
 	a.Register(mux)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
-	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
-		if !s.follower.Ready() {
-			http.Error(w, "configuration is not complete yet", http.StatusServiceUnavailable)
-			return
-		}
-		w.WriteHeader(http.StatusNoContent)
-	})
+	mux.HandleFunc("GET /ready", s.serveReady)
 	return mux
 }
--- a/internal/rpc/pool.go
+++ b/internal/rpc/pool.go
@@ -22,3 +22,12 @@
 	}
 	return c
 }
+
+// Close ends all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.clients {
+		_ = c.Close()
+	}
+}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log"
@@ -112,6 +113,10 @@
 		return a, err
 	}
 	if err := conn.Call(ctx, method, q, &a); err != nil {
+		if errors.Is(err, context.DeadlineExceeded) {
+			// A peer that hangs would keep every later call waiting too.
+			c.drop(conn)
+		}
 		return a, fmt.Errorf("call %s at %s: %w", method, c.Address, err)
 	}
 	return a, nil
@@ -146,6 +151,16 @@
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this side answers no calls"}
 }
 
+// drop ends a connection, so that the next call makes a new one.
+func (c *Client) drop(conn *jsonrpc2.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == conn {
+		c.conn = nil
+	}
+	go func() { _ = conn.Close() }()
+}
+
 // Close ends the connection.
 func (c *Client) Close() error {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/spreader/sources.go
@@ -0,0 +1,225 @@
+package spreader
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/checkpointer"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/selector"
+	"github.com/nutmegdock/nutmegdock/internal/event"
+	"github.com/nutmegdock/nutmegdock/internal/follower"
+	"github.com/nutmegdock/nutmegdock/internal/logclient"
+	"github.com/nutmegdock/nutmegdock/internal/messages"
+)
+
+// poll reads one page of the log. When records have expired, it looks for the state elsewhere.
+func (s *Spreader) poll(ctx context.Context) (logclient.Page, error) {
+	readCtx, cancel := context.WithTimeout(ctx, logWait+callTime)
+	defer cancel()
+	page, err := s.Follower.Poll(readCtx, logWait)
+	var gap *follower.GapError
+	switch {
+	case err == nil:
+	case !errors.As(err, &gap):
+		if ctx.Err() == nil {
+			event.LogUnreachable.Log(s.Logger, log.Fields{"error": err.Error()})
+		}
+	case s.bridge(ctx, gap):
+		return s.Follower.Poll(ctx, 0)
+	default:
+		event.RecordsExpired.Log(s.Logger, log.Fields{"offset": gap.Offset, "first": gap.First})
+	}
+	return page, err
+}
+
+// bridge takes the state from a checkpoint or a peer, and tells whether the log's records follow it.
+func (s *Spreader) bridge(ctx context.Context, gap *follower.GapError) bool {
+	s.restore(ctx)
+	if s.Follower.Offset() >= gap.First {
+		return true
+	}
+	s.askNewcomer(ctx)
+	return s.Follower.Offset() >= gap.First
+}
+
+func (s *Spreader) restore(ctx context.Context) {
+	if s.Restore == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxWait)
+	defer cancel()
+	state, err := s.Restore(ctx)
+	if err != nil {
+		if ctx.Err() == nil {
+			event.CheckpointFailed.Log(s.Logger, log.Fields{"error": err.Error()})
+		}
+		return
+	}
+	s.Follower.Adopt(state)
+}
+
+// boot brings a newcomer near the state of its peers, or else to the best checkpoint.
+func (s *Spreader) boot(ctx context.Context) {
+	if s.askNewcomer(ctx) {
+		return
+	}
+	s.restore(ctx)
+}
+
+// askNewcomer asks several peers at once and takes the state from the one with the highest offset. It tells whether
+// a ready peer answered. The process becomes ready once it is level with the highest ready peer.
+func (s *Spreader) askNewcomer(ctx context.Context) bool {
+	s.mu.Lock()
+	peers := s.selector.Newcomer(bootPeers, time.Now())
+	s.mu.Unlock()
+	type found struct {
+		peer   selector.Peer
+		answer messages.PullAnswer
+	}
+	var mu sync.Mutex
+	var best *found
+	var wg sync.WaitGroup
+	for _, p := range peers {
+		wg.Go(func() {
+			a, err := s.ask(ctx, p, 0)
+			if err != nil || !a.Ready {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if best == nil || a.Offset > best.answer.Offset {
+				best = &found{p, a}
+			}
+		})
+	}
+	wg.Wait()
+	if best == nil {
+		return false
+	}
+	s.catch(ctx, best.peer, best.answer.Offset)
+	if s.Follower.Offset() >= best.answer.Offset {
+		s.Follower.SetReady()
+	}
+	return true
+}
+
+// catch pulls from a peer until an offset is reached or the peer fails.
+func (s *Spreader) catch(ctx context.Context, p selector.Peer, offset ident.Offset) {
+	tries := 0
+	for s.Follower.Offset() < offset && tries < hintTries && ctx.Err() == nil {
+		before := s.Follower.Offset()
+		_, err := s.ask(ctx, p, 0)
+		if err != nil || s.Follower.Offset() == before {
+			tries++
+		}
+	}
+}
+
+// take pulls once from the lane's source.
+func (s *Spreader) take(ctx context.Context, lane int) time.Duration {
+	s.mu.Lock()
+	p, ok := s.selector.Source(lane, time.Now())
+	s.mu.Unlock()
+	if !ok {
+		return idleTime
+	}
+	if _, err := s.ask(ctx, p, pullWait); err != nil {
+		return minRetry
+	}
+	return 0
+}
+
+// remote pulls once from another zone while the log cannot be read.
+func (s *Spreader) remote(ctx context.Context) time.Duration {
+	s.mu.Lock()
+	p, ok := s.selector.Remote(time.Now())
+	ok = ok && s.age() > remoteTime && s.reads()
+	s.mu.Unlock()
+	if !ok {
+		return listInterval
+	}
+	if _, err := s.ask(ctx, p, 0); err != nil {
+		return minRetry
+	}
+	if !s.Follower.Ready() {
+		s.askNewcomer(ctx)
+	}
+	return listInterval
+}
+
+// ask pulls from a peer and folds the answer.
+func (s *Spreader) ask(ctx context.Context, p selector.Peer, wait time.Duration) (messages.PullAnswer, error) {
+	callCtx, cancel := context.WithTimeout(ctx, wait+callTime)
+	defer cancel()
+	q := messages.PullQuery{Host: s.Self, Offset: s.Follower.Offset(), Wait: int(wait.Milliseconds())}
+	a, err := s.Pull(callCtx, p, q)
+	s.note(ctx, p, err)
+	if err != nil {
+		return a, err
+	}
+	if a.State {
+		if err := s.adopt(ctx, p); err != nil {
+			return a, err
+		}
+	}
+	offset := s.Follower.Fold(q.Offset, a.Records)
+	s.Follower.Compare(q.Offset+ident.Offset(len(a.Records)), a.Digest)
+	if offset >= a.Offset {
+		s.setLevel(time.Now().Add(-time.Duration(a.Age) * time.Millisecond))
+	}
+	return a, nil
+}
+
+func (s *Spreader) note(ctx context.Context, p selector.Peer, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case err == nil:
+		s.selector.Answer(p.Host)
+	case ctx.Err() == nil:
+		s.selector.Fail(p.Host, time.Now())
+	}
+}
+
+// adopt takes a peer's whole state.
+func (s *Spreader) adopt(ctx context.Context, p selector.Peer) error {
+	s.adopting.Lock()
+	defer s.adopting.Unlock()
+	var parts [][]byte
+	var q messages.StateQuery
+	for {
+		a, err := s.part(ctx, p, q)
+		if err != nil {
+			return err
+		}
+		if a.Offset <= s.Follower.Offset() {
+			return nil
+		}
+		if a.Parts < 1 || a.Parts > checkpointer.MaxParts {
+			return &checkpointer.Error{Reason: fmt.Sprintf("peer %s has %d parts", p.Host, a.Parts)}
+		}
+		parts = append(parts, a.Data)
+		q = messages.StateQuery{Sum: a.Sum, Part: len(parts)}
+		if len(parts) == a.Parts {
+			break
+		}
+	}
+	state, err := checkpointer.Decode(parts, q.Sum)
+	if err != nil {
+		return err
+	}
+	s.Follower.Adopt(state)
+	return nil
+}
+
+func (s *Spreader) part(ctx context.Context, p selector.Peer, q messages.StateQuery) (messages.StateAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, 4*callTime)
+	defer cancel()
+	return s.State(ctx, p, q)
+}
--- /dev/null
+++ b/internal/spreader/wire.go
@@ -0,0 +1,43 @@
+package spreader
+
+import (
+	"context"
+
+	"github.com/apex/log"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/selector"
+	"github.com/nutmegdock/nutmegdock/internal/follower"
+	"github.com/nutmegdock/nutmegdock/internal/membership"
+	"github.com/nutmegdock/nutmegdock/internal/messages"
+	"github.com/nutmegdock/nutmegdock/internal/rpc"
+)
+
+// Peer is another process.
+type Peer = selector.Peer
+
+// New returns a Spreader that reaches its peers over a pool of connections. Peers and Restore are left to be set.
+func New(self ident.Host, zone ident.Zone, f *follower.Follower, pool *rpc.Pool, logger log.Interface) *Spreader {
+	return &Spreader{
+		Self: self, Zone: zone, Follower: f, Logger: logger,
+		Pull: func(ctx context.Context, p Peer, q messages.PullQuery) (messages.PullAnswer, error) {
+			return rpc.Call[messages.PullAnswer](ctx, pool.Client(p.Control), messages.PullMethod, q)
+		},
+		State: func(ctx context.Context, p Peer, q messages.StateQuery) (messages.StateAnswer, error) {
+			return rpc.Call[messages.StateAnswer](ctx, pool.Client(p.Control), messages.StateMethod, q)
+		},
+	}
+}
+
+// Peers returns the hosts of both roles that are not leaving.
+func Peers(members func(membership.Role) []membership.Member) []Peer {
+	var out []Peer
+	for _, role := range []membership.Role{membership.RoleEntry, membership.RoleEndpoint} {
+		for _, m := range members(role) {
+			if !m.Leaving {
+				out = append(out, Peer{Host: m.Host, Zone: m.Zone, Control: m.Control})
+			}
+		}
+	}
+	return out
+}
