--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -24,12 +24,12 @@
 	"github.com/nutmegdock/nutmegdock/internal/follower"
 	"github.com/nutmegdock/nutmegdock/internal/forwarder"
 	"github.com/nutmegdock/nutmegdock/internal/loader"
-	"github.com/nutmegdock/nutmegdock/internal/logclient"
 	"github.com/nutmegdock/nutmegdock/internal/membership"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
 	"github.com/nutmegdock/nutmegdock/internal/reporter"
 	"github.com/nutmegdock/nutmegdock/internal/rpc"
 	"github.com/nutmegdock/nutmegdock/internal/runner"
+	"github.com/nutmegdock/nutmegdock/internal/spreader"
 	"github.com/nutmegdock/nutmegdock/internal/switcher"
 	"github.com/nutmegdock/nutmegdock/internal/webserver"
 	"github.com/nutmegdock/nutmegdock/internal/weightclient"
@@ -68,6 +68,10 @@
 	holder   *holder.Holder
 	chunks   *chunkserver.Server
 	follower *follower.Follower
+	spread   *spreader.Spreader
+
+	configPeers rpc.Pool
+
 	members  *membership.List
 	fetcher  *fetcher.Fetcher
 	switcher *switcher.Switcher
@@ -96,7 +100,8 @@
 	defer stop()
 	var tasks errgroup.Group
 	rpcs := &rpc.Server{Methods: map[string]rpc.Handler{messages.HaveMethod: rpc.Handle(s.have)}}
-	tasks.Go(func() error { return s.follower.Run(background) })
+	s.configMethods(rpcs.Methods)
+	tasks.Go(func() error { return s.runConfig(background) })
 	tasks.Go(func() error { return s.members.Run(background) })
 	tasks.Go(func() error { return s.reporter.Run(background) })
 	tasks.Go(func() error { return rpcs.Serve(background, s.control.Listener(control)) })
@@ -173,13 +178,7 @@
 }
 
 func (s *Server) buildPlatform() {
-	logs := &logclient.Client{URL: s.Settings.Log, HTTP: s.control.Client()}
-	s.follower = &follower.Follower{
-		Read: func(ctx context.Context, from ident.Offset, limit int, wait time.Duration) (logclient.Page, error) {
-			return logs.Read(ctx, logclient.Config, from, limit, wait)
-		},
-		Logger: s.Logger,
-	}
+	s.buildConfig()
 	s.members = &membership.List{
 		URL: s.Settings.Members, HTTP: s.control.Client(), Logger: s.Logger,
 		Self: membership.Member{
@@ -191,7 +190,7 @@
 
 func (s *Server) buildWeights() {
 	weights := &weightclient.Client{HTTP: forwarder.NewClient()}
-	controls := &rpc.Pool{}
+	controls := &rpc.Pool{Dial: s.control.Dial}
 	s.fetcher = &fetcher.Fetcher{
 		Self: s.Settings.Host, Sources: []string{s.Settings.Store, s.Settings.Origin}, Holder: s.holder,
 		Peers: s.peers, Artifact: weights.Artifact, Chunk: weights.Chunk, Logger: s.Logger,
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -43,7 +43,7 @@
 	a.Register(mux)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
-	mux.HandleFunc("GET /ready", s.ready)
+	mux.HandleFunc("GET /ready", s.serveReady)
 	return mux
 }
 
@@ -51,11 +51,3 @@
 	s.follower.View(func(r *reducer.Reducer) { audit, ok = r.Find(id) })
 	return audit, ok
 }
-
-func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
-	if !s.follower.Ready() {
-		http.Error(w, "configuration is not complete yet", http.StatusServiceUnavailable)
-		return
-	}
-	w.WriteHeader(http.StatusNoContent)
-}
