Requests: claims in the log, permits, whole streams, suspects

Cause: a keyed booking could run at two entry hosts, a frozen sender could hand a request over at any later time, a cut stream was broken although the engine can resume it, and a request that crashes engines was tried on up to three of them. A failure after an unknown attempt was told as not run when the last attempt was refused. Change: core claimer, retrier, matcher, permitter, recorder, resumer, monitor, suspector; shells registrar (batched claims), deduplicator, prober, notifier; dispatcher, runner and callers use them.

--- /dev/null
+++ b/internal/callers/decoder.go
@@ -0,0 +1,194 @@
+package callers
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/matcher"
+	"github.com/nutmegdock/nutmegdock/internal/core/suspector"
+	"github.com/nutmegdock/nutmegdock/internal/dispatcher"
+	"github.com/nutmegdock/nutmegdock/internal/engineapi"
+	"github.com/nutmegdock/nutmegdock/internal/headers"
+	"github.com/nutmegdock/nutmegdock/internal/runner"
+)
+
+const (
+	maxKeyBytes = 255
+	ownPrefix   = "Nutmeg-"
+	digestBytes = 12
+
+	streamWait   = 30 * time.Second
+	streamStall  = 10 * time.Second
+	answerWait   = 120 * time.Second
+	serviceWait  = 30 * time.Second
+	serviceStall = 30 * time.Second
+)
+
+// overrides are header fields by which some back ends take a request for one with another method.
+var overrides = []string{"X-Http-Method-Override", "X-Http-Method", "X-Method-Override"}
+
+func bad(status int, code, text string) *Error {
+	return &Error{Status: status, Type: invalid, Code: code, Text: text}
+}
+
+func (c *Callers) readBody(r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(r.Body)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, bad(http.StatusRequestEntityTooLarge, "body_too_large", fmt.Sprintf("body exceeds %d bytes", tooLarge.Limit))
+	}
+	if err != nil {
+		return nil, bad(http.StatusBadRequest, "body_unreadable", err.Error())
+	}
+	return body, nil
+}
+
+func (c *Callers) decodeCompletion(_ context.Context, r *http.Request) (any, error) {
+	if _, err := c.organisation(r); err != nil {
+		return nil, err
+	}
+	body, err := c.readBody(r)
+	if err != nil {
+		return nil, err
+	}
+	q, err := parseCompletion(body)
+	if err != nil {
+		return nil, err
+	}
+	d, err := c.deployment(r, q.Model, catalog.KindEngine)
+	if err != nil {
+		return nil, err
+	}
+	j, err := newJob(r, d, r.URL.Path, body)
+	if err != nil {
+		return nil, err
+	}
+	j.Repeatable = true
+	j.Resume = q.Resume
+	j.Wait = answerWait
+	if q.Stream {
+		j.Wait, j.Stall = streamWait, streamStall
+	}
+	// Events of a compressed stream could not be told apart.
+	j.Header.Del("Accept-Encoding")
+	return j, nil
+}
+
+func parseCompletion(body []byte) (engineapi.Request, error) {
+	var q engineapi.Request
+	if err := json.Unmarshal(body, &q); err != nil {
+		return q, bad(http.StatusBadRequest, "invalid_json", "body is not a completion request: "+err.Error())
+	}
+	switch {
+	case q.Model == "":
+		return q, bad(http.StatusBadRequest, "missing_model", "body names no model; name a deployment")
+	case q.Tokens < 0:
+		return q, bad(http.StatusBadRequest, "invalid_max_tokens", "max_tokens is negative")
+	case q.Resume < 0:
+		return q, bad(http.StatusBadRequest, "invalid_resume", "resume is negative")
+	}
+	return q, nil
+}
+
+func (c *Callers) decodeService(_ context.Context, r *http.Request) (any, error) {
+	name := r.PathValue("deployment")
+	d, err := c.deployment(r, name, catalog.KindService)
+	if err != nil {
+		return nil, err
+	}
+	body, err := c.readBody(r)
+	if err != nil {
+		return nil, err
+	}
+	path := servicePath(r.URL.EscapedPath())
+	full := path
+	if r.URL.RawQuery != "" {
+		full += "?" + r.URL.RawQuery
+	}
+	j, err := newJob(r, d, full, body)
+	if err != nil {
+		return nil, err
+	}
+	j.Repeatable = isRepeatable(r, d, path)
+	j.Wait, j.Stall = serviceWait, serviceStall
+	return j, nil
+}
+
+// servicePath returns the part of an escaped path after "/services/NAME".
+func servicePath(escaped string) string {
+	rest := strings.TrimPrefix(escaped, servicesPath)
+	i := strings.IndexByte(rest, '/')
+	return rest[max(i, 0):]
+}
+
+func isRepeatable(r *http.Request, d catalog.Effective, path string) bool {
+	for _, k := range overrides {
+		if r.Header.Get(k) != "" {
+			return false
+		}
+	}
+	return matcher.Matcher{Routes: d.Spec.Repeat}.Repeatable(r.Method, path)
+}
+
+func newJob(r *http.Request, d catalog.Effective, path string, body []byte) (dispatcher.Job, error) {
+	key, err := idempotencyKey(r.Header)
+	if err != nil {
+		return dispatcher.Job{}, err
+	}
+	h := make(http.Header)
+	runner.CopyHeader(h, r.Header)
+	for k := range h {
+		if strings.HasPrefix(k, ownPrefix) {
+			h.Del(k)
+		}
+	}
+	h.Del("Authorization")
+	h.Del(headers.CallerKey)
+	return dispatcher.Job{
+		ID: ident.Request(uuid.NewString()), Deployment: d, Method: r.Method, Path: path, Header: h,
+		Body: body, Key: key, Digest: digest(d, r.Method, path, body),
+	}, nil
+}
+
+func idempotencyKey(h http.Header) (string, error) {
+	vs := h.Values(headers.CallerKey)
+	if len(vs) == 0 {
+		return "", nil
+	}
+	key := vs[0]
+	if len(vs) > 1 || key == "" || len(key) > maxKeyBytes || !isPrintable(key) {
+		return "", bad(http.StatusBadRequest, "invalid_idempotency_key", fmt.Sprintf("Idempotency-Key must be one value of 1 to %d printable ASCII characters", maxKeyBytes))
+	}
+	return key, nil
+}
+
+func isPrintable(s string) bool {
+	for i := range len(s) {
+		if s[i] < ' ' || s[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// digest identifies a request by its organisation, deployment, method, path and body.
+func digest(d catalog.Effective, method, path string, body []byte) suspector.Digest {
+	h := sha256.New()
+	for _, p := range []string{string(d.Organisation), string(d.Name), method, path} {
+		fmt.Fprintf(h, "%d:%s", len(p), p)
+	}
+	h.Write(body)
+	return suspector.Digest(hex.EncodeToString(h.Sum(nil)[:digestBytes]))
+}
--- /dev/null
+++ b/internal/core/monitor/monitor.go
@@ -0,0 +1,90 @@
+// Package monitor follows the requests that run on one back end, so that its death can be told together with them.
+package monitor
+
+import (
+	"fmt"
+	"sync"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/suspector"
+)
+
+// maxNamed bounds the requests that are named with one death.
+const maxNamed = 256
+
+// Death is the end of one incarnation of a back end with the requests that were running on it.
+type Death struct {
+	ID      suspector.Death
+	Running []suspector.Digest
+}
+
+// Run is one request on the back end.
+type Run struct {
+	digest      suspector.Digest
+	incarnation int
+}
+
+// Monitor counts the incarnations of one back end. Set its fields before use.
+type Monitor struct {
+	// Name makes the ids of deaths unique: the host and its birth.
+	Name string
+
+	mu          sync.Mutex
+	incarnation int
+	running     map[*Run]bool
+	suspect     *Run
+}
+
+// Start adds a request. A suspect is refused, by nil, while another suspect runs.
+func (m *Monitor) Start(d suspector.Digest, suspect bool) *Run {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if suspect && m.suspect != nil {
+		return nil
+	}
+	if m.running == nil {
+		m.running = make(map[*Run]bool)
+	}
+	r := &Run{digest: d, incarnation: m.incarnation}
+	m.running[r] = true
+	if suspect {
+		m.suspect = r
+	}
+	return r
+}
+
+// End removes a request.
+func (m *Monitor) End(r *Run) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.running, r)
+	if m.suspect == r {
+		m.suspect = nil
+	}
+}
+
+// Died ends the incarnation that a request ran on. It returns the death, and whether it is told for the first time.
+func (m *Monitor) Died(r *Run) (Death, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	death := Death{ID: suspector.Death(fmt.Sprintf("%s/%d", m.Name, r.incarnation))}
+	if r.incarnation != m.incarnation {
+		return death, false
+	}
+	m.incarnation++
+	seen := make(map[suspector.Digest]bool)
+	for other := range m.running {
+		if other.incarnation != r.incarnation || seen[other.digest] || len(seen) == maxNamed {
+			continue
+		}
+		seen[other.digest] = true
+		death.Running = append(death.Running, other.digest)
+	}
+	return death, true
+}
+
+// Ended tells whether the incarnation that a request ran on has died.
+func (m *Monitor) Ended(r *Run) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return r.incarnation != m.incarnation
+}
--- a/internal/core/outcome/outcome.go
+++ b/internal/core/outcome/outcome.go
@@ -32,6 +32,11 @@
 	LogDown     Reason = "log-down"
 	KeyConflict Reason = "key-conflict"
 	Condemned   Reason = "condemned"
+	Suspect     Reason = "suspect"
+	Late        Reason = "late"
+	Running     Reason = "running"
+	Stalled     Reason = "stalled"
+	EngineDied  Reason = "engine-died"
 )
 
 // Error is the end of a request without an answer.
@@ -40,6 +45,8 @@
 	Reason Reason
 	// After is when the caller may try again; zero means that it should not.
 	After time.Duration
+	// Final forbids a further attempt, whatever the kind.
+	Final bool
 	Text  string
 }
 
--- /dev/null
+++ b/internal/core/retrier/retrier.go
@@ -0,0 +1,80 @@
+// Package retrier decides whether a request may be sent again, and what the caller is told in the end.
+package retrier
+
+import (
+	"errors"
+	"time"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
+)
+
+// Retrier follows the attempts of one request. Set its fields before the first attempt.
+type Retrier struct {
+	// Attempts bounds the attempts, the first one included.
+	Attempts int
+	// Repeatable tells whether a request that may have been run may be run again.
+	Repeatable bool
+	// Deadline is when no further attempt may begin; zero means never.
+	Deadline time.Time
+	// Budget grants one retry; nil means that every one is granted.
+	Budget func() bool
+
+	begun   int
+	unknown *outcome.Error
+	last    *outcome.Error
+}
+
+// Begin counts an attempt.
+func (r *Retrier) Begin() {
+	r.begun++
+}
+
+// Forgive takes back the count of the attempt that began last.
+func (r *Retrier) Forgive() {
+	r.begun--
+}
+
+// MayHaveRun tells whether an attempt so far may have run the request.
+func (r *Retrier) MayHaveRun() bool {
+	return r.unknown != nil
+}
+
+// Again takes the failure of an attempt and tells whether another one may begin.
+func (r *Retrier) Again(err error, now time.Time) bool {
+	o := asOutcome(err)
+	r.last = o
+	if o.Kind != outcome.NotRun {
+		r.unknown = o
+	}
+	switch {
+	case o.Final:
+		return false
+	case o.Kind != outcome.NotRun && !r.Repeatable:
+		return false
+	case r.begun >= r.Attempts:
+		return false
+	case !r.Deadline.IsZero() && !now.Before(r.Deadline):
+		return false
+	}
+	return r.Budget == nil || r.Budget()
+}
+
+// Final returns what the caller is told when no answer came. A request that may have been run in any attempt is never
+// said to be not run. none is told when there was no attempt.
+func (r *Retrier) Final(none *outcome.Error) *outcome.Error {
+	switch {
+	case r.unknown != nil:
+		return r.unknown
+	case r.last != nil:
+		return r.last
+	}
+	return none
+}
+
+func asOutcome(err error) *outcome.Error {
+	var o *outcome.Error
+	if errors.As(err, &o) {
+		return o
+	}
+	return &outcome.Error{Kind: outcome.Unknown, Reason: outcome.Lost, Text: err.Error()}
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -2,27 +2,31 @@
 package dispatcher
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
-	"sync"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
+	"github.com/nutmegdock/nutmegdock/internal/core/retrier"
 	"github.com/nutmegdock/nutmegdock/internal/core/router"
+	"github.com/nutmegdock/nutmegdock/internal/core/suspector"
 	"github.com/nutmegdock/nutmegdock/internal/core/view"
 	"github.com/nutmegdock/nutmegdock/internal/forwarder"
-	"github.com/nutmegdock/nutmegdock/internal/headers"
-	"github.com/nutmegdock/nutmegdock/internal/runner"
 )
 
 const (
 	maxAttempts = 3
 	comeBack    = time.Second
+	// handOverTime is how long after its arrival a request that may not be repeated can be handed over.
+	handOverTime = 10 * time.Second
+	// suspectTime bounds the wait of a suspect for an endpoint without another one.
+	suspectTime = 20 * time.Second
+	suspectPoll = 50 * time.Millisecond
 )
 
 // Job is one request of a caller, ready to be sent.
@@ -35,6 +39,17 @@
 	Body       []byte
 	Key        string
 	Repeatable bool
+	// Digest identifies the request by its deployment, path and body.
+	Digest suspector.Digest
+	// Before is the time from which on the request must not be handed over; zero leaves it to the dispatcher.
+	Before time.Time
+	// Claim names the won claim of the key.
+	Claim string
+	// Wait bounds the time until the head of the answer, and Stall the time between two parts of its body.
+	Wait  time.Duration
+	Stall time.Duration
+	// Resume is the number of tokens that the caller says it has.
+	Resume int
 }
 
 // Dispatcher sends jobs. Set its fields before use.
@@ -45,98 +60,130 @@
 	Router *router.Router
 	// Forwarder sends the requests.
 	Forwarder *forwarder.Forwarder
+	// Suspector remembers the requests that were running when engines died.
+	Suspector *suspector.Suspector
+	// Budget grants one retry; nil means that every one is granted.
+	Budget func() bool
+	// Logger receives the events.
+	Logger log.Interface
+}
+
+// pass is one way of a job through the endpoints.
+type pass struct {
+	job     Job
+	sets    []ident.WeightSet
+	tried   map[ident.Host]bool
+	retrier *retrier.Retrier
+	begin   time.Time
 }
 
 // Do sends a job and returns the answer, whose body the caller must close. Every error is an *outcome.Error.
 func (d *Dispatcher) Do(ctx context.Context, j Job) (*http.Response, error) {
-	tried := make(map[ident.Host]bool)
-	var last error
-	for range maxAttempts {
-		c, ok := d.choose(j, tried)
+	if j.Before.IsZero() && !j.Repeatable {
+		j.Before = time.Now().Add(handOverTime)
+	}
+	p := &pass{
+		job: j, sets: []ident.WeightSet{j.Deployment.Set}, tried: make(map[ident.Host]bool), begin: time.Now(),
+		retrier: &retrier.Retrier{Attempts: maxAttempts, Repeatable: j.Repeatable, Deadline: j.Before, Budget: d.Budget},
+	}
+	if prev := j.Deployment.Previous; prev != "" {
+		p.sets = append(p.sets, prev)
+	}
+	resp, c, err := d.attempt(ctx, p)
+	if err != nil {
+		return nil, err
+	}
+	if isStream(resp) {
+		resp.Body = newResumed(ctx, d, p, c, resp)
+	} else {
+		resp.Body = &cleared{ReadCloser: resp.Body, clear: func() { d.Suspector.Clear(j.Digest) }}
+	}
+	return resp, nil
+}
+
+// attempt sends the job to one endpoint after the other until one answers or no further attempt may begin.
+func (d *Dispatcher) attempt(ctx context.Context, p *pass) (*http.Response, router.Candidate, error) {
+	for ctx.Err() == nil {
+		verdict, err := d.judge(p)
+		if err != nil {
+			return nil, router.Candidate{}, err
+		}
+		c, ok := d.choose(p)
 		if !ok {
 			break
 		}
-		tried[c.Host] = true
-		resp, err := d.send(ctx, j, c)
+		p.tried[c.Host] = true
+		p.retrier.Begin()
+		resp, err := d.send(ctx, p.job, c, verdict == suspector.Suspect)
 		if err == nil {
-			return resp, nil
+			return resp, c, nil
 		}
-		last = err
-		if !d.mayRetry(j, c, err) {
-			return nil, err
+		if d.isBusy(err) && time.Since(p.begin) < suspectTime {
+			d.awaitTurn(ctx, p)
+			continue
+		}
+		d.note(c, err)
+		if !p.retrier.Again(err, time.Now()) {
+			break
 		}
 	}
-	if last != nil {
-		return nil, last
-	}
-	return nil, &outcome.Error{Kind: outcome.NotRun, Reason: outcome.NoEndpoint, After: comeBack, Text: "no endpoint serves the deployment now"}
+	return nil, router.Candidate{}, p.retrier.Final(&outcome.Error{
+		Kind: outcome.NotRun, Reason: outcome.NoEndpoint, After: comeBack, Text: "no endpoint serves the deployment now",
+	})
 }
 
-func (d *Dispatcher) choose(j Job, tried map[ident.Host]bool) (router.Candidate, bool) {
-	sets := []ident.WeightSet{j.Deployment.Set}
-	if prev := j.Deployment.Previous; prev != "" {
-		sets = append(sets, prev)
+// judge refuses condemned requests, and suspects that may not be repeated.
+func (d *Dispatcher) judge(p *pass) (suspector.Verdict, error) {
+	verdict, left := d.Suspector.Verdict(p.job.Digest)
+	var o *outcome.Error
+	switch {
+	case verdict == suspector.Condemned:
+		o = &outcome.Error{Reason: outcome.Condemned, Text: "engines died twice while they ran this request; it is not run again for now"}
+	case verdict == suspector.Suspect && !p.job.Repeatable:
+		o = &outcome.Error{Reason: outcome.Suspect, Text: "a back end died while it ran this request; it is not run again for now"}
+	default:
+		return verdict, nil
 	}
-	for _, set := range sets {
-		c, ok := d.Router.Choose(d.View.Candidates(j.Deployment.Spec.Pool, set), tried)
-		if ok {
-			return c, true
-		}
+	o.Kind, o.After, o.Final = outcome.NotRun, left, true
+	if p.retrier.MayHaveRun() {
+		o.Kind = outcome.Unknown
 	}
-	return router.Candidate{}, false
+	return verdict, o
 }
 
-func (d *Dispatcher) mayRetry(j Job, c router.Candidate, err error) bool {
+// isBusy tells whether a suspect was refused because the endpoint runs another one.
+func (d *Dispatcher) isBusy(err error) bool {
 	var o *outcome.Error
-	if !errors.As(err, &o) {
-		return false
-	}
-	if o.Kind == outcome.NotRun {
-		d.View.Close(c.Host)
-		return true
-	}
-	return j.Repeatable && o.Reason != outcome.Deadline
+	return errors.As(err, &o) && o.Kind == outcome.NotRun && o.Reason == outcome.Suspect
 }
 
-func (d *Dispatcher) send(ctx context.Context, j Job, c router.Candidate) (*http.Response, error) {
-	end := d.View.Start(c.Host)
-	h := j.Header.Clone()
-	h.Set(headers.Request, string(j.ID))
-	h.Set(headers.Set, string(c.Set))
-	if j.Key != "" {
-		h.Set(headers.Key, j.Key)
-	}
-	resp, err := d.Forwarder.Send(ctx, forwarder.Call{
-		Method: j.Method, URL: "http://" + c.Address + runner.Prefix + j.Path, Header: h,
-		Body: bytes.NewReader(j.Body), Length: int64(len(j.Body)),
-	})
-	if err != nil {
-		end()
-		return nil, err
+// awaitTurn waits a little, after which all endpoints may be asked again. The refusal does not count as an attempt.
+func (d *Dispatcher) awaitTurn(ctx context.Context, p *pass) {
+	p.retrier.Forgive()
+	if _, ok := d.choose(p); ok {
+		return
 	}
-	if got := resp.Header.Get(headers.Request); got != string(j.ID) {
-		end()
-		_ = resp.Body.Close()
-		return nil, &outcome.Error{Kind: outcome.Unknown, Reason: outcome.Mismatch, Text: "answer carries the id of another request"}
+	clear(p.tried)
+	select {
+	case <-ctx.Done():
+	case <-time.After(suspectPoll):
 	}
-	if resp.Header.Get(headers.Outcome) == headers.Unknown {
-		end()
-		_ = resp.Body.Close()
-		return nil, &outcome.Error{Kind: outcome.Unknown, Reason: outcome.Lost, Text: "back end was lost after the request was handed over"}
-	}
-	resp.Body = &counted{ReadCloser: resp.Body, end: end}
-	return resp, nil
 }
 
-// counted ends the count of a running request when its body is closed.
-type counted struct {
-	io.ReadCloser
-	once sync.Once
-	end  func()
+func (d *Dispatcher) choose(p *pass) (router.Candidate, bool) {
+	for _, set := range p.sets {
+		c, ok := d.Router.Choose(d.View.Candidates(p.job.Deployment.Spec.Pool, set), p.tried)
+		if ok {
+			return c, true
+		}
+	}
+	return router.Candidate{}, false
 }
 
-// Close closes the body.
-func (c *counted) Close() error {
-	c.once.Do(c.end)
-	return c.ReadCloser.Close()
+// note keeps further requests from an endpoint that refused one.
+func (d *Dispatcher) note(c router.Candidate, err error) {
+	var o *outcome.Error
+	if errors.As(err, &o) && o.Kind == outcome.NotRun && o.Reason != outcome.Late {
+		d.View.Close(c.Host)
+	}
 }
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -27,7 +27,6 @@
 	"github.com/nutmegdock/nutmegdock/internal/messages"
 	"github.com/nutmegdock/nutmegdock/internal/reporter"
 	"github.com/nutmegdock/nutmegdock/internal/rpc"
-	"github.com/nutmegdock/nutmegdock/internal/runner"
 	"github.com/nutmegdock/nutmegdock/internal/switcher"
 	"github.com/nutmegdock/nutmegdock/internal/webserver"
 	"github.com/nutmegdock/nutmegdock/internal/weightclient"
@@ -67,6 +66,7 @@
 	fetcher  *fetcher.Fetcher
 	switcher *switcher.Switcher
 	reporter *reporter.Reporter
+	requests *requests
 }
 
 // Run serves until ctx ends, then refuses new work and finishes the requests in progress.
@@ -88,6 +88,7 @@
 	tasks.Go(func() error { return s.follower.Run(background) })
 	tasks.Go(func() error { return s.members.Run(background) })
 	tasks.Go(func() error { return s.reporter.Run(background) })
+	s.requests.run(background, &tasks)
 	tasks.Go(func() error { return rpcs.Serve(background, control) })
 	if s.Settings.Kind == catalog.KindEngine {
 		tasks.Go(func() error { return s.switcher.Run(ctx) })
@@ -129,9 +130,7 @@
 
 func (s *Server) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(runner.Prefix+"/", &runner.Runner{
-		Gate: &s.gate, Backend: s.Settings.Backend, Forwarder: &forwarder.Forwarder{HTTP: forwarder.NewClient()},
-	})
+	s.requests.register(mux)
 	s.chunks.Register(mux)
 	return mux
 }
@@ -142,6 +141,7 @@
 	s.chunks = &chunkserver.Server{Holder: s.holder}
 	s.buildPlatform()
 	s.buildWeights()
+	s.buildRequests()
 	s.reporter = &reporter.Reporter{
 		Entries: func() []membership.Member { return s.members.Members(membership.RoleEntry) },
 		Report:  s.report,
--- /dev/null
+++ b/internal/endpoint/requests.go
@@ -0,0 +1,65 @@
+package endpoint
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"github.com/apex/log"
+	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/monitor"
+	"github.com/nutmegdock/nutmegdock/internal/core/permitter"
+	"github.com/nutmegdock/nutmegdock/internal/event"
+	"github.com/nutmegdock/nutmegdock/internal/forwarder"
+	"github.com/nutmegdock/nutmegdock/internal/membership"
+	"github.com/nutmegdock/nutmegdock/internal/messages"
+	"github.com/nutmegdock/nutmegdock/internal/notifier"
+	"github.com/nutmegdock/nutmegdock/internal/prober"
+	"github.com/nutmegdock/nutmegdock/internal/rpc"
+	"github.com/nutmegdock/nutmegdock/internal/runner"
+)
+
+// requests holds what hands requests to the back end.
+type requests struct {
+	runner   *runner.Runner
+	prober   *prober.Prober
+	notifier *notifier.Notifier
+}
+
+func (s *Server) buildRequests() {
+	entries := &rpc.Pool{}
+	watch := &prober.Prober{Kind: s.Settings.Kind, Backend: s.Settings.Backend, HTTP: &http.Client{}}
+	tell := &notifier.Notifier{
+		Entries: func() []membership.Member { return s.members.Members(membership.RoleEntry) },
+		Send: func(ctx context.Context, control string, d messages.Death) error {
+			_, err := rpc.Call[messages.DeathAck](ctx, entries.Client(control), messages.DeathMethod, d)
+			return err
+		},
+	}
+	s.requests = &requests{prober: watch, notifier: tell, runner: &runner.Runner{
+		Gate: &s.gate, Backend: s.Settings.Backend,
+		Forwarder: &forwarder.Forwarder{HTTP: forwarder.NewClient(), Backend: true},
+		Fresh:     &forwarder.Forwarder{HTTP: forwarder.NewFreshClient(), Backend: true},
+		Permitter: &permitter.Permitter{NewPermit: func() permitter.Permit { return permitter.Permit(uuid.NewString()) }},
+		Monitor:   &monitor.Monitor{Name: fmt.Sprintf("%s/%d", s.Settings.Host, s.birth)},
+		Birth:     watch.Birth,
+		Dead:      watch.Dead,
+		Notify: func(d monitor.Death) {
+			event.BackendDied.Log(s.Logger, log.Fields{"death": d.ID, "requests": len(d.Running)})
+			tell.Add(d)
+		},
+	}}
+}
+
+func (q *requests) register(mux *http.ServeMux) {
+	mux.Handle(runner.Prefix+"/", q.runner)
+	mux.HandleFunc("GET "+runner.PermitPath, q.runner.Permit)
+}
+
+// run starts the background tasks.
+func (q *requests) run(ctx context.Context, tasks *errgroup.Group) {
+	tasks.Go(func() error { return q.prober.Run(ctx) })
+	tasks.Go(func() error { return q.notifier.Run(ctx) })
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -16,12 +15,9 @@
 	"github.com/nutmegdock/nutmegdock/internal/authorizer"
 	"github.com/nutmegdock/nutmegdock/internal/callers"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
-	"github.com/nutmegdock/nutmegdock/internal/core/router"
 	"github.com/nutmegdock/nutmegdock/internal/core/view"
-	"github.com/nutmegdock/nutmegdock/internal/dispatcher"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/follower"
-	"github.com/nutmegdock/nutmegdock/internal/forwarder"
 	"github.com/nutmegdock/nutmegdock/internal/logclient"
 	"github.com/nutmegdock/nutmegdock/internal/membership"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
@@ -54,6 +50,7 @@
 	members  *membership.List
 	view     *view.View
 	registry *prometheus.Registry
+	requests *requests
 }
 
 // Run serves until ctx ends, then finishes the requests in progress.
@@ -74,6 +71,8 @@
 	defer stop()
 	var tasks errgroup.Group
 	control := &rpc.Server{Methods: map[string]rpc.Handler{messages.ReportMethod: rpc.Handle(s.report)}}
+	s.requests.addMethods(control.Methods, s.Logger)
+	s.requests.run(background, &tasks)
 	tasks.Go(func() error { return s.follower.Run(background) })
 	tasks.Go(func() error { return s.members.Run(background) })
 	tasks.Go(func() error { return control.Serve(background, listeners.control) })
@@ -135,6 +134,7 @@
 			Data: s.Settings.Listen, Control: s.Settings.Control, Birth: time.Now().UnixNano(),
 		},
 	}
+	s.buildRequests()
 }
 
 func (s *Server) report(_ context.Context, r messages.Report) (messages.Ack, error) {
@@ -143,11 +143,6 @@
 }
 
 func (s *Server) callers() http.Handler {
-	d := &dispatcher.Dispatcher{
-		View:      s.view,
-		Router:    &router.Router{Zone: s.Settings.Zone, Intn: rand.IntN},
-		Forwarder: &forwarder.Forwarder{HTTP: forwarder.NewClient()},
-	}
-	c := &callers.Callers{View: s.follower.View, Dispatch: d.Do, Logger: s.Logger}
+	c := &callers.Callers{View: s.follower.View, Dispatch: s.requests.deduplicator.Do, Logger: s.Logger}
 	return c.Handler()
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -20,10 +20,15 @@
 	maxErrorText = 512
 )
 
+// errStalled cancels a request whose answer makes no progress.
+var errStalled = errors.New("no progress of the answer in time")
+
 // Forwarder sends requests. Set its fields before use.
 type Forwarder struct {
 	// HTTP sends the requests. It must not follow redirects.
 	HTTP *http.Client
+	// Backend marks the last hop: what the other side says of outcomes is not believed.
+	Backend bool
 }
 
 // Call is one request on one hop.
@@ -33,16 +38,31 @@
 	Header http.Header
 	Body   io.Reader
 	Length int64
+	// Wait bounds the time until the head of the answer; zero means no bound.
+	Wait time.Duration
+	// Stall bounds the time between two parts of the answer's body; zero means no bound.
+	Stall time.Duration
 }
 
 // NewClient returns a client for one hop between hosts by IP number.
 func NewClient() *http.Client {
+	return newClient(false)
+}
+
+// NewFreshClient returns a client that uses a connection of its own for each request. So no request is lost because
+// the other side closed an idle connection meanwhile.
+func NewFreshClient() *http.Client {
+	return newClient(true)
+}
+
+func newClient(fresh bool) *http.Client {
 	d := &net.Dialer{Timeout: time.Second}
 	t := &http.Transport{
 		DialContext:         d.DialContext,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
+		DisableKeepAlives:   fresh,
 	}
 	return &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 }
@@ -59,32 +79,49 @@
 	if body == nil {
 		body = http.NoBody
 	}
+	ctx, cancel := context.WithCancelCause(ctx)
 	req, err := http.NewRequestWithContext(ctx, c.Method, c.URL, once{body})
 	if err != nil {
+		cancel(nil)
 		return nil, &outcome.Error{Kind: outcome.NotRun, Reason: outcome.Refused, Text: err.Error()}
 	}
 	req.ContentLength = c.Length
 	req.Header = c.Header
+	var timer *time.Timer
+	if c.Wait > 0 {
+		timer = time.AfterFunc(c.Wait, func() { cancel(errStalled) })
+	}
 	resp, err := f.HTTP.Do(req)
+	if timer != nil && !timer.Stop() && err == nil {
+		_ = resp.Body.Close()
+		err = errStalled
+	}
 	if err != nil {
-		return nil, classify(err)
+		err = classify(ctx, err)
+		cancel(nil)
+		return nil, err
 	}
-	if resp.Header.Get(headers.Outcome) == headers.NotRun {
+	if !f.Backend && resp.Header.Get(headers.Outcome) == headers.NotRun {
+		defer cancel(nil)
 		return nil, refusal(resp)
 	}
+	resp.Body = &watched{ReadCloser: resp.Body, stall: c.Stall, cancel: cancel}
 	return resp, nil
 }
 
-func classify(err error) error {
+func classify(ctx context.Context, err error) error {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return &outcome.Error{Kind: outcome.NotRun, Reason: outcome.Unreachable, After: defaultAfter, Text: err.Error()}
 	}
-	reason := outcome.Lost
-	if errors.Is(err, context.DeadlineExceeded) {
-		reason = outcome.Deadline
+	o := &outcome.Error{Kind: outcome.Unknown, Reason: outcome.Lost, Text: err.Error()}
+	switch {
+	case errors.Is(context.Cause(ctx), errStalled):
+		o.Reason = outcome.Stalled
+	case ctx.Err() != nil:
+		o.Reason = outcome.Deadline
 	}
-	return &outcome.Error{Kind: outcome.Unknown, Reason: reason, Text: err.Error()}
+	return o
 }
 
 func refusal(resp *http.Response) error {
@@ -97,6 +134,30 @@
 	return &outcome.Error{Kind: outcome.NotRun, Reason: outcome.Reason(resp.Header.Get(headers.Reason)), After: after, Text: string(text)}
 }
 
+// watched cancels the request of a body that makes no progress.
+type watched struct {
+	io.ReadCloser
+	stall  time.Duration
+	cancel context.CancelCauseFunc
+}
+
+// Read reads the next part.
+func (w *watched) Read(p []byte) (int, error) {
+	if w.stall == 0 {
+		return w.ReadCloser.Read(p)
+	}
+	timer := time.AfterFunc(w.stall, func() { w.cancel(errStalled) })
+	n, err := w.ReadCloser.Read(p)
+	timer.Stop()
+	return n, err
+}
+
+// Close closes the body and ends the request.
+func (w *watched) Close() error {
+	defer w.cancel(nil)
+	return w.ReadCloser.Close()
+}
+
 // Copy streams a body to the caller, flushing after each read.
 func Copy(w http.ResponseWriter, body io.Reader) error {
 	rc := http.NewResponseController(w)
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -16,6 +16,18 @@
 	// Key carries the caller's idempotency key between the system's processes. It has a name of its own because
 	// net/http sends a request again by itself when it sees the usual one.
 	Key = "Nutmeg-Key"
+	// Permit carries the right to hand over a request that may not be repeated.
+	Permit = "Nutmeg-Permit"
+	// Claim names the stream, the offset and the attempt of a won claim.
+	Claim = "Nutmeg-Claim"
+	// Digest identifies a request by its deployment, path and body.
+	Digest = "Nutmeg-Digest"
+	// Suspect marks a request that was running when an engine died.
+	Suspect = "Nutmeg-Suspect"
+	// Death names the death of the engine that a request was running on.
+	Death = "Nutmeg-Death"
+	// Replayed marks an answer that was given before to a request with the same idempotency key.
+	Replayed = "Nutmeg-Replayed"
 	// CallerKey is the field in which callers and plain services exchange idempotency keys.
 	CallerKey = "Idempotency-Key"
 )
--- /dev/null
+++ b/internal/messages/request.go
@@ -0,0 +1,35 @@
+package messages
+
+import (
+	"github.com/nutmegdock/nutmegdock/internal/core/claimer"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/recorder"
+	"github.com/nutmegdock/nutmegdock/internal/core/suspector"
+)
+
+// ResultMethod asks the entry host that won a claim for the result of its attempt.
+const ResultMethod = "result"
+
+// ResultQuery names an attempt. Wait is how long the answer may wait for its end, in milliseconds.
+type ResultQuery struct {
+	Key     claimer.Key   `json:"key"`
+	Attempt ident.Request `json:"attempt"`
+	Wait    int64         `json:"wait"`
+}
+
+// ResultAnswer is what the entry host knows of the attempt.
+type ResultAnswer struct {
+	Result recorder.Result `json:"result"`
+}
+
+// DeathMethod tells an entry host of the death of an engine.
+const DeathMethod = "death"
+
+// Death names the requests that were running when an engine died. It is sent again until it is acknowledged.
+type Death struct {
+	ID      suspector.Death    `json:"id"`
+	Running []suspector.Digest `json:"running"`
+}
+
+// DeathAck acknowledges a Death.
+type DeathAck struct{}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -2,6 +2,7 @@
 package runner
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"strconv"
@@ -9,13 +10,21 @@
 
 	"github.com/nutmegdock/nutmegdock/internal/core/gate"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/monitor"
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
+	"github.com/nutmegdock/nutmegdock/internal/core/permitter"
+	"github.com/nutmegdock/nutmegdock/internal/core/resumer"
+	"github.com/nutmegdock/nutmegdock/internal/core/suspector"
 	"github.com/nutmegdock/nutmegdock/internal/forwarder"
 	"github.com/nutmegdock/nutmegdock/internal/headers"
 )
 
-// Prefix is the path under which requests to the back end arrive.
-const Prefix = "/run"
+const (
+	// Prefix is the path under which requests to the back end arrive.
+	Prefix = "/run"
+	// PermitPath is where permits for requests that may not be repeated are issued.
+	PermitPath = "/permit"
+)
 
 // Runner forwards requests to one back end. Set its fields before the first request.
 type Runner struct {
@@ -23,20 +32,55 @@
 	Gate *gate.Gate
 	// Backend is the base address of the engine or plain service.
 	Backend string
-	// Forwarder sends the requests.
+	// Forwarder sends repeatable requests.
 	Forwarder *forwarder.Forwarder
+	// Fresh sends those that may not be repeated, each on a connection of its own.
+	Fresh *forwarder.Forwarder
+	// Permitter admits those that may not be repeated once.
+	Permitter *permitter.Permitter
+	// Monitor follows the requests that run.
+	Monitor *monitor.Monitor
+	// Birth returns the birth of the back end that was seen last.
+	Birth func() int64
+	// Dead tells whether the back end with a birth has died.
+	Dead func(ctx context.Context, birth int64) bool
+	// Notify passes on a death.
+	Notify func(d monitor.Death)
 }
 
 // ServeHTTP runs one request, or refuses it as not run.
 func (u *Runner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if err := u.Gate.Enter(ident.WeightSet(r.Header.Get(headers.Set))); err != nil {
-		refuse(w, err)
+		refuse(w, r, err)
 		return
 	}
 	defer u.Gate.Exit()
-	resp, err := u.Forwarder.Send(r.Context(), u.call(r))
+	run := u.Monitor.Start(suspector.Digest(r.Header.Get(headers.Digest)), r.Header.Get(headers.Suspect) != "")
+	if run == nil {
+		fail(w, r, &outcome.Error{Kind: outcome.NotRun, Reason: outcome.Suspect, Text: "the endpoint runs another suspect request"})
+		return
+	}
+	defer u.Monitor.End(run)
+	send := u.Forwarder
+	if permit := r.Header.Get(headers.Permit); permit != "" {
+		if err := u.Permitter.Admit(ident.Request(r.Header.Get(headers.Request)), permitter.Permit(permit)); err != nil {
+			refuse(w, r, err)
+			return
+		}
+		send = u.Fresh
+	}
+	u.run(w, r, run, send)
+}
+
+func (u *Runner) run(w http.ResponseWriter, r *http.Request, run *monitor.Run, send *forwarder.Forwarder) {
+	birth := u.Birth()
+	resp, err := send.Send(r.Context(), u.call(r))
 	if err != nil {
-		fail(w, err)
+		if death := u.death(r, run, birth); death != "" {
+			w.Header().Set(headers.Death, string(death))
+			err = &outcome.Error{Kind: outcome.Unknown, Reason: outcome.EngineDied, Text: err.Error()}
+		}
+		fail(w, r, err)
 		return
 	}
 	defer resp.Body.Close()
@@ -44,13 +88,53 @@
 	w.Header().Set(headers.Outcome, headers.Answered)
 	w.Header().Set(headers.Request, r.Header.Get(headers.Request))
 	w.WriteHeader(resp.StatusCode)
-	if err := forwarder.Copy(w, resp.Body); err != nil {
-		panic(http.ErrAbortHandler)
+	if err := forwarder.Copy(w, resp.Body); err == nil {
+		return
+	}
+	death := u.death(r, run, birth)
+	if death != "" && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		_, _ = w.Write(resumer.DeathEvent(death))
+		_ = http.NewResponseController(w).Flush()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// death finds out whether a request was cut because the back end died, and tells of a death once.
+func (u *Runner) death(r *http.Request, run *monitor.Run, birth int64) suspector.Death {
+	if r.Context().Err() != nil && !u.Monitor.Ended(run) {
+		return ""
+	}
+	if !u.Monitor.Ended(run) && !u.Dead(r.Context(), birth) {
+		return ""
+	}
+	d, isNew := u.Monitor.Died(run)
+	if isNew {
+		u.Notify(d)
 	}
+	return d.ID
+}
+
+// Permit issues a permit for the request that the header names.
+func (u *Runner) Permit(w http.ResponseWriter, r *http.Request) {
+	if u.Gate.Status().Leaving {
+		refuse(w, r, &gate.Error{Reason: gate.Leaving})
+		return
+	}
+	permit, err := u.Permitter.Issue(ident.Request(r.Header.Get(headers.Request)))
+	if err != nil {
+		refuse(w, r, err)
+		return
+	}
+	w.Header().Set(headers.Request, r.Header.Get(headers.Request))
+	w.Header().Set(headers.Permit, string(permit))
+	w.WriteHeader(http.StatusNoContent)
 }
 
 func (u *Runner) call(r *http.Request) forwarder.Call {
 	h := r.Header.Clone()
+	for _, k := range []string{headers.Permit, headers.Claim, headers.Digest, headers.Suspect} {
+		h.Del(k)
+	}
 	if key := h.Get(headers.Key); key != "" {
 		h.Set(headers.CallerKey, key)
 		h.Del(headers.Key)
@@ -62,16 +146,23 @@
 	return forwarder.Call{Method: r.Method, URL: u.Backend + path, Header: h, Body: r.Body, Length: r.ContentLength}
 }
 
-func refuse(w http.ResponseWriter, err error) {
-	reason := outcome.Refused
+func refuse(w http.ResponseWriter, r *http.Request, err error) {
+	o := &outcome.Error{Kind: outcome.NotRun, Reason: outcome.Refused, Text: err.Error()}
 	var g *gate.Error
 	if errors.As(err, &g) && g.Reason == gate.Leaving {
-		reason = outcome.Leaving
+		o.Reason = outcome.Leaving
 	}
-	fail(w, &outcome.Error{Kind: outcome.NotRun, Reason: reason, Text: err.Error()})
+	var p *permitter.Error
+	if errors.As(err, &p) {
+		o.Reason = outcome.Late
+	}
+	if p != nil && p.Reason == permitter.Second {
+		o.Kind, o.Reason = outcome.Unknown, outcome.Running
+	}
+	fail(w, r, o)
 }
 
-func fail(w http.ResponseWriter, err error) {
+func fail(w http.ResponseWriter, r *http.Request, err error) {
 	kind, reason := outcome.Unknown, outcome.Lost
 	var o *outcome.Error
 	if errors.As(err, &o) {
@@ -79,6 +170,7 @@
 	}
 	w.Header().Set(headers.Outcome, string(kind))
 	w.Header().Set(headers.Reason, string(reason))
+	w.Header().Set(headers.Request, r.Header.Get(headers.Request))
 	status := http.StatusBadGateway
 	if kind == outcome.NotRun {
 		w.Header().Set("Retry-After", strconv.Itoa(1))
