--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -28,7 +28,6 @@
 	"github.com/nutmegdock/nutmegdock/internal/messages"
 	"github.com/nutmegdock/nutmegdock/internal/reporter"
 	"github.com/nutmegdock/nutmegdock/internal/rpc"
-	"github.com/nutmegdock/nutmegdock/internal/runner"
 	"github.com/nutmegdock/nutmegdock/internal/spreader"
 	"github.com/nutmegdock/nutmegdock/internal/switcher"
 	"github.com/nutmegdock/nutmegdock/internal/webserver"
@@ -78,6 +77,7 @@
 	reporter *reporter.Reporter
 	registry *prometheus.Registry
 	control  bytecounter.Counter
+	requests *requests
 }
 
 // Run serves until ctx ends, then refuses new work and finishes the requests in progress.
@@ -104,6 +104,7 @@
 	tasks.Go(func() error { return s.runConfig(background) })
 	tasks.Go(func() error { return s.members.Run(background) })
 	tasks.Go(func() error { return s.reporter.Run(background) })
+	s.requests.run(background, &tasks)
 	tasks.Go(func() error { return rpcs.Serve(background, s.control.Listener(control)) })
 	tasks.Go(func() error {
 		w := webserver.Server{Listener: second, Handler: s.admin(), Grace: time.Second}
@@ -149,13 +150,7 @@
 
 func (s *Server) handler() http.Handler {
 	mux := http.NewServeMux()
-	run := &runner.Runner{
-		Gate: &s.gate, Backend: s.Settings.Backend, Forwarder: &forwarder.Forwarder{HTTP: forwarder.NewClient()},
-	}
-	if s.Settings.Kind == catalog.KindEngine {
-		run.Watch = s.watch
-	}
-	mux.Handle(runner.Prefix+"/", run)
+	s.requests.register(mux)
 	s.chunks.Register(mux)
 	return mux
 }
@@ -168,6 +163,7 @@
 	s.chunks = &chunkserver.Server{Holder: s.holder}
 	s.buildPlatform()
 	s.buildWeights()
+	s.buildRequests()
 	s.reporter = &reporter.Reporter{
 		Entries: func() []membership.Member { return s.members.Members(membership.RoleEntry) },
 		Report:  s.report,
