--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -108,8 +108,11 @@
 	c := &cluster{t: t, bin: bin, dir: t.TempDir(), procs: make(map[ident.Host]*process)}
 	next := addresses(t, 7+4*(engines+2))
 	cfg := platform.Settings{
-		Listen:    next(),
-		Artifacts: []platform.Artifact{{Name: "m", Version: "1", Size: modelBytes, Chunk: chunkBytes, Seed: 7}},
+		Listen: next(),
+		Artifacts: []platform.Artifact{
+			{Name: "m", Version: "1", Size: modelBytes, Chunk: chunkBytes, Seed: 7},
+			{Name: "m", Version: "2", Size: modelBytes, Chunk: chunkBytes, Seed: 8},
+		},
 	}
 	c.base = "http://" + cfg.Listen
 	for i := range engines + 2 {
