--- /dev/null
+++ b/internal/capacity/target.go
@@ -0,0 +1,122 @@
+package capacity
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Sizes of the target, from the users' letter.
+const (
+	TargetEndpoints = 2400
+	TargetEntries   = 330
+	TargetRequests  = 1800    // requests a second
+	TargetTokens    = 630_000 // tokens a second
+)
+
+// Limits on a daemon's control work at the target, from the users' letter.
+const (
+	LimitCPU     = 0.022     // share of one core
+	LimitMemory  = 256 << 20 // bytes
+	LimitControl = 9 * 1000  // bytes a second
+)
+
+// quantity is one measured property of a process.
+type quantity struct {
+	name  string
+	unit  string
+	scale float64
+	limit float64
+	of    func(Point) float64
+}
+
+var quantities = []quantity{
+	{name: "processor", unit: "% of a core", scale: 100, limit: LimitCPU, of: func(p Point) float64 { return p.CPU }},
+	{name: "memory", unit: "MB", scale: 1.0 / (1 << 20), limit: LimitMemory, of: func(p Point) float64 { return p.Memory }},
+	{name: "control traffic", unit: "KB/s", scale: 1.0 / 1000, limit: LimitControl, of: func(p Point) float64 { return p.Control }},
+}
+
+// Table writes the measured slopes of the idle daemons and their values at the target as a Markdown table.
+func Table(points []Point) (string, error) {
+	var b strings.Builder
+	b.WriteString("| role | quantity | " + header(points) + " base | per 100 endpoints | at 2,400 | limit | fits |\n")
+	b.WriteString("|---|---|" + strings.Repeat("---|", len(sizes(points))) + "---|---|---|---|---|\n")
+	for _, role := range []string{"entry", "endpoint"} {
+		for _, q := range quantities {
+			line, err := Fit(points, role, "idle", q.of)
+			if err != nil {
+				return "", err
+			}
+			b.WriteString(row(points, role, q, line))
+		}
+	}
+	return b.String(), nil
+}
+
+func sizes(points []Point) []int {
+	var out []int
+	for _, p := range points {
+		if p.Role == "entry" && p.Load == "idle" {
+			out = append(out, p.Endpoints)
+		}
+	}
+	return out
+}
+
+func header(points []Point) string {
+	var b strings.Builder
+	for _, n := range sizes(points) {
+		fmt.Fprintf(&b, "at %d |", n)
+	}
+	return b.String()
+}
+
+func row(points []Point, role string, q quantity, line Line) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "| %s | %s, %s |", role, q.name, q.unit)
+	for _, p := range points {
+		if p.Role == role && p.Load == "idle" {
+			fmt.Fprintf(&b, " %.1f |", q.of(p)*q.scale)
+		}
+	}
+	at := line.At(TargetEndpoints)
+	fits := "yes"
+	if at > q.limit {
+		fits = "**no**"
+	}
+	fmt.Fprintf(&b, " %.1f | %.2f | %.1f | %.1f | %s |\n", line.Base*q.scale, line.Slope*100*q.scale, at*q.scale, q.limit*q.scale, fits)
+	return b.String()
+}
+
+// TokenCost returns the processor seconds that an entry host takes for one streamed token, from the difference
+// between its loaded and idle points.
+func TokenCost(points []Point) (float64, error) {
+	idle := make(map[int]float64)
+	for _, p := range points {
+		if p.Role == "entry" && p.Load == "idle" {
+			idle[p.Endpoints] = p.CPU
+		}
+	}
+	sum, n := 0.0, 0
+	for _, p := range points {
+		if p.Role == "entry" && p.Load == "loaded" && p.Tokens > 0 {
+			sum += (p.CPU - idle[p.Endpoints]) / p.Tokens
+			n++
+		}
+	}
+	if n == 0 {
+		return 0, fmt.Errorf("no loaded points; run script/capacity")
+	}
+	return sum / float64(n), nil
+}
+
+// Streams writes what the tokens of the target cost the entry hosts.
+func Streams(points []Point) (string, error) {
+	cost, err := TokenCost(points)
+	if err != nil {
+		return "", err
+	}
+	perHost := float64(TargetTokens) / TargetEntries
+	return fmt.Sprintf("| quantity | value |\n|---|---|\n| processor time a streamed token, measured | %.1f µs |\n"+
+		"| tokens a second through one of %d entry hosts, worked out | %.0f |\n| share of a core for them, worked out | %.1f%% |\n",
+		cost*1e6, TargetEntries, perHost, cost*perHost*100), nil
+}
--- /dev/null
+++ b/internal/capacity/update/main.go
@@ -0,0 +1,60 @@
+// Command update rewrites the measured tables of docs/CAPACITY.md from the points that script/capacity gathered.
+package main
+
+import (
+	"fmt"
+	"os"
+	"regexp"
+
+	"github.com/nutmegdock/nutmegdock/internal/capacity"
+)
+
+const (
+	pointsPath = "docs/capacity/points.jsonl"
+	pagePath   = "docs/CAPACITY.md"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintf(os.Stderr, "update: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	f, err := os.Open(pointsPath)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	points, err := capacity.Read(f)
+	if err != nil {
+		return err
+	}
+	page, err := os.ReadFile(pagePath)
+	if err != nil {
+		return err
+	}
+	for name, table := range map[string]func([]capacity.Point) (string, error){
+		"daemons": capacity.Table, "streams": capacity.Streams,
+	} {
+		text, err := table(points)
+		if err != nil {
+			return err
+		}
+		if page, err = replace(page, name, text); err != nil {
+			return err
+		}
+	}
+	return os.WriteFile(pagePath, page, 0o600)
+}
+
+// replace puts text between the page's markers of that name.
+func replace(page []byte, name, text string) ([]byte, error) {
+	begin, end := "<!-- begin "+name+" -->\n", "<!-- end "+name+" -->"
+	re := regexp.MustCompile("(?s)" + regexp.QuoteMeta(begin) + ".*?" + regexp.QuoteMeta(end))
+	if !re.Match(page) {
+		return nil, fmt.Errorf("%s has no markers for %s", pagePath, name)
+	}
+	return re.ReplaceAllLiteral(page, []byte(begin+text+end)), nil
+}
