--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -24,12 +24,11 @@
 	"github.com/nutmegdock/nutmegdock/internal/follower"
 	"github.com/nutmegdock/nutmegdock/internal/forwarder"
 	"github.com/nutmegdock/nutmegdock/internal/loader"
-	"github.com/nutmegdock/nutmegdock/internal/logclient"
 	"github.com/nutmegdock/nutmegdock/internal/membership"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
 	"github.com/nutmegdock/nutmegdock/internal/reporter"
 	"github.com/nutmegdock/nutmegdock/internal/rpc"
-	"github.com/nutmegdock/nutmegdock/internal/runner"
+	"github.com/nutmegdock/nutmegdock/internal/spreader"
 	"github.com/nutmegdock/nutmegdock/internal/switcher"
 	"github.com/nutmegdock/nutmegdock/internal/webserver"
 	"github.com/nutmegdock/nutmegdock/internal/weightclient"
@@ -68,12 +67,17 @@
 	holder   *holder.Holder
 	chunks   *chunkserver.Server
 	follower *follower.Follower
+	spread   *spreader.Spreader
+
+	configPeers rpc.Pool
+
 	members  *membership.List
 	fetcher  *fetcher.Fetcher
 	switcher *switcher.Switcher
 	reporter *reporter.Reporter
 	registry *prometheus.Registry
 	control  bytecounter.Counter
+	requests *requests
 }
 
 // Run serves until ctx ends, then refuses new work and finishes the requests in progress.
@@ -96,9 +100,11 @@
 	defer stop()
 	var tasks errgroup.Group
 	rpcs := &rpc.Server{Methods: map[string]rpc.Handler{messages.HaveMethod: rpc.Handle(s.have)}}
-	tasks.Go(func() error { return s.follower.Run(background) })
+	s.configMethods(rpcs.Methods)
+	tasks.Go(func() error { return s.runConfig(background) })
 	tasks.Go(func() error { return s.members.Run(background) })
 	tasks.Go(func() error { return s.reporter.Run(background) })
+	s.requests.run(background, &tasks)
 	tasks.Go(func() error { return rpcs.Serve(background, s.control.Listener(control)) })
 	tasks.Go(func() error {
 		w := webserver.Server{Listener: second, Handler: s.admin(), Grace: time.Second}
@@ -144,13 +150,7 @@
 
 func (s *Server) handler() http.Handler {
 	mux := http.NewServeMux()
-	run := &runner.Runner{
-		Gate: &s.gate, Backend: s.Settings.Backend, Forwarder: &forwarder.Forwarder{HTTP: forwarder.NewClient()},
-	}
-	if s.Settings.Kind == catalog.KindEngine {
-		run.Watch = s.watch
-	}
-	mux.Handle(runner.Prefix+"/", run)
+	s.requests.register(mux)
 	s.chunks.Register(mux)
 	return mux
 }
@@ -163,6 +163,7 @@
 	s.chunks = &chunkserver.Server{Holder: s.holder}
 	s.buildPlatform()
 	s.buildWeights()
+	s.buildRequests()
 	s.reporter = &reporter.Reporter{
 		Entries: func() []membership.Member { return s.members.Members(membership.RoleEntry) },
 		Report:  s.report,
@@ -173,13 +174,7 @@
 }
 
 func (s *Server) buildPlatform() {
-	logs := &logclient.Client{URL: s.Settings.Log, HTTP: s.control.Client()}
-	s.follower = &follower.Follower{
-		Read: func(ctx context.Context, from ident.Offset, limit int, wait time.Duration) (logclient.Page, error) {
-			return logs.Read(ctx, logclient.Config, from, limit, wait)
-		},
-		Logger: s.Logger,
-	}
+	s.buildConfig()
 	s.members = &membership.List{
 		URL: s.Settings.Members, HTTP: s.control.Client(), Logger: s.Logger,
 		Self: membership.Member{
@@ -191,7 +186,7 @@
 
 func (s *Server) buildWeights() {
 	weights := &weightclient.Client{HTTP: forwarder.NewClient()}
-	controls := &rpc.Pool{}
+	controls := &rpc.Pool{Dial: s.control.Dial}
 	s.fetcher = &fetcher.Fetcher{
 		Self: s.Settings.Host, Sources: []string{s.Settings.Store, s.Settings.Origin}, Holder: s.holder,
 		Peers: s.peers, Artifact: weights.Artifact, Chunk: weights.Chunk, Logger: s.Logger,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -17,17 +16,15 @@
 	"github.com/nutmegdock/nutmegdock/internal/authorizer"
 	"github.com/nutmegdock/nutmegdock/internal/bytecounter"
 	"github.com/nutmegdock/nutmegdock/internal/callers"
+	"github.com/nutmegdock/nutmegdock/internal/checkpointer"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
-	"github.com/nutmegdock/nutmegdock/internal/core/router"
 	"github.com/nutmegdock/nutmegdock/internal/core/view"
-	"github.com/nutmegdock/nutmegdock/internal/dispatcher"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/follower"
-	"github.com/nutmegdock/nutmegdock/internal/forwarder"
-	"github.com/nutmegdock/nutmegdock/internal/logclient"
 	"github.com/nutmegdock/nutmegdock/internal/membership"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
 	"github.com/nutmegdock/nutmegdock/internal/rpc"
+	"github.com/nutmegdock/nutmegdock/internal/spreader"
 	"github.com/nutmegdock/nutmegdock/internal/webserver"
 )
 
@@ -43,6 +40,9 @@
 	Members string       `json:"members" validate:"required,url"`
 	Store   string       `json:"store" validate:"required,url"`
 	Tokens  string       `json:"tokens" validate:"required"`
+	// Checkpoint is the age in seconds at which the configuration's checkpoint is written again, well below the
+	// log's retention; zero stands for five minutes.
+	Checkpoint int `json:"checkpoint,omitempty" validate:"min=0,max=86400"`
 	// Grace is the number of seconds that requests in progress get at a stop.
 	Grace int `json:"grace" validate:"min=1,max=3600"`
 }
@@ -52,11 +52,15 @@
 	Settings Settings
 	Logger   log.Interface
 
-	follower *follower.Follower
-	members  *membership.List
-	view     *view.View
-	registry *prometheus.Registry
-	control  bytecounter.Counter
+	follower    *follower.Follower
+	spread      *spreader.Spreader
+	checkpoints *checkpointer.Checkpointer
+	peers       rpc.Pool
+	members     *membership.List
+	view        *view.View
+	registry    *prometheus.Registry
+	control     bytecounter.Counter
+	requests    *requests
 }
 
 // Run serves until ctx ends, then finishes the requests in progress.
@@ -77,7 +81,10 @@
 	defer stop()
 	var tasks errgroup.Group
 	control := &rpc.Server{Methods: map[string]rpc.Handler{messages.ReportMethod: rpc.Handle(s.report)}}
-	tasks.Go(func() error { return s.follower.Run(background) })
+	s.configMethods(control.Methods)
+	s.runConfig(background, &tasks)
+	s.requests.addMethods(control.Methods, s.Logger)
+	s.requests.run(background, &tasks)
 	tasks.Go(func() error { return s.members.Run(background) })
 	tasks.Go(func() error { return control.Serve(background, s.control.Listener(listeners.control)) })
 
@@ -122,17 +129,10 @@
 }
 
 func (s *Server) build() {
-	logs := &logclient.Client{URL: s.Settings.Log, HTTP: s.control.Client()}
 	s.view = &view.View{}
 	s.registry = prometheus.NewRegistry()
 	s.registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	_ = s.control.Register(s.registry)
-	s.follower = &follower.Follower{
-		Read: func(ctx context.Context, from ident.Offset, limit int, wait time.Duration) (logclient.Page, error) {
-			return logs.Read(ctx, logclient.Config, from, limit, wait)
-		},
-		Logger: s.Logger,
-	}
 	s.members = &membership.List{
 		URL: s.Settings.Members, HTTP: s.control.Client(), Logger: s.Logger,
 		Self: membership.Member{
@@ -140,20 +140,18 @@
 			Data: s.Settings.Listen, Control: s.Settings.Control, Birth: time.Now().UnixNano(),
 		},
 	}
+	s.buildConfig()
+	s.buildRequests()
 }
 
 func (s *Server) report(_ context.Context, r messages.Report) (messages.Ack, error) {
 	r = s.join(r)
+	s.spread.Saw(r.Host, r.Offset)
 	s.view.Put(r)
 	return messages.Ack{Offset: s.follower.Offset(), Wave: s.wave(r)}, nil
 }
 
 func (s *Server) callers() http.Handler {
-	d := &dispatcher.Dispatcher{
-		View:      s.view,
-		Router:    &router.Router{Zone: s.Settings.Zone, Intn: rand.IntN},
-		Forwarder: &forwarder.Forwarder{HTTP: forwarder.NewClient()},
-	}
-	c := &callers.Callers{View: s.follower.View, Dispatch: d.Do, Logger: s.Logger}
+	c := &callers.Callers{View: s.follower.View, Dispatch: s.requests.deduplicator.Do, Logger: s.Logger}
 	return c.Handler()
 }
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log"
@@ -99,6 +100,8 @@
 type Client struct {
 	// Address is the server's TCP address by IP number.
 	Address string
+	// Dial makes the connection; nil means a plain one.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu   sync.Mutex
 	conn *jsonrpc2.Conn
@@ -112,6 +115,10 @@
 		return a, err
 	}
 	if err := conn.Call(ctx, method, q, &a); err != nil {
+		if errors.Is(err, context.DeadlineExceeded) {
+			// A peer that hangs would keep every later call waiting too.
+			c.drop(conn)
+		}
 		return a, fmt.Errorf("call %s at %s: %w", method, c.Address, err)
 	}
 	return a, nil
@@ -127,8 +134,11 @@
 			return c.conn, nil
 		}
 	}
-	d := net.Dialer{Timeout: dialTimeout}
-	nc, err := d.DialContext(ctx, "tcp", c.Address)
+	dial := c.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	nc, err := dial(ctx, "tcp", c.Address)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", c.Address, err)
 	}
@@ -146,6 +156,16 @@
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this side answers no calls"}
 }
 
+// drop ends a connection, so that the next call makes a new one.
+func (c *Client) drop(conn *jsonrpc2.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == conn {
+		c.conn = nil
+	}
+	go func() { _ = conn.Close() }()
+}
+
 // Close ends the connection.
 func (c *Client) Close() error {
 	c.mu.Lock()
