--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -37,11 +37,13 @@
 
 // Template holds the parameters that deployments share.
 type Template struct {
-	Kind     Kind         `json:"kind"`
-	Pool     ident.Pool   `json:"pool"`
-	Model    *Ref         `json:"model,omitempty"`
-	Adapters []Ref        `json:"adapters,omitempty"`
-	Replicas int          `json:"replicas,omitempty"`
+	Kind     Kind       `json:"kind"`
+	Pool     ident.Pool `json:"pool"`
+	Model    *Ref       `json:"model,omitempty"`
+	Adapters []Ref      `json:"adapters,omitempty"`
+	Replicas int        `json:"replicas,omitempty"`
+	// Most is the number of replicas that idle capacity may raise it to; no more than Replicas means that those are all it wants.
+	Most     int          `json:"most,omitempty"`
 	Floor    int          `json:"floor,omitempty"`
 	Priority int          `json:"priority,omitempty"`
 	Bias     Bias         `json:"bias,omitempty"`
--- a/internal/core/catalog/check.go
+++ b/internal/core/catalog/check.go
@@ -144,6 +144,7 @@
 func (c *checker) parameters(field string, t Template) {
 	c.require(t.Replicas >= 0 && t.Replicas <= MaxReplicas, field+".replicas", "must be 0 to %d", MaxReplicas)
 	c.require(t.Floor >= 0, field+".floor", "must not be negative")
+	c.require(t.Most >= 0 && t.Most <= MaxReplicas, field+".most", "must be 0 to %d", MaxReplicas)
 	c.require(t.Replicas >= t.Floor, field+".replicas", "%d is below the floor of %d", t.Replicas, t.Floor)
 	c.require(t.Priority >= -MaxPriority && t.Priority <= MaxPriority, field+".priority", "must be %d to %d", -MaxPriority, MaxPriority)
 	if t.Model != nil {
--- /dev/null
+++ b/internal/core/placer/placer_test.go
@@ -0,0 +1,146 @@
+package placer
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/rapidtest"
+)
+
+func deployment(name string, digest ident.Digest, t catalog.Template) catalog.Effective {
+	t.Pool = "p"
+	t.Model = &catalog.Ref{Name: "m", Version: "1", Digest: digest}
+	return catalog.Effective{Organisation: "o", Name: ident.Deployment(name), Spec: t, Set: t.Set()}
+}
+
+func nodes(n, zones int) []Node {
+	var out []Node
+	for i := range n {
+		zone := ident.Zone(fmt.Sprintf("z%d", i%zones))
+		out = append(out, Node{Host: ident.Host(fmt.Sprintf("h%d", i)), Zone: zone, Pool: "p"})
+	}
+	return out
+}
+
+func count(placed map[ident.Host]Need, key string) int {
+	n := 0
+	for _, need := range placed {
+		if need.Key == key {
+			n++
+		}
+	}
+	return n
+}
+
+func TestZonesOfSharedSet(t *testing.T) {
+	is := is.New(t)
+	needs := Needs([]catalog.Effective{
+		deployment("a", "x", catalog.Template{Replicas: 2, Zones: []ident.Zone{"z0"}}),
+		deployment("b", "x", catalog.Template{Replicas: 3}),
+		deployment("c", "x", catalog.Template{Replicas: 4}),
+	})
+	is.Equal(len(needs), 2)
+	placed := Place(needs, nodes(9, 3))
+	zones := make(map[ident.Zone]int)
+	for _, n := range nodes(9, 3) {
+		if _, ok := placed[n.Host]; ok {
+			zones[n.Zone]++
+		}
+	}
+	is.Equal(len(placed), 4) // the replicas of a count for b and c
+	is.Equal(zones["z0"], 2)
+}
+
+func TestVersionChangeMovesNoHost(t *testing.T) {
+	is := is.New(t)
+	specs := catalog.Template{Replicas: 5}
+	before := Place(Needs([]catalog.Effective{deployment("a", "x", specs), deployment("b", "y", specs)}), nodes(12, 3))
+	after := Place(Needs([]catalog.Effective{deployment("a", "z", specs), deployment("b", "y", specs)}), nodes(12, 3))
+	for h, n := range before {
+		is.Equal(after[h].Key, n.Key)
+	}
+}
+
+func TestIdleHostsByPriority(t *testing.T) {
+	is := is.New(t)
+	needs := Needs([]catalog.Effective{
+		deployment("low", "x", catalog.Template{Replicas: 2, Most: 10}),
+		deployment("high", "y", catalog.Template{Replicas: 3, Most: 6, Priority: 1}),
+	})
+	placed := Place(needs, nodes(10, 2))
+	is.Equal(count(placed, "deployment/o/high"), 6)
+	is.Equal(count(placed, "deployment/o/low"), 4)
+}
+
+// TestStatePlacement draws configurations and hosts, and checks the rules of the placement against simple counts.
+func TestStatePlacement(t *testing.T) {
+	rapidtest.Check(t, func(_ *testing.T, rt *rapid.T) {
+		var ds []catalog.Effective
+		for i := range rapid.IntRange(1, 5).Draw(rt, "deployments") {
+			s := catalog.Template{
+				Replicas: rapid.IntRange(0, 8).Draw(rt, "replicas"), Priority: rapid.IntRange(0, 2).Draw(rt, "priority"),
+			}
+			s.Floor = rapid.IntRange(0, s.Replicas).Draw(rt, "floor")
+			s.Most = s.Replicas + rapid.IntRange(0, 4).Draw(rt, "more")
+			ds = append(ds, deployment(fmt.Sprintf("d%d", i), ident.Digest(fmt.Sprintf("x%d", i)), s))
+		}
+		all := nodes(rapid.IntRange(0, 24).Draw(rt, "hosts"), rapid.IntRange(1, 4).Draw(rt, "zones"))
+		needs := Needs(ds)
+		placed := Place(needs, all)
+		if again := Place(needs, rapid.Permutation(all).Draw(rt, "order")); !maps.EqualFunc(placed, again, same) {
+			rt.Fatalf("the order of the nodes changes the placement")
+		}
+		checkCounts(rt, needs, all, placed)
+		checkSpread(rt, needs, all, placed)
+	})
+}
+
+func same(a, b Need) bool { return a.Key == b.Key }
+
+func checkCounts(rt *rapid.T, needs []Need, all []Node, placed map[ident.Host]Need) {
+	free := len(all)
+	want := make(map[string]int)
+	for _, target := range []func(Need) int{
+		func(n Need) int { return n.Floor },
+		func(n Need) int { return max(n.Replicas, n.Floor) },
+		func(n Need) int { return n.Most },
+	} {
+		for _, n := range needs {
+			more := min(free, max(0, target(n)-want[n.Key]))
+			want[n.Key] += more
+			free -= more
+		}
+	}
+	for _, n := range needs {
+		if got := count(placed, n.Key); got != want[n.Key] {
+			rt.Fatalf("%s has %d hosts, want %d", n.Key, got, want[n.Key])
+		}
+	}
+}
+
+// checkSpread checks that a need that could be served by one zone less crowded is so, where nobody else has hosts.
+func checkSpread(rt *rapid.T, needs []Need, all []Node, placed map[ident.Host]Need) {
+	if len(needs) != 1 {
+		return
+	}
+	held, size := make(map[ident.Zone]int), make(map[ident.Zone]int)
+	for _, n := range all {
+		size[n.Zone]++
+		if _, ok := placed[n.Host]; ok {
+			held[n.Zone]++
+		}
+	}
+	for a := range size {
+		for b := range size {
+			if held[a] > held[b]+1 && held[b] < size[b] {
+				rt.Fatalf("zone %s has %d replicas, zone %s with %d hosts has %d", a, held[a], b, size[b], held[b])
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/measure/orders/placement_test.go
@@ -0,0 +1,117 @@
+package orders
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/placer"
+	"github.com/nutmegdock/nutmegdock/internal/core/ranker"
+	"github.com/nutmegdock/nutmegdock/internal/measure"
+)
+
+const trials = 50
+
+// shape is a pool of hosts with needs of different priorities that leave a twentieth of the hosts idle.
+func shape(hosts, zones, needs int) ([]placer.Need, []placer.Node) {
+	var ns []placer.Need
+	for i := range needs {
+		ns = append(ns, placer.Need{
+			Key: fmt.Sprintf("deployment/o/d%d", i), Set: ident.WeightSet(fmt.Sprintf("s%d", i)), Pool: "p",
+			Replicas: hosts * 95 / 100 / needs, Floor: hosts / needs / 2, Priority: needs - i,
+		})
+	}
+	var nodes []placer.Node
+	for i := range hosts {
+		nodes = append(nodes, placer.Node{
+			Host: ident.Host(fmt.Sprintf("host-%d", i)), Zone: ident.Zone(fmt.Sprintf("zone-%d", i%zones)), Pool: "p",
+		})
+	}
+	return ns, nodes
+}
+
+// inRow is the baseline: all hosts in one rendezvous order, cut into the needs' shares.
+func inRow(needs []placer.Need, nodes []placer.Node) map[ident.Host]placer.Need {
+	var hosts []ident.Host
+	for _, n := range nodes {
+		hosts = append(hosts, n.Host)
+	}
+	ranked := ranker.Rank("p", hosts)
+	out := make(map[ident.Host]placer.Need)
+	for _, n := range needs {
+		k := min(n.Replicas, len(ranked))
+		for _, h := range ranked[:k] {
+			out[h] = n
+		}
+		ranked = ranked[k:]
+	}
+	return out
+}
+
+// moves counts the hosts that are given another set than before, but for the host that came or went.
+func moves(before, after map[ident.Host]placer.Need, changed ident.Host) int {
+	n := 0
+	for h, need := range after {
+		if h != changed && before[h].Key != need.Key {
+			n++
+		}
+	}
+	return n
+}
+
+// TestMeasureOrdersPlacement measures the hosts that change their set when one host is lost or gained.
+func TestMeasureOrdersPlacement(t *testing.T) {
+	for _, s := range []struct{ hosts, zones, needs int }{{200, 3, 5}, {2400, 13, 20}} {
+		needs, nodes := shape(s.hosts, s.zones, s.needs)
+		rng := seeded(1)
+		for _, way := range []struct {
+			name  string
+			place func([]placer.Need, []placer.Node) map[ident.Host]placer.Need
+		}{{"place", placer.Place}, {"row", inRow}} {
+			all := way.place(needs, nodes)
+			lost, gained := 0, 0
+			for range trials {
+				i := rng.IntN(len(nodes))
+				rest := append(append([]placer.Node{}, nodes[:i]...), nodes[i+1:]...)
+				fewer := way.place(needs, rest)
+				lost += moves(all, fewer, nodes[i].Host)
+				gained += moves(fewer, all, nodes[i].Host)
+			}
+			name := fmt.Sprintf("burst.place.%d.%s", s.hosts, way.name)
+			measure.Report(t, measure.Figure{Name: name + ".lost", Value: float64(lost) / trials, Unit: "moves a host lost"})
+			measure.Report(t, measure.Figure{Name: name + ".gained", Value: float64(gained) / trials, Unit: "moves a host gained"})
+		}
+	}
+}
+
+// TestMeasureOrdersPlacementCost measures the time of one evaluation.
+func TestMeasureOrdersPlacementCost(t *testing.T) {
+	if !measure.Wanted() {
+		t.Skip("wall time is read by script/bench only")
+	}
+	for _, hosts := range []int{200, 1200, 2400} {
+		needs, nodes := shape(hosts, 13, 20)
+		r := testing.Benchmark(func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				placer.Place(needs, nodes)
+			}
+		})
+		name := fmt.Sprintf("burst.place.%d.cost", hosts)
+		measure.Report(t, measure.Figure{Name: name, Value: float64(r.NsPerOp()), Unit: "ns an evaluation"})
+		measure.Report(t, measure.Figure{Name: name + ".allocs", Value: float64(r.AllocsPerOp()), Unit: "allocations"})
+	}
+	specs := make([]catalog.Effective, 0, 1000)
+	for i := range cap(specs) {
+		m := &catalog.Ref{Name: "m", Version: "1", Digest: ident.Digest(fmt.Sprintf("x%d", i%20))}
+		s := catalog.Template{Pool: "p", Model: m, Replicas: 10}
+		specs = append(specs, catalog.Effective{Organisation: "o", Name: ident.Deployment(fmt.Sprintf("d%d", i)), Spec: s, Set: s.Set()})
+	}
+	r := testing.Benchmark(func(b *testing.B) {
+		for b.Loop() {
+			placer.Needs(specs)
+		}
+	})
+	measure.Report(t, measure.Figure{Name: "burst.place.needs.1000.cost", Value: float64(r.NsPerOp()), Unit: "ns an evaluation"})
+}
--- a/internal/switcher/planner.go
+++ b/internal/switcher/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
@@ -26,15 +27,22 @@
 	return out
 }
 
+// planTime is the least time between two evaluations of the placement.
+const planTime = 200 * time.Millisecond
+
 // planner evaluates the placement again only when the configuration or the hosts have changed.
 type planner struct {
 	valid       bool
+	evaluated   time.Time
 	nodes       []placer.Node
 	deployments []catalog.Effective
 	last        plan
 }
 
 func (p *planner) plan(s *Switcher) plan {
+	if time.Since(p.evaluated) < planTime {
+		return p.last
+	}
 	var nodes []placer.Node
 	for _, m := range s.Hosts() {
 		if m.Pool == s.Pool && (!m.Leaving || m.Host == s.Self) {
@@ -53,6 +61,7 @@
 		return p.last
 	}
 	p.valid = true
+	p.evaluated = time.Now()
 	p.nodes = nodes
 	p.last = plan{offset: offset, need: placer.Place(placer.Needs(p.deployments), nodes)[s.Self]}
 	for _, d := range p.deployments {
