--- a/internal/core/orderer/orderer.go
+++ b/internal/core/orderer/orderer.go
@@ -50,7 +50,7 @@
 	Read Kind = "read"
 	// Open means that the gate is to be opened on Set until Until.
 	Open Kind = "open"
-	// Close means that the gate is to be closed.
+	// Close means that the gate is to be closed. Set is named when it is to be loaded next.
 	Close Kind = "close"
 	// Order means that the engine is to be ordered to load Set with Fence.
 	Order Kind = "order"
@@ -225,7 +225,7 @@
 	switch {
 	case o.open != nil:
 		o.open = nil
-		return Action{Kind: Close}
+		return Action{Kind: Close, Set: w.Set}
 	case running > 0 || !w.Verified || now.Before(o.retryAt):
 		return Action{Kind: Wait}
 	}
--- /dev/null
+++ b/internal/e2e/orders_test.go
@@ -0,0 +1,137 @@
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/engineapi"
+	"github.com/nutmegdock/nutmegdock/internal/standin/engine"
+)
+
+// load counts how streams end that run without a pause.
+type load struct {
+	whole, broken, wrong atomic.Int64
+	last                 atomic.Value
+}
+
+func (l *load) run(c *cluster, id int, stop <-chan struct{}) {
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		prompt := fmt.Sprintf("stream %d %d", id, i)
+		text, set, err := c.stream(i%2, prompt, 10)
+		switch {
+		case err != nil:
+			l.broken.Add(1)
+			l.last.Store(err.Error())
+		case text != engine.Text(set, prompt, 10):
+			l.wrong.Add(1)
+		default:
+			l.whole.Add(1)
+		}
+	}
+}
+
+// TestVersionChange publishes a second version under streams, then lets a stranger order an engine back. No answer
+// that ends whole may have been made by another set than it names, and the change itself breaks no stream.
+func TestVersionChange(t *testing.T) {
+	is := is.New(t)
+	const engines = 4
+	c := start(t, engines)
+	c.eventually("all hosts report", func() bool { return len(c.status().Endpoints) == engines+2 })
+	c.publish(engines)
+	c.eventually("all replicas ready", func() bool { return c.ready("lm") == engines })
+	first := c.chat()
+
+	var l load
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for id := range 3 {
+		wg.Go(func() { l.run(c, id, stop) })
+	}
+	second := c.write("chat-2.json", catalog.Template{
+		Kind: catalog.KindEngine, Pool: "lm", Model: &catalog.Ref{Name: "m", Version: "2"}, Replicas: engines, Floor: 3, Bias: catalog.BiasOrigin,
+	})
+	_, err := c.operator(0, "template", "publish", "chat", "--file", second)
+	is.NoErr(err)
+	least := engines
+	c.eventually("all replicas serve version 2", func() bool {
+		least = min(least, c.ready("lm"))
+		return c.serving(c.chat().Set) == engines && c.chat().Set != first.Set
+	})
+	is.True(least >= 3)
+	if l.broken.Load() != 0 {
+		t.Errorf("%d streams broke during the change, last: %v", l.broken.Load(), l.last.Load())
+	}
+
+	c.stranger(0, first.Spec.Model.Digest)
+	c.eventually("the engine is ordered again", func() bool {
+		set := c.chat().Set
+		return c.engine(0).Set == set && c.serving(set) == engines
+	})
+	close(stop)
+	wg.Wait()
+	is.Equal(l.wrong.Load(), int64(0))
+	is.True(l.whole.Load() > 0)
+}
+
+// chat returns the deployment of engines.
+func (c *cluster) chat() catalog.Effective {
+	for _, d := range c.status().Deployments {
+		if d.Name == "chat" {
+			return d
+		}
+	}
+	return catalog.Effective{}
+}
+
+func (c *cluster) serving(set ident.WeightSet) int {
+	n := 0
+	for _, r := range c.status().Endpoints {
+		if r.Open && r.Set == set && set != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// engine returns what an engine reports.
+func (c *cluster) engine(i int) engineapi.State {
+	var st engineapi.State
+	resp, err := http.Get(c.ends[i].Backend + engineapi.StatePath)
+	if err != nil {
+		return st
+	}
+	defer resp.Body.Close()
+	_ = json.NewDecoder(resp.Body).Decode(&st)
+	return st
+}
+
+// stranger orders an engine to load an artifact, past the endpoint host beside it.
+func (c *cluster) stranger(i int, artifact ident.Digest) {
+	c.t.Helper()
+	body, err := json.Marshal(engineapi.Order{Fence: 1 << 30, Artifacts: []ident.Digest{artifact}, Source: c.base + "/store"})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	resp, err := http.Post(c.ends[i].Backend+engineapi.LoadPath, "application/json", bytes.NewReader(body))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		c.t.Fatalf("order by a stranger: status %d", resp.StatusCode)
+	}
+}
--- a/internal/switcher/switcher.go
+++ b/internal/switcher/switcher.go
@@ -135,7 +135,7 @@
 			s.open(a, p)
 		case orderer.Close:
 			s.Gate.Close()
-			event.GateClosed.Log(s.Logger, log.Fields{"set": st.Set, "want": p.need.Set})
+			s.closed(a, st)
 		case orderer.Cancel:
 			s.cancel()
 		case orderer.Order:
@@ -195,6 +195,14 @@
 	}()
 }
 
+func (s *Switcher) closed(a orderer.Action, st gate.Status) {
+	e := event.GateClosed
+	if a.Set != "" {
+		e = event.SwitchBegan
+	}
+	e.Log(s.Logger, log.Fields{"set": st.Set, "next": a.Set})
+}
+
 func (s *Switcher) ended(r orderer.Result) {
 	s.cancel()
 	s.orderer.Ended(time.Now(), r)
