An answer of an engine that anyone may order does not go on elsewhere; late orders are outbid

Cause: TestVersionChange with a stranger's order ended one of about 90 streams whole with wrong tokens in one run of three: the endpoint broke the stream at its end, and the entry host let it go on elsewhere behind tokens of another set. Change: answers of unfenced engines carry Nutmeg-Unfenced and are not resumed; an endpoint that finds changed weights says so before it cuts. An order that was lost and may still come is outbid before the gate opens again.

--- a/internal/core/orderer/orderer.go
+++ b/internal/core/orderer/orderer.go
@@ -178,6 +178,8 @@
 		o.goal = ""
 	}
 	switch {
+	case st.Set != "" && st.Set == w.Set && w.Verified && o.isLate():
+		return o.outbid(now, w, running)
 	case w.Set != "" && st.Set == w.Set:
 		o.goal = ""
 		o.retries = 0
@@ -187,10 +189,10 @@
 	case o.open != nil:
 		o.open = nil
 		return Action{Kind: Close}
-	case w.Set == "" || !w.Verified || o.isLoading(now) || now.Before(o.retryAt):
+	case w.Set == "" || !w.Verified || o.isLoading(now):
 		return Action{Kind: Wait}
 	}
-	return o.order(now, w)
+	return o.again(now, w)
 }
 
 func (o *Orderer) fresh(now time.Time) bool {
@@ -226,7 +228,32 @@
 	case o.open != nil:
 		o.open = nil
 		return Action{Kind: Close, Set: w.Set}
-	case running > 0 || !w.Verified || now.Before(o.retryAt):
+	case running > 0 || !w.Verified:
+		return Action{Kind: Wait}
+	}
+	return o.again(now, w)
+}
+
+// isLate tells whether an order that was lost may still reach the engine.
+func (o *Orderer) isLate() bool {
+	return o.last != nil && o.last.result == Lost && o.reading.state.Fence < o.last.fence
+}
+
+// outbid orders the set that the engine has already, so that the order that may still come finds a higher number.
+func (o *Orderer) outbid(now time.Time, w Want, running int) Action {
+	switch {
+	case o.open != nil:
+		o.open = nil
+		return Action{Kind: Close}
+	case running > 0:
+		return Action{Kind: Wait}
+	}
+	return o.again(now, w)
+}
+
+// again orders the set unless the last order ended too lately.
+func (o *Orderer) again(now time.Time, w Want) Action {
+	if now.Before(o.retryAt) {
 		return Action{Kind: Wait}
 	}
 	return o.order(now, w)
--- a/internal/core/resumer/resumer.go
+++ b/internal/core/resumer/resumer.go
@@ -17,6 +17,8 @@
 	dataField     = "data:"
 	// died begins the comment by which an endpoint host says that its engine died, before it cuts the stream.
 	died = ": engine died "
+	// changed is the comment by which an endpoint host says that its engine changed its weights during the answer.
+	changed = ": weights changed"
 )
 
 // Error is an event that does not belong to the answer.
@@ -41,6 +43,7 @@
 	ended   bool
 	broken  error
 	many    bool
+	mixed   bool
 }
 
 type event struct {
@@ -101,6 +104,10 @@
 		r.death = suspector.Death(death)
 		return false, nil
 	}
+	if bytes.Equal(ev, []byte(changed)) {
+		r.mixed = true
+		return false, nil
+	}
 	if r.broken != nil {
 		return false, r.broken
 	}
@@ -148,9 +155,15 @@
 	return !seen || r.many
 }
 
-// Resumable tells whether the number of tokens says where the answer goes on: it has one alternative only.
+// Resumable tells whether the number of tokens says where the answer goes on: it has one alternative only, made by one
+// weight set.
 func (r *Resumer) Resumable() bool {
-	return !r.many && !r.done
+	return !r.many && !r.done && !r.mixed
+}
+
+// Seal forbids that the answer goes on elsewhere, since its tokens are confirmed at its end only.
+func (r *Resumer) Seal() {
+	r.mixed = true
 }
 
 // Restart drops the part of an event that a cut left behind, before the next connection's first byte.
@@ -180,3 +193,8 @@
 func DeathEvent(d suspector.Death) []byte {
 	return []byte("\n\n" + died + string(d) + "\n\n")
 }
+
+// ChangeEvent returns the event by which an endpoint host tells that the tokens before it may be of several weight sets.
+func ChangeEvent() []byte {
+	return []byte("\n\n" + changed + "\n\n")
+}
--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -40,9 +40,11 @@
 		return resp.Body
 	}
 	p.sets = []ident.WeightSet{c.Set}
-	return &resumed{
+	r := &resumed{
 		ctx: ctx, dispatcher: d, pass: p, body: resp.Body, resumer: &resumer.Resumer{ID: p.job.ID}, buf: make([]byte, readBytes),
 	}
+	r.seal(resp)
+	return r
 }
 
 // Read returns whole events.
@@ -103,9 +105,17 @@
 	event.StreamResumed.Log(d.Logger, log.Fields{"request": job.ID, "token": r.resumer.Tokens(), "cause": cause.Error()})
 	r.body = resp.Body
 	r.resumer.Restart()
+	r.seal(resp)
 	r.err = nil
 }
 
+// seal keeps an answer of an engine that anyone may order from going on elsewhere.
+func (r *resumed) seal(resp *http.Response) {
+	if resp.Header.Get(headers.Unfenced) != "" {
+		r.resumer.Seal()
+	}
+}
+
 func (r *resumed) next(j Job) (*http.Response, error) {
 	whole := r.pass.job
 	r.pass.job = j
--- a/internal/e2e/orders_test.go
+++ b/internal/e2e/orders_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -51,6 +52,7 @@
 	const engines = 4
 	c := start(t, engines)
 	c.eventually("all hosts report", func() bool { return len(c.status().Endpoints) == engines+2 })
+	c.unfence(0)
 	c.publish(engines)
 	c.eventually("all replicas ready", func() bool { return c.ready("lm") == engines })
 	first := c.chat()
@@ -58,7 +60,7 @@
 	var l load
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
-	for id := range 3 {
+	for id := range 8 {
 		wg.Go(func() { l.run(c, id, stop) })
 	}
 	second := c.write("chat-2.json", catalog.Template{
@@ -119,6 +121,26 @@
 	return st
 }
 
+// unfence restarts an endpoint host with the word that its engine does not check who orders it.
+func (c *cluster) unfence(i int) {
+	c.t.Helper()
+	s := &c.ends[i]
+	s.Unfenced = true
+	c.signal(s.Host, syscall.SIGTERM)
+	if err := c.stop(s.Host); err != nil {
+		c.t.Fatal(err)
+	}
+	c.run("endpointd", s.Host, *s)
+	c.eventually("the restarted host reports", func() bool {
+		for _, r := range c.status().Endpoints {
+			if r.Host == s.Host {
+				return r.Unfenced && !r.Leaving
+			}
+		}
+		return false
+	})
+}
+
 // stranger orders an engine to load an artifact, past the endpoint host beside it.
 func (c *cluster) stranger(i int, artifact ident.Digest) {
 	c.t.Helper()
--- a/internal/endpoint/requests.go
+++ b/internal/endpoint/requests.go
@@ -54,6 +54,7 @@
 	}}
 	if s.Settings.Kind == catalog.KindEngine {
 		s.requests.runner.Watch = s.watch
+		s.requests.runner.Unfenced = s.Settings.Unfenced
 	}
 }
 
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -11,6 +11,9 @@
 	Outcome = "Nutmeg-Outcome"
 	// Reason tells why a request was not answered.
 	Reason = "Nutmeg-Reason"
+	// Unfenced marks an answer of an engine that does not check who orders it. The tokens of a cut one are not known to
+	// be of one weight set, so that it cannot go on elsewhere.
+	Unfenced = "Nutmeg-Unfenced"
 	// Offset carries the sender's offset in the configuration log.
 	Offset = "Nutmeg-Offset"
 	// Key carries the caller's idempotency key between the system's processes. It has a name of its own because
--- a/internal/runner/confirm.go
+++ b/internal/runner/confirm.go
@@ -55,6 +55,8 @@
 
 	held []byte
 	err  error
+	// mixed tells that the weights were not confirmed.
+	mixed bool
 }
 
 // Read returns the next bytes that may be passed on.
@@ -96,6 +98,7 @@
 func (s *sealed) finish(p []byte) (int, error) {
 	if s.confirm != nil && errors.Is(s.err, io.EOF) {
 		if err := s.confirm(s.ctx); err != nil {
+			s.mixed = true
 			s.err = err
 			s.held = nil
 		}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -36,6 +36,8 @@
 	Forwarder *forwarder.Forwarder
 	// Watch notes the engine's weights before a request for set is handed over. Nil means a back end without weights.
 	Watch func(set ident.WeightSet) Confirm
+	// Unfenced marks the answers of an engine that does not check who orders it.
+	Unfenced bool
 	// Fresh sends those that may not be repeated, each on a connection of its own.
 	Fresh *forwarder.Forwarder
 	// Permitter admits those that may not be repeated once.
@@ -96,10 +98,18 @@
 	CopyHeader(w.Header(), resp.Header)
 	w.Header().Set(headers.Outcome, headers.Answered)
 	w.Header().Set(headers.Request, r.Header.Get(headers.Request))
+	if u.Unfenced {
+		w.Header().Set(headers.Unfenced, "1")
+	}
 	w.WriteHeader(resp.StatusCode)
 	if err := forwarder.Copy(w, body); err == nil {
 		return
 	}
+	if body.mixed && stream {
+		_, _ = w.Write(resumer.ChangeEvent())
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
 	death := u.death(r, run, birth)
 	if death != "" && stream {
 		_, _ = w.Write(resumer.DeathEvent(death))
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -15,6 +15,8 @@
 
 	"github.com/nutmegdock/nutmegdock/internal/core/gate"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/monitor"
+	"github.com/nutmegdock/nutmegdock/internal/core/resumer"
 	"github.com/nutmegdock/nutmegdock/internal/forwarder"
 	"github.com/nutmegdock/nutmegdock/internal/headers"
 )
@@ -24,7 +26,10 @@
 	t.Helper()
 	engine := httptest.NewServer(backend)
 	defer engine.Close()
-	u := &Runner{Gate: &gate.Gate{}, Backend: engine.URL, Forwarder: &forwarder.Forwarder{HTTP: forwarder.NewClient()}}
+	u := &Runner{
+		Gate: &gate.Gate{}, Backend: engine.URL, Forwarder: &forwarder.Forwarder{HTTP: forwarder.NewClient()},
+		Monitor: &monitor.Monitor{}, Birth: func() int64 { return 1 }, Dead: func(context.Context, int64) bool { return false },
+	}
 	u.Watch = func(ident.WeightSet) Confirm {
 		return func(context.Context) error { return confirm }
 	}
@@ -99,8 +104,9 @@
 			is.NoErr(err)
 			is.Equal(body, tt.whole)
 			_, body, err = ask(t, changed, answer("a", tt.kind, http.StatusOK, tt.parts...))
-			is.True(err != nil)                      // the connection is broken
-			is.True(strings.HasPrefix(tt.cut, body)) // without the end
+			is.True(err != nil) // the connection is broken
+			told := string(resumer.ChangeEvent())
+			is.True(strings.HasPrefix(tt.cut+told, body)) // without the end
 		})
 	}
 }
