--- a/internal/core/orderer/orderer.go
+++ b/internal/core/orderer/orderer.go
@@ -25,63 +25,6 @@
 	maxFailures = 2
 )
 
-// Want is what the configuration asks of the host.
-type Want struct {
-	// Set is the weight set to serve; empty means that the host has no part.
-	Set ident.WeightSet
-	// Offset is the configuration offset that asked for the set.
-	Offset ident.Offset
-	// Verified tells that all chunks of the set are held and verified.
-	Verified bool
-	// Permitted tells that the host may stop serving another set now.
-	Permitted bool
-	// Accepted are the sets that the host may go on serving meanwhile.
-	Accepted []ident.WeightSet
-}
-
-// Kind is a kind of action.
-type Kind string
-
-// Kinds of actions.
-const (
-	// Wait means that there is nothing to do until something changes.
-	Wait Kind = "wait"
-	// Read means that the engine's state is to be read.
-	Read Kind = "read"
-	// Open means that the gate is to be opened on Set until Until.
-	Open Kind = "open"
-	// Close means that the gate is to be closed. Set is named when it is to be loaded next.
-	Close Kind = "close"
-	// Order means that the engine is to be ordered to load Set with Fence.
-	Order Kind = "order"
-	// Cancel means that the order in progress is to be given up.
-	Cancel Kind = "cancel"
-)
-
-// Action is what the caller has to do next.
-type Action struct {
-	Kind  Kind
-	Set   ident.WeightSet
-	Epoch gate.Epoch
-	Until time.Time
-	Fence ident.Fence
-}
-
-// Result tells how an order ended.
-type Result int
-
-// Results of orders.
-const (
-	// Done means that the engine answered that it has loaded the set.
-	Done Result = iota
-	// Refused means that the engine refused the order and did not begin it.
-	Refused
-	// Failed means that the engine answered that the load failed.
-	Failed
-	// Lost means that no answer came, so that the order may still be carried out.
-	Lost
-)
-
 type reading struct {
 	state engineapi.State
 	asked time.Time
@@ -189,10 +132,10 @@
 	case o.open != nil:
 		o.open = nil
 		return Action{Kind: Close}
-	case w.Set == "" || !w.Verified || o.isLoading(now):
+	case w.next() == "" || o.isLoading(now):
 		return Action{Kind: Wait}
 	}
-	return o.again(now, w)
+	return o.again(now, w, w.next())
 }
 
 func (o *Orderer) fresh(now time.Time) bool {
@@ -201,7 +144,7 @@
 
 // watch looks after the order in progress.
 func (o *Orderer) watch(w Want) Action {
-	if o.last.set != w.Set && !o.last.cancelled {
+	if o.last.set != w.Set && (w.Verified || o.last.set != w.Held) && !o.last.cancelled {
 		o.last.cancelled = true
 		return Action{Kind: Cancel}
 	}
@@ -231,7 +174,7 @@
 	case running > 0 || !w.Verified:
 		return Action{Kind: Wait}
 	}
-	return o.again(now, w)
+	return o.again(now, w, w.Set)
 }
 
 // isLate tells whether an order that was lost may still reach the engine.
@@ -248,15 +191,15 @@
 	case running > 0:
 		return Action{Kind: Wait}
 	}
-	return o.again(now, w)
+	return o.again(now, w, w.Set)
 }
 
-// again orders the set unless the last order ended too lately.
-func (o *Orderer) again(now time.Time, w Want) Action {
+// again orders a set unless the last order ended too lately.
+func (o *Orderer) again(now time.Time, w Want, set ident.WeightSet) Action {
 	if now.Before(o.retryAt) {
 		return Action{Kind: Wait}
 	}
-	return o.order(now, w)
+	return o.order(now, w, set)
 }
 
 // isLoading tells whether the last order, whose answer was lost, may still be in progress in the engine.
@@ -271,11 +214,11 @@
 	return now.Sub(l.ended) < lateTime
 }
 
-func (o *Orderer) order(now time.Time, w Want) Action {
+func (o *Orderer) order(now time.Time, w Want, set ident.WeightSet) Action {
 	st := o.reading.state
 	o.fence = max(o.fence, st.Fence, ident.Fence(w.Offset)) + 1
-	o.last = &order{set: w.Set, fence: o.fence, before: st, given: now, running: true}
-	return Action{Kind: Order, Set: w.Set, Fence: o.fence}
+	o.last = &order{set: set, fence: o.fence, before: st, given: now, running: true}
+	return Action{Kind: Order, Set: set, Fence: o.fence}
 }
 
 // Epoch returns the epoch that an engine's state belongs to.
--- a/internal/e2e/orders_test.go
+++ b/internal/e2e/orders_test.go
@@ -18,6 +18,9 @@
 	"github.com/nutmegdock/nutmegdock/internal/standin/engine"
 )
 
+// strangers is the number of orders past the endpoint host.
+const strangers = 6
+
 // load counts how streams end that run without a pause.
 type load struct {
 	whole, broken, wrong atomic.Int64
@@ -78,11 +81,13 @@
 		t.Errorf("%d streams broke during the change, last: %v", l.broken.Load(), l.last.Load())
 	}
 
-	c.stranger(0, first.Spec.Model.Digest)
-	c.eventually("the engine is ordered again", func() bool {
-		set := c.chat().Set
-		return c.engine(0).Set == set && c.serving(set) == engines
-	})
+	for range strangers {
+		c.stranger(0, first.Spec.Model.Digest)
+		c.eventually("the engine is ordered again", func() bool {
+			set := c.chat().Set
+			return c.engine(0).Set == set && c.serving(set) == engines
+		})
+	}
 	close(stop)
 	wg.Wait()
 	is.Equal(l.wrong.Load(), int64(0))
@@ -144,7 +149,7 @@
 // stranger orders an engine to load an artifact, past the endpoint host beside it.
 func (c *cluster) stranger(i int, artifact ident.Digest) {
 	c.t.Helper()
-	body, err := json.Marshal(engineapi.Order{Fence: 1 << 30, Artifacts: []ident.Digest{artifact}, Source: c.base + "/store"})
+	body, err := json.Marshal(engineapi.Order{Fence: c.engine(i).Fence + 100, Artifacts: []ident.Digest{artifact}, Source: c.base + "/store"})
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/entry/orders_test.go
@@ -0,0 +1,88 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/view"
+	"github.com/nutmegdock/nutmegdock/internal/core/waver"
+	"github.com/nutmegdock/nutmegdock/internal/membership"
+	"github.com/nutmegdock/nutmegdock/internal/messages"
+)
+
+const newWorkTime = 2 * time.Second
+
+type roundTrip func(*http.Request) (*http.Response, error)
+
+func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+func listed(members *[]membership.Member) *membership.List {
+	answer := roundTrip(func(*http.Request) (*http.Response, error) {
+		data, err := json.Marshal(*members)
+		return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(data))}, err
+	})
+	return &membership.List{
+		URL: "http://members", HTTP: &http.Client{Transport: answer},
+		Logger: &log.Logger{Handler: discard.New(), Level: log.InfoLevel},
+	}
+}
+
+// TestListedLeavingHostGetsNoNewWork has a host that goes on reporting an open gate after the list has it as leaving.
+func TestListedLeavingHostGetsNoNewWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := membership.Member{Host: "e", Role: membership.RoleEndpoint, Zone: "z", Pool: "p", Birth: 5}
+		list := []membership.Member{m}
+		s := &Server{members: listed(&list), view: &view.View{}}
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = s.members.Run(ctx) }()
+		report := func(birth int64) int {
+			r := messages.Report{Host: "e", Zone: "z", Pool: "p", Set: "x", Want: "x", Open: true, Birth: birth}
+			s.view.Put(s.join(r))
+			return len(s.view.Candidates("p", "x"))
+		}
+		time.Sleep(time.Second)
+		is.Equal(report(5), 1)
+		m.Leaving = true
+		list = []membership.Member{m}
+		begin := time.Now()
+		for report(5) != 0 {
+			time.Sleep(250 * time.Millisecond)
+		}
+		is.True(time.Since(begin) <= newWorkTime)
+		is.Equal(report(6), 1) // its next incarnation is not leaving
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestWaveCountsForLeaversOnly(t *testing.T) {
+	is := is.New(t)
+	s := &Server{view: &view.View{}}
+	put := func(h ident.Host, want ident.WeightSet, offset ident.Offset) messages.Report {
+		r := messages.Report{Host: h, Pool: "p", Set: "x", Want: want, Open: true, Offset: offset, Since: 3}
+		s.view.Put(r)
+		return r
+	}
+	put("a", "x", 3)
+	put("b", "x", 2) // older than the change that the asking host follows
+	asks := put("c", "y", 3)
+	is.Equal(len(s.wave(put("d", "x", 3))), 0)
+	counts := s.wave(asks)
+	after := 0
+	if waver.Precedes("c", "b") {
+		after = 1
+	}
+	is.Equal(counts, []waver.Count{{Set: "x", Steady: 2, After: after}})
+}
--- a/internal/switcher/switcher.go
+++ b/internal/switcher/switcher.go
@@ -52,9 +52,11 @@
 	planner  planner
 	fetching fetching
 	opened   ident.WeightSet
-	slots    int
-	cancel   context.CancelFunc
-	results  chan orderer.Result
+	// openedDigests are the artifacts of the opened set, where they are known.
+	openedDigests []ident.Digest
+	slots         int
+	cancel        context.CancelFunc
+	results       chan orderer.Result
 }
 
 // Want returns the weight set that the host is to serve, and the configuration offset at which it became that.
@@ -149,6 +151,9 @@
 	if s.opened != "" {
 		w.Accepted = append(w.Accepted[:len(w.Accepted):len(w.Accepted)], s.opened)
 	}
+	if !w.Verified && s.holds(s.openedDigests) {
+		w.Held = s.opened
+	}
 	if !w.Verified || st.Set == w.Set {
 		return w
 	}
@@ -178,16 +183,33 @@
 	}
 	s.opened = a.Set
 	event.SetLoaded.Log(s.Logger, log.Fields{"set": a.Set})
+	s.openedDigests = nil
 	if a.Set == p.need.Set {
-		s.Holder.Retain(p.digests())
+		s.openedDigests = p.digests()
+		s.Holder.Retain(s.openedDigests)
+	}
+}
+
+// holds tells whether all chunks of the artifacts are held, which the holder verified when it took them.
+func (s *Switcher) holds(artifacts []ident.Digest) bool {
+	for _, d := range artifacts {
+		a, ok := s.Holder.Artifact(d)
+		if !ok || len(s.Holder.Missing(a)) > 0 {
+			return false
+		}
 	}
+	return len(artifacts) > 0
 }
 
 func (s *Switcher) order(ctx context.Context, a orderer.Action, p plan) {
 	event.OrderGiven.Log(s.Logger, log.Fields{"set": a.Set, "fence": a.Fence})
+	artifacts := p.digests()
+	if a.Set != p.need.Set {
+		artifacts = s.openedDigests
+	}
 	ctx, s.cancel = context.WithCancel(ctx)
 	go func() {
-		r, err := s.Loader.Order(ctx, p.digests(), a.Fence)
+		r, err := s.Loader.Order(ctx, artifacts, a.Fence)
 		if err != nil {
 			event.OrderFailed.Log(s.Logger, log.Fields{"set": a.Set, "error": err.Error()})
 		}
