A refusal for an outdated view corrects it and is not counted as a retry

Cause: a new process test (version change under load, one endpoint host killed) got hundreds of 503 answers: a refused endpoint was closed in the view although it served the new set; an entry host behind in the configuration asked for the old set only; three attempts were used up by such refusals. Ruled out: too few replicas ready; the floor of 3 of 6 was kept throughout. Change: a gate's refusal names the set it serves and the host's offset; the dispatcher corrects its view, waits up to 1 s for that offset, and tries again, up to 8 times, without taking from the retry budget.

--- a/internal/core/outcome/outcome.go
+++ b/internal/core/outcome/outcome.go
@@ -4,6 +4,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 )
 
 // Kind is one of the three outcomes of a request.
@@ -37,6 +39,8 @@
 	Running     Reason = "running"
 	Stalled     Reason = "stalled"
 	EngineDied  Reason = "engine-died"
+	Moved       Reason = "moved"
+	Closed      Reason = "closed"
 )
 
 // Error is the end of a request without an answer.
@@ -47,7 +51,11 @@
 	After time.Duration
 	// Final forbids a further attempt, whatever the kind.
 	Final bool
-	Text  string
+	// Serves is the weight set that an endpoint serves which refused a request for another one.
+	Serves ident.WeightSet
+	// Offset is the configuration offset of the endpoint host that refused.
+	Offset ident.Offset
+	Text   string
 }
 
 // Error names the outcome, the reason and the details.
--- a/internal/core/retrier/retrier.go
+++ b/internal/core/retrier/retrier.go
@@ -8,6 +8,9 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
 )
 
+// maxMoves bounds the attempts that are refused because this host's view of the endpoint was out of date.
+const maxMoves = 8
+
 // Retrier follows the attempts of one request. Set its fields before the first attempt.
 type Retrier struct {
 	// Attempts bounds the attempts, the first one included.
@@ -20,6 +23,7 @@
 	Budget func() bool
 
 	begun   int
+	moves   int
 	unknown *outcome.Error
 	last    *outcome.Error
 }
@@ -46,6 +50,12 @@
 	if o.Kind != outcome.NotRun {
 		r.unknown = o
 	}
+	if isOutdated(o.Reason) && r.moves < maxMoves {
+		// The refusal corrects this host's view at no cost to an engine, so it takes nothing from the budget.
+		r.moves++
+		r.Forgive()
+		return r.Deadline.IsZero() || now.Before(r.Deadline)
+	}
 	switch {
 	case o.Final:
 		return false
@@ -71,6 +81,11 @@
 	return none
 }
 
+// isOutdated tells whether a refusal means that the endpoint's state was not known as it is.
+func isOutdated(r outcome.Reason) bool {
+	return r == outcome.Moved || r == outcome.Closed || r == outcome.Leaving
+}
+
 func asOutcome(err error) *outcome.Error {
 	var o *outcome.Error
 	if errors.As(err, &o) {
--- a/internal/core/view/view.go
+++ b/internal/core/view/view.go
@@ -49,6 +49,17 @@
 	}
 }
 
+// Serve notes that an endpoint serves another weight set than its last report says.
+func (v *View) Serve(h ident.Host, set ident.WeightSet) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if s, ok := v.reports[h]; ok {
+		s.report.Set = set
+		s.report.Open = true
+		v.reports[h] = s
+	}
+}
+
 // Start counts a request handed to an endpoint. The returned function ends it.
 func (v *View) Start(h ident.Host) func() {
 	v.mu.Lock()
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -64,6 +64,9 @@
 	Suspector *suspector.Suspector
 	// Budget grants one retry; nil means that every one is granted.
 	Budget func() bool
+	// Refresh returns the deployment as it is at a later configuration offset, if this host learns of it soon. Nil
+	// leaves it as it is.
+	Refresh func(ctx context.Context, e catalog.Effective, from ident.Host, offset ident.Offset) catalog.Effective
 	// Logger receives the events.
 	Logger log.Interface
 }
@@ -83,12 +86,9 @@
 		j.Before = time.Now().Add(handOverTime)
 	}
 	p := &pass{
-		job: j, sets: []ident.WeightSet{j.Deployment.Set}, tried: make(map[ident.Host]bool), begin: time.Now(),
+		job: j, sets: setsOf(j.Deployment), tried: make(map[ident.Host]bool), begin: time.Now(),
 		retrier: &retrier.Retrier{Attempts: maxAttempts, Repeatable: j.Repeatable, Deadline: j.Before, Budget: d.Budget},
 	}
-	if prev := j.Deployment.Previous; prev != "" {
-		p.sets = append(p.sets, prev)
-	}
 	resp, c, err := d.attempt(ctx, p)
 	if err != nil {
 		return nil, err
@@ -122,7 +122,7 @@
 			d.awaitTurn(ctx, p)
 			continue
 		}
-		d.note(c, err)
+		d.note(ctx, p, c, err)
 		if !p.retrier.Again(err, time.Now()) {
 			break
 		}
@@ -180,10 +180,29 @@
 	return router.Candidate{}, false
 }
 
-// note keeps further requests from an endpoint that refused one.
-func (d *Dispatcher) note(c router.Candidate, err error) {
+// note learns from a refusal: which weight set the endpoint serves by now, or that it takes no requests for a while.
+func (d *Dispatcher) note(ctx context.Context, p *pass, c router.Candidate, err error) {
 	var o *outcome.Error
-	if errors.As(err, &o) && o.Kind == outcome.NotRun && o.Reason != outcome.Late {
+	if !errors.As(err, &o) || o.Kind != outcome.NotRun || o.Reason == outcome.Late {
+		return
+	}
+	if o.Reason != outcome.Moved {
 		d.View.Close(c.Host)
+		return
+	}
+	d.View.Serve(c.Host, o.Serves)
+	delete(p.tried, c.Host)
+	if d.Refresh != nil {
+		p.job.Deployment = d.Refresh(ctx, p.job.Deployment, c.Host, o.Offset)
+		p.sets = setsOf(p.job.Deployment)
+	}
+}
+
+// setsOf returns the weight sets that may serve a deployment, the one to prefer first.
+func setsOf(e catalog.Effective) []ident.WeightSet {
+	out := []ident.WeightSet{e.Set}
+	if e.Previous != "" {
+		out = append(out, e.Previous)
 	}
+	return out
 }
--- a/internal/endpoint/requests.go
+++ b/internal/endpoint/requests.go
@@ -40,7 +40,7 @@
 		},
 	}
 	s.requests = &requests{prober: watch, notifier: tell, runner: &runner.Runner{
-		Gate: &s.gate, Backend: s.Settings.Backend,
+		Gate: &s.gate, Backend: s.Settings.Backend, Offset: s.follower.Offset,
 		Forwarder: &forwarder.Forwarder{HTTP: forwarder.NewClient(), Backend: true},
 		Fresh:     &forwarder.Forwarder{HTTP: forwarder.NewFreshClient(), Backend: true},
 		Permitter: &permitter.Permitter{NewPermit: func() permitter.Permit { return permitter.Permit(uuid.NewString()) }},
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -8,9 +8,11 @@
 	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
 	"github.com/nutmegdock/nutmegdock/internal/core/claimer"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/recorder"
+	"github.com/nutmegdock/nutmegdock/internal/core/reducer"
 	"github.com/nutmegdock/nutmegdock/internal/core/router"
 	"github.com/nutmegdock/nutmegdock/internal/core/suspector"
 	"github.com/nutmegdock/nutmegdock/internal/deduplicator"
@@ -27,6 +29,9 @@
 // resultBytes bounds the answers that are kept for callers who ask again.
 const resultBytes ident.Bytes = 32 << 20
 
+// refreshTime bounds the wait for a configuration that another host has already.
+const refreshTime = time.Second
+
 // requests holds what runs each caller's request at most once.
 type requests struct {
 	registrar    *registrar.Registrar
@@ -47,6 +52,7 @@
 		Router:    &router.Router{Zone: s.Settings.Zone, Intn: rand.IntN},
 		Forwarder: &forwarder.Forwarder{HTTP: forwarder.NewClient()},
 		Suspector: sus,
+		Refresh:   s.refresh,
 		Logger:    s.Logger,
 	}
 	s.requests = &requests{registrar: reg, suspector: sus, deduplicator: &deduplicator.Deduplicator{
@@ -60,6 +66,20 @@
 	}}
 }
 
+// refresh waits a little for the configuration that another host has already, and returns the deployment in it.
+func (s *Server) refresh(ctx context.Context, e catalog.Effective, from ident.Host, offset ident.Offset) catalog.Effective {
+	s.spread.Saw(from, offset)
+	ctx, cancel := context.WithTimeout(ctx, refreshTime)
+	defer cancel()
+	_ = s.follower.Wait(ctx, offset)
+	s.follower.View(func(r *reducer.Reducer) {
+		if now, ok := r.Deployment(e.Organisation, e.Name); ok {
+			e = now
+		}
+	})
+	return e
+}
+
 // addMethods adds the calls of other hosts that concern requests.
 func (q *requests) addMethods(methods map[string]rpc.Handler, logger log.Interface) {
 	methods[messages.ResultMethod] = rpc.Handle(func(ctx context.Context, m messages.ResultQuery) (messages.ResultAnswer, error) {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
 	"github.com/nutmegdock/nutmegdock/internal/headers"
 )
@@ -131,7 +132,11 @@
 	if s, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
 		after = time.Duration(s) * time.Second
 	}
-	return &outcome.Error{Kind: outcome.NotRun, Reason: outcome.Reason(resp.Header.Get(headers.Reason)), After: after, Text: string(text)}
+	offset, _ := strconv.ParseInt(resp.Header.Get(headers.Offset), 10, 64)
+	return &outcome.Error{
+		Kind: outcome.NotRun, Reason: outcome.Reason(resp.Header.Get(headers.Reason)), After: after, Text: string(text),
+		Serves: ident.WeightSet(resp.Header.Get(headers.Set)), Offset: ident.Offset(offset),
+	}
 }
 
 // watched cancels the request of a body that makes no progress.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -34,6 +34,8 @@
 	Backend string
 	// Forwarder sends repeatable requests.
 	Forwarder *forwarder.Forwarder
+	// Offset returns the host's configuration offset; nil leaves it out of the answers.
+	Offset func() ident.Offset
 	// Watch notes the engine's weights before a request for set is handed over. Nil means a back end without weights.
 	Watch func(set ident.WeightSet) Confirm
 	// Fresh sends those that may not be repeated, each on a connection of its own.
@@ -52,6 +54,9 @@
 
 // ServeHTTP runs one request, or refuses it as not run.
 func (u *Runner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if u.Offset != nil {
+		w.Header().Set(headers.Offset, strconv.FormatInt(int64(u.Offset()), 10))
+	}
 	if err := u.Gate.Enter(ident.WeightSet(r.Header.Get(headers.Set))); err != nil {
 		refuse(w, r, err)
 		return
@@ -161,6 +166,13 @@
 	if errors.As(err, &g) && g.Reason == gate.Leaving {
 		o.Reason = outcome.Leaving
 	}
+	if g != nil && g.Reason == gate.Closed {
+		o.Reason = outcome.Closed
+	}
+	if g != nil && g.Reason == gate.Other {
+		o.Reason = outcome.Moved
+		w.Header().Set(headers.Set, string(g.Have))
+	}
 	var p *permitter.Error
 	if errors.As(err, &p) {
 		o.Reason = outcome.Late
