--- a/internal/core/monitor/monitor.go
+++ b/internal/core/monitor/monitor.go
@@ -15,6 +15,8 @@
 type Death struct {
 	ID      suspector.Death
 	Running []suspector.Digest
+	// Suspect tells whether a request that was marked as a suspect was among them.
+	Suspect bool
 }
 
 // Run is one request on the back end.
@@ -66,7 +68,7 @@
 func (m *Monitor) Died(r *Run) (Death, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	death := Death{ID: suspector.Death(fmt.Sprintf("%s/%d", m.Name, r.incarnation))}
+	death := Death{ID: suspector.Death(fmt.Sprintf("%s/%d", m.Name, r.incarnation)), Suspect: m.suspect != nil}
 	if r.incarnation != m.incarnation {
 		return death, false
 	}
--- a/internal/core/retrier/retrier.go
+++ b/internal/core/retrier/retrier.go
@@ -10,8 +10,10 @@
 
 // Retrier follows the attempts of one request. Set its fields before the first attempt.
 type Retrier struct {
-	// Attempts bounds the attempts, the first one included.
+	// Attempts bounds the attempts that may have run the request.
 	Attempts int
+	// Refusals bounds the attempts that did not run it.
+	Refusals int
 	// Repeatable tells whether a request that may have been run may be run again.
 	Repeatable bool
 	// Deadline is when no further attempt may begin; zero means never.
@@ -19,19 +21,15 @@
 	// Budget grants one retry; nil means that every one is granted.
 	Budget func() bool
 
-	begun   int
+	ran     int
+	refused int
 	unknown *outcome.Error
 	last    *outcome.Error
 }
 
-// Begin counts an attempt.
-func (r *Retrier) Begin() {
-	r.begun++
-}
-
-// Forgive takes back the count of the attempt that began last.
+// Forgive takes back the count of refusals, after a wait for an endpoint.
 func (r *Retrier) Forgive() {
-	r.begun--
+	r.refused = 0
 }
 
 // MayHaveRun tells whether an attempt so far may have run the request.
@@ -43,7 +41,10 @@
 func (r *Retrier) Again(err error, now time.Time) bool {
 	o := asOutcome(err)
 	r.last = o
-	if o.Kind != outcome.NotRun {
+	if o.Kind == outcome.NotRun {
+		r.refused++
+	} else {
+		r.ran++
 		r.unknown = o
 	}
 	switch {
@@ -51,7 +52,7 @@
 		return false
 	case o.Kind != outcome.NotRun && !r.Repeatable:
 		return false
-	case r.begun >= r.Attempts:
+	case r.ran >= r.Attempts || r.refused >= r.Refusals:
 		return false
 	case !r.Deadline.IsZero() && !now.Before(r.Deadline):
 		return false
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -21,12 +21,14 @@
 
 const (
 	maxAttempts = 3
+	maxRefusals = 8
 	comeBack    = time.Second
 	// handOverTime is how long after its arrival a request that may not be repeated can be handed over.
 	handOverTime = 10 * time.Second
-	// suspectTime bounds the wait of a suspect for an endpoint without another one.
-	suspectTime = 20 * time.Second
-	suspectPoll = 50 * time.Millisecond
+	// turnTime bounds the wait for an endpoint of a request whose endpoint was lost: for one at all, and for one
+	// without another suspect.
+	turnTime = 20 * time.Second
+	turnPoll = 50 * time.Millisecond
 )
 
 // Job is one request of a caller, ready to be sent.
@@ -74,7 +76,8 @@
 	sets    []ident.WeightSet
 	tried   map[ident.Host]bool
 	retrier *retrier.Retrier
-	begin   time.Time
+	// lost is when an endpoint that ran the request was lost.
+	lost time.Time
 }
 
 // Do sends a job and returns the answer, whose body the caller must close. Every error is an *outcome.Error.
@@ -83,8 +86,8 @@
 		j.Before = time.Now().Add(handOverTime)
 	}
 	p := &pass{
-		job: j, sets: []ident.WeightSet{j.Deployment.Set}, tried: make(map[ident.Host]bool), begin: time.Now(),
-		retrier: &retrier.Retrier{Attempts: maxAttempts, Repeatable: j.Repeatable, Deadline: j.Before, Budget: d.Budget},
+		job: j, sets: []ident.WeightSet{j.Deployment.Set}, tried: make(map[ident.Host]bool),
+		retrier: &retrier.Retrier{Attempts: maxAttempts, Refusals: maxRefusals, Repeatable: j.Repeatable, Deadline: j.Before, Budget: d.Budget},
 	}
 	if prev := j.Deployment.Previous; prev != "" {
 		p.sets = append(p.sets, prev)
@@ -109,21 +112,23 @@
 			return nil, router.Candidate{}, err
 		}
 		c, ok := d.choose(p)
+		if !ok && p.mayWait() {
+			d.awaitTurn(ctx, p)
+			continue
+		}
 		if !ok {
 			break
 		}
 		p.tried[c.Host] = true
-		p.retrier.Begin()
 		resp, err := d.send(ctx, p.job, c, verdict == suspector.Suspect)
 		if err == nil {
 			return resp, c, nil
 		}
-		if d.isBusy(err) && time.Since(p.begin) < suspectTime {
-			d.awaitTurn(ctx, p)
+		if isBusy(err) && p.mayWait() {
 			continue
 		}
 		d.note(c, err)
-		if !p.retrier.Again(err, time.Now()) {
+		if !p.again(err) {
 			break
 		}
 	}
@@ -132,6 +137,16 @@
 	})
 }
 
+// again takes the failure of an attempt and tells whether another one may begin.
+func (p *pass) again(err error) bool {
+	before := p.retrier.MayHaveRun()
+	ok := p.retrier.Again(err, time.Now())
+	if !before && p.retrier.MayHaveRun() {
+		p.lost = time.Now()
+	}
+	return ok
+}
+
 // judge refuses condemned requests, and suspects that may not be repeated.
 func (d *Dispatcher) judge(p *pass) (suspector.Verdict, error) {
 	verdict, left := d.Suspector.Verdict(p.job.Digest)
@@ -152,21 +167,23 @@
 }
 
 // isBusy tells whether a suspect was refused because the endpoint runs another one.
-func (d *Dispatcher) isBusy(err error) bool {
+func isBusy(err error) bool {
 	var o *outcome.Error
 	return errors.As(err, &o) && o.Kind == outcome.NotRun && o.Reason == outcome.Suspect
 }
 
-// awaitTurn waits a little, after which all endpoints may be asked again. The refusal does not count as an attempt.
+// mayWait tells whether the request can wait for an endpoint: it lost one that was running it, and may be run again.
+func (p *pass) mayWait() bool {
+	return p.job.Repeatable && p.retrier.MayHaveRun() && time.Since(p.lost) < turnTime
+}
+
+// awaitTurn waits a little, after which all endpoints may be asked again.
 func (d *Dispatcher) awaitTurn(ctx context.Context, p *pass) {
-	p.retrier.Forgive()
-	if _, ok := d.choose(p); ok {
-		return
-	}
 	clear(p.tried)
+	p.retrier.Forgive()
 	select {
 	case <-ctx.Done():
-	case <-time.After(suspectPoll):
+	case <-time.After(turnPoll):
 	}
 }
 
@@ -183,7 +200,7 @@
 // note keeps further requests from an endpoint that refused one.
 func (d *Dispatcher) note(c router.Candidate, err error) {
 	var o *outcome.Error
-	if errors.As(err, &o) && o.Kind == outcome.NotRun && o.Reason != outcome.Late {
+	if errors.As(err, &o) && o.Kind == outcome.NotRun && o.Reason != outcome.Late && o.Reason != outcome.Suspect {
 		d.View.Close(c.Host)
 	}
 }
--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/apex/log"
 
@@ -89,7 +88,7 @@
 		cut.Text = "streamed answer ended without its end mark"
 	}
 	r.err = cut
-	if r.ctx.Err() != nil || !r.resumer.Resumable() || !r.pass.retrier.Again(cut, time.Now()) {
+	if r.ctx.Err() != nil || !r.resumer.Resumable() || !r.pass.again(cut) {
 		return
 	}
 	job, err := resumeJob(r.pass.job, r.resumer.Tokens())
--- a/internal/notifier/notifier.go
+++ b/internal/notifier/notifier.go
@@ -1,4 +1,7 @@
 // Package notifier tells all entry hosts of the deaths of a back end, and goes on until each has acknowledged.
+//
+// A death that condemns a request is told before the request's connection is broken, within a short bound, so that its
+// caller cannot outrun it to another entry host.
 package notifier
 
 import (
@@ -16,6 +19,8 @@
 const (
 	interval = 250 * time.Millisecond
 	callTime = time.Second
+	// firstTime bounds the wait for the acknowledgements of a death that condemns a request.
+	firstTime = 50 * time.Millisecond
 	// maxDeaths bounds the deaths that are still told.
 	maxDeaths = 16
 )
@@ -42,6 +47,9 @@
 	death messages.Death
 	until time.Time
 	acks  map[receiver]bool
+	// first is closed when all entry hosts of the first round have answered.
+	first chan struct{}
+	begun bool
 }
 
 func (n *Notifier) channel() chan struct{} {
@@ -53,13 +61,16 @@
 	return n.kick
 }
 
-// Add begins to tell of a death.
+// Add begins to tell of a death. If a suspect was running, it returns after all entry hosts have acknowledged or a short
+// time has passed; otherwise at once.
 func (n *Notifier) Add(d monitor.Death) {
 	kick := n.channel()
+	t := &told{
+		death: messages.Death{ID: d.ID, Running: d.Running}, until: time.Now().Add(suspector.Memory),
+		acks: make(map[receiver]bool), first: make(chan struct{}),
+	}
 	n.mu.Lock()
-	n.deaths = append(n.deaths, &told{
-		death: messages.Death{ID: d.ID, Running: d.Running}, until: time.Now().Add(suspector.Memory), acks: make(map[receiver]bool),
-	})
+	n.deaths = append(n.deaths, t)
 	if len(n.deaths) > maxDeaths {
 		n.deaths = n.deaths[1:]
 	}
@@ -68,13 +79,22 @@
 	case kick <- struct{}{}:
 	default:
 	}
+	if !d.Suspect {
+		return
+	}
+	select {
+	case <-t.first:
+	case <-time.After(firstTime):
+	}
 }
 
 // Run sends until ctx ends.
 func (n *Notifier) Run(ctx context.Context) error {
 	kick := n.channel()
+	var sends sync.WaitGroup
+	defer sends.Wait()
 	for {
-		n.send(ctx)
+		sends.Go(func() { n.send(ctx) })
 		select {
 		case <-ctx.Done():
 			return nil
@@ -97,24 +117,44 @@
 	return append([]*told(nil), out...)
 }
 
+// send tells of each death once to each entry host that has not acknowledged it.
 func (n *Notifier) send(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
 	var wg sync.WaitGroup
 	for _, t := range n.pending() {
-		for _, m := range n.Entries() {
-			to := receiver{host: m.Host, birth: m.Birth}
-			if n.acked(t, to) {
-				continue
-			}
-			wg.Go(func() {
-				if n.Send(ctx, m.Control, t.death) == nil {
-					n.ack(t, to)
-				}
-			})
+		wg.Go(func() { n.tell(ctx, t) })
+	}
+	wg.Wait()
+}
+
+func (n *Notifier) tell(ctx context.Context, t *told) {
+	isFirst := n.begin(t)
+	var wg sync.WaitGroup
+	for _, m := range n.Entries() {
+		to := receiver{host: m.Host, birth: m.Birth}
+		if n.acked(t, to) {
+			continue
 		}
+		wg.Go(func() {
+			if n.Send(ctx, m.Control, t.death) == nil {
+				n.ack(t, to)
+			}
+		})
 	}
 	wg.Wait()
+	if isFirst {
+		close(t.first)
+	}
+}
+
+// begin tells whether this is the first round of a death.
+func (n *Notifier) begin(t *told) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	isFirst := !t.begun
+	t.begun = true
+	return isFirst
 }
 
 func (n *Notifier) acked(t *told, to receiver) bool {
