--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -83,6 +83,11 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readTime))
 		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+		if r.RequestURI == "*" {
+			// The multiplexer would answer it without a body.
+			c.notFound(w, r)
+			return
+		}
 		mux.ServeHTTP(w, r)
 	})
 }
--- /dev/null
+++ b/internal/core/claimer/claimer_test.go
@@ -0,0 +1,58 @@
+package claimer_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/claimer"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+)
+
+func claim(key claimer.Key, attempt ident.Request) claimer.Record {
+	return claimer.Record{Claims: []claimer.Claim{{Key: key, Attempt: attempt}}}
+}
+
+func release(key claimer.Key, attempt ident.Request) claimer.Record {
+	return claimer.Record{Releases: []claimer.Release{{Key: key, Attempt: attempt}}}
+}
+
+func holder(c *claimer.Claimer) ident.Request {
+	h, _, _ := c.Holder("k")
+	return h.Attempt
+}
+
+func TestFirstClaimHolds(t *testing.T) {
+	is := is.New(t)
+	var c claimer.Claimer
+	c.Apply(0, claim("k", "a"))
+	c.Apply(1, claim("k", "b"))
+	c.Apply(1, claim("k", "again")) // known offset
+	is.Equal(holder(&c), ident.Request("a"))
+	c.Apply(2, release("k", "a"))
+	is.Equal(holder(&c), ident.Request("b")) // until its host releases it too
+	c.Apply(3, release("k", "b"))
+	is.Equal(c.Len(), 0)
+}
+
+func TestReleaseBeforeLateClaim(t *testing.T) {
+	is := is.New(t)
+	var c claimer.Claimer
+	c.Apply(0, release("k", "late"))
+	c.Apply(1, claim("k", "late"))
+	is.Equal(c.Len(), 0)
+}
+
+// A reader that trimmed a claim and one that did not yet must agree on who may run after it.
+func TestTrimKeepsLaterClaim(t *testing.T) {
+	is := is.New(t)
+	var slow, quick claimer.Claimer
+	slow.Apply(0, claim("k", "a"))
+	slow.Apply(1, claim("k", "b"))
+	slow.Trim(1)
+	quick.Trim(1)
+	quick.Apply(1, claim("k", "b"))
+	is.Equal(holder(&slow), ident.Request("b"))
+	is.Equal(holder(&quick), ident.Request("b"))
+	is.Equal(slow.Next(), quick.Next())
+}
--- /dev/null
+++ b/internal/core/resumer/resumer_test.go
@@ -0,0 +1,69 @@
+package resumer_test
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/resumer"
+	"github.com/nutmegdock/nutmegdock/internal/core/suspector"
+)
+
+const (
+	token  = "data: {\"id\":\"r\",\"choices\":[{\"text\":\"t\",\"finish_reason\":null}]}\n\n"
+	finish = "data: {\"id\":\"r\",\"choices\":[{\"text\":\"\",\"finish_reason\":\"stop\"}]}\n\n"
+	done   = "data: [DONE]\n\n"
+)
+
+func feed(t *testing.T, r *resumer.Resumer, s string) string {
+	t.Helper()
+	out, err := r.Feed([]byte(s))
+	is.New(t).NoErr(err)
+	return string(out)
+}
+
+func TestWholeEventsOnly(t *testing.T) {
+	is := is.New(t)
+	r := &resumer.Resumer{ID: "r"}
+	is.Equal(feed(t, r, token+token[:20]), token)
+	is.Equal(feed(t, r, token[20:]), token)
+	is.Equal(feed(t, r, token[:10]), "")
+	r.Restart()
+	is.Equal(r.Tokens(), 2)
+	is.Equal(feed(t, r, token+finish), token+finish)
+	is.Equal(r.Tokens(), 3)
+	r.Restart() // cut between the last token and the end mark
+	is.Equal(feed(t, r, finish+done), done)
+	is.True(r.Done())
+}
+
+func TestForeignEvent(t *testing.T) {
+	is := is.New(t)
+	r := &resumer.Resumer{ID: "other"}
+	out, err := r.Feed([]byte(token))
+	var e *resumer.Error
+	is.True(errors.As(err, &e))
+	is.Equal(len(out), 0)
+}
+
+func TestDeathWithinEvent(t *testing.T) {
+	is := is.New(t)
+	r := &resumer.Resumer{ID: "r"}
+	is.Equal(feed(t, r, token+token[:30]), token)
+	is.Equal(feed(t, r, string(resumer.DeathEvent("d"))), "")
+	is.Equal(r.Death(), suspector.Death("d"))
+	is.Equal(r.Tokens(), 1)
+}
+
+func TestBrokenEventAlone(t *testing.T) {
+	r := &resumer.Resumer{ID: "r"}
+	_, err := r.Feed([]byte("data: {\n\n" + token))
+	is.New(t).True(err != nil)
+}
+
+func TestManyAlternatives(t *testing.T) {
+	r := &resumer.Resumer{ID: "r"}
+	feed(t, r, "data: {\"id\":\"r\",\"choices\":[{\"index\":1,\"finish_reason\":null}]}\n\n")
+	is.New(t).True(!r.Resumable())
+}
