--- a/internal/core/retrier/retrier.go
+++ b/internal/core/retrier/retrier.go
@@ -13,8 +13,10 @@
 
 // Retrier follows the attempts of one request. Set its fields before the first attempt.
 type Retrier struct {
-	// Attempts bounds the attempts, the first one included.
+	// Attempts bounds the attempts that may have run the request.
 	Attempts int
+	// Refusals bounds the attempts that did not run it.
+	Refusals int
 	// Repeatable tells whether a request that may have been run may be run again.
 	Repeatable bool
 	// Deadline is when no further attempt may begin; zero means never.
@@ -22,20 +24,16 @@
 	// Budget grants one retry; nil means that every one is granted.
 	Budget func() bool
 
-	begun   int
 	moves   int
+	ran     int
+	refused int
 	unknown *outcome.Error
 	last    *outcome.Error
 }
 
-// Begin counts an attempt.
-func (r *Retrier) Begin() {
-	r.begun++
-}
-
-// Forgive takes back the count of the attempt that began last.
+// Forgive takes back the count of refusals, after a wait for an endpoint.
 func (r *Retrier) Forgive() {
-	r.begun--
+	r.refused = 0
 }
 
 // MayHaveRun tells whether an attempt so far may have run the request.
@@ -47,21 +45,23 @@
 func (r *Retrier) Again(err error, now time.Time) bool {
 	o := asOutcome(err)
 	r.last = o
-	if o.Kind != outcome.NotRun {
-		r.unknown = o
-	}
-	if isOutdated(o.Reason) && r.moves < maxMoves {
+	if o.Kind == outcome.NotRun && isOutdated(o.Reason) && r.moves < maxMoves {
 		// The refusal corrects this host's view at no cost to an engine, so it takes nothing from the budget.
 		r.moves++
-		r.Forgive()
 		return r.Deadline.IsZero() || now.Before(r.Deadline)
 	}
+	if o.Kind == outcome.NotRun {
+		r.refused++
+	} else {
+		r.ran++
+		r.unknown = o
+	}
 	switch {
 	case o.Final:
 		return false
 	case o.Kind != outcome.NotRun && !r.Repeatable:
 		return false
-	case r.begun >= r.Attempts:
+	case r.ran >= r.Attempts || r.refused >= r.Refusals:
 		return false
 	case !r.Deadline.IsZero() && !now.Before(r.Deadline):
 		return false
