--- a/internal/core/retrier/retrier.go
+++ b/internal/core/retrier/retrier.go
@@ -8,10 +8,15 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
 )
 
+// maxMoves bounds the attempts that are refused because this host's view of the endpoint was out of date.
+const maxMoves = 8
+
 // Retrier follows the attempts of one request. Set its fields before the first attempt.
 type Retrier struct {
-	// Attempts bounds the attempts, the first one included.
+	// Attempts bounds the attempts that may have run the request.
 	Attempts int
+	// Refusals bounds the attempts that did not run it.
+	Refusals int
 	// Repeatable tells whether a request that may have been run may be run again.
 	Repeatable bool
 	// Deadline is when no further attempt may begin; zero means never.
@@ -19,19 +24,16 @@
 	// Budget grants one retry; nil means that every one is granted.
 	Budget func() bool
 
-	begun   int
+	moves   int
+	ran     int
+	refused int
 	unknown *outcome.Error
 	last    *outcome.Error
 }
 
-// Begin counts an attempt.
-func (r *Retrier) Begin() {
-	r.begun++
-}
-
-// Forgive takes back the count of the attempt that began last.
+// Forgive takes back the count of refusals, after a wait for an endpoint.
 func (r *Retrier) Forgive() {
-	r.begun--
+	r.refused = 0
 }
 
 // MayHaveRun tells whether an attempt so far may have run the request.
@@ -43,7 +45,15 @@
 func (r *Retrier) Again(err error, now time.Time) bool {
 	o := asOutcome(err)
 	r.last = o
-	if o.Kind != outcome.NotRun {
+	if o.Kind == outcome.NotRun && isOutdated(o.Reason) && r.moves < maxMoves {
+		// The refusal corrects this host's view at no cost to an engine, so it takes nothing from the budget.
+		r.moves++
+		return r.Deadline.IsZero() || now.Before(r.Deadline)
+	}
+	if o.Kind == outcome.NotRun {
+		r.refused++
+	} else {
+		r.ran++
 		r.unknown = o
 	}
 	switch {
@@ -51,7 +61,7 @@
 		return false
 	case o.Kind != outcome.NotRun && !r.Repeatable:
 		return false
-	case r.begun >= r.Attempts:
+	case r.ran >= r.Attempts || r.refused >= r.Refusals:
 		return false
 	case !r.Deadline.IsZero() && !now.Before(r.Deadline):
 		return false
@@ -71,6 +81,11 @@
 	return none
 }
 
+// isOutdated tells whether a refusal means that the endpoint's state was not known as it is.
+func isOutdated(r outcome.Reason) bool {
+	return r == outcome.Moved || r == outcome.Closed || r == outcome.Leaving
+}
+
 func asOutcome(err error) *outcome.Error {
 	var o *outcome.Error
 	if errors.As(err, &o) {
