--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -166,7 +166,7 @@
 		return Gone
 	case e.leaving:
 		return Leaving
-	case e.failed.After(e.heard), silent:
+	case !e.failed.IsZero() && !e.failed.Before(e.heard), silent:
 		return Suspect
 	}
 	return Live
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -64,6 +64,8 @@
 	Forwarder *forwarder.Forwarder
 	// Suspector remembers the requests that were running when engines died.
 	Suspector *suspector.Suspector
+	// Refused is told of an endpoint that refused a request or could not be reached; nil means nobody is.
+	Refused func(h ident.Host, r outcome.Reason)
 	// Budget grants one retry; nil means that every one is granted.
 	Budget func() bool
 	// Refresh returns the deployment as it is at a later configuration offset, if this host learns of it soon. Nil
@@ -203,6 +205,9 @@
 	if !errors.As(err, &o) || o.Kind != outcome.NotRun || o.Reason == outcome.Late || o.Reason == outcome.Suspect {
 		return
 	}
+	if d.Refused != nil {
+		d.Refused(c.Host, o.Reason)
+	}
 	if o.Reason != outcome.Moved {
 		d.View.Close(c.Host)
 		return
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -23,7 +23,7 @@
 	}
 	var open []waver.Replica
 	for _, o := range s.view.Reports() {
-		if o.Pool == r.Pool && o.Open && !o.Leaving {
+		if o.Pool == r.Pool && o.Open && s.members.State(o.Host) == roster.Live {
 			open = append(open, waver.Replica{Host: o.Host, Set: o.Set, Want: o.Want, Offset: o.Offset})
 		}
 	}
--- a/internal/entry/orders_test.go
+++ b/internal/entry/orders_test.go
@@ -15,6 +15,8 @@
 	"github.com/matryer/is"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
+	"github.com/nutmegdock/nutmegdock/internal/core/roster"
 	"github.com/nutmegdock/nutmegdock/internal/core/view"
 	"github.com/nutmegdock/nutmegdock/internal/core/waver"
 	"github.com/nutmegdock/nutmegdock/internal/membership"
@@ -62,6 +64,10 @@
 		}
 		is.True(time.Since(begin) <= newWorkTime)
 		is.Equal(report(6), 1) // its next incarnation is not leaving
+		s.members.Refused("e", outcome.Unreachable)
+		is.Equal(s.members.State("e"), roster.Suspect)
+		s.members.Refused("e", outcome.Leaving)
+		is.Equal(report(6), 0) // a refusal counts whatever list and report say
 		cancel()
 		synctest.Wait()
 	})
@@ -69,10 +75,10 @@
 
 func TestWaveCountsForLeaversOnly(t *testing.T) {
 	is := is.New(t)
-	s := &Server{view: &view.View{}}
+	s := &Server{members: &membership.List{}, view: &view.View{}}
 	put := func(h ident.Host, want ident.WeightSet, offset ident.Offset) messages.Report {
 		r := messages.Report{Host: h, Pool: "p", Set: "x", Want: want, Open: true, Offset: offset, Since: 3}
-		s.view.Put(r)
+		s.view.Put(s.join(r))
 		return r
 	}
 	put("a", "x", 3)
@@ -85,4 +91,6 @@
 		after = 1
 	}
 	is.Equal(counts, []waver.Count{{Set: "x", Steady: 2, After: after}})
+	s.members.Refused("a", outcome.Unreachable)
+	is.Equal(s.wave(asks)[0].Steady, 1)
 }
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -52,6 +52,7 @@
 		Router:    &router.Router{Zone: s.Settings.Zone, Intn: rand.IntN},
 		Forwarder: &forwarder.Forwarder{HTTP: forwarder.NewClient()},
 		Suspector: sus,
+		Refused:   s.members.Refused,
 		Refresh:   s.refresh,
 		Logger:    s.Logger,
 	}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -16,6 +16,7 @@
 	"github.com/apex/log"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
 	"github.com/nutmegdock/nutmegdock/internal/core/roster"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 )
@@ -137,18 +138,16 @@
 	return l.roster.Hear(time.Now(), s)
 }
 
-// Fail records that a host could not be reached.
-func (l *List) Fail(h ident.Host) {
+// Refused records why a host did not take a request.
+func (l *List) Refused(h ident.Host, r outcome.Reason) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.roster.Fail(time.Now(), h)
-}
-
-// Refused records that a host refused work because it is leaving.
-func (l *List) Refused(h ident.Host) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.roster.Leave(h)
+	switch r {
+	case outcome.Leaving:
+		l.roster.Leave(h)
+	case outcome.Unreachable:
+		l.roster.Fail(time.Now(), h)
+	}
 }
 
 // State returns what is known of a host.
