--- a/internal/core/orderer/orderer_test.go
+++ b/internal/core/orderer/orderer_test.go
@@ -183,3 +183,40 @@
 		})
 	}
 }
+
+func TestWorkInProgressEndsBeforeTheLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := &fakeHost{engine: &fakeEngine{fenced: true, birth: 1}, verified: map[ident.WeightSet]bool{"a": true, "b": true}}
+		h.want = Want{Set: "a", Offset: 1, Accepted: []ident.WeightSet{"a"}}
+		h.run(3 * time.Second)
+		h.request("a", 100)
+		h.want = Want{Set: "b", Offset: 2, Accepted: []ident.WeightSet{"a"}}
+		h.run(90 * tick)
+		is.Equal(h.engine.loads, int64(1))
+		is.True(h.gate.Enter("a") != nil)
+		h.run(3 * time.Second)
+		is.Equal(h.whole, 1)
+		is.Equal(h.gate.Status().Set, ident.WeightSet("b"))
+	})
+}
+
+func TestLateOrderIsOutbid(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := &fakeHost{engine: &fakeEngine{fenced: true, birth: 1}, verified: map[ident.WeightSet]bool{"a": true, "b": true}}
+		h.want = Want{Set: "a", Offset: 1, Accepted: []ident.WeightSet{"a"}}
+		h.run(3 * time.Second)
+		h.delay, h.lost = 5*time.Second, true
+		h.want = Want{Set: "b", Offset: 2, Accepted: []ident.WeightSet{"a"}}
+		h.run(500 * time.Millisecond) // the order for b is on its way
+		h.delay, h.lost = 0, false
+		h.want = Want{Set: "a", Offset: 3, Accepted: []ident.WeightSet{"a"}}
+		h.run(4 * time.Second)
+		is.True(h.gate.Status().Open)
+		loads := h.engine.loads
+		h.run(4 * time.Second) // it arrives
+		is.Equal(h.engine.loads, loads)
+		is.Equal(h.engine.set, ident.WeightSet("a"))
+	})
+}
