Stateful test of the configuration's fold, spread and checkpoints

Found by it and mended: a pull's answer could say ready with the state of before (ready is now read first); a newcomer's restore from an unreachable log held back its peers for 10 s; a host that refused once was passed over for 15 s (now 1 s, doubling); newcomers ignored peers that were not ready themselves.

--- a/internal/core/selector/selector.go
+++ b/internal/core/selector/selector.go
@@ -19,8 +19,10 @@
 	Fanout = 8
 	// Substitutes is the number of hosts after the readers that read the log too while their sources are stale.
 	Substitutes = 4
-	// FailedTime is how long a host that did not answer is passed over.
-	FailedTime = 15 * time.Second
+	// MinFailed is how long a host is passed over after its first failure. The time doubles with each further one.
+	MinFailed = time.Second
+	// MaxFailed bounds that time.
+	MaxFailed = 16 * time.Second
 )
 
 // Peer is another process.
@@ -30,6 +32,12 @@
 	Control string
 }
 
+// failure is a host's latest series of failures.
+type failure struct {
+	at   time.Time
+	time time.Duration
+}
+
 // Selector holds what one process knows of its peers. It is not safe for concurrent use.
 type Selector struct {
 	Self ident.Host
@@ -38,7 +46,7 @@
 	peers  map[ident.Host]Peer
 	ahead  []ident.Host
 	others map[ident.Zone][]ident.Host
-	failed map[ident.Host]time.Time
+	failed map[ident.Host]failure
 	turn   int
 }
 
@@ -77,9 +85,12 @@
 // Fail notes that a host did not answer.
 func (s *Selector) Fail(h ident.Host, now time.Time) {
 	if s.failed == nil {
-		s.failed = make(map[ident.Host]time.Time)
+		s.failed = make(map[ident.Host]failure)
+	}
+	if s.isFailed(h, now) {
+		return
 	}
-	s.failed[h] = now
+	s.failed[h] = failure{at: now, time: min(max(2*s.failed[h].time, MinFailed), MaxFailed)}
 }
 
 // Answer notes that a host answered.
@@ -88,8 +99,8 @@
 }
 
 func (s *Selector) isFailed(h ident.Host, now time.Time) bool {
-	at, ok := s.failed[h]
-	return ok && now.Sub(at) < FailedTime
+	f, ok := s.failed[h]
+	return ok && now.Sub(f.at) < f.time
 }
 
 func (s *Selector) live(hosts []ident.Host, now time.Time) []ident.Host {
--- /dev/null
+++ b/internal/measure/config/world_test.go
@@ -0,0 +1,320 @@
+package config_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/nutmegdock/nutmegdock/internal/checkpointer"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/reducer"
+	"github.com/nutmegdock/nutmegdock/internal/core/selector"
+	"github.com/nutmegdock/nutmegdock/internal/event"
+	"github.com/nutmegdock/nutmegdock/internal/follower"
+	"github.com/nutmegdock/nutmegdock/internal/logclient"
+	"github.com/nutmegdock/nutmegdock/internal/messages"
+	"github.com/nutmegdock/nutmegdock/internal/spreader"
+)
+
+const (
+	zoneLatency  = 500 * time.Microsecond
+	otherLatency = time.Millisecond
+	// frameBytes is what TCP and IP add to a message.
+	frameBytes = 60
+)
+
+var errRefused = errors.New("connection refused")
+
+// world is a set of processes around one log, with faults between them.
+type world struct {
+	log      logFake
+	baseline bool
+	interval time.Duration
+	differs  atomic.Int64
+
+	mu       sync.Mutex
+	procs    map[ident.Host]*proc
+	listed   []selector.Peer
+	lag      time.Duration
+	cut      map[ident.Zone]bool
+	cutLog   map[ident.Zone]bool
+	messages int
+}
+
+// proc is one incarnation of one process.
+type proc struct {
+	w      *world
+	host   ident.Host
+	zone   ident.Zone
+	entry  bool
+	follow *follower.Follower
+	spread *spreader.Spreader
+	points *checkpointer.Checkpointer
+	cancel context.CancelFunc
+	done   chan struct{}
+	// silent makes a dead process swallow calls in place of refusing them.
+	silent atomic.Bool
+	dead   atomic.Bool
+	thaw   atomic.Pointer[chan struct{}]
+	bytes  atomic.Int64
+	// last is the highest offset seen by the checker.
+	last ident.Offset
+	born time.Time
+}
+
+// HandleLog counts the events that no run may raise.
+func (w *world) HandleLog(e *log.Entry) error {
+	if n, ok := e.Fields["event"].(int); ok && n == event.StateDiffers.Number {
+		w.differs.Add(1)
+	}
+	return nil
+}
+
+func (w *world) start(host ident.Host, zone ident.Zone, entry bool) *proc {
+	p := &proc{w: w, host: host, zone: zone, entry: entry, done: make(chan struct{}), born: time.Now()}
+	logger := &log.Logger{Handler: w, Level: log.InfoLevel}
+	p.follow = &follower.Follower{Logger: logger, Read: func(ctx context.Context, from ident.Offset, limit int, wait time.Duration) (logclient.Page, error) {
+		return p.read(ctx, logclient.Config, from, limit, wait)
+	}}
+	p.points = &checkpointer.Checkpointer{
+		Self: host, Follower: p.follow, Interval: w.interval, Logger: logger, Writers: w.entries, Read: p.read, Append: p.append,
+	}
+	p.spread = &spreader.Spreader{
+		Self: host, Zone: zone, Follower: p.follow, Logger: logger, Peers: w.peers, Pull: p.pull, State: p.state, Restore: p.points.Restore,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	w.mu.Lock()
+	if w.procs == nil {
+		w.procs, w.cut, w.cutLog = make(map[ident.Host]*proc), make(map[ident.Zone]bool), make(map[ident.Zone]bool)
+	}
+	w.procs[host] = p
+	w.mu.Unlock()
+	go p.run(ctx)
+	return p
+}
+
+func (p *proc) run(ctx context.Context) {
+	defer close(p.done)
+	if p.w.baseline {
+		_ = p.follow.Run(ctx)
+		return
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = p.spread.Run(ctx) })
+	if p.entry && p.w.interval > 0 {
+		wg.Go(func() { _ = p.points.Run(ctx) })
+	}
+	wg.Wait()
+}
+
+// kill ends a process; its host stays in the lagging list.
+func (p *proc) kill(silent bool) {
+	p.silent.Store(silent)
+	p.dead.Store(true)
+	p.cancel()
+}
+
+func (p *proc) freeze() {
+	c := make(chan struct{})
+	p.thaw.CompareAndSwap(nil, &c)
+}
+
+func (p *proc) unfreeze() {
+	if c := p.thaw.Swap(nil); c != nil {
+		close(*c)
+	}
+}
+
+// gate holds a call of a frozen process until it wakes, whatever its deadline.
+func (p *proc) gate() {
+	if c := p.thaw.Load(); c != nil {
+		<-*c
+	}
+}
+
+func (w *world) stop() {
+	for _, p := range w.all() {
+		p.unfreeze()
+		p.cancel()
+	}
+	for _, p := range w.all() {
+		<-p.done
+	}
+}
+
+func (w *world) all() []*proc {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := make([]*proc, 0, len(w.procs))
+	for _, p := range w.procs {
+		out = append(out, p)
+	}
+	slices.SortFunc(out, func(a, b *proc) int { return strings.Compare(string(a.host), string(b.host)) })
+	return out
+}
+
+func (w *world) live() []*proc {
+	var out []*proc
+	for _, p := range w.all() {
+		if !p.dead.Load() {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// list makes the hosts known to all; until then the list lags.
+func (w *world) list() {
+	var out []selector.Peer
+	for _, p := range w.live() {
+		out = append(out, selector.Peer{Host: p.host, Zone: p.zone, Control: string(p.host)})
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.listed = out
+}
+
+func (w *world) peers() []selector.Peer {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.listed
+}
+
+func (w *world) entries() []ident.Host {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []ident.Host
+	for _, p := range w.listed {
+		if q, ok := w.procs[p.Host]; ok && q.entry {
+			out = append(out, p.Host)
+		}
+	}
+	return out
+}
+
+func (w *world) setCut(z ident.Zone, others, log bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut[z], w.cutLog[z] = others, log
+}
+
+func (w *world) isLogCut(z ident.Zone) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cutLog[z]
+}
+
+func (p *proc) read(ctx context.Context, s logclient.Stream, from ident.Offset, limit int, wait time.Duration) (logclient.Page, error) {
+	p.gate()
+	if p.w.isLogCut(p.zone) {
+		return logclient.Page{}, hang(ctx)
+	}
+	time.Sleep(otherLatency)
+	page, err := p.w.log.read(ctx, s, from, limit, wait)
+	time.Sleep(otherLatency)
+	p.gate()
+	return page, err
+}
+
+func (p *proc) append(ctx context.Context, s logclient.Stream, data []byte) (ident.Offset, error) {
+	p.gate()
+	if p.w.isLogCut(p.zone) {
+		return 0, hang(ctx)
+	}
+	time.Sleep(otherLatency)
+	// A frozen process's append may take effect after its deadline.
+	p.gate()
+	return p.w.log.append(s, data)
+}
+
+func hang(ctx context.Context) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// reach finds the process behind an address, or fails as the network would.
+func (p *proc) reach(ctx context.Context, to ident.Host) (*proc, time.Duration, error) {
+	p.w.mu.Lock()
+	q, ok := p.w.procs[to]
+	cut := ok && p.zone != q.zone && (p.w.cut[p.zone] || p.w.cut[q.zone])
+	p.w.messages++
+	p.w.mu.Unlock()
+	switch {
+	case !ok:
+		return nil, 0, errRefused
+	case cut, q.dead.Load() && q.silent.Load():
+		return nil, 0, hang(ctx)
+	case q.dead.Load():
+		return nil, 0, errRefused
+	case p.zone == q.zone:
+		return q, zoneLatency, nil
+	}
+	return q, otherLatency, nil
+}
+
+func call[A, Q any](ctx context.Context, p *proc, to ident.Host, q Q, answer func(*proc) (A, error)) (A, error) {
+	var zero A
+	p.gate()
+	peer, latency, err := p.reach(ctx, to)
+	if err != nil {
+		return zero, err
+	}
+	time.Sleep(latency)
+	type result struct {
+		a   A
+		err error
+	}
+	out := make(chan result, 1)
+	go func() {
+		peer.gate()
+		a, err := answer(peer)
+		peer.gate()
+		out <- result{a, err}
+	}()
+	select {
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	case r := <-out:
+		if peer.dead.Load() {
+			return zero, errRefused
+		}
+		time.Sleep(latency)
+		if _, _, err := p.reach(ctx, to); err != nil {
+			return zero, err
+		}
+		p.gate()
+		size := int64(len(encoded(q)) + len(encoded(r.a)) + 2*frameBytes)
+		p.bytes.Add(size)
+		peer.bytes.Add(size)
+		return r.a, r.err
+	}
+}
+
+func encoded(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("encode: %v", err))
+	}
+	return data
+}
+
+func (p *proc) pull(ctx context.Context, to selector.Peer, q messages.PullQuery) (messages.PullAnswer, error) {
+	return call(ctx, p, to.Host, q, func(peer *proc) (messages.PullAnswer, error) { return peer.spread.AnswerPull(ctx, q) })
+}
+
+func (p *proc) state(ctx context.Context, to selector.Peer, q messages.StateQuery) (messages.StateAnswer, error) {
+	return call(ctx, p, to.Host, q, func(peer *proc) (messages.StateAnswer, error) { return peer.spread.AnswerState(ctx, q) })
+}
+
+func (p *proc) snapshot() *reducer.Reducer {
+	return p.follow.Snapshot()
+}
--- a/internal/spreader/serve.go
+++ b/internal/spreader/serve.go
@@ -18,8 +18,10 @@
 		_ = s.Follower.Wait(waitCtx, q.Offset+1)
 		cancel()
 	}
+	// Ready and age are read before the state, so that they never claim more than the state holds.
+	out := messages.PullAnswer{Ready: s.Follower.Ready(), Age: s.Age().Milliseconds()}
 	state := s.Follower.Snapshot()
-	out := messages.PullAnswer{Offset: state.Offset(), Ready: s.Follower.Ready(), Age: s.Age().Milliseconds()}
+	out.Offset = state.Offset()
 	if q.Offset >= state.Offset() {
 		return out, nil
 	}
--- a/internal/spreader/sources.go
+++ b/internal/spreader/sources.go
@@ -64,16 +64,8 @@
 	s.Follower.Adopt(state)
 }
 
-// boot brings a newcomer near the state of its peers, or else to the best checkpoint.
-func (s *Spreader) boot(ctx context.Context) {
-	if s.askNewcomer(ctx) {
-		return
-	}
-	s.restore(ctx)
-}
-
 // askNewcomer asks several peers at once and takes the state from the one with the highest offset. It tells whether
-// a ready peer answered. The process becomes ready once it is level with the highest ready peer.
+// a ready peer answered. The process becomes ready once it is level with all that answered, if one of them is ready.
 func (s *Spreader) askNewcomer(ctx context.Context) bool {
 	s.mu.Lock()
 	peers := s.selector.Newcomer(bootPeers, time.Now())
@@ -84,15 +76,17 @@
 	}
 	var mu sync.Mutex
 	var best *found
+	ready := false
 	var wg sync.WaitGroup
 	for _, p := range peers {
 		wg.Go(func() {
 			a, err := s.ask(ctx, p, 0)
-			if err != nil || !a.Ready {
+			if err != nil {
 				return
 			}
 			mu.Lock()
 			defer mu.Unlock()
+			ready = ready || a.Ready
 			if best == nil || a.Offset > best.answer.Offset {
 				best = &found{p, a}
 			}
@@ -103,10 +97,10 @@
 		return false
 	}
 	s.catch(ctx, best.peer, best.answer.Offset)
-	if s.Follower.Offset() >= best.answer.Offset {
+	if ready && s.Follower.Offset() >= best.answer.Offset {
 		s.Follower.SetReady()
 	}
-	return true
+	return ready
 }
 
 // catch pulls from a peer until an offset is reached or the peer fails.
@@ -189,8 +183,12 @@
 
 // adopt takes a peer's whole state.
 func (s *Spreader) adopt(ctx context.Context, p selector.Peer) error {
-	s.adopting.Lock()
-	defer s.adopting.Unlock()
+	select {
+	case s.adopting <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-s.adopting }()
 	var parts [][]byte
 	var q messages.StateQuery
 	for {
--- a/internal/spreader/spreader.go
+++ b/internal/spreader/spreader.go
@@ -62,7 +62,7 @@
 	Logger log.Interface
 
 	once     sync.Once
-	adopting sync.Mutex
+	adopting chan struct{}
 	hinted   chan struct{}
 
 	mu       sync.Mutex
@@ -82,6 +82,7 @@
 func (s *Spreader) init() {
 	s.once.Do(func() {
 		s.hinted = make(chan struct{}, 1)
+		s.adopting = make(chan struct{}, 1)
 		s.selector = selector.Selector{Self: s.Self, Zone: s.Zone}
 		s.start = time.Now()
 		s.reason = "no peer and no log has answered yet"
@@ -92,7 +93,7 @@
 func (s *Spreader) Run(ctx context.Context) error {
 	s.init()
 	s.await(ctx)
-	s.boot(ctx)
+	s.askNewcomer(ctx)
 	var g errgroup.Group
 	g.Go(func() error { return s.repeat(ctx, s.follow) })
 	for lane := range selector.Lanes {
@@ -208,6 +209,9 @@
 	if !s.IsReader() {
 		return idleTime
 	}
+	if s.Follower.Offset() == 0 {
+		s.restore(ctx)
+	}
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval, retry.MaxInterval = minRetry, maxRetry
 	for ctx.Err() == nil && s.IsReader() {
