Measures of the configuration's spread; batched answers; readiness from any fresh source

Change: the second lane asks for the offset alone and pulls only when the first brought nothing for 300 ms; answers collect records for 50 ms; a process is ready once any source shows that it is level with the log; one that is not ready goes on asking its zone.

--- /dev/null
+++ b/internal/measure/config/fold_test.go
@@ -0,0 +1,118 @@
+package config_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
+	"github.com/nutmegdock/nutmegdock/internal/core/checkpointer"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/reducer"
+	"github.com/nutmegdock/nutmegdock/internal/measure"
+)
+
+const deploymentsEach = 10
+
+// filled returns a state of n deployments, ten for each template and ten for each organisation.
+func filled(t testing.TB, n int) *reducer.Reducer {
+	t.Helper()
+	r := reducer.New()
+	add := func(rec catalog.Record) {
+		rec.Author = "operator"
+		data, err := rec.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if a := r.Apply(data); a.Verdict != reducer.Accepted {
+			t.Fatalf("%s: %s", rec.ID, a.Reason)
+		}
+	}
+	for i := range n / deploymentsEach {
+		add(catalog.Record{
+			ID: ident.Change(fmt.Sprintf("o%d", i)), Object: ident.Object(fmt.Sprintf("organisation/o%d", i)),
+			Organisation: &catalog.Organisation{Key: ident.Digest(fmt.Sprintf("%064d", i))},
+		})
+		add(catalog.Record{ID: ident.Change(fmt.Sprintf("t%d", i)), Object: ident.Object(fmt.Sprintf("template/t%d", i)), Template: engineTemplate(0)})
+	}
+	for i := range n {
+		add(catalog.Record{
+			ID: ident.Change(fmt.Sprintf("d%d", i)), Object: ident.Object(fmt.Sprintf("deployment/o%d/d%d", i/deploymentsEach, i)),
+			Deployment: &catalog.Deployment{Template: ident.Template(fmt.Sprintf("t%d", i%(n/deploymentsEach)))},
+		})
+	}
+	return r
+}
+
+func engineTemplate(version int) *catalog.Template {
+	return &catalog.Template{
+		Kind: catalog.KindEngine, Pool: "lm", Replicas: 4, Floor: 1, Open: []string{"replicas"},
+		Model: &catalog.Ref{Name: "m", Version: fmt.Sprint(version), Digest: ident.Digest(fmt.Sprintf("%064d", version))},
+	}
+}
+
+// TestMeasureConfigFold reads the cost of a fold and the memory of the state as deployments grow. A change of a
+// template moves ten deployments at each size.
+func TestMeasureConfigFold(t *testing.T) {
+	if !measure.Wanted() {
+		t.Skip("runs in script/bench only")
+	}
+	for _, n := range []int{100, 1_000, 10_000} {
+		before := heap()
+		r := filled(t, n)
+		report := func(name string, value float64, unit string) {
+			measure.Report(t, measure.Figure{Name: fmt.Sprintf("config.%s.%d", name, n), Value: value, Unit: unit})
+		}
+		report("state.memory", float64(heap()-before), "B")
+		report("fold.deployment", fold(t, r, func(i int) catalog.Record {
+			four := 4
+			return catalog.Record{
+				Object: "deployment/o0/d0", Base: ident.Revision(i + 1), Deployment: &catalog.Deployment{Template: "t0", Replicas: &four},
+			}
+		}), "ns")
+		report("fold.template", fold(t, r, func(i int) catalog.Record {
+			return catalog.Record{Object: "template/t0", Base: ident.Revision(i + 1), Template: engineTemplate(i)}
+		}), "ns")
+		blob, err := checkpointer.Encode(filled(t, n))
+		if err != nil {
+			t.Fatal(err)
+		}
+		size := 0
+		for _, p := range blob.Parts {
+			size += len(p)
+		}
+		report("checkpoint.bytes", float64(size), "B")
+	}
+}
+
+func fold(t *testing.T, r *reducer.Reducer, next func(i int) catalog.Record) float64 {
+	t.Helper()
+	i := 0
+	res := testing.Benchmark(func(b *testing.B) {
+		records := make([][]byte, b.N)
+		for k := range records {
+			rec := next(i)
+			rec.ID = ident.Change(fmt.Sprintf("%s-%d", rec.Object, i))
+			if len(rec.ID) > catalog.MaxIDLength {
+				b.Fatal("id is too long")
+			}
+			records[k], _ = rec.Encode()
+			i++
+		}
+		b.ResetTimer()
+		for _, data := range records {
+			if a := r.Apply(data); a.Verdict != reducer.Accepted {
+				b.Fatalf("%s: %s", a.Verdict, a.Reason)
+			}
+			_ = r.Clone()
+		}
+	})
+	return float64(res.NsPerOp())
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/internal/messages/config.go
+++ b/internal/messages/config.go
@@ -15,7 +15,11 @@
 	Host   ident.Host   `json:"host"`
 	Offset ident.Offset `json:"offset"`
 	// Wait is the time in milliseconds to wait for the first record.
-	Wait int `json:"wait"`
+	Wait int `json:"wait,omitempty"`
+	// Hold is the time in milliseconds to collect further records after the first.
+	Hold int `json:"hold,omitempty"`
+	// Head asks for the offset alone.
+	Head bool `json:"head,omitempty"`
 }
 
 // PullAnswer carries records that follow the offset asked for.
--- a/internal/spreader/serve.go
+++ b/internal/spreader/serve.go
@@ -13,11 +13,7 @@
 func (s *Spreader) AnswerPull(ctx context.Context, q messages.PullQuery) (messages.PullAnswer, error) {
 	s.init()
 	s.Saw(q.Host, q.Offset)
-	if wait := min(time.Duration(q.Wait)*time.Millisecond, maxWait); wait > 0 {
-		waitCtx, cancel := context.WithTimeout(ctx, wait)
-		_ = s.Follower.Wait(waitCtx, q.Offset+1)
-		cancel()
-	}
+	s.hold(ctx, q)
 	// Ready and age are read before the state, so that they never claim more than the state holds.
 	out := messages.PullAnswer{Ready: s.Follower.Ready(), Age: s.Age().Milliseconds()}
 	state := s.Follower.Snapshot()
@@ -25,6 +21,9 @@
 	if q.Offset >= state.Offset() {
 		return out, nil
 	}
+	if q.Head {
+		return out, nil
+	}
 	records, ok := s.Follower.Tail(q.Offset, answerSize)
 	out.Records, out.State = records, !ok
 	if ok && q.Offset+ident.Offset(len(records)) == state.Offset() {
@@ -33,6 +32,22 @@
 	return out, nil
 }
 
+// hold waits for the first record, and then for others that follow it closely.
+func (s *Spreader) hold(ctx context.Context, q messages.PullQuery) {
+	if q.Wait <= 0 || s.Follower.Offset() > q.Offset {
+		return
+	}
+	waitCtx, cancel := context.WithTimeout(ctx, min(time.Duration(q.Wait)*time.Millisecond, maxWait))
+	defer cancel()
+	if s.Follower.Wait(waitCtx, q.Offset+1) != nil {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(min(time.Duration(q.Hold)*time.Millisecond, maxHold)):
+	}
+}
+
 // AnswerState returns one part of the encoded state. The encoding is kept as long as peers can go on from it.
 func (s *Spreader) AnswerState(_ context.Context, q messages.StateQuery) (messages.StateAnswer, error) {
 	s.init()
--- a/internal/spreader/sources.go
+++ b/internal/spreader/sources.go
@@ -80,7 +80,7 @@
 	var wg sync.WaitGroup
 	for _, p := range peers {
 		wg.Go(func() {
-			a, err := s.ask(ctx, p, 0)
+			a, err := s.ask(ctx, p)
 			if err != nil {
 				return
 			}
@@ -108,7 +108,7 @@
 	tries := 0
 	for s.Follower.Offset() < offset && tries < hintTries && ctx.Err() == nil {
 		before := s.Follower.Offset()
-		_, err := s.ask(ctx, p, 0)
+		_, err := s.ask(ctx, p)
 		if err != nil || s.Follower.Offset() == before {
 			tries++
 		}
@@ -123,14 +123,25 @@
 	if !ok {
 		return idleTime
 	}
-	if _, err := s.ask(ctx, p, pullWait); err != nil {
+	q := messages.PullQuery{Wait: int(pullWait.Milliseconds()), Hold: int(recordHold.Milliseconds())}
+	if lane > 0 {
+		q.Hold, q.Head = int(headHold.Milliseconds()), true
+	}
+	a, err := s.send(ctx, p, q)
+	if err == nil && a.Offset > s.Follower.Offset() {
+		_, err = s.ask(ctx, p)
+	}
+	if err != nil {
 		return minRetry
 	}
 	return 0
 }
 
-// remote pulls once from another zone while the log cannot be read.
+// remote pulls once from another zone while the log cannot be read. A process that is not ready asks its zone too.
 func (s *Spreader) remote(ctx context.Context) time.Duration {
+	if !s.Follower.Ready() {
+		s.askNewcomer(ctx)
+	}
 	s.mu.Lock()
 	p, ok := s.selector.Remote(time.Now())
 	ok = ok && s.age() > remoteTime && s.reads()
@@ -138,20 +149,22 @@
 	if !ok {
 		return listInterval
 	}
-	if _, err := s.ask(ctx, p, 0); err != nil {
+	if _, err := s.ask(ctx, p); err != nil {
 		return minRetry
 	}
-	if !s.Follower.Ready() {
-		s.askNewcomer(ctx)
-	}
 	return listInterval
 }
 
-// ask pulls from a peer and folds the answer.
-func (s *Spreader) ask(ctx context.Context, p selector.Peer, wait time.Duration) (messages.PullAnswer, error) {
-	callCtx, cancel := context.WithTimeout(ctx, wait+callTime)
+// ask pulls from a peer what it has now.
+func (s *Spreader) ask(ctx context.Context, p selector.Peer) (messages.PullAnswer, error) {
+	return s.send(ctx, p, messages.PullQuery{})
+}
+
+// send pulls from a peer and folds the answer.
+func (s *Spreader) send(ctx context.Context, p selector.Peer, q messages.PullQuery) (messages.PullAnswer, error) {
+	callCtx, cancel := context.WithTimeout(ctx, time.Duration(q.Wait+q.Hold)*time.Millisecond+callTime)
 	defer cancel()
-	q := messages.PullQuery{Host: s.Self, Offset: s.Follower.Offset(), Wait: int(wait.Milliseconds())}
+	q.Host, q.Offset = s.Self, s.Follower.Offset()
 	a, err := s.Pull(callCtx, p, q)
 	s.note(ctx, p, err)
 	if err != nil {
--- a/internal/spreader/spreader.go
+++ b/internal/spreader/spreader.go
@@ -21,6 +21,10 @@
 const (
 	// logWait is how long a read of the log waits for a record.
 	logWait = time.Second
+	// recordHold is how long an answer with records waits for more.
+	recordHold = 50 * time.Millisecond
+	// headHold is how long the second lane leaves the first one to bring the records.
+	headHold = 300 * time.Millisecond
 	// pullWait is how long a pull waits for a record.
 	pullWait = time.Second
 	// callTime is how long an answer may take beyond the wait.
@@ -42,6 +46,7 @@
 	minRetry   = 50 * time.Millisecond
 	maxRetry   = time.Second
 	maxWait    = 10 * time.Second
+	maxHold    = time.Second
 	answerSize = 256 << 10
 )
 
@@ -177,13 +182,17 @@
 
 func (s *Spreader) setLevel(at time.Time) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if at.After(s.level) {
 		s.level = at
 	}
-	if s.age() < staleTime {
+	fresh := s.age() < staleTime
+	if fresh {
 		s.reason = ""
 	}
+	s.mu.Unlock()
+	if fresh {
+		s.Follower.SetReady()
+	}
 }
 
 func (s *Spreader) setReason(text string) {
