--- /dev/null
+++ b/internal/core/checkpointer/checkpointer_test.go
@@ -0,0 +1,120 @@
+package checkpointer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/matryer/is"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/reducer"
+)
+
+// grown returns a state after n random records, some of them refused, repeated or malformed.
+func grown(t testing.TB, seed uint64, n int) *reducer.Reducer {
+	t.Helper()
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	r := reducer.New()
+	for range n {
+		r.Apply(randomRecord(t, r, rnd))
+	}
+	return r
+}
+
+func randomRecord(t testing.TB, r *reducer.Reducer, rnd *rand.Rand) []byte {
+	t.Helper()
+	rec := catalog.Record{ID: ident.Change(fmt.Sprint(rnd.IntN(500))), Author: "a"}
+	switch rnd.IntN(4) {
+	case 0:
+		rec.Object = ident.Object(fmt.Sprintf("organisation/o%d", rnd.IntN(3)))
+		rec.Organisation = &catalog.Organisation{Key: ident.Digest(fmt.Sprint(rnd.IntN(4)))}
+	case 1:
+		rec.Object = ident.Object(fmt.Sprintf("template/t%d", rnd.IntN(3)))
+		rec.Template = &catalog.Template{
+			Kind: catalog.KindEngine, Pool: "p", Model: &catalog.Ref{Name: "m", Version: "1", Digest: ident.Digest(fmt.Sprint(rnd.IntN(9)))},
+		}
+	case 2:
+		rec.Object = ident.Object(fmt.Sprintf("deployment/o%d/d", rnd.IntN(3)))
+		rec.Deployment = &catalog.Deployment{Template: ident.Template(fmt.Sprintf("t%d", rnd.IntN(3)))}
+	default:
+		rec.Object = ident.Object(fmt.Sprintf("template/t%d", rnd.IntN(3)))
+		rec.Delete = true
+	}
+	if rnd.IntN(20) == 0 {
+		return []byte("{")
+	}
+	e, _ := r.Object(rec.Object)
+	rec.Base = e.Revision
+	data, err := rec.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// TestRestoredStateIsTheSame also folds the same records after the checkpoint into both.
+func TestRestoredStateIsTheSame(t *testing.T) {
+	for seed := range uint64(20) {
+		is := is.New(t)
+		r := grown(t, seed, 300)
+		blob, err := Encode(r)
+		is.NoErr(err)
+		got, err := Decode(blob.Parts, blob.Sum)
+		is.NoErr(err)
+		rnd := rand.New(rand.NewPCG(seed, 2))
+		for range 100 {
+			data := randomRecord(t, r, rnd)
+			if diff := cmp.Diff(r.Apply(data), got.Apply(data)); diff != "" {
+				t.Fatalf("seed %d: %s", seed, diff)
+			}
+		}
+		is.Equal(got.Digest(), r.Digest())
+		if diff := cmp.Diff(r.Deployments(), got.Deployments()); diff != "" {
+			t.Fatalf("seed %d: %s", seed, diff)
+		}
+		if diff := cmp.Diff(r.History(), got.History()); diff != "" {
+			t.Fatalf("seed %d: %s", seed, diff)
+		}
+	}
+}
+
+func TestDecodeRefusesDamage(t *testing.T) {
+	is := is.New(t)
+	blob, err := Encode(grown(t, 1, 50))
+	is.NoErr(err)
+	damaged := append([]byte(nil), blob.Parts[0]...)
+	damaged[len(damaged)/2] ^= 1
+	_, err = Decode([][]byte{damaged}, blob.Sum)
+	is.True(err != nil)
+	_, err = DecodeMark([]byte(`{"offset":1}`))
+	is.True(err != nil)
+}
+
+func TestDue(t *testing.T) {
+	is := is.New(t)
+	base := Situation{Offset: 100, Latest: 90, First: 50, Interval: time.Minute}
+	is.True(!base.IsDue())
+	old := base
+	old.Age = time.Minute
+	is.True(old.ShouldWrite())
+	old.Rank = 2
+	is.True(!old.ShouldWrite()) // the next in rank waits
+	old.Waited = 2 * StepIn
+	is.True(old.ShouldWrite())
+	expired := base
+	expired.First = 95
+	is.True(expired.IsDue())
+	behind := expired
+	behind.Offset = 94
+	is.True(!behind.IsDue()) // a state before the log's start is of no use
+	none := base
+	none.Latest = -1
+	is.True(none.IsDue())
+	long := base
+	long.Offset = base.Latest + MaxTail
+	is.True(long.IsDue())
+}
--- /dev/null
+++ b/internal/core/selector/selector_test.go
@@ -0,0 +1,115 @@
+package selector
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+)
+
+func hosts(n int) []Peer {
+	out := make([]Peer, n)
+	for i := range out {
+		out[i] = Peer{Host: ident.Host(fmt.Sprintf("h%d", i)), Zone: ident.Zone(fmt.Sprintf("z%d", i%3))}
+	}
+	return out
+}
+
+func newSelector(self Peer, list []Peer) *Selector {
+	s := &Selector{Self: self.Host, Zone: self.Zone}
+	var others []Peer
+	for _, p := range list {
+		if p.Host != self.Host {
+			others = append(others, p)
+		}
+	}
+	s.Update(others)
+	return s
+}
+
+// TestSourcesMakeNoCycle gives each process a list of its own, with hosts missing, and failures of its own.
+func TestSourcesMakeNoCycle(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		now := time.Unix(0, 0)
+		all := hosts(rapid.IntRange(1, 60).Draw(rt, "hosts"))
+		next := make(map[ident.Host][]ident.Host)
+		for _, self := range all {
+			var list []Peer
+			missing := rapid.SliceOfN(rapid.Bool(), len(all), len(all)).Draw(rt, "missing")
+			failed := rapid.SliceOfN(rapid.Bool(), len(all), len(all)).Draw(rt, "failed")
+			for i, p := range all {
+				if !missing[i] {
+					list = append(list, p)
+				}
+			}
+			s := newSelector(self, list)
+			for i, p := range all {
+				if failed[i] {
+					s.Fail(p.Host, now)
+				}
+			}
+			for lane := range Lanes {
+				if p, ok := s.Source(lane, now); ok {
+					next[self.Host] = append(next[self.Host], p.Host)
+				} else if !s.Reads(false, now) {
+					rt.Fatalf("%s has no source and does not read the log", self.Host)
+				}
+			}
+		}
+		for h := range next {
+			walk(rt, next, h, 0)
+		}
+	})
+}
+
+func walk(rt *rapid.T, next map[ident.Host][]ident.Host, h ident.Host, depth int) {
+	if depth > 60 {
+		rt.Fatalf("cycle at %s", h)
+	}
+	for _, n := range next[h][:min(len(next[h]), 1)] {
+		walk(rt, next, n, depth+1)
+	}
+}
+
+func TestLoadOfSources(t *testing.T) {
+	is := is.New(t)
+	all := hosts(600)
+	now := time.Unix(0, 0)
+	load := make(map[ident.Host]int)
+	readers := 0
+	for _, self := range all {
+		s := newSelector(self, all)
+		if s.Reads(false, now) {
+			readers++
+		}
+		for lane := range Lanes {
+			if p, ok := s.Source(lane, now); ok {
+				load[p.Host]++
+			}
+		}
+	}
+	is.Equal(readers, 3*Lanes)
+	for _, n := range load {
+		is.True(n <= Lanes*Fanout)
+	}
+}
+
+func TestFailedHostComesBack(t *testing.T) {
+	is := is.New(t)
+	s := newSelector(Peer{Host: "h0", Zone: "z0"}, hosts(30))
+	now := time.Unix(0, 0)
+	p, ok := s.Newcomer(1, now)[0], true
+	is.True(ok)
+	s.Fail(p.Host, now)
+	is.True(s.Newcomer(1, now)[0] != p)
+	is.Equal(s.Newcomer(1, now.Add(MinFailed))[0], p)
+	now = now.Add(MinFailed)
+	s.Fail(p.Host, now)
+	is.True(s.Newcomer(1, now.Add(MinFailed))[0] != p) // the second time is longer
+	s.Answer(p.Host)
+	is.Equal(s.Newcomer(1, now)[0], p)
+}
--- /dev/null
+++ b/internal/follower/follower_test.go
@@ -0,0 +1,78 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	"github.com/matryer/is"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/reducer"
+	"github.com/nutmegdock/nutmegdock/internal/event"
+	"github.com/nutmegdock/nutmegdock/internal/logclient"
+)
+
+func record(id string) []byte {
+	return []byte(`{"id":"` + id + `","object":"organisation/` + id + `","organisation":{"key":"` + id + `"}}`)
+}
+
+func newFollower(page logclient.Page) (*Follower, *memory.Handler) {
+	events := memory.New()
+	return &Follower{
+		Logger: &log.Logger{Handler: events, Level: log.InfoLevel},
+		Read: func(context.Context, ident.Offset, int, time.Duration) (logclient.Page, error) {
+			return page, nil
+		},
+	}, events
+}
+
+func TestGapIsAnError(t *testing.T) {
+	is := is.New(t)
+	f, _ := newFollower(logclient.Page{First: 5, Next: 5})
+	_, err := f.Poll(t.Context(), 0)
+	var gap *GapError
+	is.True(errors.As(err, &gap))
+	is.True(!f.Ready())
+	f.Fold(0, [][]byte{record("a"), record("b"), record("c"), record("d"), record("e"), record("f")})
+	_, err = f.Poll(t.Context(), 0)
+	var behind *BehindError
+	is.True(errors.As(err, &behind)) // a log that ends before the state is not the right one
+}
+
+func TestStateThatDiffersRaisesAnEventAndIsNotAdopted(t *testing.T) {
+	is := is.New(t)
+	f, events := newFollower(logclient.Page{})
+	f.Fold(0, [][]byte{record("a")})
+	other := reducer.New()
+	other.Apply(record("b"))
+	is.True(!f.Adopt(other))
+	is.Equal(events.Entries[len(events.Entries)-1].Fields.Get("event"), event.StateDiffers.Number)
+	_, ok := f.Snapshot().Object("organisation/a")
+	is.True(ok)
+	older := reducer.New()
+	is.True(!f.Adopt(older)) // never to a lower offset
+	other.Apply(record("c"))
+	is.True(f.Adopt(other))
+}
+
+func TestTail(t *testing.T) {
+	is := is.New(t)
+	f, _ := newFollower(logclient.Page{})
+	f.Fold(0, [][]byte{record("a"), record("b"), record("c")})
+	f.Fold(1, [][]byte{record("x"), record("c"), record("d")}) // what is known is skipped
+	is.Equal(f.Offset(), ident.Offset(4))
+	f.Fold(9, [][]byte{record("e")}) // what does not follow is dropped
+	is.Equal(f.Offset(), ident.Offset(4))
+	records, ok := f.Tail(1, 1<<20)
+	is.True(ok)
+	is.Equal(len(records), 3)
+	records, ok = f.Tail(1, 1)
+	is.True(ok)
+	is.Equal(len(records), 1) // at least one record, whatever the limit
+	_, ok = f.Tail(7, 1)
+	is.True(!ok)
+}
