--- /dev/null
+++ b/internal/core/reducer/fuzz_test.go
@@ -0,0 +1,54 @@
+package reducer
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// FuzzApply folds lines of any content twice, with a checkpoint in between for the second state, and expects the same.
+func FuzzApply(f *testing.F) {
+	f.Add([]byte(`{"id":"1","object":"organisation/a","organisation":{"key":"k"}}
+{"id":"2","object":"template/t","template":{"kind":"service","pool":"p","open":["replicas"]}}
+{"id":"3","object":"deployment/a/d","deployment":{"template":"t","replicas":2}}
+{"id":"3","object":"deployment/a/d","delete":true}
+{"id":"4","object":"deployment/a/d","base":1,"delete":true}
+{`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		lines := bytes.Split(data, []byte("\n"))
+		whole, restored := New(), New()
+		for i, line := range lines {
+			if i == len(lines)/2 {
+				restored = reload(t, restored)
+			}
+			if diff := cmp.Diff(whole.Apply(line), restored.Apply(line)); diff != "" {
+				t.Fatalf("line %d: %s", i, diff)
+			}
+		}
+		if whole.Digest() != restored.Digest() {
+			t.Fatal("digests differ")
+		}
+		if diff := cmp.Diff(whole.Deployments(), restored.Deployments()); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
+
+func reload(t *testing.T, r *Reducer) *Reducer {
+	t.Helper()
+	data, err := json.Marshal(r.Image())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var img Image
+	if err := json.Unmarshal(data, &img); err != nil {
+		t.Fatal(err)
+	}
+	out, err := Restore(img)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -150,6 +150,7 @@
 	s.reporter = &reporter.Reporter{
 		Entries: func() []membership.Member { return s.members.Members(membership.RoleEntry) },
 		Report:  s.report,
+		Saw:     s.spread.Saw,
 	}
 }
 
@@ -172,7 +173,9 @@
 		Peers: s.peers, Artifact: weights.Artifact, Chunk: weights.Chunk, Logger: s.Logger,
 		Have: func(ctx context.Context, p fetcher.Peer, d ident.Digest) (messages.HaveAnswer, error) {
 			q := messages.HaveQuery{Artifact: d, Offset: s.follower.Offset()}
-			return rpc.Call[messages.HaveAnswer](ctx, controls.Client(p.Control), messages.HaveMethod, q)
+			a, err := rpc.Call[messages.HaveAnswer](ctx, controls.Client(p.Control), messages.HaveMethod, q)
+			s.spread.Saw(p.Host, a.Offset)
+			return a, err
 		},
 	}
 	s.switcher = &switcher.Switcher{
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -23,6 +23,8 @@
 	Entries func() []membership.Member
 	// Report returns the current state.
 	Report func() messages.Report
+	// Saw takes the configuration offset that an entry host answered with.
+	Saw func(h ident.Host, offset ident.Offset)
 
 	mu      sync.Mutex
 	clients map[ident.Host]*rpc.Client
@@ -49,7 +51,10 @@
 	var wg sync.WaitGroup
 	for _, m := range r.Entries() {
 		wg.Go(func() {
-			_, _ = rpc.Call[messages.Ack](ctx, r.client(m), messages.ReportMethod, report)
+			ack, err := rpc.Call[messages.Ack](ctx, r.client(m), messages.ReportMethod, report)
+			if err == nil && r.Saw != nil {
+				r.Saw(m.Host, ack.Offset)
+			}
 		})
 	}
 	wg.Wait()
