--- a/internal/endpoint/config.go
+++ b/internal/endpoint/config.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/nutmegdock/nutmegdock/internal/checkpointer"
@@ -16,7 +15,7 @@
 
 // buildConfig makes what follows and spreads the configuration.
 func (s *Server) buildConfig() {
-	logs := &logclient.Client{URL: s.Settings.Log, HTTP: &http.Client{}}
+	logs := &logclient.Client{URL: s.Settings.Log, HTTP: s.control.Client()}
 	s.follower = &follower.Follower{
 		Read: func(ctx context.Context, from ident.Offset, limit int, wait time.Duration) (logclient.Page, error) {
 			return logs.Read(ctx, logclient.Config, from, limit, wait)
@@ -26,6 +25,7 @@
 	restorer := &checkpointer.Checkpointer{
 		Self: s.Settings.Host, Follower: s.follower, Read: logs.Read, Logger: s.Logger,
 	}
+	s.configPeers.Dial = s.control.Dial
 	s.spread = spreader.New(s.Settings.Host, s.Settings.Zone, s.follower, &s.configPeers, s.Logger)
 	s.spread.Peers = func() []spreader.Peer { return spreader.Peers(s.members.Members) }
 	s.spread.Restore = restorer.Restore
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -10,8 +10,10 @@
 
 	"github.com/apex/log"
 	"github.com/bits-and-blooms/bitset"
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/nutmegdock/nutmegdock/internal/bytecounter"
 	"github.com/nutmegdock/nutmegdock/internal/chunkserver"
 	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
 	"github.com/nutmegdock/nutmegdock/internal/core/gate"
@@ -26,7 +28,6 @@
 	"github.com/nutmegdock/nutmegdock/internal/messages"
 	"github.com/nutmegdock/nutmegdock/internal/reporter"
 	"github.com/nutmegdock/nutmegdock/internal/rpc"
-	"github.com/nutmegdock/nutmegdock/internal/runner"
 	"github.com/nutmegdock/nutmegdock/internal/spreader"
 	"github.com/nutmegdock/nutmegdock/internal/switcher"
 	"github.com/nutmegdock/nutmegdock/internal/webserver"
@@ -42,11 +43,14 @@
 	Kind    catalog.Kind `json:"kind" validate:"required,oneof=engine service"`
 	Listen  string       `json:"listen" validate:"required,tcp_addr"`
 	Control string       `json:"control" validate:"required,tcp_addr"`
+	Admin   string       `json:"admin" validate:"required,tcp_addr"`
 	Backend string       `json:"backend" validate:"required,url"`
 	Log     string       `json:"log" validate:"required,url"`
 	Members string       `json:"members" validate:"required,url"`
 	Store   string       `json:"store" validate:"required,url"`
 	Origin  string       `json:"origin" validate:"required,url"`
+	// Unfenced names an engine that does not check who orders it.
+	Unfenced bool `json:"unfenced,omitempty"`
 	// Memory is the number of bytes that held chunks may take.
 	Memory ident.Bytes `json:"memory" validate:"min=1"`
 	// Grace is the number of seconds that requests in progress get at a stop.
@@ -71,6 +75,9 @@
 	fetcher  *fetcher.Fetcher
 	switcher *switcher.Switcher
 	reporter *reporter.Reporter
+	registry *prometheus.Registry
+	control  bytecounter.Counter
+	requests *requests
 }
 
 // Run serves until ctx ends, then refuses new work and finishes the requests in progress.
@@ -83,6 +90,10 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	second, err := net.Listen("tcp", s.Settings.Admin)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
 	s.build()
 	event.Started.Log(s.Logger, log.Fields{"host": s.Settings.Host, "role": membership.RoleEndpoint})
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -93,7 +104,12 @@
 	tasks.Go(func() error { return s.runConfig(background) })
 	tasks.Go(func() error { return s.members.Run(background) })
 	tasks.Go(func() error { return s.reporter.Run(background) })
-	tasks.Go(func() error { return rpcs.Serve(background, control) })
+	s.requests.run(background, &tasks)
+	tasks.Go(func() error { return rpcs.Serve(background, s.control.Listener(control)) })
+	tasks.Go(func() error {
+		w := webserver.Server{Listener: second, Handler: s.admin(), Grace: time.Second}
+		return w.Run(background)
+	})
 	if s.Settings.Kind == catalog.KindEngine {
 		tasks.Go(func() error { return s.switcher.Run(ctx) })
 	} else {
@@ -134,30 +150,34 @@
 
 func (s *Server) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(runner.Prefix+"/", &runner.Runner{
-		Gate: &s.gate, Backend: s.Settings.Backend, Forwarder: &forwarder.Forwarder{HTTP: forwarder.NewClient()},
-	})
+	s.requests.register(mux)
 	s.chunks.Register(mux)
 	return mux
 }
 
 func (s *Server) build() {
 	s.birth = time.Now().UnixNano()
+	s.registry = newRegistry()
+	_ = s.control.Register(s.registry)
 	s.holder = &holder.Holder{Limit: s.Settings.Memory}
 	s.chunks = &chunkserver.Server{Holder: s.holder}
 	s.buildPlatform()
 	s.buildWeights()
+	s.buildRequests()
 	s.reporter = &reporter.Reporter{
 		Entries: func() []membership.Member { return s.members.Members(membership.RoleEntry) },
 		Report:  s.report,
-		Saw:     s.spread.Saw,
+		Heard: func(from ident.Host, sent time.Time, a messages.Ack) {
+			s.spread.Saw(from, a.Offset)
+			s.switcher.Hear(from, sent, a.Wave)
+		},
 	}
 }
 
 func (s *Server) buildPlatform() {
 	s.buildConfig()
 	s.members = &membership.List{
-		URL: s.Settings.Members, HTTP: &http.Client{}, Logger: s.Logger,
+		URL: s.Settings.Members, HTTP: s.control.Client(), Logger: s.Logger,
 		Self: membership.Member{
 			Host: s.Settings.Host, Role: membership.RoleEndpoint, Zone: s.Settings.Zone, Region: s.Settings.Region,
 			Pool: s.Settings.Pool, Data: s.Settings.Listen, Control: s.Settings.Control, Birth: s.birth,
@@ -167,7 +187,7 @@
 
 func (s *Server) buildWeights() {
 	weights := &weightclient.Client{HTTP: forwarder.NewClient()}
-	controls := &rpc.Pool{}
+	controls := &rpc.Pool{Dial: s.control.Dial}
 	s.fetcher = &fetcher.Fetcher{
 		Self: s.Settings.Host, Sources: []string{s.Settings.Store, s.Settings.Origin}, Holder: s.holder,
 		Peers: s.peers, Artifact: weights.Artifact, Chunk: weights.Chunk, Logger: s.Logger,
@@ -179,7 +199,7 @@
 		},
 	}
 	s.switcher = &switcher.Switcher{
-		Self: s.Settings.Host, Gate: &s.gate, Holder: s.holder,
+		Self: s.Settings.Host, Pool: s.Settings.Pool, Gate: &s.gate, Holder: s.holder,
 		Fetch: s.fetcher.Fetch, View: s.follower.View, Changed: s.follower.Changed,
 		Hosts: func() []membership.Member { return s.members.Members(membership.RoleEndpoint) },
 		Loader: &loader.Loader{
@@ -218,9 +238,11 @@
 func (s *Server) report() messages.Report {
 	st := s.gate.Status()
 	have, total := s.fetcher.Progress()
+	want, since := s.switcher.Want()
 	return messages.Report{
 		Host: s.Settings.Host, Zone: s.Settings.Zone, Region: s.Settings.Region, Pool: s.Settings.Pool,
 		Data: s.Settings.Listen, Birth: s.birth, Offset: s.follower.Offset(), Open: st.Open, Leaving: st.Leaving,
-		Set: st.Set, Want: s.switcher.Want(), Running: st.Running, Chunks: have, Total: total,
+		Unfenced: s.Settings.Unfenced, Slots: s.switcher.Slots(),
+		Set: st.Set, Want: want, Since: since, Running: st.Running, Chunks: have, Total: total,
 	}
 }
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -19,7 +19,7 @@
 
 // buildConfig makes what follows, spreads and checkpoints the configuration.
 func (s *Server) buildConfig() {
-	logs := &logclient.Client{URL: s.Settings.Log, HTTP: &http.Client{}}
+	logs := &logclient.Client{URL: s.Settings.Log, HTTP: s.control.Client()}
 	s.follower = &follower.Follower{
 		Read: func(ctx context.Context, from ident.Offset, limit int, wait time.Duration) (logclient.Page, error) {
 			return logs.Read(ctx, logclient.Config, from, limit, wait)
@@ -30,6 +30,7 @@
 		Self: s.Settings.Host, Follower: s.follower, Writers: s.writers, Read: logs.Read, Append: logs.Append,
 		Interval: time.Duration(s.Settings.Checkpoint) * time.Second, Logger: s.Logger,
 	}
+	s.peers.Dial = s.control.Dial
 	s.spread = spreader.New(s.Settings.Host, s.Settings.Zone, s.follower, &s.peers, s.Logger)
 	s.spread.Peers = func() []spreader.Peer { return spreader.Peers(s.members.Members) }
 	s.spread.Restore = s.checkpoints.Restore
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,33 +4,28 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/nutmegdock/nutmegdock/internal/admin"
+	"github.com/nutmegdock/nutmegdock/internal/authorizer"
+	"github.com/nutmegdock/nutmegdock/internal/bytecounter"
 	"github.com/nutmegdock/nutmegdock/internal/callers"
 	"github.com/nutmegdock/nutmegdock/internal/checkpointer"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
-	"github.com/nutmegdock/nutmegdock/internal/core/router"
 	"github.com/nutmegdock/nutmegdock/internal/core/view"
-	"github.com/nutmegdock/nutmegdock/internal/dispatcher"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/follower"
-	"github.com/nutmegdock/nutmegdock/internal/forwarder"
-	"github.com/nutmegdock/nutmegdock/internal/logclient"
 	"github.com/nutmegdock/nutmegdock/internal/membership"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
 	"github.com/nutmegdock/nutmegdock/internal/rpc"
 	"github.com/nutmegdock/nutmegdock/internal/spreader"
 	"github.com/nutmegdock/nutmegdock/internal/webserver"
-	"github.com/nutmegdock/nutmegdock/internal/weightclient"
 )
 
 // Settings configure an entry host.
@@ -64,11 +59,13 @@
 	members     *membership.List
 	view        *view.View
 	registry    *prometheus.Registry
+	control     bytecounter.Counter
+	requests    *requests
 }
 
 // Run serves until ctx ends, then finishes the requests in progress.
 func (s *Server) Run(ctx context.Context) error {
-	tokens, err := admin.LoadTokens(s.Settings.Tokens)
+	tokens, err := authorizer.Load(s.Settings.Tokens)
 	if err != nil {
 		return err
 	}
@@ -86,8 +83,10 @@
 	control := &rpc.Server{Methods: map[string]rpc.Handler{messages.ReportMethod: rpc.Handle(s.report)}}
 	s.configMethods(control.Methods)
 	s.runConfig(background, &tasks)
+	s.requests.addMethods(control.Methods, s.Logger)
+	s.requests.run(background, &tasks)
 	tasks.Go(func() error { return s.members.Run(background) })
-	tasks.Go(func() error { return control.Serve(background, listeners.control) })
+	tasks.Go(func() error { return control.Serve(background, s.control.Listener(listeners.control)) })
 
 	g, gctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
@@ -132,52 +131,27 @@
 func (s *Server) build() {
 	s.view = &view.View{}
 	s.registry = prometheus.NewRegistry()
+	s.registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
+	_ = s.control.Register(s.registry)
 	s.members = &membership.List{
-		URL: s.Settings.Members, HTTP: &http.Client{}, Logger: s.Logger,
+		URL: s.Settings.Members, HTTP: s.control.Client(), Logger: s.Logger,
 		Self: membership.Member{
 			Host: s.Settings.Host, Role: membership.RoleEntry, Zone: s.Settings.Zone, Region: s.Settings.Region,
 			Data: s.Settings.Listen, Control: s.Settings.Control, Birth: time.Now().UnixNano(),
 		},
 	}
 	s.buildConfig()
+	s.buildRequests()
 }
 
 func (s *Server) report(_ context.Context, r messages.Report) (messages.Ack, error) {
+	r = s.join(r)
 	s.spread.Saw(r.Host, r.Offset)
 	s.view.Put(r)
-	return messages.Ack{Offset: s.follower.Offset()}, nil
+	return messages.Ack{Offset: s.follower.Offset(), Wave: s.wave(r)}, nil
 }
 
 func (s *Server) callers() http.Handler {
-	d := &dispatcher.Dispatcher{
-		View:      s.view,
-		Router:    &router.Router{Zone: s.Settings.Zone, Intn: rand.IntN},
-		Forwarder: &forwarder.Forwarder{HTTP: forwarder.NewClient()},
-	}
-	c := &callers.Callers{View: s.follower.View, Dispatch: d.Do, Logger: s.Logger}
+	c := &callers.Callers{View: s.follower.View, Dispatch: s.requests.deduplicator.Do, Logger: s.Logger}
 	return c.Handler()
 }
-
-func (s *Server) admin(tokens []admin.Token) http.Handler {
-	logs := &logclient.Client{URL: s.Settings.Log, HTTP: &http.Client{}}
-	store := &weightclient.Client{HTTP: &http.Client{}}
-	a := &admin.Admin{
-		Tokens: tokens,
-		Append: func(ctx context.Context, data []byte) (ident.Offset, error) {
-			return logs.Append(ctx, logclient.Config, data)
-		},
-		View:    s.follower.View,
-		Changed: s.follower.Changed,
-		Resolve: func(ctx context.Context, name, version string) (ident.Digest, error) {
-			return store.Resolve(ctx, s.Settings.Store, name, version)
-		},
-		Reports: s.view.Reports,
-		Logger:  s.Logger,
-	}
-	mux := http.NewServeMux()
-	a.Register(mux)
-	mux.Handle("GET /metrics", promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{}))
-	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
-	mux.HandleFunc("GET /ready", s.serveReady)
-	return mux
-}
--- a/internal/event/config.go
+++ b/internal/event/config.go
@@ -13,4 +13,5 @@
 	CheckpointWritten = Event{1107, log.InfoLevel, "checkpoint of the configuration written"}
 	CheckpointFailed  = Event{1108, log.WarnLevel, "checkpoint of the configuration cannot be written or read"}
 	ConfigReady       = Event{1109, log.InfoLevel, "configuration is complete"}
+	AttemptLost       = Event{1110, log.WarnLevel, "refused attempt could not be recorded in the log service"}
 )
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -100,6 +100,8 @@
 type Client struct {
 	// Address is the server's TCP address by IP number.
 	Address string
+	// Dial makes the connection; nil means a plain one.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu   sync.Mutex
 	conn *jsonrpc2.Conn
@@ -132,8 +134,11 @@
 			return c.conn, nil
 		}
 	}
-	d := net.Dialer{Timeout: dialTimeout}
-	nc, err := d.DialContext(ctx, "tcp", c.Address)
+	dial := c.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	nc, err := dial(ctx, "tcp", c.Address)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", c.Address, err)
 	}
