Claims go to one writer a stream and availability zone

Cause: at the target's 330 entry hosts, writers of their own would have to wait 1.65 s between two appends each to stay at 200 appends a second in all, and every entry host would read every claim. Change: relayer brings each claim to the zone's writer of its stream, by rendezvous rank; without an answer the claim is made again by the own registrar. Writers no longer release claims by themselves: a writer that gave a claim up could otherwise release it after the attempt's host had won it by another writer. The state machine draws torn calls and dead writers on the list, and pauses after a won claim and before a hand-over.

--- a/internal/deduplicator/deduplicator.go
+++ b/internal/deduplicator/deduplicator.go
@@ -26,6 +26,8 @@
 	runTime     = 60 * time.Second
 	comeBack    = time.Second
 	digestBytes = 16
+	// bodyDigits is the length of the digest that tells bodies of one key apart.
+	bodyDigits = 16
 )
 
 // Deduplicator stands before the dispatcher. Set its fields before use.
@@ -56,12 +58,16 @@
 	claimCtx, cancel := context.WithDeadline(ctx, j.Before)
 	defer cancel()
 	t, err := d.Claim(claimCtx, c)
-	if err != nil {
+	if err != nil || !t.Won {
 		d.Recorder.End(j.ID, recorder.Result{State: recorder.NotRun})
+		if t.Written {
+			d.Release(c.Key, c.Attempt)
+		}
+	}
+	if err != nil {
 		return nil, err
 	}
 	if !t.Won {
-		d.Recorder.End(j.ID, recorder.Result{State: recorder.NotRun})
 		return d.follow(ctx, c, t.Holder)
 	}
 	j.Claim = fmt.Sprintf("%s/%d/%s", t.Stream, t.Offset, j.ID)
@@ -96,7 +102,7 @@
 }
 
 func bodyOf(j dispatcher.Job) string {
-	return sum(j.Method, j.Path, string(j.Body))
+	return sum(j.Method, j.Path, string(j.Body))[:bodyDigits]
 }
 
 func sum(parts ...string) string {
--- a/internal/deduplicator/state_test.go
+++ b/internal/deduplicator/state_test.go
@@ -16,6 +16,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
 	"github.com/nutmegdock/nutmegdock/internal/dispatcher"
+	"github.com/nutmegdock/nutmegdock/internal/membership"
 	"github.com/nutmegdock/nutmegdock/internal/rapidtest"
 )
 
@@ -129,6 +130,7 @@
 	fresh := m.w.newEntry()
 	m.w.mu.Lock()
 	m.w.entries[i] = fresh
+	m.w.gone = []membership.Member{{Host: ident.Host(old.name), Control: old.name}}
 	m.w.mu.Unlock()
 }
 
@@ -168,13 +170,13 @@
 		}
 	}
 	keyed := func(rt *rapid.T) {
-		key := fmt.Sprintf("key-%d", rapid.IntRange(0, 3).Draw(rt, "key"))
+		key := fmt.Sprintf("key-%d", rapid.IntRange(0, 7).Draw(rt, "key"))
 		m.ask(entry(rt), m.job(key, key))
 	}
 	return map[string]func(*rapid.T){
 		"keyed": keyed, "keyed again": keyed, "keyed once more": keyed,
 		"keyed at both": func(rt *rapid.T) {
-			key := fmt.Sprintf("key-%d", rapid.IntRange(0, 3).Draw(rt, "key"))
+			key := fmt.Sprintf("key-%d", rapid.IntRange(0, 7).Draw(rt, "key"))
 			m.ask(m.w.entries[0], m.job(key, key))
 			m.ask(m.w.entries[1], m.job(key, key))
 		},
@@ -195,19 +197,22 @@
 		"freeze endpoint": func(rt *rapid.T) {
 			m.w.ends[pick.Draw(rt, "end")].freeze(time.Duration(freeze.Draw(rt, "ms")) * time.Millisecond)
 		},
-		"kill entry":    func(rt *rapid.T) { m.replaceEntry(pick.Draw(rt, "entry")) },
-		"kill endpoint": func(rt *rapid.T) { m.replaceEnd(pick.Draw(rt, "end"), true) },
-		"leave":         func(rt *rapid.T) { m.replaceEnd(pick.Draw(rt, "end"), false) },
-		"log down":      setLog(func(l *fakeLog) { l.down = true }),
-		"log up":        setLog(func(l *fakeLog) { l.down = false }),
-		"log up again":  setLog(func(l *fakeLog) { l.down = false }),
-		"lose appends":  setLog(func(l *fakeLog) { l.lose = 2 }),
-		"late appends":  setLog(func(l *fakeLog) { l.late = 1 }),
-		"lose answer":   set(&m.w.lost),
-		"cross answer":  set(&m.w.crossed),
-		"delay answer":  set(&m.w.slow),
-		"mute service":  set(&m.w.mute),
-		"wait a little": func(rt *rapid.T) { time.Sleep(time.Duration(rapid.IntRange(1, 100).Draw(rt, "ms")) * time.Millisecond) },
+		"kill entry":       func(rt *rapid.T) { m.replaceEntry(pick.Draw(rt, "entry")) },
+		"kill endpoint":    func(rt *rapid.T) { m.replaceEnd(pick.Draw(rt, "end"), true) },
+		"leave":            func(rt *rapid.T) { m.replaceEnd(pick.Draw(rt, "end"), false) },
+		"log down":         setLog(func(l *fakeLog) { l.down = true }),
+		"log up":           setLog(func(l *fakeLog) { l.down = false }),
+		"log up again":     setLog(func(l *fakeLog) { l.down = false }),
+		"lose appends":     setLog(func(l *fakeLog) { l.lose = 2 }),
+		"late appends":     setLog(func(l *fakeLog) { l.late = 1 }),
+		"lose answer":      set(&m.w.lost),
+		"cross answer":     set(&m.w.crossed),
+		"delay answer":     set(&m.w.slow),
+		"tear calls":       set(&m.w.torn),
+		"pause claims":     set(&m.w.pausedClaims),
+		"pause hand-overs": set(&m.w.pausedSends),
+		"mute service":     set(&m.w.mute),
+		"wait a little":    func(rt *rapid.T) { time.Sleep(time.Duration(rapid.IntRange(1, 100).Draw(rt, "ms")) * time.Millisecond) },
 		"wait for a while": func(rt *rapid.T) {
 			time.Sleep(time.Duration(rapid.IntRange(100, 5000).Draw(rt, "ms")) * time.Millisecond)
 		},
@@ -226,11 +231,14 @@
 	m.w.log.down, m.w.log.lose, m.w.log.late = false, 0, 0
 	m.w.log.mu.Unlock()
 	m.w.mu.Lock()
-	m.w.lost, m.w.crossed, m.w.slow, m.w.mute = 0, 0, 0, 0
+	m.w.lost, m.w.crossed, m.w.slow, m.w.mute, m.w.torn = 0, 0, 0, 0, 0
+	m.w.pausedClaims, m.w.pausedSends = 0, 0
 	m.w.mu.Unlock()
-	time.Sleep(settleTime)
+	for range settleTime / time.Second {
+		time.Sleep(time.Second)
+		m.w.report()
+	}
 	m.wg.Wait()
-	m.w.report()
 	if m.fault == nil {
 		m.fault = m.check()
 	}
--- a/internal/deduplicator/world_test.go
+++ b/internal/deduplicator/world_test.go
@@ -29,14 +29,19 @@
 	"github.com/nutmegdock/nutmegdock/internal/forwarder"
 	"github.com/nutmegdock/nutmegdock/internal/headers"
 	"github.com/nutmegdock/nutmegdock/internal/logclient"
+	"github.com/nutmegdock/nutmegdock/internal/membership"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
 	"github.com/nutmegdock/nutmegdock/internal/registrar"
+	"github.com/nutmegdock/nutmegdock/internal/relayer"
 	"github.com/nutmegdock/nutmegdock/internal/runner"
 )
 
 // unkeyedTime is how long after its arrival an unkeyed request may be handed over.
 const unkeyedTime = 10 * time.Second
 
+// longPause is longer than any time in which a request may be handed over.
+const longPause = unkeyedTime + 2*permitter.Life
+
 var errGone = errors.New("connection lost")
 
 // fakeLog keeps streams, and loses or delays appends on request.
@@ -144,6 +149,7 @@
 	name string
 	view *view.View
 	reg  *registrar.Registrar
+	rel  *relayer.Relayer
 	dup  *deduplicator.Deduplicator
 	stop func()
 	done sync.WaitGroup
@@ -174,7 +180,10 @@
 	// late names a request that reached the back end by a hand-over after its time.
 	late ident.Request
 	// faults for the next hand-overs and the next executions.
-	lost, crossed, slow, mute int
+	lost, crossed, slow, mute, torn int
+	// pausedClaims and pausedSends freeze the entry host after it won a claim, and before it hands over.
+	pausedClaims, pausedSends int
+	gone                      []membership.Member
 	previous                  *answer
 }
 
@@ -217,7 +226,7 @@
 	e.stop = cancel
 	logger := &log.Logger{Handler: discard.Default}
 	e.reg = &registrar.Registrar{
-		Hosts: func() int { return 2 }, Logger: logger,
+		Writers: func() int { return 1 }, Logger: logger,
 		Append: func(_ context.Context, s logclient.Stream, data []byte) (ident.Offset, error) {
 			if err := e.point(); err != nil {
 				return 0, err
@@ -233,12 +242,13 @@
 			return p, errors.Join(err, e.point())
 		},
 	}
+	e.rel = &relayer.Relayer{Host: ident.Host(e.name), Zone: w.zone, Registrar: e.reg, Send: w.relay(e)}
 	d := &dispatcher.Dispatcher{
 		View: e.view, Router: &router.Router{Zone: "z", Intn: func(n int) int { return n - 1 }},
 		Forwarder: &forwarder.Forwarder{HTTP: &http.Client{Transport: &wire{w, e}}}, Suspector: &suspector.Suspector{}, Logger: logger,
 	}
 	e.dup = &deduplicator.Deduplicator{
-		Host: ident.Host(e.name), Control: e.name, Claim: w.claim(e), Release: e.reg.Release, Recorder: &recorder.Recorder{Limit: 1 << 20},
+		Host: ident.Host(e.name), Control: e.name, Claim: w.claim(e), Release: e.rel.Release, Recorder: &recorder.Recorder{Limit: 1 << 20},
 		Next: func(ctx context.Context, j dispatcher.Job) (*http.Response, error) {
 			if w.off.noDeadline {
 				j.Before = time.Now().Add(time.Hour)
@@ -260,7 +270,13 @@
 		}
 		ctx, cancel := e.stretch(ctx)
 		defer cancel()
-		t, err := e.reg.Claim(ctx, c)
+		t, err := e.rel.Claim(ctx, c)
+		if t.Won && w.take(&w.pausedClaims) {
+			e.freeze(longPause)
+		}
+		if perr := e.point(); perr != nil {
+			return t, registrar.LogDown("the host is dead")
+		}
 		t.Won = t.Won || w.off.alwaysWon
 		if err != nil && w.off.noReadBack {
 			t.Won, err = true, nil
@@ -269,6 +285,51 @@
 	}
 }
 
+// zone returns the entry hosts as the membership knows them; those that died lately are still on it.
+func (w *world) zone() []membership.Member {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []membership.Member
+	for _, e := range w.entries {
+		out = append(out, membership.Member{Host: ident.Host(e.name), Control: e.name})
+	}
+	return append(out, w.gone...)
+}
+
+// relay brings claims to another entry host's registrar.
+func (w *world) relay(from *entryHost) func(context.Context, string, messages.ClaimQuery) (messages.ClaimAnswer, error) {
+	return func(ctx context.Context, control string, q messages.ClaimQuery) (messages.ClaimAnswer, error) {
+		if err := from.point(); err != nil {
+			return messages.ClaimAnswer{}, err
+		}
+		to, _ := w.find(control)
+		if to == nil {
+			return messages.ClaimAnswer{}, errGone
+		}
+		out := make(chan messages.ClaimAnswer, 1)
+		go func() {
+			if to.point() != nil {
+				return
+			}
+			// The call goes on at the other host when its caller gives it up.
+			serve, cancel := context.WithTimeout(context.Background(), deduplicator.ClaimTime)
+			defer cancel()
+			if a, err := to.rel.Serve(serve, q); err == nil && to.point() == nil {
+				out <- a
+			}
+		}()
+		select {
+		case a := <-out:
+			if w.take(&w.torn) {
+				return messages.ClaimAnswer{}, errGone
+			}
+			return a, from.point()
+		case <-ctx.Done():
+			return messages.ClaimAnswer{}, ctx.Err()
+		}
+	}
+}
+
 func (w *world) fetch(ctx context.Context, from *entryHost, c claimer.Claim, wait time.Duration) (recorder.Result, error) {
 	if err := from.point(); err != nil {
 		return recorder.Result{}, err
@@ -349,6 +410,9 @@
 		h.Set(headers.Request, req.Header.Get(headers.Request))
 		return &http.Response{StatusCode: http.StatusNoContent, Header: h, Body: http.NoBody}, nil
 	}
+	if !permit && c.w.take(&c.w.pausedSends) {
+		c.from.freeze(longPause)
+	}
 	if err := c.from.point(); err != nil {
 		return nil, err
 	}
@@ -461,5 +525,8 @@
 	rec := httptest.NewRecorder()
 	rec.WriteHeader(http.StatusCreated)
 	_, _ = rec.WriteString("booked " + req.URL.Path)
-	return rec.Result(), b.at.point()
+	if err := b.at.point(); err != nil {
+		return nil, err
+	}
+	return rec.Result(), nil
 }
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -21,6 +21,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/membership"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
 	"github.com/nutmegdock/nutmegdock/internal/registrar"
+	"github.com/nutmegdock/nutmegdock/internal/relayer"
 	"github.com/nutmegdock/nutmegdock/internal/rpc"
 )
 
@@ -30,6 +31,7 @@
 // requests holds what runs each caller's request at most once.
 type requests struct {
 	registrar    *registrar.Registrar
+	relayer      *relayer.Relayer
 	deduplicator *deduplicator.Deduplicator
 	suspector    *suspector.Suspector
 }
@@ -40,7 +42,14 @@
 	sus := &suspector.Suspector{}
 	reg := &registrar.Registrar{
 		Append: logs.Append, Read: logs.Read, Logger: s.Logger,
-		Hosts: func() int { return len(s.members.Members(membership.RoleEntry)) },
+		Writers: func() int { return len(s.entryZones()) },
+	}
+	relay := &relayer.Relayer{
+		Host: s.Settings.Host, Registrar: reg,
+		Zone: func() []membership.Member { return s.entryZones()[s.Settings.Zone] },
+		Send: func(ctx context.Context, control string, q messages.ClaimQuery) (messages.ClaimAnswer, error) {
+			return rpc.Call[messages.ClaimAnswer](ctx, peers.Client(control), messages.ClaimMethod, q)
+		},
 	}
 	d := &dispatcher.Dispatcher{
 		View:      s.view,
@@ -49,8 +58,8 @@
 		Suspector: sus,
 		Logger:    s.Logger,
 	}
-	s.requests = &requests{registrar: reg, suspector: sus, deduplicator: &deduplicator.Deduplicator{
-		Host: s.Settings.Host, Control: s.Settings.Control, Claim: reg.Claim, Release: reg.Release,
+	s.requests = &requests{registrar: reg, relayer: relay, suspector: sus, deduplicator: &deduplicator.Deduplicator{
+		Host: s.Settings.Host, Control: s.Settings.Control, Claim: relay.Claim, Release: relay.Release,
 		Recorder: &recorder.Recorder{Limit: resultBytes}, Next: d.Do,
 		Fetch: func(ctx context.Context, c claimer.Claim, wait time.Duration) (recorder.Result, error) {
 			q := messages.ResultQuery{Key: c.Key, Attempt: c.Attempt, Wait: wait.Milliseconds()}
@@ -60,12 +69,24 @@
 	}}
 }
 
+// entryZones returns the entry hosts that are not leaving, by availability zone.
+func (s *Server) entryZones() map[ident.Zone][]membership.Member {
+	out := make(map[ident.Zone][]membership.Member)
+	for _, m := range s.members.Members(membership.RoleEntry) {
+		if !m.Leaving {
+			out[m.Zone] = append(out[m.Zone], m)
+		}
+	}
+	return out
+}
+
 // addMethods adds the calls of other hosts that concern requests.
 func (q *requests) addMethods(methods map[string]rpc.Handler, logger log.Interface) {
 	methods[messages.ResultMethod] = rpc.Handle(func(ctx context.Context, m messages.ResultQuery) (messages.ResultAnswer, error) {
 		wait := time.Duration(m.Wait) * time.Millisecond
 		return messages.ResultAnswer{Result: q.deduplicator.Result(ctx, claimer.Claim{Key: m.Key, Attempt: m.Attempt}, wait)}, nil
 	})
+	methods[messages.ClaimMethod] = rpc.Handle(q.relayer.Serve)
 	methods[messages.DeathMethod] = rpc.Handle(func(_ context.Context, m messages.Death) (messages.DeathAck, error) {
 		event.DeathReceived.Log(logger, log.Fields{"death": m.ID, "requests": len(m.Running)})
 		q.suspector.Blame(m.ID, m.Running)
--- a/internal/messages/request.go
+++ b/internal/messages/request.go
@@ -5,6 +5,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/recorder"
 	"github.com/nutmegdock/nutmegdock/internal/core/suspector"
+	"github.com/nutmegdock/nutmegdock/internal/logclient"
 )
 
 // ResultMethod asks the entry host that won a claim for the result of its attempt.
@@ -33,3 +34,22 @@
 
 // DeathAck acknowledges a Death.
 type DeathAck struct{}
+
+// ClaimMethod brings a claim or a release to the entry host that writes its stream for the availability zone.
+const ClaimMethod = "claim"
+
+// ClaimQuery holds a claim or a release.
+type ClaimQuery struct {
+	Claim   *claimer.Claim   `json:"claim,omitempty"`
+	Release *claimer.Release `json:"release,omitempty"`
+}
+
+// ClaimAnswer is the decision on a claim. Failed tells that there is none.
+type ClaimAnswer struct {
+	Stream  logclient.Stream `json:"stream"`
+	Offset  ident.Offset     `json:"offset"`
+	Won     bool             `json:"won"`
+	Written bool             `json:"written"`
+	Failed  bool             `json:"failed"`
+	Holder  *claimer.Claim   `json:"holder,omitempty"`
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -31,24 +31,24 @@
 	Append func(ctx context.Context, s logclient.Stream, data []byte) (ident.Offset, error)
 	// Read returns records of a stream.
 	Read func(ctx context.Context, s logclient.Stream, from ident.Offset, limit int, wait time.Duration) (logclient.Page, error)
-	// Hosts returns the number of entry hosts, which share the bound on appends.
-	Hosts func() int
+	// Writers returns the number of hosts that write each stream. They share the bound on appends.
+	Writers func() int
 	// Logger receives the events.
 	Logger log.Interface
 
 	init    sync.Once
 	streams []*stream
-	mu      sync.Mutex
-	slot    time.Time
 }
 
 // Ticket is the decision on a claim.
 type Ticket struct {
-	Stream logclient.Stream
-	Offset ident.Offset
-	Won    bool
+	Stream logclient.Stream `json:"stream"`
+	Offset ident.Offset     `json:"offset"`
+	Won    bool             `json:"won"`
 	// Holder is the claim that holds the key: the own one if it won.
-	Holder claimer.Claim
+	Holder claimer.Claim `json:"holder"`
+	// Written tells that the claim may stand in the log, so that it has to be released if it was not used.
+	Written bool `json:"written"`
 }
 
 // StreamName returns the stream of a key.
@@ -87,8 +87,9 @@
 	return g.Wait()
 }
 
-// Claim writes a claim and returns the decision of the log's order. Its error is an *outcome.Error that says not run;
-// the claim is then given up, and released if it can have reached the log.
+// Claim writes a claim and returns the decision of the log's order. Its error is an *outcome.Error that says not run,
+// given with a ticket that tells whether the claim may have been written. A claim that is made again, here or by another
+// writer, gets the same decision.
 func (r *Registrar) Claim(ctx context.Context, c claimer.Claim) (Ticket, error) {
 	s := r.stream(c.Key)
 	w := &waiter{claim: c, done: make(chan decision, 1)}
@@ -98,34 +99,20 @@
 		return d.ticket, d.err
 	case <-ctx.Done():
 	}
-	if !s.withdraw(w) {
-		r.Release(c.Key, c.Attempt)
-	}
-	return Ticket{}, logDown("the claim was not decided in time")
+	return Ticket{Written: !s.withdraw(w)}, LogDown("the claim was not decided in time")
 }
 
-// Release gives up a claim whose attempt was not run and never will be.
+// Release gives up a claim whose attempt was not run and never will be. Only the host of the attempt can know that.
 func (r *Registrar) Release(k claimer.Key, attempt ident.Request) {
 	r.stream(k).release(claimer.Release{Key: k, Attempt: attempt})
 }
 
-// pace waits for this host's next turn to append.
-func (r *Registrar) pace(ctx context.Context) error {
-	r.mu.Lock()
-	turn := time.Now().Add(linger)
-	if r.slot.After(turn) {
-		turn = r.slot
-	}
-	r.slot = turn.Add(time.Second * time.Duration(max(1, r.Hosts())) / AppendsBound)
-	r.mu.Unlock()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(time.Until(turn)):
-		return nil
-	}
+// interval returns the time between two appends of one stream by this host.
+func (r *Registrar) interval() time.Duration {
+	return time.Second * time.Duration(Streams*max(1, r.Writers())) / AppendsBound
 }
 
-func logDown(text string) *outcome.Error {
+// LogDown returns the refusal of a request whose key could not be claimed.
+func LogDown(text string) *outcome.Error {
 	return &outcome.Error{Kind: outcome.NotRun, Reason: outcome.LogDown, After: comeBack, Final: true, Text: text + "; ask again with the same key"}
 }
--- a/internal/registrar/stream.go
+++ b/internal/registrar/stream.go
@@ -32,6 +32,8 @@
 	name      logclient.Stream
 	kick      chan struct{}
 	state     claimer.Claimer
+	// slot is the time of the next append.
+	slot time.Time
 
 	mu       sync.Mutex
 	claims   []*waiter
@@ -98,12 +100,27 @@
 		if s.empty() {
 			continue
 		}
-		if s.registrar.pace(ctx) == nil {
+		if s.pace(ctx) == nil {
 			s.flush(ctx)
 		}
 	}
 }
 
+// pace waits for the stream's next turn to append.
+func (s *stream) pace(ctx context.Context) error {
+	turn := time.Now().Add(linger)
+	if s.slot.After(turn) {
+		turn = s.slot
+	}
+	s.slot = turn.Add(s.registrar.interval())
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(time.Until(turn)):
+		return nil
+	}
+}
+
 // leave writes the releases that are left, since no one else can.
 func (s *stream) leave(ctx context.Context) {
 	if s.empty() {
@@ -135,15 +152,15 @@
 	return claims, releases
 }
 
-// flush appends what waits and decides the claims. A claim on a key that is held is lost without an append.
+// flush appends what waits and decides the claims. A claim on a key that is held is decided without an append.
 func (s *stream) flush(ctx context.Context) {
 	claims, releases := s.take()
 	if err := s.catchUp(ctx); err != nil {
-		s.fail(claims, nil, err)
+		s.fail(claims, false, err)
 		s.restore(releases)
 		return
 	}
-	claims = s.dropLost(claims)
+	claims = s.decideHeld(claims)
 	if len(claims) == 0 && len(releases) == 0 {
 		return
 	}
@@ -170,24 +187,26 @@
 	return s.registrar.Append(ctx, s.name, data)
 }
 
-func (s *stream) dropLost(claims []*waiter) []*waiter {
+func (s *stream) decideHeld(claims []*waiter) []*waiter {
 	var kept []*waiter
 	for _, w := range claims {
 		holder, offset, ok := s.state.Holder(w.claim.Key)
-		if ok {
-			w.done <- decision{ticket: Ticket{Stream: s.name, Offset: offset, Holder: holder}}
+		if !ok {
+			kept = append(kept, w)
 			continue
 		}
-		kept = append(kept, w)
+		t := Ticket{Stream: s.name, Offset: offset, Holder: holder, Won: holder.Attempt == w.claim.Attempt}
+		t.Written = t.Won || s.state.Has(w.claim.Key, w.claim.Attempt)
+		w.done <- decision{ticket: t}
 	}
 	return kept
 }
 
-// settle decides claims after their append. Those that cannot be found in the log are given up and released, since
-// the append may still take effect.
+// settle decides claims after their append. Those that cannot be found in the log are given up, though the append may
+// still take effect.
 func (s *stream) settle(claims []*waiter, readErr, appendErr error) {
 	if readErr != nil {
-		s.fail(claims, claims, readErr)
+		s.fail(claims, true, readErr)
 		return
 	}
 	var missing []*waiter
@@ -198,25 +217,20 @@
 		}
 		holder, offset, _ := s.state.Holder(w.claim.Key)
 		won := holder.Attempt == w.claim.Attempt
-		if !won {
-			s.release(claimer.Release{Key: w.claim.Key, Attempt: w.claim.Attempt})
-		}
-		w.done <- decision{ticket: Ticket{Stream: s.name, Offset: offset, Won: won, Holder: holder}}
+		w.done <- decision{ticket: Ticket{Stream: s.name, Offset: offset, Won: won, Holder: holder, Written: true}}
 	}
 	if len(missing) > 0 {
-		s.fail(missing, missing, errors.Join(errors.New("claim is not in the log"), appendErr))
+		s.fail(missing, true, errors.Join(errors.New("claim is not in the log"), appendErr))
 	}
 }
 
-func (s *stream) fail(claims, written []*waiter, err error) {
-	if len(claims) > 0 {
-		event.ClaimFailed.Log(s.registrar.Logger, log.Fields{"stream": s.name, "claims": len(claims), "error": err.Error()})
-	}
-	for _, w := range written {
-		s.release(claimer.Release{Key: w.claim.Key, Attempt: w.claim.Attempt})
+func (s *stream) fail(claims []*waiter, written bool, err error) {
+	if len(claims) == 0 {
+		return
 	}
+	event.ClaimFailed.Log(s.registrar.Logger, log.Fields{"stream": s.name, "claims": len(claims), "error": err.Error()})
 	for _, w := range claims {
-		w.done <- decision{err: logDown("the log service cannot be reached")}
+		w.done <- decision{ticket: Ticket{Written: written}, err: LogDown("the log service cannot be reached")}
 	}
 }
 
--- /dev/null
+++ b/internal/relayer/relayer.go
@@ -0,0 +1,136 @@
+// Package relayer brings claims to the one entry host of the availability zone that writes their stream, so that few
+// hosts append and read each stream.
+package relayer
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/claimer"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
+	"github.com/nutmegdock/nutmegdock/internal/core/ranker"
+	"github.com/nutmegdock/nutmegdock/internal/membership"
+	"github.com/nutmegdock/nutmegdock/internal/messages"
+	"github.com/nutmegdock/nutmegdock/internal/registrar"
+)
+
+const (
+	// callTime bounds a call to a writer.
+	callTime = 1500 * time.Millisecond
+	// releaseTime bounds the call that hands a release to a writer.
+	releaseTime = time.Second
+	// avoidTime is how long a writer that did not answer is passed over.
+	avoidTime = 5 * time.Second
+)
+
+// Relayer chooses the writer of each claim. Set its fields before use.
+//
+// A claim that a writer did not answer is made again by another writer. That is safe: the record names the attempt, a
+// second record of the same attempt changes nothing, and all readers of the log decide alike. Writers never release a
+// claim by themselves, since only the attempt's own host knows whether it was used.
+type Relayer struct {
+	// Host is the own entry host.
+	Host ident.Host
+	// Zone returns the entry hosts of the own availability zone that are not leaving.
+	Zone func() []membership.Member
+	// Registrar writes the claims for which the own host is the writer, or which no other takes.
+	Registrar *registrar.Registrar
+	// Send brings a claim to another entry host's registrar.
+	Send func(ctx context.Context, control string, q messages.ClaimQuery) (messages.ClaimAnswer, error)
+
+	mu    sync.Mutex
+	avoid map[ident.Host]time.Time
+}
+
+// Claim claims a key. Errors are as those of the registrar.
+func (r *Relayer) Claim(ctx context.Context, c claimer.Claim) (registrar.Ticket, error) {
+	w, ok := r.writer(c.Key)
+	if !ok {
+		return r.Registrar.Claim(ctx, c)
+	}
+	call, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	a, err := r.Send(call, w.Control, messages.ClaimQuery{Claim: &c})
+	if err == nil {
+		return ticketOf(a)
+	}
+	r.pass(w.Host)
+	t, err := r.Registrar.Claim(ctx, c)
+	t.Written = true
+	return t, err
+}
+
+func ticketOf(a messages.ClaimAnswer) (registrar.Ticket, error) {
+	t := registrar.Ticket{Stream: a.Stream, Offset: a.Offset, Won: a.Won, Written: a.Written}
+	if a.Failed {
+		return t, registrar.LogDown("the log service cannot be reached")
+	}
+	t.Holder = *a.Holder
+	return t, nil
+}
+
+// Release gives up a claim whose attempt was not run and never will be.
+func (r *Relayer) Release(k claimer.Key, attempt ident.Request) {
+	w, ok := r.writer(k)
+	if !ok {
+		r.Registrar.Release(k, attempt)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTime)
+		defer cancel()
+		if _, err := r.Send(ctx, w.Control, messages.ClaimQuery{Release: &claimer.Release{Key: k, Attempt: attempt}}); err != nil {
+			r.pass(w.Host)
+			r.Registrar.Release(k, attempt)
+		}
+	}()
+}
+
+// Serve writes a claim or a release of another entry host.
+func (r *Relayer) Serve(ctx context.Context, q messages.ClaimQuery) (messages.ClaimAnswer, error) {
+	if q.Release != nil {
+		r.Registrar.Release(q.Release.Key, q.Release.Attempt)
+		return messages.ClaimAnswer{}, nil
+	}
+	if q.Claim == nil {
+		return messages.ClaimAnswer{}, errors.New("call names neither a claim nor a release")
+	}
+	t, err := r.Registrar.Claim(ctx, *q.Claim)
+	a := messages.ClaimAnswer{Stream: t.Stream, Offset: t.Offset, Won: t.Won, Written: t.Written, Holder: &t.Holder}
+	var o *outcome.Error
+	a.Failed = errors.As(err, &o)
+	return a, nil
+}
+
+// writer returns the entry host that writes a key's stream; false stands for the own one.
+func (r *Relayer) writer(k claimer.Key) (membership.Member, bool) {
+	members := make(map[ident.Host]membership.Member)
+	hosts := []ident.Host{r.Host}
+	for _, m := range r.Zone() {
+		if m.Host != r.Host && !r.isPassed(m.Host) {
+			members[m.Host] = m
+			hosts = append(hosts, m.Host)
+		}
+	}
+	first := ranker.Rank(string(registrar.StreamName(k)), hosts)[0]
+	m, ok := members[first]
+	return m, ok
+}
+
+func (r *Relayer) pass(h ident.Host) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.avoid == nil {
+		r.avoid = make(map[ident.Host]time.Time)
+	}
+	r.avoid[h] = time.Now().Add(avoidTime)
+}
+
+func (r *Relayer) isPassed(h ident.Host) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Now().Before(r.avoid[h])
+}
