--- a/internal/core/claimer/claimer.go
+++ b/internal/core/claimer/claimer.go
@@ -2,9 +2,6 @@
 package claimer
 
 import (
-	"encoding/json"
-	"fmt"
-
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 )
 
@@ -32,22 +29,8 @@
 
 // Record is one append to a stream of claims. Its claims come before its releases.
 type Record struct {
-	Claims   []Claim   `json:"claims,omitempty"`
-	Releases []Release `json:"releases,omitempty"`
-}
-
-// Encode returns the record as it stands in the log.
-func (r Record) Encode() ([]byte, error) {
-	return json.Marshal(r)
-}
-
-// Decode parses a record of the log.
-func Decode(data []byte) (Record, error) {
-	var r Record
-	if err := json.Unmarshal(data, &r); err != nil {
-		return Record{}, fmt.Errorf("claim record: %w", err)
-	}
-	return r, nil
+	Claims   []Claim
+	Releases []Release
 }
 
 // Claimer holds the live claims of one stream in log order. The zero value is the state before the first record.
--- /dev/null
+++ b/internal/measure/request/claims_test.go
@@ -0,0 +1,235 @@
+package request
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/claimer"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/logclient"
+	"github.com/nutmegdock/nutmegdock/internal/measure"
+	"github.com/nutmegdock/nutmegdock/internal/membership"
+	"github.com/nutmegdock/nutmegdock/internal/messages"
+	"github.com/nutmegdock/nutmegdock/internal/registrar"
+	"github.com/nutmegdock/nutmegdock/internal/relayer"
+)
+
+const (
+	claimsOneWay     = time.Millisecond // between hosts, and to the log service
+	claimsAppendTime = 2 * time.Millisecond
+	claimsSeed       = 1
+	// claimsBound is the share of the log service's several hundred appends a second that claims may take.
+	claimsBound = 200
+	// controlBound is the bytes a second that a daemon may spend on control.
+	controlBound = 9000
+)
+
+// claimsSetting is one size of the system with a rate of keyed bookings.
+type claimsSetting struct {
+	zones, hosts int
+	rate         float64 // a second, of all entry hosts
+	seconds      int
+	direct       bool // without relaying
+}
+
+// claimsResult is what was counted.
+type claimsResult struct {
+	appends float64 // a second
+	refused int
+	times   []time.Duration
+	bytes   float64 // a second, of the busiest host: appended, read, and relayed
+}
+
+func (r claimsResult) percentile(p float64) float64 {
+	if len(r.times) == 0 {
+		return 0
+	}
+	return r.times[int(float64(len(r.times)-1)*p)].Seconds() * 1000
+}
+
+type claimsLog struct {
+	mu      sync.Mutex
+	streams map[logclient.Stream][][]byte
+	appends int
+}
+
+type claimsHost struct {
+	member membership.Member
+	relay  *relayer.Relayer
+	mu     sync.Mutex
+	bytes  int
+}
+
+func (h *claimsHost) count(n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.bytes += n
+}
+
+// claimsCallBytes returns the bytes of one message of a call.
+func claimsCallBytes(v any) int {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return len(data)
+}
+
+func (l *claimsLog) append(h *claimsHost) func(context.Context, logclient.Stream, []byte) (ident.Offset, error) {
+	return func(_ context.Context, s logclient.Stream, data []byte) (ident.Offset, error) {
+		time.Sleep(claimsOneWay + claimsAppendTime)
+		h.count(len(data))
+		l.mu.Lock()
+		l.appends++
+		l.streams[s] = append(l.streams[s], data)
+		o := ident.Offset(len(l.streams[s]) - 1)
+		l.mu.Unlock()
+		time.Sleep(claimsOneWay)
+		return o, nil
+	}
+}
+
+func (l *claimsLog) read(h *claimsHost) func(context.Context, logclient.Stream, ident.Offset, int, time.Duration) (logclient.Page, error) {
+	return func(_ context.Context, s logclient.Stream, from ident.Offset, limit int, _ time.Duration) (logclient.Page, error) {
+		time.Sleep(claimsOneWay)
+		l.mu.Lock()
+		page := logclient.Page{Next: ident.Offset(len(l.streams[s]))}
+		for o := from; o < page.Next && len(page.Records) < limit; o++ {
+			page.Records = append(page.Records, logclient.Record{Offset: o, Data: l.streams[s][o]})
+			h.count(base64.StdEncoding.EncodedLen(len(l.streams[s][o])))
+		}
+		l.mu.Unlock()
+		time.Sleep(claimsOneWay)
+		return page, nil
+	}
+}
+
+func (s claimsSetting) build(ctx context.Context, l *claimsLog, wg *sync.WaitGroup) []*claimsHost {
+	hosts := make([]*claimsHost, s.hosts)
+	byControl := make(map[string]*claimsHost)
+	for i := range hosts {
+		name := fmt.Sprintf("10.0.%d.%d:7003", i/250, i%250)
+		zone := ident.Zone(fmt.Sprintf("zone-%d", i%s.zones))
+		hosts[i] = &claimsHost{member: membership.Member{Host: ident.Host(fmt.Sprintf("entry-%d", i)), Zone: zone, Control: name}}
+		byControl[name] = hosts[i]
+	}
+	for _, h := range hosts {
+		reg := &registrar.Registrar{Append: l.append(h), Read: l.read(h), Logger: &log.Logger{Handler: discard.Default}}
+		reg.Writers = func() int { return s.zones }
+		if s.direct {
+			reg.Writers = func() int { return s.hosts }
+		}
+		h.relay = &relayer.Relayer{Host: h.member.Host, Registrar: reg, Zone: s.zone(hosts, h.member.Zone)}
+		h.relay.Send = func(ctx context.Context, control string, q messages.ClaimQuery) (messages.ClaimAnswer, error) {
+			time.Sleep(claimsOneWay)
+			to := byControl[control]
+			a, err := to.relay.Serve(ctx, q)
+			time.Sleep(claimsOneWay)
+			n := claimsCallBytes(q) + claimsCallBytes(a)
+			h.count(n)
+			to.count(n)
+			return a, err
+		}
+		wg.Go(func() { _ = reg.Run(ctx) })
+	}
+	return hosts
+}
+
+func (s claimsSetting) zone(hosts []*claimsHost, z ident.Zone) func() []membership.Member {
+	var out []membership.Member
+	for _, h := range hosts {
+		if h.member.Zone == z && !s.direct {
+			out = append(out, h.member)
+		}
+	}
+	return func() []membership.Member { return out }
+}
+
+// run claims keys at random times and at random hosts.
+func (s claimsSetting) run(t *testing.T) claimsResult {
+	t.Helper()
+	var out claimsResult
+	synctest.Test(t, func(*testing.T) {
+		rnd := rand.New(rand.NewPCG(claimsSeed, 0))
+		ctx, cancel := context.WithCancel(context.Background())
+		var background, claims sync.WaitGroup
+		l := &claimsLog{streams: make(map[logclient.Stream][][]byte)}
+		hosts := s.build(ctx, l, &background)
+		var mu sync.Mutex
+		end := time.Now().Add(time.Duration(s.seconds) * time.Second)
+		for i := 0; time.Now().Before(end); i++ {
+			h := hosts[rnd.IntN(len(hosts))]
+			c := claimer.Claim{
+				Key: claimer.Key(fmt.Sprintf("%032x", rnd.Uint64())), Body: fmt.Sprintf("%016x", rnd.Uint64()),
+				Attempt: ident.Request(fmt.Sprintf("00000000-0000-4000-8000-%012d", i)), Host: h.member.Host, Control: h.member.Control,
+			}
+			claims.Go(func() {
+				limit, stop := context.WithTimeout(ctx, 3*time.Second)
+				defer stop()
+				begin := time.Now()
+				_, err := h.relay.Claim(limit, c)
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					out.refused++
+					return
+				}
+				out.times = append(out.times, time.Since(begin))
+			})
+			time.Sleep(time.Duration(rnd.ExpFloat64() / s.rate * float64(time.Second)))
+		}
+		claims.Wait()
+		cancel()
+		background.Wait()
+		out.appends = float64(l.appends) / float64(s.seconds)
+		for _, h := range hosts {
+			out.bytes = max(out.bytes, float64(h.bytes)/float64(s.seconds))
+		}
+	})
+	sort.Slice(out.times, func(i, j int) bool { return out.times[i] < out.times[j] })
+	return out
+}
+
+func (r claimsResult) report(t *testing.T, name string, bounds bool) {
+	t.Helper()
+	limit, none := measure.AtMost, measure.None
+	if !bounds {
+		limit = none
+	}
+	for _, f := range []measure.Figure{
+		{Name: "appends", Value: r.appends, Unit: "1/s", Limit: limit, Bound: claimsBound},
+		{Name: "p50", Value: r.percentile(0.5), Unit: "ms"},
+		{Name: "p95", Value: r.percentile(0.95), Unit: "ms"},
+		{Name: "refused", Value: float64(r.refused), Unit: "claims", Limit: limit},
+		{Name: "bytes", Value: r.bytes, Unit: "B/s", Limit: limit, Bound: controlBound},
+	} {
+		f.Name = "request.claims." + name + "." + f.Name
+		measure.Report(t, f)
+	}
+}
+
+// TestMeasureRequestClaims measures claims at today's size, eight entry hosts in three availability zones, and at the
+// target's, 330 in thirteen, where a tenth of the 1,800 requests a second are keyed bookings.
+func TestMeasureRequestClaims(t *testing.T) {
+	for _, rate := range []float64{1, 10, 100} {
+		r := claimsSetting{zones: 3, hosts: 8, rate: rate, seconds: 60}.run(t)
+		r.report(t, fmt.Sprintf("today.%.0f", rate), true)
+	}
+	for _, rate := range []float64{45, 90, 180, 360} {
+		r := claimsSetting{zones: 13, hosts: 330, rate: rate, seconds: 20}.run(t)
+		r.report(t, fmt.Sprintf("target.%.0f", rate), rate <= 180)
+	}
+	r := claimsSetting{zones: 13, hosts: 330, rate: 180, seconds: 20, direct: true}.run(t)
+	r.report(t, "direct.180", false)
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -51,12 +51,8 @@
 	Written bool `json:"written"`
 }
 
-// StreamName returns the stream of a key.
-func StreamName(k claimer.Key) logclient.Stream {
-	return name(index(k))
-}
-
-func index(k claimer.Key) int {
+// StreamIndex returns the number of a key's stream, from zero to Streams.
+func StreamIndex(k claimer.Key) int {
 	return int(xxhash.Sum64String(string(k)) % Streams)
 }
 
@@ -66,7 +62,7 @@
 
 func (r *Registrar) stream(k claimer.Key) *stream {
 	r.build()
-	return r.streams[index(k)]
+	return r.streams[StreamIndex(k)]
 }
 
 func (r *Registrar) build() {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -24,6 +24,8 @@
 	releaseTime = time.Second
 	// avoidTime is how long a writer that did not answer is passed over.
 	avoidTime = 5 * time.Second
+	// rankKey is what entry hosts are ranked by as writers.
+	rankKey = "claims"
 )
 
 // Relayer chooses the writer of each claim. Set its fields before use.
@@ -115,8 +117,9 @@
 			hosts = append(hosts, m.Host)
 		}
 	}
-	first := ranker.Rank(string(registrar.StreamName(k)), hosts)[0]
-	m, ok := members[first]
+	// The streams go to different hosts, where there are enough.
+	ranked := ranker.Rank(rankKey, hosts)
+	m, ok := members[ranked[registrar.StreamIndex(k)%len(ranked)]]
 	return m, ok
 }
 
