--- a/internal/core/placer/placer.go
+++ b/internal/core/placer/placer.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sort"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/ranker"
@@ -97,8 +99,10 @@
 // what went before.
 func Place(needs []Need, nodes []Node) map[ident.Host]Need {
 	p := &placement{needs: needs, nodes: nodes, taken: make([]int, len(nodes)), ranks: make([][]zoneRank, len(needs))}
-	for i := range p.taken {
+	p.names = make([]uint64, len(nodes))
+	for i, n := range nodes {
 		p.taken[i] = none
+		p.names[i] = xxhash.Sum64String(string(n.Host))
 	}
 	for _, target := range []func(Need) int{
 		func(n Need) int { return n.Floor },
@@ -123,6 +127,8 @@
 type placement struct {
 	needs []Need
 	nodes []Node
+	// names are the hashes of the nodes' hosts.
+	names []uint64
 	// taken is the index of each node's need, or none.
 	taken []int
 	// ranks holds each need's candidates, made when first used.
@@ -185,6 +191,7 @@
 
 // rank returns the zones with the nodes that the need admits, both in rendezvous order.
 func (p *placement) rank(n Need) []zoneRank {
+	key := xxhash.Sum64String(n.Key)
 	scores := make([]uint64, len(p.nodes))
 	index := make(map[ident.Zone]int)
 	var out []zoneRank
@@ -192,7 +199,7 @@
 		if !n.admits(node) {
 			continue
 		}
-		scores[i] = ranker.Score(n.Key, string(node.Host))
+		scores[i] = mix(key ^ p.names[i])
 		j, ok := index[node.Zone]
 		if !ok {
 			j = len(out)
@@ -212,6 +219,13 @@
 	return out
 }
 
+// mix spreads the bits of a number, as the finish of splitmix64 does.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 // compare puts the higher score first, and equal scores in the order of the names.
 func compare[T ~string](a, b uint64, nameA, nameB T) int {
 	switch {
--- a/internal/switcher/planner.go
+++ b/internal/switcher/planner.go
@@ -1,6 +1,7 @@
 package switcher
 
 import (
+	"reflect"
 	"slices"
 	"time"
 
@@ -27,14 +28,20 @@
 	return out
 }
 
-// planTime is the least time between two evaluations of the placement.
-const planTime = 200 * time.Millisecond
+const (
+	// planTime is the least time between two looks at the configuration.
+	planTime = 200 * time.Millisecond
+	// placeTime is the least time between two evaluations of the placement for a change of the hosts alone.
+	placeTime = time.Second
+)
 
 // planner evaluates the placement again only when the configuration or the hosts have changed.
 type planner struct {
 	valid       bool
 	evaluated   time.Time
+	placed      time.Time
 	nodes       []placer.Node
+	needs       []placer.Need
 	deployments []catalog.Effective
 	last        plan
 }
@@ -60,10 +67,22 @@
 	if p.valid && slices.Equal(nodes, p.nodes) {
 		return p.last
 	}
+	if p.valid && time.Since(p.placed) < placeTime {
+		return p.last
+	}
+	needs := placer.Needs(slices.DeleteFunc(slices.Clone(p.deployments), func(d catalog.Effective) bool {
+		return d.Spec.Pool != s.Pool
+	}))
+	need := p.last.need
+	if !slices.EqualFunc(needs, p.needs, isSame) || !slices.Equal(nodes, p.nodes) {
+		need = placer.Place(needs, nodes)[s.Self]
+		p.placed = time.Now()
+	}
+	p.needs = needs
 	p.valid = true
 	p.evaluated = time.Now()
 	p.nodes = nodes
-	p.last = plan{offset: offset, need: placer.Place(placer.Needs(p.deployments), nodes)[s.Self]}
+	p.last = plan{offset: offset, need: need}
 	for _, d := range p.deployments {
 		if d.Set == "" || d.Spec.Pool != s.Pool {
 			continue
@@ -77,3 +96,7 @@
 	}
 	return p.last
 }
+
+func isSame(a, b placer.Need) bool {
+	return reflect.DeepEqual(a, b)
+}
