--- a/internal/core/waver/waver.go
+++ b/internal/core/waver/waver.go
@@ -41,17 +41,26 @@
 
 // Precedes tells whether host a switches before host b.
 func Precedes(a, b ident.Host) bool {
-	sa, sb := ranker.Score(rankKey, string(a)), ranker.Score(rankKey, string(b))
-	if sa == sb {
+	return precedes(a, score(a), b)
+}
+
+func score(h ident.Host) uint64 {
+	return ranker.Score(rankKey, string(h))
+}
+
+func precedes(a ident.Host, scoreA uint64, b ident.Host) bool {
+	scoreB := score(b)
+	if scoreA == scoreB {
 		return a < b
 	}
-	return sa > sb
+	return scoreA > scoreB
 }
 
 // Tally counts the replicas whose gates are open, as self needs them. Since is the offset of the change that self
 // follows: a replica whose configuration is older may have to leave its set as well.
 func Tally(self ident.Host, since ident.Offset, open []Replica) []Count {
 	var out []Count
+	own := score(self)
 	index := make(map[ident.WeightSet]int)
 	for _, r := range open {
 		if r.Host == self || r.Set == "" {
@@ -66,7 +75,7 @@
 		switch {
 		case r.Want == r.Set && r.Offset >= since:
 			out[i].Steady++
-		case Precedes(self, r.Host):
+		case precedes(self, own, r.Host):
 			out[i].After++
 		}
 	}
--- a/internal/measure/orders/wave_test.go
+++ b/internal/measure/orders/wave_test.go
@@ -1,15 +1,20 @@
 package orders
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/manifest"
 	"github.com/nutmegdock/nutmegdock/internal/core/waver"
 	"github.com/nutmegdock/nutmegdock/internal/measure"
+	"github.com/nutmegdock/nutmegdock/internal/messages"
 	"github.com/nutmegdock/nutmegdock/internal/rapidtest"
 )
 
@@ -53,16 +58,43 @@
 	measure.Report(t, measure.Figure{Name: name + ".time", Value: took.Seconds() / loadTime.Seconds(), Unit: "loads"})
 }
 
+// TestMeasureOrdersTallyCost measures the time that an entry host takes to count the replicas for one report.
+func TestMeasureOrdersTallyCost(t *testing.T) {
+	if !measure.Wanted() {
+		t.Skip("wall time is read by script/bench only")
+	}
+	for _, n := range []int{200, 1200, 2400} {
+		var open []waver.Replica
+		for i := range n {
+			open = append(open, waver.Replica{Host: ident.Host(fmt.Sprintf("host-%d", i)), Set: oldSet, Want: newSet})
+		}
+		r := testing.Benchmark(func(b *testing.B) {
+			for b.Loop() {
+				waver.Tally("host-0", 1, open)
+			}
+		})
+		measure.Report(t, measure.Figure{Name: fmt.Sprintf("burst.wave.%d.tally", n), Value: float64(r.NsPerOp()), Unit: "ns a report"})
+	}
+}
+
 // TestMeasureOrdersWaveBytes measures what an answer to a report carries while a wave runs.
 func TestMeasureOrdersWaveBytes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
 		f := newFleet(200, 150)
 		f.change()
 		for range 4 {
 			f.step()
 		}
 		counts := waver.Tally("host-0", 1, f.view(time.Now()))
-		measure.Report(t, measure.Figure{Name: "burst.wave.200.sets", Value: float64(len(counts)), Unit: "sets an answer"})
+		for i := range counts {
+			counts[i].Set = manifest.Set(ident.Digest(counts[i].Set))
+		}
+		plain, err := json.Marshal(messages.Ack{Offset: 1e6})
+		is.NoErr(err)
+		full, err := json.Marshal(messages.Ack{Offset: 1e6, Wave: counts})
+		is.NoErr(err)
+		measure.Report(t, measure.Figure{Name: "burst.wave.200.bytes", Value: float64(len(full) - len(plain)), Unit: "B an answer"})
 	})
 }
 
--- a/internal/switcher/planner.go
+++ b/internal/switcher/planner.go
@@ -42,6 +42,7 @@
 	placed      time.Time
 	nodes       []placer.Node
 	needs       []placer.Need
+	counts      map[ident.WeightSet]int
 	deployments []catalog.Effective
 	last        plan
 }
@@ -75,8 +76,13 @@
 	}))
 	need := p.last.need
 	if !slices.EqualFunc(needs, p.needs, isSame) || !slices.Equal(nodes, p.nodes) {
-		need = placer.Place(needs, nodes)[s.Self]
+		placed := placer.Place(needs, nodes)
+		need = placed[s.Self]
 		p.placed = time.Now()
+		p.counts = make(map[ident.WeightSet]int)
+		for _, n := range placed {
+			p.counts[n.Set]++
+		}
 	}
 	p.needs = needs
 	p.valid = true
@@ -87,7 +93,7 @@
 		if d.Set == "" || d.Spec.Pool != s.Pool {
 			continue
 		}
-		g := waver.Group{Sets: []ident.WeightSet{d.Set}, Floor: placer.Floor(d.Spec)}
+		g := waver.Group{Sets: []ident.WeightSet{d.Set}, Floor: p.floor(d)}
 		if d.Previous != "" {
 			g.Sets = append(g.Sets, d.Previous)
 		}
@@ -97,6 +103,16 @@
 	return p.last
 }
 
+// floor returns the replicas of a deployment that must go on serving. Where the template states none, it is half of
+// those that the hosts there are allow.
+func (p *planner) floor(d catalog.Effective) int {
+	if d.Spec.Floor > 0 {
+		return d.Spec.Floor
+	}
+	d.Spec.Replicas = min(d.Spec.Replicas, p.counts[d.Set])
+	return placer.Floor(d.Spec)
+}
+
 func isSame(a, b placer.Need) bool {
 	return reflect.DeepEqual(a, b)
 }
