--- a/internal/core/estimator/estimator.go
+++ b/internal/core/estimator/estimator.go
@@ -67,13 +67,15 @@
 	return time.Since(e.sent)
 }
 
-// Start counts a request that is handed to the endpoint.
-func (e *Estimator) Start(id ident.Request) {
+// Start counts a request that is handed to the endpoint. An answer that comes whole shows no first token.
+func (e *Estimator) Start(id ident.Request, whole bool) {
 	now := time.Now()
 	if e.pending == nil {
 		e.pending = make(map[ident.Request]time.Time)
 	}
-	e.pending[id] = now
+	if !whole {
+		e.pending[id] = now
+	}
 	e.own++
 	e.note(now, 1)
 }
--- a/internal/core/estimator/estimator_test.go
+++ b/internal/core/estimator/estimator_test.go
@@ -16,12 +16,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var e estimator.Estimator
-		e.Start("before")
+		e.Start("before", false)
 		time.Sleep(time.Millisecond)
 		e.Report(5, time.Now())
 		for i := range 3 {
 			time.Sleep(time.Millisecond)
-			e.Start(ident.Request(fmt.Sprint(i)))
+			e.Start(ident.Request(fmt.Sprint(i)), false)
 		}
 		running := e.Running(1)
 		is.True(running > 7.9 && running <= 8)
@@ -47,8 +47,8 @@
 		is := is.New(t)
 		var e estimator.Estimator
 		is.Equal(e.Idle(), time.Duration(0))
-		e.Start("a")
-		e.Start("b")
+		e.Start("a", false)
+		e.Start("b", false)
 		time.Sleep(time.Second)
 		is.Equal(e.Idle(), time.Second)
 		e.First("a")
--- a/internal/core/scheduler/endpoint.go
+++ b/internal/core/scheduler/endpoint.go
@@ -21,8 +21,8 @@
 	stallFactor = 6
 	minStall    = time.Second
 	maxStall    = 10 * time.Second
-	// stale is the age of a report after which an endpoint counts as gone.
-	stale = 15 * time.Second
+	// stale is the age of a report after which an endpoint counts as gone. It is longer than the interval of full reports.
+	stale = 40 * time.Second
 	// forget is the age of a report after which an endpoint without requests is forgotten.
 	forget = 5 * time.Minute
 )
--- a/internal/core/scheduler/progress.go
+++ b/internal/core/scheduler/progress.go
@@ -66,11 +66,13 @@
 	return s.pump(), true
 }
 
-// Leave ends new work to a host, for as long as this incarnation of it lives.
-func (s *Scheduler) Leave(h ident.Host) []Decision {
-	if e, ok := s.byHost[h]; ok {
-		e.leaving = true
+// Leave ends new work to a host, for as long as an incarnation of it lives that started at birth or before.
+func (s *Scheduler) Leave(h ident.Host, birth int64) []Decision {
+	e, ok := s.byHost[h]
+	if !ok || e.leaving || e.report.Birth > birth {
+		return nil
 	}
+	e.leaving = true
 	s.strand()
 	return s.pump()
 }
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -28,6 +28,8 @@
 	Sets []ident.WeightSet
 	// Prefix prefers an endpoint.
 	Prefix prefixer.Prefix
+	// Whole marks a request whose answer shows no first token before its end.
+	Whole bool
 	// Tried are endpoints that must not be chosen again.
 	Tried map[ident.Host]bool
 }
@@ -251,7 +253,7 @@
 	delete(s.waiting, q.ID)
 	s.running[q.ID] = &granted{q, time.Now()}
 	s.perOrg[q.Organisation]++
-	s.byHost[c.Host].est.Start(q.ID)
+	s.byHost[c.Host].est.Start(q.ID, q.Whole)
 	s.Shedder.Grant()
 	s.served = s.served*decay(s.servedAt) + 1
 	s.servedAt = time.Now()
--- a/internal/core/scheduler/scheduler_test.go
+++ b/internal/core/scheduler/scheduler_test.go
@@ -214,7 +214,7 @@
 	if _, ok := m.reports[h]; ok {
 		m.left[h] = true
 	}
-	m.take(m.s.Leave(h))
+	m.take(m.s.Leave(h, 1))
 }
 
 func (m *model) tick() {
@@ -327,7 +327,7 @@
 	}
 	r := messages.Report{Host: "h", Zone: "a", Set: set, Birth: 2, Open: true, Slots: 1}
 	s.Report(r)
-	s.Leave("h")
+	s.Leave("h", 2)
 	r.Time++
 	s.Report(r)
 	is.True(!s.Status().Endpoints[0].Free)
--- a/internal/core/view/view.go
+++ b/internal/core/view/view.go
@@ -1,4 +1,4 @@
-// Package view joins the reports of endpoint hosts into the picture that an entry host routes by.
+// Package view holds the reports of endpoint hosts for status and for the exchange of loads.
 package view
 
 import (
@@ -7,17 +7,16 @@
 	"time"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
-	"github.com/nutmegdock/nutmegdock/internal/core/router"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
 )
 
-const staleAfter = 5 * time.Second
+// staleAfter is longer than the interval at which a full report is repeated.
+const staleAfter = 40 * time.Second
 
 // View holds the last report of each endpoint host. The zero value is empty.
 type View struct {
 	mu      sync.Mutex
 	reports map[ident.Host]seen
-	running map[ident.Host]int
 }
 
 type seen struct {
@@ -25,40 +24,37 @@
 	time   time.Time
 }
 
-// Put stores a report, unless one from a later incarnation of the host is known.
-func (v *View) Put(r messages.Report) {
+// Put stores a report. It returns false if a later one of the host is known.
+func (v *View) Put(r messages.Report) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.reports == nil {
 		v.reports = make(map[ident.Host]seen)
-		v.running = make(map[ident.Host]int)
 	}
-	if old, ok := v.reports[r.Host]; ok && old.report.Birth > r.Birth {
-		return
+	old := v.reports[r.Host].report
+	if old.Birth > r.Birth || old.Birth == r.Birth && old.Time > r.Time {
+		return false
 	}
 	v.reports[r.Host] = seen{report: r, time: time.Now()}
+	return true
 }
 
-// Close marks an endpoint as refusing new work until its next report.
-func (v *View) Close(h ident.Host) {
+// Merge brings the last report of a host up to date and returns it. It returns false if no report of the same birth is
+// known, or a later one.
+func (v *View) Merge(l messages.Load) (messages.Report, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if s, ok := v.reports[h]; ok {
-		s.report.Open = false
-		v.reports[h] = s
-	}
-}
-
-// Start counts a request handed to an endpoint. The returned function ends it.
-func (v *View) Start(h ident.Host) func() {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.running[h]++
-	return func() {
-		v.mu.Lock()
-		defer v.mu.Unlock()
-		v.running[h]--
+	s, ok := v.reports[l.Host]
+	if !ok || s.report.Birth != l.Birth || s.report.Time > l.Time {
+		return messages.Report{}, false
 	}
+	s.report.Running = l.Running
+	s.report.Slots = l.Slots
+	s.report.Time = l.Time
+	s.report.Offset = max(s.report.Offset, l.Offset)
+	s.time = time.Now()
+	v.reports[l.Host] = s
+	return s.report, true
 }
 
 // Reports returns the fresh reports in the order of their hosts.
@@ -74,20 +70,3 @@
 	sort.Slice(out, func(i, j int) bool { return out[i].Host < out[j].Host })
 	return out
 }
-
-// Candidates returns the endpoints of a pool that serve the weight set.
-func (v *View) Candidates(pool ident.Pool, set ident.WeightSet) []router.Candidate {
-	var out []router.Candidate
-	for _, r := range v.Reports() {
-		if r.Pool != pool || r.Set != set || !r.Open || r.Leaving {
-			continue
-		}
-		v.mu.Lock()
-		running := max(r.Running, v.running[r.Host])
-		v.mu.Unlock()
-		out = append(out, router.Candidate{
-			Host: r.Host, Zone: r.Zone, Address: r.Data, Set: r.Set, Open: true, Running: running, Slots: r.Slots,
-		})
-	}
-	return out
-}
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -16,6 +16,8 @@
 	// Key carries the caller's idempotency key between the system's processes. It has a name of its own because
 	// net/http sends a request again by itself when it sees the usual one.
 	Key = "Nutmeg-Key"
+	// Load carries the endpoint host's load with its answers.
+	Load = "Nutmeg-Load"
 	// CallerKey is the field in which callers and plain services exchange idempotency keys.
 	CallerKey = "Idempotency-Key"
 )
--- a/internal/messages/report.go
+++ b/internal/messages/report.go
@@ -1,6 +1,11 @@
 package messages
 
-import "github.com/nutmegdock/nutmegdock/internal/core/ident"
+import (
+	"strconv"
+	"strings"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+)
 
 // ReportMethod carries an endpoint host's Report to an entry host.
 const ReportMethod = "report"
@@ -26,7 +31,46 @@
 	Time int64 `json:"time"`
 }
 
+// LoadMethod notifies an entry host of a Load.
+const LoadMethod = "load"
+
+// Load brings an endpoint host's last Report up to date, between one and the next.
+type Load struct {
+	Host    ident.Host   `json:"host"`
+	Birth   int64        `json:"birth"`
+	Time    int64        `json:"time"`
+	Offset  ident.Offset `json:"offset"`
+	Running int          `json:"running"`
+	Slots   int          `json:"slots"`
+}
+
 // Ack answers a Report with the receiver's offset.
 type Ack struct {
 	Offset ident.Offset `json:"offset"`
 }
+
+// Header returns the load as a header field of an answer: birth, time, offset, running and slots.
+func (l Load) Header() string {
+	b := make([]byte, 0, 64)
+	for _, n := range []int64{l.Birth, l.Time, int64(l.Offset), int64(l.Running), int64(l.Slots)} {
+		b = strconv.AppendInt(b, n, 10)
+		b = append(b, ' ')
+	}
+	return string(b[:len(b)-1])
+}
+
+// ParseLoad reads the header field of an answer of a host.
+func ParseLoad(h ident.Host, field string) (Load, bool) {
+	var n [5]int64
+	for i := range n {
+		word, rest, _ := strings.Cut(field, " ")
+		v, err := strconv.ParseInt(word, 10, 64)
+		if err != nil {
+			return Load{}, false
+		}
+		n[i] = v
+		field = rest
+	}
+	l := Load{Host: h, Birth: n[0], Time: n[1], Offset: ident.Offset(n[2]), Running: int(n[3]), Slots: int(n[4])}
+	return l, field == ""
+}
