--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -81,7 +81,7 @@
 	Logger log.Interface
 
 	// View holds the reports.
-	View view.View
+	View *view.View
 
 	budget  budgeter.Budgeter
 	mu      sync.Mutex
--- a/internal/core/scheduler/endpoint.go
+++ b/internal/core/scheduler/endpoint.go
@@ -9,6 +9,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/limiter"
 	"github.com/nutmegdock/nutmegdock/internal/core/router"
+	"github.com/nutmegdock/nutmegdock/internal/core/view"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
 )
 
@@ -21,8 +22,6 @@
 	stallFactor = 6
 	minStall    = time.Second
 	maxStall    = 10 * time.Second
-	// stale is the age of a report after which an endpoint counts as gone. It is longer than the interval of full reports.
-	stale = 40 * time.Second
 	// forget is the age of a report after which an endpoint without requests is forgotten.
 	forget = 5 * time.Minute
 )
@@ -58,7 +57,7 @@
 
 // alive tells whether the endpoint can be expected to take work, now or soon.
 func (e *endpoint) alive() bool {
-	return !e.closed && !e.leaving && time.Since(e.seen) < stale
+	return !e.closed && !e.leaving && time.Since(e.seen) < view.Stale(e.report)
 }
 
 // gone tells whether nothing is known or owed of the endpoint any more.
--- a/internal/core/scheduler/scheduler_test.go
+++ b/internal/core/scheduler/scheduler_test.go
@@ -128,7 +128,7 @@
 	}
 	r := messages.Report{
 		Host: h, Zone: zone, Set: set, Data: string(h), Birth: 1, Open: open, Slots: slots, Running: m.own(h),
-		Time: time.Since(m.begin).Milliseconds(),
+		Time: time.Since(m.begin).Milliseconds(), Every: 1000,
 	}
 	m.reports[h] = r
 	m.take(m.s.Report(r))
@@ -325,7 +325,7 @@
 		Shedder: &shedder.Shedder{Float64: func() float64 { return 0.5 }}, Sharers: func() int { return 1 },
 		Limit: func(ident.Organisation) int { return 0 },
 	}
-	r := messages.Report{Host: "h", Zone: "a", Set: set, Birth: 2, Open: true, Slots: 1}
+	r := messages.Report{Host: "h", Zone: "a", Set: set, Birth: 2, Open: true, Slots: 1, Every: 10}
 	s.Report(r)
 	s.Leave("h", 2)
 	r.Time++
--- a/internal/core/view/view.go
+++ b/internal/core/view/view.go
@@ -10,8 +10,8 @@
 	"github.com/nutmegdock/nutmegdock/internal/messages"
 )
 
-// staleAfter is longer than the interval at which a full report is repeated.
-const staleAfter = 40 * time.Second
+// missed is the number of messages that a host may be behind before its report is stale.
+const missed = 3
 
 // View holds the last report of each endpoint host. The zero value is empty.
 type View struct {
@@ -57,13 +57,18 @@
 	return s.report, true
 }
 
+// Stale returns the age at which a report counts for nothing any more.
+func Stale(r messages.Report) time.Duration {
+	return missed * time.Duration(r.Every) * time.Second
+}
+
 // Reports returns the fresh reports in the order of their hosts.
 func (v *View) Reports() []messages.Report {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var out []messages.Report
 	for _, s := range v.reports {
-		if time.Since(s.time) < staleAfter {
+		if time.Since(s.time) < Stale(s.report) {
 			out = append(out, s.report)
 		}
 	}
--- a/internal/messages/report.go
+++ b/internal/messages/report.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/waver"
 )
 
 // ReportMethod carries an endpoint host's Report to an entry host.
@@ -12,23 +13,27 @@
 
 // Report is an endpoint host's state, as entry hosts use it for routing and status.
 type Report struct {
-	Host    ident.Host      `json:"host"`
-	Zone    ident.Zone      `json:"zone"`
-	Region  ident.Region    `json:"region"`
-	Pool    ident.Pool      `json:"pool"`
-	Data    string          `json:"data"`
-	Birth   int64           `json:"birth"`
-	Offset  ident.Offset    `json:"offset"`
-	Open    bool            `json:"open"`
-	Leaving bool            `json:"leaving"`
-	Set     ident.WeightSet `json:"set,omitempty"`
-	Want    ident.WeightSet `json:"want,omitempty"`
-	Running int             `json:"running"`
-	Slots   int             `json:"slots"`
-	Chunks  int             `json:"chunks"`
-	Total   int             `json:"total"`
+	Host    ident.Host   `json:"host"`
+	Zone    ident.Zone   `json:"zone"`
+	Region  ident.Region `json:"region"`
+	Pool    ident.Pool   `json:"pool"`
+	Data    string       `json:"data"`
+	Birth   int64        `json:"birth"`
+	Offset  ident.Offset `json:"offset"`
+	Open    bool         `json:"open"`
+	Leaving bool         `json:"leaving"`
+	// Unfenced marks an engine that does not check who orders it.
+	Unfenced bool            `json:"unfenced,omitempty"`
+	Set      ident.WeightSet `json:"set,omitempty"`
+	Want     ident.WeightSet `json:"want,omitempty"`
+	Running  int             `json:"running"`
+	Slots    int             `json:"slots"`
+	Chunks   int             `json:"chunks"`
+	Total    int             `json:"total"`
 	// Time is when the report was made, in milliseconds since Birth by a clock that is never set.
 	Time int64 `json:"time"`
+	// Every is the longest time in seconds until the receiver hears of the host again.
+	Every int `json:"every"`
 }
 
 // LoadMethod notifies an entry host of a Load.
@@ -44,9 +49,10 @@
 	Slots   int          `json:"slots"`
 }
 
-// Ack answers a Report with the receiver's offset.
+// Ack answers a Report with the receiver's offset. Wave is given while the reporting host is to leave the set it serves.
 type Ack struct {
-	Offset ident.Offset `json:"offset"`
+	Offset ident.Offset  `json:"offset"`
+	Wave   []waver.Count `json:"wave,omitempty"`
 }
 
 // Header returns the load as a header field of an answer: birth, time, offset, running and slots.
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -7,28 +7,11 @@
 	"time"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
-	"github.com/nutmegdock/nutmegdock/internal/membership"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
 	"github.com/nutmegdock/nutmegdock/internal/rpc"
 )
 
-const (
-	// pollInterval is how often the state is looked at.
-	pollInterval = 100 * time.Millisecond
-	// fullInterval is how often a full report is repeated to all targets.
-	fullInterval = 15 * time.Second
-	// progressInterval is how often the progress of a fetch is reported.
-	progressInterval = time.Second
-	// greetInterval is how often entry hosts without a report are looked for.
-	greetInterval = time.Second
-	// minInterval is the shortest time between two loads.
-	minInterval = 250 * time.Millisecond
-	// quietInterval is the longest time between two loads, also when nothing changes.
-	quietInterval = 5 * time.Second
-	callTime      = time.Second
-	// loadStep is the part of the slots by which the running requests must change to be reported.
-	loadStep = 8
-)
+const callTime = time.Second
 
 // Reporter sends reports when the state changes, and at intervals. Set its fields before Run.
 type Reporter struct {
@@ -36,14 +19,14 @@
 	Targets func() Targets
 	// Report returns the current state.
 	Report func() messages.Report
+	// Heard takes the answer to a report that was sent at a time.
+	Heard func(from ident.Host, sent time.Time, a messages.Ack)
 
 	mu      sync.Mutex
 	clients map[ident.Host]*rpc.Client
-	last    messages.Report
-	full    time.Time
-	partial time.Time
-	greeted time.Time
-	known   map[ident.Host]string
+	// known maps the entry hosts that hold a full report to their births.
+	known    map[ident.Host]int64
+	schedule schedule
 }
 
 // Run reports until ctx ends.
@@ -61,130 +44,106 @@
 
 func (r *Reporter) step(ctx context.Context) {
 	report, targets := r.Report(), r.Targets()
-	now := time.Now()
-	switch {
-	case urgent(r.last, report) || now.Sub(r.full) >= fullInterval:
-		r.send(ctx, report, targets.All())
-	case progressed(r.last, report) && now.Sub(r.partial) >= progressInterval:
-		r.send(ctx, report, targets.Near)
-	case r.due(report, targets, now):
-		r.notify(ctx, report, targets.Near)
-	}
-	if now.Sub(r.greeted) >= greetInterval {
-		r.greeted = now
-		r.greet(ctx, report, targets.All())
+	r.mu.Lock()
+	what := r.schedule.next(report, targets)
+	r.mu.Unlock()
+	switch what {
+	case fullToAll:
+		r.send(ctx, report, targets.List)
+	case fullToNear:
+		r.send(ctx, report, targets.near())
+	case loadToAll:
+		r.notify(ctx, report, targets.List)
+	case loadToNear:
+		r.notify(ctx, report, targets.near())
 	}
-}
-
-// urgent tells whether entry hosts must learn of a change at once.
-func urgent(old, now messages.Report) bool {
-	return old.Birth != now.Birth || old.Open != now.Open || old.Leaving != now.Leaving || old.Set != now.Set ||
-		old.Want != now.Want || old.Data != now.Data
-}
-
-func progressed(old, now messages.Report) bool {
-	return old.Chunks != now.Chunks || old.Total != now.Total
-}
-
-func (r *Reporter) due(report messages.Report, t Targets, now time.Time) bool {
-	age := now.Sub(r.partial)
-	if age >= quietInterval {
-		return true
+	if strangers := r.strangers(targets.List); len(strangers) > 0 {
+		r.send(ctx, report, strangers)
 	}
-	moved := abs(report.Running-r.last.Running) >= max(1, report.Slots/loadStep) || report.Slots != r.last.Slots
-	return moved && age >= max(minInterval, t.Interval)
-}
-
-func abs(n int) int {
-	return max(n, -n)
 }
 
 // Send reports to all targets at once and waits for their answers.
 func (r *Reporter) Send(ctx context.Context) {
-	r.send(ctx, r.Report(), r.Targets().All())
+	r.send(ctx, r.Report(), r.Targets().List)
 }
 
-func (r *Reporter) send(ctx context.Context, report messages.Report, targets []membership.Member) {
+func (r *Reporter) send(ctx context.Context, report messages.Report, targets []Target) {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	r.mu.Lock()
-	r.last, r.full, r.partial = report, time.Now(), time.Now()
-	r.mu.Unlock()
 	var wg sync.WaitGroup
-	for _, m := range targets {
+	for _, t := range targets {
+		report := report
+		report.Every = t.every()
 		wg.Go(func() {
-			_, err := rpc.Call[messages.Ack](ctx, r.client(m), messages.ReportMethod, report)
-			r.met(m, err == nil)
+			sent := time.Now()
+			a, err := rpc.Call[messages.Ack](ctx, r.client(t), messages.ReportMethod, report)
+			r.met(t, err == nil)
+			if err == nil {
+				r.Heard(t.Host, sent, a)
+			}
 		})
 	}
 	wg.Wait()
 }
 
-// greet sends a full report to targets that have none yet.
-func (r *Reporter) greet(ctx context.Context, report messages.Report, targets []membership.Member) {
-	var fresh []membership.Member
-	r.mu.Lock()
-	for _, m := range targets {
-		if r.known[m.Host] != m.Control {
-			fresh = append(fresh, m)
-		}
+func (r *Reporter) notify(ctx context.Context, report messages.Report, targets []Target) {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	load := messages.Load{
+		Host: report.Host, Birth: report.Birth, Time: report.Time, Offset: report.Offset, Running: report.Running, Slots: report.Slots,
 	}
-	full := r.full
-	r.mu.Unlock()
-	if len(fresh) == 0 {
-		return
+	var wg sync.WaitGroup
+	for _, t := range targets {
+		wg.Go(func() {
+			if err := rpc.Notify(ctx, r.client(t), messages.LoadMethod, load); err != nil {
+				r.met(t, false)
+			}
+		})
 	}
-	r.send(ctx, report, fresh)
-	r.mu.Lock()
-	r.full = full
-	r.mu.Unlock()
+	wg.Wait()
 }
 
-func (r *Reporter) met(m membership.Member, ok bool) {
+// strangers returns the targets that have no full report of this host yet. It finds none more often than once a second.
+func (r *Reporter) strangers(targets []Target) []Target {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.known == nil {
-		r.known = make(map[ident.Host]string)
+	if !r.schedule.greet() {
+		return nil
 	}
-	delete(r.known, m.Host)
-	if ok {
-		r.known[m.Host] = m.Control
+	var out []Target
+	for _, t := range targets {
+		if birth, ok := r.known[t.Host]; !ok || birth != t.Birth {
+			out = append(out, t)
+		}
 	}
+	return out
 }
 
-func (r *Reporter) notify(ctx context.Context, report messages.Report, targets []membership.Member) {
-	ctx, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
+func (r *Reporter) met(t Target, ok bool) {
 	r.mu.Lock()
-	r.last, r.partial = report, time.Now()
-	r.mu.Unlock()
-	load := messages.Load{
-		Host: report.Host, Birth: report.Birth, Time: report.Time, Offset: report.Offset, Running: report.Running, Slots: report.Slots,
+	defer r.mu.Unlock()
+	if r.known == nil {
+		r.known = make(map[ident.Host]int64)
 	}
-	var wg sync.WaitGroup
-	for _, m := range targets {
-		wg.Go(func() {
-			if err := rpc.Notify(ctx, r.client(m), messages.LoadMethod, load); err != nil {
-				r.met(m, false)
-			}
-		})
+	delete(r.known, t.Host)
+	if ok {
+		r.known[t.Host] = t.Birth
 	}
-	wg.Wait()
 }
 
-func (r *Reporter) client(m membership.Member) *rpc.Client {
+func (r *Reporter) client(t Target) *rpc.Client {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.clients == nil {
 		r.clients = make(map[ident.Host]*rpc.Client)
 	}
-	c := r.clients[m.Host]
-	if c == nil || c.Address != m.Control {
+	c := r.clients[t.Host]
+	if c == nil || c.Address != t.Control {
 		if c != nil {
 			go func() { _ = c.Close() }()
 		}
-		c = &rpc.Client{Address: m.Control}
-		r.clients[m.Host] = c
+		c = &rpc.Client{Address: t.Control}
+		r.clients[t.Host] = c
 	}
 	return c
 }
--- a/internal/reporter/targets.go
+++ b/internal/reporter/targets.go
@@ -1,6 +1,8 @@
 package reporter
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
@@ -11,57 +13,76 @@
 const (
 	// nearTargets is the number of entry hosts of the own zone that are kept up to date with the load.
 	nearTargets = 8
-	// farTargets is the number of entry hosts of each other zone that know the endpoint, so that they can spill to it.
-	farTargets = 2
+	// minFar is the least number of entry hosts of each other zone that know an endpoint.
+	minFar = 3
+	// knownEach is the mean number of endpoints with the same weight set that an entry host of another zone knows.
+	knownEach = 8
 	// loadBytes is the size of one load on the wire.
-	loadBytes = 140
+	loadBytes = 150
 	// loadBudget is the rate in bytes a second at which loads may come in at one entry host.
 	loadBudget = 2500
 )
 
+// Target is an entry host that is reported to.
+type Target struct {
+	membership.Member
+	// Near marks one that is kept up to date with the load.
+	Near bool
+}
+
+func (t Target) every() int {
+	if t.Near {
+		return int(nearInterval.Seconds())
+	}
+	return int(farInterval.Seconds())
+}
+
 // Targets are the entry hosts that one endpoint host reports to.
 type Targets struct {
-	// Near get every load.
-	Near []membership.Member
-	// Far get full reports only: the others of the own zone, and a few of each other zone.
-	Far []membership.Member
+	List []Target
 	// Interval is the time between loads that keeps an entry host within its budget of bytes.
 	Interval time.Duration
 }
 
-// All returns all targets.
-func (t Targets) All() []membership.Member {
-	return append(append([]membership.Member(nil), t.Near...), t.Far...)
+func (t Targets) near() []Target {
+	return slices.DeleteFunc(slices.Clone(t.List), func(t Target) bool { return !t.Near })
+}
+
+// Chooser chooses the targets of one endpoint host by rendezvous rank, so that each entry host is kept up to date by
+// an equal part of the endpoints. Set its fields before use.
+type Chooser struct {
+	// Host and Zone are the endpoint host's own.
+	Host ident.Host
+	Zone ident.Zone
 }
 
-// Choose returns the targets of an endpoint host by rendezvous rank, so that each entry host of a zone is kept up to
-// date by an equal part of the endpoints.
-func Choose(self ident.Host, zone ident.Zone, entries, endpoints []membership.Member) Targets {
+// Targets returns the targets among the entry hosts: all of the own zone, and of each other zone enough that every one
+// there knows some of the replicas that serve the same weight set. Endpoints are those of all pools.
+func (c Chooser) Targets(entries, endpoints []membership.Member, replicas int) Targets {
 	zones := make(map[ident.Zone][]ident.Host)
 	members := make(map[ident.Host]membership.Member, len(entries))
 	for _, m := range entries {
 		zones[m.Zone] = append(zones[m.Zone], m.Host)
 		members[m.Host] = m
 	}
-	var t Targets
+	var out Targets
 	for z, hosts := range zones {
-		for i, h := range ranker.Rank(string(self), hosts) {
-			switch {
-			case z == zone && i < nearTargets:
-				t.Near = append(t.Near, members[h])
-			case z == zone || i < farTargets:
-				t.Far = append(t.Far, members[h])
+		far := max(minFar, (knownEach*len(hosts)+replicas-1)/max(1, replicas))
+		for i, h := range ranker.Rank(string(c.Host), hosts) {
+			if z == c.Zone || i < far {
+				out.List = append(out.List, Target{Member: members[h], Near: z == c.Zone && i < nearTargets})
 			}
 		}
 	}
-	t.Interval = interval(zone, len(zones[zone]), endpoints)
-	return t
+	slices.SortFunc(out.List, func(a, b Target) int { return strings.Compare(string(a.Host), string(b.Host)) })
+	out.Interval = c.interval(len(zones[c.Zone]), endpoints)
+	return out
 }
 
-func interval(zone ident.Zone, entries int, endpoints []membership.Member) time.Duration {
+func (c Chooser) interval(entries int, endpoints []membership.Member) time.Duration {
 	n := 0
 	for _, m := range endpoints {
-		if m.Zone == zone {
+		if m.Zone == c.Zone {
 			n++
 		}
 	}
