--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -16,31 +16,16 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/prefixer"
 	"github.com/nutmegdock/nutmegdock/internal/core/router"
 	"github.com/nutmegdock/nutmegdock/internal/core/scheduler"
-	"github.com/nutmegdock/nutmegdock/internal/core/shedder"
 	"github.com/nutmegdock/nutmegdock/internal/core/sharer"
+	"github.com/nutmegdock/nutmegdock/internal/core/shedder"
 	"github.com/nutmegdock/nutmegdock/internal/core/view"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
 	"github.com/nutmegdock/nutmegdock/internal/meter"
 )
 
-const (
-	tick = 50 * time.Millisecond
-	// target is the time to the first token above which an endpoint is given less. It leaves room for the queue in
-	// the 0.67 s that callers are promised.
-	target = 450 * time.Millisecond
-	// calm is the time without a refusal after which an overload has ended.
-	calm = 10 * time.Second
-	// capacity is the most requests that wait for one pool.
-	capacity = 256
-)
-
-// patience is the most time that a request waits in the queue.
-var patience = map[sharer.Class]time.Duration{
-	sharer.High:   300 * time.Millisecond,
-	sharer.Normal: time.Second,
-	sharer.Batch:  5 * time.Second,
-}
+// calm is the time without a refusal after which an overload has ended.
+const calm = 10 * time.Second
 
 // Query asks for an endpoint.
 type Query struct {
@@ -104,7 +89,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(tick):
+		case <-time.After(scheduler.TickInterval):
 			a.tick()
 		}
 	}
@@ -147,8 +132,8 @@
 	p, ok := a.pools[name]
 	if !ok {
 		p = &pool{Scheduler: &scheduler.Scheduler{
-			Router: a.Router, Queue: &sharer.Sharer{Capacity: capacity, Weight: a.Weight},
-			Shedder: &shedder.Shedder{Float64: a.Float64}, Target: target, Sharers: a.Sharers, Limit: a.Limit,
+			Router: a.Router, Queue: &sharer.Sharer{Capacity: scheduler.QueueCapacity, Weight: a.Weight},
+			Shedder: &shedder.Shedder{Float64: a.Float64}, Sharers: a.Sharers, Limit: a.Limit,
 		}}
 		a.pools[name] = p
 	}
@@ -237,7 +222,7 @@
 	r.Organisation = q.Organisation
 	r.Class = sharer.Of(q.Priority)
 	r.Cost = math.Max(1, q.Cost)
-	r.Deadline = time.Now().Add(patience[r.Class])
+	r.Deadline = time.Now().Add(r.Class.Patience())
 	if end, ok := ctx.Deadline(); ok && end.Before(r.Deadline) {
 		r.Deadline = end
 	}
--- a/internal/core/estimator/estimator.go
+++ b/internal/core/estimator/estimator.go
@@ -12,7 +12,7 @@
 const (
 	ageing     = 2 * time.Second
 	keep       = 15 * time.Second
-	firstShare = 0.2
+	firstShare = 0.3
 	// drift is how much the clocks of two hosts may move apart in a second, in parts of it.
 	drift = 1e-3
 )
@@ -28,6 +28,7 @@
 	own      int
 	pending  map[ident.Request]time.Time
 	progress time.Time
+	start    time.Time
 	first    time.Duration
 }
 
@@ -75,6 +76,7 @@
 	}
 	if !whole {
 		e.pending[id] = now
+		e.start = now
 	}
 	e.own++
 	e.note(now, 1)
@@ -118,6 +120,11 @@
 	return e.own
 }
 
+// LastStart returns when the last request was handed over that shows a first token.
+func (e *Estimator) LastStart() time.Time {
+	return e.start
+}
+
 // FirstToken returns the smoothed time to the first token, or zero if none was seen.
 func (e *Estimator) FirstToken() time.Duration {
 	return e.first
--- a/internal/core/limiter/limiter.go
+++ b/internal/core/limiter/limiter.go
@@ -4,19 +4,24 @@
 import "time"
 
 const (
-	cutFactor    = 0.8
+	cutFactor = 0.8
+	// growth is how much of a slot a good answer adds when all are in use.
+	growth = 0.5
+	// share is the weight of the last wait in the smoothed one.
+	share        = 0.3
 	defaultLimit = 8
 	maxUnknown   = 256
 )
 
-// Limiter grows an endpoint's limit by one a round of good answers and cuts it by a fifth on a slow one (AIMD).
+// Limiter grows an endpoint's limit with good answers and cuts it by a fifth when the smoothed wait is long (AIMD).
 // It is not safe for concurrent use. Set its fields before use.
 type Limiter struct {
-	// Target is the time to the first token above which the limit is cut.
+	// Target is the smoothed time to the first token above which the limit is cut.
 	Target time.Duration
 
 	slots int
 	limit float64
+	wait  time.Duration
 	cut   time.Time
 }
 
@@ -44,8 +49,12 @@
 // at the endpoint. Requests handed over before the last cut say nothing about the limit after it.
 func (l *Limiter) Observe(start time.Time, wait time.Duration, running int) {
 	limit := l.Limit()
+	if l.wait == 0 {
+		l.wait = wait
+	}
+	l.wait += time.Duration(share * float64(wait-l.wait))
 	if wait > l.Target {
-		if start.After(l.cut) {
+		if l.wait > l.Target && start.After(l.cut) {
 			l.limit = max(1, l.limit*cutFactor)
 			l.cut = start.Add(wait)
 		}
@@ -58,5 +67,5 @@
 	if l.slots <= 0 {
 		top = maxUnknown
 	}
-	l.limit = min(top, l.limit+1/l.limit)
+	l.limit = min(top, l.limit+growth)
 }
--- a/internal/core/scheduler/endpoint.go
+++ b/internal/core/scheduler/endpoint.go
@@ -16,12 +16,14 @@
 const (
 	// slowFactor is how many times the median time to the first token marks an endpoint as slow.
 	slowFactor = 3
-	// minSlow is the time to the first token below which no endpoint is slow.
-	minSlow = 100 * time.Millisecond
+	// probeInterval is how often a slow endpoint is given one request, to see whether it still is.
+	probeInterval = 10 * time.Second
 	// stallFactor is how many times the median time to the first token without any marks an endpoint as stalled.
 	stallFactor = 6
-	minStall    = time.Second
-	maxStall    = 10 * time.Second
+	// lendShare is the part of an endpoint's limit up to which any entry host may use it.
+	lendShare = 0.75
+	minStall  = time.Second
+	maxStall  = 10 * time.Second
 	// forget is the age of a report after which an endpoint without requests is forgotten.
 	forget = 5 * time.Minute
 )
@@ -75,29 +77,24 @@
 	stall  time.Duration
 }
 
-func (e *endpoint) limit(p pool) int {
-	if e.slow(p) {
-		return 1
-	}
-	return e.lim.Limit()
-}
-
+// slow tells whether the time to the first token is long, and much longer than at the others.
 func (e *endpoint) slow(p pool) bool {
 	first := e.est.FirstToken()
-	return first > minSlow && first > slowFactor*p.median
+	return first > FirstTokenTarget && first > slowFactor*p.median
 }
 
-func (e *endpoint) candidate(p pool, sharers int) router.Candidate {
-	limit := e.limit(p)
-	running := e.est.Running(sharers)
+func (e *endpoint) candidate(p pool, limit, part int, running float64) router.Candidate {
 	load := (running + 1) / float64(limit)
 	first := e.est.FirstToken()
 	if first == 0 {
 		first = p.median
 	}
-	// An endpoint that other entry hosts keep full still owes this one its part.
-	part := max(1, limit/max(1, sharers))
-	room := running+1 <= float64(limit) || e.est.Own() < part && !e.slow(p)
+	// Room beyond the own part is lent as long as it is clear that there is some.
+	lent := running+1 <= lendShare*float64(limit)
+	room := e.est.Own() < part || lent
+	if e.slow(p) {
+		room = e.est.Own() == 0 && time.Since(e.est.LastStart()) > probeInterval
+	}
 	return router.Candidate{
 		Host: e.report.Host, Zone: e.report.Zone, Address: e.report.Data, Set: e.report.Set,
 		Free: room && e.brk.Allows(e.est.Own()) && !e.stalled(p.stall),
--- a/internal/core/scheduler/progress.go
+++ b/internal/core/scheduler/progress.go
@@ -78,7 +78,7 @@
 }
 
 // Tick refuses the requests that can no longer be handed over in time, and hands over where a pause has ended.
-// It must be called a few times a second.
+// It must be called at every TickInterval.
 func (s *Scheduler) Tick() []Decision {
 	s.init()
 	for _, it := range s.Queue.Late(s.rate()) {
@@ -126,33 +126,3 @@
 	}
 	return out
 }
-
-// Status is a snapshot of the scheduler.
-type Status struct {
-	Waiting   int
-	Running   int
-	Endpoints []EndpointStatus
-}
-
-// EndpointStatus is what the scheduler holds of one endpoint.
-type EndpointStatus struct {
-	Host    ident.Host
-	Own     int
-	Running float64
-	Limit   int
-	Free    bool
-}
-
-// Status returns a snapshot.
-func (s *Scheduler) Status() Status {
-	out := Status{Waiting: s.Queue.Size(), Running: len(s.running)}
-	for _, e := range s.endpoints {
-		p := measure(s.endpoints, e.report.Set)
-		c := e.candidate(p, s.Sharers())
-		out.Endpoints = append(out.Endpoints, EndpointStatus{
-			Host: e.report.Host, Own: e.est.Own(), Running: e.est.Running(s.Sharers()), Limit: e.limit(p),
-			Free: c.Free && e.alive(),
-		})
-	}
-	return out
-}
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -16,9 +16,21 @@
 )
 
 const (
+	// FirstTokenTarget is the time to the first token above which an endpoint is given less. It leaves room for the
+	// queue in the 0.67 s that callers are promised.
+	FirstTokenTarget = 450 * time.Millisecond
+	// QueueCapacity is the most requests that wait at one entry host for one pool.
+	QueueCapacity = 256
+	// TickInterval is how often Tick must be called.
+	TickInterval = 50 * time.Millisecond
+
 	// rateWindow is the time over which the rate of hand-overs is smoothed.
 	rateWindow = 2 * time.Second
 	holdShare  = 0.05
+	// reserveTime is how long room is kept free for high priority after a request of it.
+	reserveTime = 5 * time.Second
+	// reserveShare is the part of the room that is kept free, as its divisor.
+	reserveShare = 16
 )
 
 // Request is one request that asks for an endpoint. A zero prefix has no affinity.
@@ -75,10 +87,11 @@
 	Queue *sharer.Sharer
 	// Shedder tells refused callers when to come back.
 	Shedder *shedder.Shedder
-	// Target is the time to the first token above which an endpoint is given less.
-	Target time.Duration
 	// Sharers returns the number of entry hosts that share the endpoints.
 	Sharers func() int
+	// Part returns how many of an endpoint's limit are this entry host's own. The parts of all entry hosts make up the
+	// limit, so that a busy endpoint is not given too much by hosts that do not know of each other's hand-overs.
+	Part func(h ident.Host, limit int) int
 	// Limit returns the most requests of an organisation that may run at once from here; zero means no limit.
 	Limit func(ident.Organisation) int
 
@@ -88,6 +101,7 @@
 	running   map[ident.Request]*granted
 	perOrg    map[ident.Organisation]int
 	hold      time.Duration
+	highSeen  time.Time
 	served    float64
 	servedAt  time.Time
 	begun     time.Time
@@ -100,7 +114,7 @@
 	e, ok := s.byHost[r.Host]
 	if !ok {
 		e = &endpoint{}
-		e.lim.Target = s.Target
+		e.lim.Target = FirstTokenTarget
 		s.byHost[r.Host] = e
 		i, _ := slices.BinarySearchFunc(s.endpoints, r.Host, func(e *endpoint, h ident.Host) int {
 			if e.report.Host < h {
@@ -139,6 +153,9 @@
 		s.refuse(q, outcome.Overload)
 		return s.flush()
 	}
+	if q.Class == sharer.High {
+		s.highSeen = time.Now()
+	}
 	s.waiting[q.ID] = q
 	if shed := s.Queue.Push(&q.Item); shed != nil {
 		s.refuse(s.waiting[shed.ID], outcome.Overload)
@@ -181,7 +198,7 @@
 	if reason == outcome.NoEndpoint {
 		text = "no endpoint serves the deployment now"
 	}
-	err := &outcome.Error{Kind: outcome.NotRun, Reason: reason, After: s.Shedder.Refuse(int(q.Class)), Text: text}
+	err := &outcome.Error{Kind: outcome.NotRun, Reason: reason, After: s.Shedder.Refuse(q.Class), Text: text}
 	s.out = append(s.out, Decision{Request: q, Err: err})
 }
 
@@ -194,12 +211,15 @@
 // pump hands over as many requests as the endpoints have room for.
 func (s *Scheduler) pump() []Decision {
 	for s.Queue.Size() > 0 {
-		cs := s.candidates()
+		cs, keep := s.survey()
 		if !slices.ContainsFunc(cs, func(c router.Candidate) bool { return c.Free }) {
 			break
 		}
 		var chosen router.Candidate
 		it := s.Queue.Next(func(it *sharer.Item) bool {
+			if it.Class != sharer.High && keep {
+				return false
+			}
 			var ok bool
 			chosen, ok = s.choose(s.waiting[it.ID], cs)
 			return ok
@@ -212,10 +232,14 @@
 	return s.flush()
 }
 
-func (s *Scheduler) candidates() []router.Candidate {
+// survey returns the endpoints that can be expected to take work. Keep tells that they are so busy that this host must
+// keep to its own part of them, and that all of it is in use but for what is kept free for high priority.
+func (s *Scheduler) survey() (cs []router.Candidate, keep bool) {
 	pools := make(map[ident.WeightSet]pool, 2)
 	sharers := s.Sharers()
-	out := make([]router.Candidate, 0, len(s.endpoints))
+	cs = make([]router.Candidate, 0, len(s.endpoints))
+	own, all := 0, 0
+	busy := 0.0
 	for _, e := range s.endpoints {
 		if !e.alive() {
 			continue
@@ -225,9 +249,17 @@
 			p = measure(s.endpoints, e.report.Set)
 			pools[e.report.Set] = p
 		}
-		out = append(out, e.candidate(p, sharers))
+		limit, running := e.lim.Limit(), e.est.Running(sharers)
+		part := s.Part(e.report.Host, limit)
+		cs = append(cs, e.candidate(p, limit, part, running))
+		all += limit
+		own += part
+		busy += running
 	}
-	return out
+	if time.Since(s.highSeen) < reserveTime {
+		own -= (own + reserveShare - 1) / reserveShare
+	}
+	return cs, busy >= lendShare*float64(all) && len(s.running) >= own
 }
 
 func (s *Scheduler) choose(q *Request, cs []router.Candidate) (router.Candidate, bool) {
@@ -254,7 +286,7 @@
 	s.running[q.ID] = &granted{q, time.Now()}
 	s.perOrg[q.Organisation]++
 	s.byHost[c.Host].est.Start(q.ID, q.Whole)
-	s.Shedder.Grant()
+	s.Shedder.Grant(q.Class)
 	s.served = s.served*decay(s.servedAt) + 1
 	s.servedAt = time.Now()
 	s.out = append(s.out, Decision{Request: q, Candidate: c})
--- a/internal/core/sharer/sharer.go
+++ b/internal/core/sharer/sharer.go
@@ -8,6 +8,9 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 )
 
+// burst is the number of requests that an organisation may be served at once after it has used less than its share.
+const burst = 3
+
 // Class is a rank of work; a lower one goes first.
 type Class int
 
@@ -33,6 +36,18 @@
 	return Normal
 }
 
+// patience is the most time that a request of each class waits.
+var patience = [classes]time.Duration{
+	High:   400 * time.Millisecond,
+	Normal: time.Second,
+	Batch:  5 * time.Second,
+}
+
+// Patience returns the most time that a request of the class waits in a queue.
+func (c Class) Patience() time.Duration {
+	return patience[c]
+}
+
 // Item is one queued request.
 type Item struct {
 	ID           ident.Request
@@ -83,7 +98,8 @@
 		a.total = max(a.total, s.floor)
 	}
 	if len(a.queues[it.Class]) == 0 {
-		a.served[it.Class] = max(a.served[it.Class], s.now[it.Class])
+		credit := burst * it.Cost / s.weight(it.Organisation)
+		a.served[it.Class] = max(a.served[it.Class], s.now[it.Class]-credit)
 	}
 	a.queues[it.Class] = append(a.queues[it.Class], it)
 	a.size++
--- a/internal/core/sharer/wait.go
+++ b/internal/core/sharer/wait.go
@@ -1,6 +1,7 @@
 package sharer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
@@ -9,23 +10,36 @@
 // Ahead returns the number of items that go before a new one of the class and organisation.
 func (s *Sharer) Ahead(o ident.Organisation, c Class) int {
 	n := 0
-	own := 0
-	if a, ok := s.orgs[o]; ok {
-		own = len(a.queues[c])
-	}
-	for _, name := range s.names {
-		a := s.orgs[name]
+	for _, a := range s.orgs {
 		for above := range c {
 			n += len(a.queues[above])
 		}
+	}
+	tag := s.now[c]
+	a, ok := s.orgs[o]
+	if ok && len(a.queues[c]) == 0 {
+		tag = min(tag, a.served[c])
+	} else if ok {
+		tag = a.served[c]
+		for _, it := range a.queues[c] {
+			tag += it.Cost / s.weight(o)
+		}
+	}
+	for name, a := range s.orgs {
 		if name == o {
-			n += own
+			n += len(a.queues[c])
 			continue
 		}
-		turns := int(float64(own+1) * s.weight(name) / s.weight(o))
-		n += min(len(a.queues[c]), turns)
+		at := a.served[c]
+		for _, it := range a.queues[c] {
+			if at > tag {
+				break
+			}
+			n++
+			at += it.Cost / s.weight(name)
+		}
 	}
-	if a, ok := s.orgs[o]; !ok || a.size == 0 {
+	if !ok || a.size == 0 {
 		return min(n, s.floorTurns(o))
 	}
 	return n
@@ -41,8 +55,8 @@
 		}
 	}
 	before := 0
-	for _, name := range s.names {
-		if a := s.orgs[name]; name != o && a.size > 0 && a.total <= total {
+	for name, a := range s.orgs {
+		if name != o && a.size > 0 && a.total <= total {
 			before++
 		}
 	}
@@ -55,14 +69,13 @@
 	if !ok {
 		return false
 	}
-	for i, other := range a.queues[it.Class] {
-		if other == it {
-			a.remove(it.Class, i)
-			s.size--
-			return true
-		}
+	i := slices.Index(a.queues[it.Class], it)
+	if i < 0 {
+		return false
 	}
-	return false
+	a.remove(it.Class, i)
+	s.size--
+	return true
 }
 
 // Late takes out and returns the items that cannot be handed over by their deadlines, when rate items a second are
@@ -72,44 +85,58 @@
 	var out []*Item
 	before := 0
 	for c := range classes {
-		n := 0
-		weights := 0.0
-		for _, o := range s.waiting(func(a *account) bool { return len(a.queues[c]) > 0 }) {
-			weights += s.weight(o)
+		for _, it := range s.order(c) {
+			if s.end(it, now, before, rate).Before(it.Deadline) {
+				before++
+				continue
+			}
+			s.Remove(it)
+			out = append(out, it)
 		}
-		for _, o := range s.names {
-			n += len(s.orgs[o].queues[c])
-			out = append(out, s.late(o, c, now, rate, float64(before), weights/s.weight(o))...)
-		}
-		before += n
 	}
 	return out
 }
 
-func (s *Sharer) late(o ident.Organisation, c Class, now time.Time, rate, before, turns float64) []*Item {
-	var out, left []*Item
-	a := s.orgs[o]
-	higher := 0
-	for above := range c {
-		higher += len(a.queues[above])
+// end estimates when an item is handed over that has a number of items before it.
+func (s *Sharer) end(it *Item, now time.Time, before int, rate float64) time.Time {
+	if s.orgs[it.Organisation].head() == it {
+		before = min(before, s.floorTurns(it.Organisation))
 	}
-	for _, it := range a.queues[c] {
-		end := now
-		ahead := before + float64(len(left))*turns
-		if higher == 0 && len(left) == 0 {
-			ahead = min(ahead, float64(s.floorTurns(o)))
-		}
-		if rate > 0 && ahead > 0 {
-			end = now.Add(time.Duration(ahead / rate * float64(time.Second)))
+	if rate == 0 {
+		return now
+	}
+	return now.Add(time.Duration(float64(before) / rate * float64(time.Second)))
+}
+
+// head returns the organisation's first item of its highest class.
+func (a *account) head() *Item {
+	for _, q := range a.queues {
+		if len(q) > 0 {
+			return q[0]
 		}
-		if end.Before(it.Deadline) {
-			left = append(left, it)
-			continue
+	}
+	return nil
+}
+
+// order returns the items of a class in the order of their turns.
+func (s *Sharer) order(c Class) []*Item {
+	type tagged struct {
+		item *Item
+		tag  float64
+	}
+	var all []tagged
+	for _, o := range s.names {
+		a := s.orgs[o]
+		tag := a.served[c]
+		for _, it := range a.queues[c] {
+			all = append(all, tagged{it, tag})
+			tag += it.Cost / s.weight(o)
 		}
-		out = append(out, it)
 	}
-	a.queues[c] = left
-	a.size -= len(out)
-	s.size -= len(out)
+	slices.SortStableFunc(all, func(x, y tagged) int { return compare(x.tag, y.tag) })
+	out := make([]*Item, len(all))
+	for i, t := range all {
+		out[i] = t.item
+	}
 	return out
 }
--- a/internal/core/shedder/shedder.go
+++ b/internal/core/shedder/shedder.go
@@ -4,6 +4,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/sharer"
 )
 
 const (
@@ -12,38 +14,51 @@
 	maxAfter = time.Minute
 )
 
-// Shedder spreads the return of refused callers in proportion to the overload. It is not safe for concurrent use.
-// Set its fields before use.
+// Shedder spreads the return of refused callers in proportion to the overload of their class. It is not safe for
+// concurrent use. Set its fields before use.
 type Shedder struct {
 	// Float64 returns a random number in [0, 1).
 	Float64 func() float64
 
+	classes map[sharer.Class]*counts
+}
+
+type counts struct {
 	at      time.Time
 	granted float64
 	refused float64
 }
 
 // Grant counts a request that was handed over.
-func (s *Shedder) Grant() {
-	s.decay()
-	s.granted++
+func (s *Shedder) Grant(c sharer.Class) {
+	s.class(c).granted++
 }
 
-// Refuse counts a refusal and returns when its caller may come back: a second or more, longer with the share of
-// refusals and with rank, which is the number of classes of work that go before the caller's.
-func (s *Shedder) Refuse(rank int) time.Duration {
-	s.decay()
-	s.refused++
-	overload := s.refused / max(1, s.granted)
-	mean := float64(base) * (1 + overload) * math.Pow(2, float64(rank))
+// Refuse counts a refusal and returns when its caller may come back: a second or more, longer with the class's share of
+// refusals, and for lower classes.
+func (s *Shedder) Refuse(c sharer.Class) time.Duration {
+	n := s.class(c)
+	n.refused++
+	overload := n.refused / max(1, n.granted)
+	mean := float64(base) * (1 + overload) * math.Pow(2, float64(c))
 	spread := 0.5 + s.Float64()
 	return min(maxAfter, max(base, time.Duration(mean*spread)))
 }
 
-func (s *Shedder) decay() {
+// class returns the counts of a class, aged to now.
+func (s *Shedder) class(c sharer.Class) *counts {
+	if s.classes == nil {
+		s.classes = make(map[sharer.Class]*counts)
+	}
+	n, ok := s.classes[c]
+	if !ok {
+		n = &counts{at: time.Now()}
+		s.classes[c] = n
+	}
 	now := time.Now()
-	f := math.Exp(-float64(now.Sub(s.at)) / float64(window))
-	s.at = now
-	s.granted *= f
-	s.refused *= f
+	f := math.Exp(-float64(now.Sub(n.at)) / float64(window))
+	n.at = now
+	n.granted *= f
+	n.refused *= f
+	return n
 }
