--- a/internal/core/router/router.go
+++ b/internal/core/router/router.go
@@ -15,10 +15,13 @@
 	spillFactor = 4
 	// spillCost is the time that a hop to another zone adds.
 	spillCost = 5 * time.Millisecond
-	// affinityBound is how far above the average the load of the endpoint may be that a prefix prefers.
-	affinityBound = 1.25
+	// defaultBound is how far above the average the load of the endpoint may be that a prefix prefers.
+	defaultBound = 1.25
 	// affinityRanks is the number of endpoints in a prefix's rendezvous order that are looked at.
 	affinityRanks = 2
+	// affinityZone is the number of endpoints in the own zone from which on prefixes stay in it. Fewer could not hold
+	// all prefixes between them, and a hop costs less than a miss.
+	affinityZone = 32
 )
 
 // Candidate is an endpoint as the entry host knows it.
@@ -41,11 +44,13 @@
 	Zone ident.Zone
 	// Intn returns a random number in [0, n).
 	Intn func(n int) int
+	// Bound is how far above the average the load of the endpoint may be that a prefix prefers; zero means 1.25.
+	Bound float64
 }
 
-// Choose returns an endpoint that is free: from the own zone, unless it has none or another zone's wait is much
-// shorter; there the one that the prefix prefers, unless its load is well above the average; else the better of two
-// random ones by estimated wait.
+// Choose returns an endpoint that is free: the one that the prefix prefers, unless its load is well above the average;
+// else the better of two random ones by estimated wait, from the own zone unless it has none or another zone's wait is
+// much shorter.
 func (r *Router) Choose(all []Candidate, p prefixer.Prefix) (Candidate, bool) {
 	var near, far []Candidate
 	for _, c := range all {
@@ -56,6 +61,11 @@
 			far = append(far, c)
 		}
 	}
+	if len(near) < affinityZone {
+		if c, ok := r.preferred(all, p); ok {
+			return c, true
+		}
+	}
 	best, ok := r.choose(near, p)
 	if len(far) == 0 {
 		return best, ok
@@ -70,7 +80,7 @@
 }
 
 func (r *Router) choose(cs []Candidate, p prefixer.Prefix) (Candidate, bool) {
-	if c, ok := preferred(cs, p); ok {
+	if c, ok := r.preferred(cs, p); ok {
 		return c, true
 	}
 	free := make([]Candidate, 0, len(cs))
@@ -101,7 +111,7 @@
 }
 
 // preferred returns the first endpoint in the prefix's rendezvous order that is free and not loaded far above average.
-func preferred(cs []Candidate, p prefixer.Prefix) (Candidate, bool) {
+func (r *Router) preferred(cs []Candidate, p prefixer.Prefix) (Candidate, bool) {
 	if p == 0 || len(cs) == 0 {
 		return Candidate{}, false
 	}
@@ -114,7 +124,11 @@
 		sum += c.Load
 		n = insert(&top, &scores, n, i, ranker.Score(key, string(c.Host)))
 	}
-	bound := affinityBound * sum / float64(len(cs))
+	bound := r.Bound
+	if bound == 0 {
+		bound = defaultBound
+	}
+	bound *= sum / float64(len(cs))
 	for _, i := range top[:n] {
 		if cs[i].Free && cs[i].Load <= bound {
 			return cs[i], true
--- a/internal/measure/request/entry_test.go
+++ b/internal/measure/request/entry_test.go
@@ -35,7 +35,7 @@
 		hosts = append(hosts, entryHost(j))
 	}
 	e.sched = &scheduler.Scheduler{
-		Router: &router.Router{Zone: zone(i), Intn: w.rng.IntN},
+		Router: &router.Router{Zone: zone(i), Intn: w.rng.IntN, Bound: w.policy.bound},
 		Queue: &sharer.Sharer{Capacity: scheduler.QueueCapacity, Weight: func(o ident.Organisation) int {
 			for _, x := range w.orgs {
 				if x.name == o {
--- a/internal/measure/request/fault_test.go
+++ b/internal/measure/request/fault_test.go
@@ -74,7 +74,7 @@
 	for _, p := range []struct {
 		name string
 		policy
-	}{{"affinity", policy{}}, {"none", policy{noAffinity: true}}} {
+	}{{"affinity", policy{}}, {"even", policy{bound: 1}}, {"none", policy{noAffinity: true}}} {
 		w := run(t, scenario{
 			size: agency, orgs: organisations(0.7), classes: [3]float64{0, 1, 0}, length: 30 * time.Second,
 			policy: p.policy, prefixes: 64,
--- a/internal/measure/request/world_test.go
+++ b/internal/measure/request/world_test.go
@@ -74,6 +74,8 @@
 	noBudget bool
 	// noAffinity takes no notice of prefixes.
 	noAffinity bool
+	// bound is the router's bound on affinity; zero is its default.
+	bound float64
 }
 
 // request is what a caller wants, over all the times that it asks.
