Admission in front of the dispatcher, loads on answers, metrics of requests

The dispatcher asks the admitter for a lease instead of choosing by itself; the lease counts the parts of the answer, tells the scheduler of the first token and of the end, and ends the attempt when its endpoint shows no progress.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -56,6 +56,8 @@
 	Float64 func() float64
 	// Weight returns the share of an organisation relative to the others.
 	Weight func(ident.Organisation) int
+	// Part returns how many of an endpoint's limit are this entry host's own.
+	Part func(h ident.Host, limit int) int
 	// Limit returns the most requests of an organisation that may run at once from here; zero means no limit.
 	Limit func(ident.Organisation) int
 	// Sharers returns the number of entry hosts that share the endpoints.
@@ -133,7 +135,7 @@
 	if !ok {
 		p = &pool{Scheduler: &scheduler.Scheduler{
 			Router: a.Router, Queue: &sharer.Sharer{Capacity: scheduler.QueueCapacity, Weight: a.Weight},
-			Shedder: &shedder.Shedder{Float64: a.Float64}, Sharers: a.Sharers, Limit: a.Limit,
+			Shedder: &shedder.Shedder{Float64: a.Float64}, Sharers: a.Sharers, Part: a.Part, Limit: a.Limit,
 		}}
 		a.pools[name] = p
 	}
@@ -151,16 +153,18 @@
 	a.deliver(r.Pool, p, p.Report(r))
 }
 
-// Load takes an endpoint's load, from a message or from the head of an answer.
-func (a *Admitter) Load(l messages.Load) {
+// Load takes an endpoint's load, from a message or from the head of an answer. It returns the report that it makes up,
+// and false if it belongs to none.
+func (a *Admitter) Load(l messages.Load) (messages.Report, bool) {
 	r, ok := a.View.Merge(l)
 	if !ok {
-		return
+		return r, false
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	p := a.pool(r.Pool)
 	a.deliver(r.Pool, p, p.Report(r))
+	return r, true
 }
 
 // Leave ends new work to a host whose process started at birth or before.
@@ -173,17 +177,14 @@
 }
 
 // Retry tells whether one more attempt may be made for a request.
-func (a *Admitter) Retry(o ident.Organisation, d ident.Deployment) bool {
+func (a *Admitter) Retry() bool {
 	ok := a.budget.Spend()
-	if ok {
-		a.Meter.Series(meter.Owner{Organisation: o, Deployment: d}).Retry()
-	}
 	a.mu.Lock()
 	changed := a.dry == ok
 	a.dry = !ok
 	a.mu.Unlock()
 	if changed && !ok {
-		event.RetriesSpent.Log(a.Logger, log.Fields{"organisation": o})
+		event.RetriesSpent.Log(a.Logger, log.Fields{})
 	}
 	return ok
 }
@@ -195,6 +196,8 @@
 	series := a.Meter.Series(meter.Owner{Organisation: q.Organisation, Deployment: q.Deployment})
 	if len(q.Tried) == 0 {
 		a.budget.Earn()
+	} else {
+		series.Retry()
 	}
 	id, ch := a.submit(ctx, q)
 	var d scheduler.Decision
--- a/internal/admitter/lease.go
+++ b/internal/admitter/lease.go
@@ -49,6 +49,11 @@
 	return l
 }
 
+// innocent are the reasons of failures that say nothing about other requests at the endpoint.
+var innocent = map[outcome.Reason]bool{
+	outcome.Late: true, outcome.Deadline: true, outcome.Suspect: true, outcome.Running: true, outcome.Condemned: true,
+}
+
 // Fail ends a lease whose request was not answered.
 func (l *Lease) Fail(err error) {
 	end := scheduler.Lost
@@ -56,7 +61,7 @@
 	if errors.As(err, &o) && o.Kind == outcome.NotRun {
 		end = scheduler.Refused
 	}
-	if l.caller.Err() != nil {
+	if l.caller.Err() != nil || o != nil && innocent[o.Reason] {
 		end = scheduler.Done
 	}
 	if o != nil && o.Reason == outcome.Leaving {
@@ -81,7 +86,7 @@
 func (l *Lease) Answer(resp *http.Response) io.ReadCloser {
 	a := l.admitter
 	if load, ok := messages.ParseLoad(l.Candidate.Host, resp.Header.Get(headers.Load)); ok {
-		a.Load(load)
+		_, _ = a.Load(load)
 	}
 	resp.Header.Del(headers.Load)
 	a.mu.Lock()
--- a/internal/callers/decoder.go
+++ b/internal/callers/decoder.go
@@ -17,6 +17,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/matcher"
+	"github.com/nutmegdock/nutmegdock/internal/core/prefixer"
 	"github.com/nutmegdock/nutmegdock/internal/core/suspector"
 	"github.com/nutmegdock/nutmegdock/internal/dispatcher"
 	"github.com/nutmegdock/nutmegdock/internal/engineapi"
@@ -77,6 +78,8 @@
 	}
 	j.Repeatable = true
 	j.Resume = q.Resume
+	j.Cost = float64(q.Tokens)
+	j.Prefix = prefixOf(d, q)
 	j.Wait = answerWait
 	if q.Stream {
 		j.Wait, j.Stall = streamWait, streamStall
@@ -86,6 +89,19 @@
 	return j, nil
 }
 
+// prefixOf names the start of the prompt, without which no cache can help.
+func prefixOf(d catalog.Effective, q engineapi.Request) prefixer.Prefix {
+	p := prefixer.Prefixer{Organisation: d.Organisation, Deployment: d.Name}
+	if len(q.Messages) == 0 {
+		return p.Prefix(q.Prompt)
+	}
+	parts := make([]string, 0, 2*len(q.Messages))
+	for _, m := range q.Messages {
+		parts = append(parts, m.Role, m.Content)
+	}
+	return p.Prefix(parts...)
+}
+
 func parseCompletion(body []byte) (engineapi.Request, error) {
 	var q engineapi.Request
 	if err := json.Unmarshal(body, &q); err != nil {
--- a/internal/core/budgeter/budgeter.go
+++ b/internal/core/budgeter/budgeter.go
@@ -6,6 +6,8 @@
 const (
 	defaultRatio = 0.1
 	defaultBurst = 10
+	// Start is the number of retries that may be made before any live request has filled the bucket.
+	Start = 4
 )
 
 // Budgeter is a token bucket that live requests fill and retries empty. Set its fields before use.
@@ -17,12 +19,15 @@
 
 	mu     sync.Mutex
 	tokens float64
+	// begun tells that the bucket holds what it starts with.
+	begun bool
 }
 
 // Earn counts one live request, which is the first attempt of a caller's request.
 func (b *Budgeter) Earn() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.begin()
 	ratio, burst := b.Ratio, b.Burst
 	if ratio == 0 {
 		ratio = defaultRatio
@@ -33,10 +38,18 @@
 	b.tokens = min(burst, b.tokens+ratio)
 }
 
+func (b *Budgeter) begin() {
+	if !b.begun {
+		b.begun = true
+		b.tokens = Start
+	}
+}
+
 // Spend takes one token for a retry. It returns false if there is none, and then the retry must not be made.
 func (b *Budgeter) Spend() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.begin()
 	// Sums of a tenth fall short of one by rounding.
 	const rounding = 1e-9
 	if b.tokens < 1-rounding {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -4,18 +4,19 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"time"
 
 	"github.com/apex/log"
 
+	"github.com/nutmegdock/nutmegdock/internal/admitter"
 	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
+	"github.com/nutmegdock/nutmegdock/internal/core/prefixer"
 	"github.com/nutmegdock/nutmegdock/internal/core/retrier"
-	"github.com/nutmegdock/nutmegdock/internal/core/router"
 	"github.com/nutmegdock/nutmegdock/internal/core/suspector"
-	"github.com/nutmegdock/nutmegdock/internal/core/view"
 	"github.com/nutmegdock/nutmegdock/internal/forwarder"
 )
 
@@ -52,14 +53,16 @@
 	Stall time.Duration
 	// Resume is the number of tokens that the caller says it has.
 	Resume int
+	// Cost is the work that the request asks for, such as its number of tokens.
+	Cost float64
+	// Prefix names the part of the prompt that an engine may have in its cache.
+	Prefix prefixer.Prefix
 }
 
 // Dispatcher sends jobs. Set its fields before use.
 type Dispatcher struct {
-	// View holds the endpoints' reports.
-	View *view.View
-	// Router chooses among them.
-	Router *router.Router
+	// Admit waits until an endpoint has room for a request and returns its lease. Its errors are refusals.
+	Admit func(ctx context.Context, q admitter.Query) (*admitter.Lease, error)
 	// Forwarder sends the requests.
 	Forwarder *forwarder.Forwarder
 	// Suspector remembers the requests that were running when engines died.
@@ -92,49 +95,59 @@
 	if prev := j.Deployment.Previous; prev != "" {
 		p.sets = append(p.sets, prev)
 	}
-	resp, c, err := d.attempt(ctx, p)
+	resp, set, err := d.attempt(ctx, p)
 	if err != nil {
 		return nil, err
 	}
 	if isStream(resp) {
-		resp.Body = newResumed(ctx, d, p, c, resp)
+		resp.Body = newResumed(ctx, d, p, set, resp)
 	} else {
 		resp.Body = &cleared{ReadCloser: resp.Body, clear: func() { d.Suspector.Clear(j.Digest) }}
 	}
 	return resp, nil
 }
 
-// attempt sends the job to one endpoint after the other until one answers or no further attempt may begin.
-func (d *Dispatcher) attempt(ctx context.Context, p *pass) (*http.Response, router.Candidate, error) {
+// attempt sends the job to one endpoint after the other until one answers or no further attempt may begin. It returns
+// the weight set that the answer is made with.
+func (d *Dispatcher) attempt(ctx context.Context, p *pass) (*http.Response, ident.WeightSet, error) {
+	refusal := &outcome.Error{Kind: outcome.NotRun, Reason: outcome.Deadline, After: comeBack, Text: "the request ended before it was handed over"}
 	for ctx.Err() == nil {
 		verdict, err := d.judge(p)
 		if err != nil {
-			return nil, router.Candidate{}, err
+			return nil, "", err
 		}
-		c, ok := d.choose(p)
-		if !ok && p.mayWait() {
+		lease, err := d.Admit(ctx, p.query())
+		if err != nil && p.mayWait() {
 			d.awaitTurn(ctx, p)
 			continue
 		}
-		if !ok {
+		if err != nil {
+			errors.As(err, &refusal)
 			break
 		}
-		p.tried[c.Host] = true
-		resp, err := d.send(ctx, p.job, c, verdict == suspector.Suspect)
+		p.tried[lease.Candidate.Host] = true
+		resp, err := d.send(p.job, lease, verdict == suspector.Suspect)
 		if err == nil {
-			return resp, c, nil
+			return resp, lease.Candidate.Set, nil
 		}
+		lease.Fail(err)
 		if isBusy(err) && p.mayWait() {
 			continue
 		}
-		d.note(c, err)
 		if !p.again(err) {
 			break
 		}
 	}
-	return nil, router.Candidate{}, p.retrier.Final(&outcome.Error{
-		Kind: outcome.NotRun, Reason: outcome.NoEndpoint, After: comeBack, Text: "no endpoint serves the deployment now",
-	})
+	return nil, "", p.retrier.Final(refusal)
+}
+
+// query asks for an endpoint that was not tried yet.
+func (p *pass) query() admitter.Query {
+	j, d := p.job, p.job.Deployment
+	return admitter.Query{
+		Pool: d.Spec.Pool, Organisation: d.Organisation, Deployment: d.Name, Sets: p.sets, Priority: d.Spec.Priority,
+		Cost: j.Cost, Prefix: j.Prefix, Whole: j.Stall == 0, Repeatable: j.Repeatable, Tried: maps.Clone(p.tried),
+	}
 }
 
 // again takes the failure of an attempt and tells whether another one may begin.
@@ -186,21 +199,3 @@
 	case <-time.After(turnPoll):
 	}
 }
-
-func (d *Dispatcher) choose(p *pass) (router.Candidate, bool) {
-	for _, set := range p.sets {
-		c, ok := d.Router.Choose(d.View.Candidates(p.job.Deployment.Spec.Pool, set), p.tried)
-		if ok {
-			return c, true
-		}
-	}
-	return router.Candidate{}, false
-}
-
-// note keeps further requests from an endpoint that refused one.
-func (d *Dispatcher) note(c router.Candidate, err error) {
-	var o *outcome.Error
-	if errors.As(err, &o) && o.Kind == outcome.NotRun && o.Reason != outcome.Late && o.Reason != outcome.Suspect {
-		d.View.Close(c.Host)
-	}
-}
--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -13,7 +13,6 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
 	"github.com/nutmegdock/nutmegdock/internal/core/resumer"
-	"github.com/nutmegdock/nutmegdock/internal/core/router"
 	"github.com/nutmegdock/nutmegdock/internal/core/suspector"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/headers"
@@ -34,11 +33,11 @@
 	err        error
 }
 
-func newResumed(ctx context.Context, d *Dispatcher, p *pass, c router.Candidate, resp *http.Response) io.ReadCloser {
+func newResumed(ctx context.Context, d *Dispatcher, p *pass, set ident.WeightSet, resp *http.Response) io.ReadCloser {
 	if p.job.Deployment.Spec.Kind != catalog.KindEngine {
 		return resp.Body
 	}
-	p.sets = []ident.WeightSet{c.Set}
+	p.sets = []ident.WeightSet{set}
 	return &resumed{
 		ctx: ctx, dispatcher: d, pass: p, body: resp.Body, resumer: &resumer.Resumer{ID: p.job.ID}, buf: make([]byte, readBytes),
 	}
@@ -108,12 +107,12 @@
 func (r *resumed) next(j Job) (*http.Response, error) {
 	whole := r.pass.job
 	r.pass.job = j
-	resp, c, err := r.dispatcher.attempt(r.ctx, r.pass)
+	resp, set, err := r.dispatcher.attempt(r.ctx, r.pass)
 	r.pass.job = whole
 	if err != nil {
 		return nil, err
 	}
-	if !isStream(resp) || ident.WeightSet(resp.Header.Get(headers.Set)) != c.Set {
+	if !isStream(resp) || ident.WeightSet(resp.Header.Get(headers.Set)) != set {
 		_ = resp.Body.Close()
 		return nil, &outcome.Error{Kind: outcome.Unknown, Reason: outcome.Mismatch, Text: "answer cannot go on with another weight set"}
 	}
--- a/internal/dispatcher/send.go
+++ b/internal/dispatcher/send.go
@@ -7,9 +7,9 @@
 	"io"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 
+	"github.com/nutmegdock/nutmegdock/internal/admitter"
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
 	"github.com/nutmegdock/nutmegdock/internal/core/router"
 	"github.com/nutmegdock/nutmegdock/internal/core/suspector"
@@ -23,8 +23,8 @@
 
 // send hands the job to one endpoint. A job that may not be repeated is announced first, so that its hand-over is
 // refused if it comes late.
-func (d *Dispatcher) send(ctx context.Context, j Job, c router.Candidate, suspect bool) (*http.Response, error) {
-	end := d.View.Start(c.Host)
+func (d *Dispatcher) send(j Job, lease *admitter.Lease, suspect bool) (*http.Response, error) {
+	ctx, c := lease.Context, lease.Candidate
 	h := j.Header.Clone()
 	h.Set(headers.Request, string(j.ID))
 	h.Set(headers.Set, string(c.Set))
@@ -38,7 +38,6 @@
 	if !j.Repeatable {
 		permit, err := d.permit(ctx, j, c)
 		if err != nil {
-			end()
 			return nil, err
 		}
 		h.Set(headers.Permit, permit)
@@ -46,7 +45,6 @@
 	}
 	// The check comes after the permit: a pause in between makes the permit expire.
 	if err := mayHandOver(ctx, j); err != nil {
-		end()
 		return nil, err
 	}
 	resp, err := d.Forwarder.Send(ctx, forwarder.Call{
@@ -54,15 +52,13 @@
 		Body: bytes.NewReader(j.Body), Length: int64(len(j.Body)), Wait: j.Wait, Stall: j.Stall,
 	})
 	if err != nil {
-		end()
 		return nil, err
 	}
 	if err := d.check(j, c, resp); err != nil {
-		end()
 		_ = resp.Body.Close()
 		return nil, err
 	}
-	resp.Body = &counted{ReadCloser: resp.Body, end: end}
+	resp.Body = lease.Answer(resp)
 	return resp, nil
 }
 
@@ -127,19 +123,6 @@
 	return resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
 }
 
-// counted ends the count of a running request when its body is closed.
-type counted struct {
-	io.ReadCloser
-	once sync.Once
-	end  func()
-}
-
-// Close closes the body.
-func (c *counted) Close() error {
-	c.once.Do(c.end)
-	return c.ReadCloser.Close()
-}
-
 // cleared clears a request of suspicion when its whole answer was read.
 type cleared struct {
 	io.ReadCloser
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -78,6 +78,7 @@
 	registry *prometheus.Registry
 	control  bytecounter.Counter
 	requests *requests
+	began    time.Time
 }
 
 // Run serves until ctx ends, then refuses new work and finishes the requests in progress.
@@ -156,7 +157,8 @@
 }
 
 func (s *Server) build() {
-	s.birth = time.Now().UnixNano()
+	s.began = time.Now()
+	s.birth = s.began.UnixNano()
 	s.registry = newRegistry()
 	_ = s.control.Register(s.registry)
 	s.holder = &holder.Holder{Limit: s.Settings.Memory}
@@ -165,7 +167,7 @@
 	s.buildWeights()
 	s.buildRequests()
 	s.reporter = &reporter.Reporter{
-		Entries: func() []membership.Member { return s.members.Members(membership.RoleEntry) },
+		Targets: s.targets,
 		Report:  s.report,
 		Heard: func(from ident.Host, sent time.Time, a messages.Ack) {
 			s.switcher.Hear(from, sent, a.Wave)
@@ -241,5 +243,6 @@
 		Data: s.Settings.Listen, Birth: s.birth, Offset: s.follower.Offset(), Open: st.Open, Leaving: st.Leaving,
 		Unfenced: s.Settings.Unfenced, Slots: s.switcher.Slots(),
 		Set: st.Set, Want: want, Since: since, Running: st.Running, Chunks: have, Total: total,
+		Time: s.uptime(),
 	}
 }
--- a/internal/endpoint/requests.go
+++ b/internal/endpoint/requests.go
@@ -46,6 +46,7 @@
 		Permitter: &permitter.Permitter{NewPermit: func() permitter.Permit { return permitter.Permit(uuid.NewString()) }},
 		Monitor:   &monitor.Monitor{Name: fmt.Sprintf("%s/%d", s.Settings.Host, s.birth)},
 		Birth:     watch.Birth,
+		Load:      s.loadHeader,
 		Dead:      watch.Dead,
 		Notify: func(d monitor.Death) {
 			event.BackendDied.Log(s.Logger, log.Fields{"death": d.ID, "requests": len(d.Running)})
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -61,6 +61,7 @@
 	registry    *prometheus.Registry
 	control     bytecounter.Counter
 	requests    *requests
+	load        *load
 }
 
 // Run serves until ctx ends, then finishes the requests in progress.
@@ -83,6 +84,8 @@
 	control := &rpc.Server{Methods: map[string]rpc.Handler{messages.ReportMethod: rpc.Handle(s.report)}}
 	s.configMethods(control.Methods)
 	s.runConfig(background, &tasks)
+	control.Methods[messages.LoadMethod] = rpc.Handle(s.takeLoad)
+	tasks.Go(func() error { return s.runLoad(background) })
 	s.requests.addMethods(control.Methods, s.Logger)
 	s.requests.run(background, &tasks)
 	tasks.Go(func() error { return s.members.Run(background) })
@@ -141,17 +144,18 @@
 		},
 	}
 	s.buildConfig()
+	s.buildLoad()
 	s.buildRequests()
 }
 
 func (s *Server) report(_ context.Context, r messages.Report) (messages.Ack, error) {
 	r = s.join(r)
 	s.spread.Saw(r.Host, r.Offset)
-	s.view.Put(r)
+	s.load.admitter.Report(r)
 	return messages.Ack{Offset: s.follower.Offset(), Wave: s.wave(r)}, nil
 }
 
 func (s *Server) callers() http.Handler {
-	c := &callers.Callers{View: s.follower.View, Dispatch: s.requests.deduplicator.Do, Logger: s.Logger}
+	c := &callers.Callers{View: s.follower.View, Dispatch: s.count(s.requests.deduplicator.Do), Logger: s.Logger}
 	return c.Handler()
 }
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/apex/log"
@@ -11,7 +10,6 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/claimer"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/recorder"
-	"github.com/nutmegdock/nutmegdock/internal/core/router"
 	"github.com/nutmegdock/nutmegdock/internal/core/suspector"
 	"github.com/nutmegdock/nutmegdock/internal/deduplicator"
 	"github.com/nutmegdock/nutmegdock/internal/dispatcher"
@@ -43,8 +41,8 @@
 		Hosts: func() int { return len(s.members.Members(membership.RoleEntry)) },
 	}
 	d := &dispatcher.Dispatcher{
-		View:      s.view,
-		Router:    &router.Router{Zone: s.Settings.Zone, Intn: rand.IntN},
+		Admit:     s.load.admitter.Admit,
+		Budget:    s.load.admitter.Retry,
 		Forwarder: &forwarder.Forwarder{HTTP: forwarder.NewClient()},
 		Suspector: sus,
 		Logger:    s.Logger,
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -46,6 +46,8 @@
 	Birth func() int64
 	// Dead tells whether the back end with a birth has died.
 	Dead func(ctx context.Context, birth int64) bool
+	// Load returns the load that answers carry. Nil means none.
+	Load func() string
 	// Notify passes on a death.
 	Notify func(d monitor.Death)
 }
@@ -94,6 +96,9 @@
 	stream := strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
 	body := &sealed{ReadCloser: resp.Body, ctx: r.Context(), confirm: confirm, stream: stream}
 	CopyHeader(w.Header(), resp.Header)
+	if u.Load != nil {
+		w.Header().Set(headers.Load, u.Load())
+	}
 	w.Header().Set(headers.Outcome, headers.Answered)
 	w.Header().Set(headers.Request, r.Header.Get(headers.Request))
 	w.WriteHeader(resp.StatusCode)
