--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -9,6 +9,7 @@
 
 	"github.com/nutmegdock/nutmegdock/internal/checkpointer"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/reducer"
 	"github.com/nutmegdock/nutmegdock/internal/follower"
 	"github.com/nutmegdock/nutmegdock/internal/logclient"
 	"github.com/nutmegdock/nutmegdock/internal/membership"
@@ -17,6 +18,9 @@
 	"github.com/nutmegdock/nutmegdock/internal/spreader"
 )
 
+// reportWait is how long a new entry host waits for the first report of an endpoint host before it is ready.
+const reportWait = 10 * time.Second
+
 // buildConfig makes what follows, spreads and checkpoints the configuration.
 func (s *Server) buildConfig() {
 	logs := &logclient.Client{URL: s.Settings.Log, HTTP: s.control.Client()}
@@ -66,5 +70,20 @@
 		http.Error(w, "configuration is not complete yet: "+s.spread.Reason(), http.StatusServiceUnavailable)
 		return
 	}
+	if !s.knowsEndpoints() {
+		http.Error(w, "no endpoint host has reported yet", http.StatusServiceUnavailable)
+		return
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
+
+// knowsEndpoints tells whether endpoint hosts have reported, where any are to be expected. A host that has waited long
+// is ready without, so that a balancer sees its refusals.
+func (s *Server) knowsEndpoints() bool {
+	if len(s.view.Reports()) > 0 || time.Since(s.started) > reportWait {
+		return true
+	}
+	deployments := 0
+	s.follower.View(func(r *reducer.Reducer) { deployments = len(r.Deployments()) })
+	return deployments == 0
+}
