--- a/internal/entry/orders_test.go
+++ b/internal/entry/orders_test.go
@@ -50,9 +50,9 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { _ = s.members.Run(ctx) }()
 		report := func(birth int64) int {
-			r := messages.Report{Host: "e", Zone: "z", Pool: "p", Set: "x", Want: "x", Open: true, Birth: birth}
+			r := messages.Report{Host: "e", Zone: "z", Pool: "p", Set: "x", Want: "x", Open: true, Birth: birth, Every: 60}
 			s.view.Put(s.join(r))
-			return len(s.view.Candidates("p", "x"))
+			return takers(s.view)
 		}
 		time.Sleep(time.Second)
 		is.Equal(report(5), 1)
@@ -73,11 +73,22 @@
 	})
 }
 
+// takers counts the endpoints that new work can go to.
+func takers(v *view.View) int {
+	n := 0
+	for _, r := range v.Reports() {
+		if r.Open && !r.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
 func TestWaveCountsForLeaversOnly(t *testing.T) {
 	is := is.New(t)
 	s := &Server{members: &membership.List{}, view: &view.View{}}
 	put := func(h ident.Host, want ident.WeightSet, offset ident.Offset) messages.Report {
-		r := messages.Report{Host: h, Pool: "p", Set: "x", Want: want, Open: true, Offset: offset, Since: 3}
+		r := messages.Report{Host: h, Pool: "p", Set: "x", Want: want, Open: true, Offset: offset, Since: 3, Every: 60}
 		s.view.Put(s.join(r))
 		return r
 	}
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/apex/log"
@@ -13,7 +12,6 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/recorder"
 	"github.com/nutmegdock/nutmegdock/internal/core/reducer"
-	"github.com/nutmegdock/nutmegdock/internal/core/router"
 	"github.com/nutmegdock/nutmegdock/internal/core/suspector"
 	"github.com/nutmegdock/nutmegdock/internal/deduplicator"
 	"github.com/nutmegdock/nutmegdock/internal/dispatcher"
@@ -57,8 +55,8 @@
 		},
 	}
 	d := &dispatcher.Dispatcher{
-		View:      s.view,
-		Router:    &router.Router{Zone: s.Settings.Zone, Intn: rand.IntN},
+		Admit:     s.load.admitter.Admit,
+		Budget:    s.load.admitter.Retry,
 		Forwarder: &forwarder.Forwarder{HTTP: forwarder.NewClient()},
 		Suspector: sus,
 		Refused:   s.members.Refused,
