--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -10,8 +10,6 @@
 )
 
 const (
-	// SuspectTime is how long a host that was heard of directly may be silent before it is suspect.
-	SuspectTime = 2 * time.Second
 	// GoneTime is how long a host must be missing from the list, and not heard of, before it is gone. A shorter
 	// absence moves nothing.
 	GoneTime = 10 * time.Second
@@ -160,13 +158,12 @@
 }
 
 func (r *Roster) state(now time.Time, e *entry) State {
-	silent := !e.heard.IsZero() && now.Sub(e.heard) > SuspectTime
 	switch {
 	case r.absent(e) > GoneTime && now.Sub(e.heard) > GoneTime:
 		return Gone
 	case e.leaving:
 		return Leaving
-	case !e.failed.IsZero() && !e.failed.Before(e.heard), silent:
+	case !e.failed.IsZero() && !e.failed.Before(e.heard):
 		return Suspect
 	}
 	return Live
