--- a/internal/measure/orders/fleet_test.go
+++ b/internal/measure/orders/fleet_test.go
@@ -18,8 +18,10 @@
 	newSet ident.WeightSet = "new"
 
 	reportTime = 250 * time.Millisecond
-	staleTime  = 5 * time.Second
-	loadTime   = 10 * time.Second
+	// askTime is how often a host that waits to switch is given counts.
+	askTime   = time.Second
+	staleTime = 5 * time.Second
+	loadTime  = 10 * time.Second
 )
 
 // replica is one endpoint host with the real orderer, gate and waver, and an engine that loads in a given time.
@@ -33,6 +35,7 @@
 	want    ident.WeightSet
 	fetched time.Time // when all chunks are held
 	frozen  time.Time
+	asked   time.Time
 	offset  ident.Offset
 	dead    bool
 }
@@ -134,7 +137,8 @@
 	}
 	f.reports[r.id] = waver.Replica{Host: r.id, Set: st.Set, Want: r.want, Offset: r.offset}
 	f.heard[r.id] = now
-	if st.Set != r.want {
+	if st.Set != r.want && now.Sub(r.asked) >= askTime {
+		r.asked = now
 		r.waver.Hear("entry", now, waver.Tally(r.id, r.offset, open))
 	}
 }
