Full reports are not put off by loads; an entry host is ready once it knows endpoints of every pool in use

Cause: loads that changed all the time reset the clock by which full reports are due, so that hosts waiting to switch never heard the counts of the wave (process test of a version change: 30 s without a switch). Ruled out: the waver's floor; its counts sufficed in every answer that came. Change: full reports have a clock of their own; test first failed (0 full reports in 10 s), now passes. The process test's floor allows for the one host that it kills during the wave.

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmegdock/nutmegdock/internal/checkpointer"
+	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/reducer"
 	"github.com/nutmegdock/nutmegdock/internal/follower"
@@ -70,20 +72,29 @@
 		http.Error(w, "configuration is not complete yet: "+s.spread.Reason(), http.StatusServiceUnavailable)
 		return
 	}
-	if !s.knowsEndpoints() {
-		http.Error(w, "no endpoint host has reported yet", http.StatusServiceUnavailable)
+	if pool, ok := s.unknownPool(); ok {
+		http.Error(w, fmt.Sprintf("no endpoint host of pool %q has reported yet", pool), http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// knowsEndpoints tells whether endpoint hosts have reported, where any are to be expected. A host that has waited long
-// is ready without, so that a balancer sees its refusals.
-func (s *Server) knowsEndpoints() bool {
-	if len(s.view.Reports()) > 0 || time.Since(s.started) > reportWait {
-		return true
+// unknownPool returns a pool that a deployment uses and no endpoint host has reported for. A host that has waited long
+// knows of none, so that a balancer sees its refusals.
+func (s *Server) unknownPool() (ident.Pool, bool) {
+	if time.Since(s.started) > reportWait {
+		return "", false
 	}
-	deployments := 0
-	s.follower.View(func(r *reducer.Reducer) { deployments = len(r.Deployments()) })
-	return deployments == 0
+	known := make(map[ident.Pool]bool)
+	for _, r := range s.view.Reports() {
+		known[r.Pool] = true
+	}
+	var deployments []catalog.Effective
+	s.follower.View(func(r *reducer.Reducer) { deployments = r.Deployments() })
+	for _, d := range deployments {
+		if !known[d.Spec.Pool] {
+			return d.Spec.Pool, true
+		}
+	}
+	return "", false
 }
--- a/internal/reporter/schedule.go
+++ b/internal/reporter/schedule.go
@@ -34,10 +34,12 @@
 	loadToNear
 )
 
-// schedule decides what is sent when. The zero value has sent nothing.
+// schedule decides what is sent when. The zero value has sent nothing. Full is the last full report to all targets and
+// told the last to the near ones; far and near are the last messages of any kind.
 type schedule struct {
 	last    messages.Report
 	full    time.Time
+	told    time.Time
 	far     time.Time
 	near    time.Time
 	greeted time.Time
@@ -49,10 +51,12 @@
 	what := s.due(now, r, t)
 	switch what {
 	case fullToAll:
-		s.full, s.far, s.near = now, now, now
+		s.full, s.told, s.far, s.near = now, now, now, now
 	case loadToAll:
 		s.far, s.near = now, now
-	case fullToNear, loadToNear:
+	case fullToNear:
+		s.told, s.near = now, now
+	case loadToNear:
 		s.near = now
 	default:
 		return nothing
@@ -66,7 +70,7 @@
 	switch {
 	case urgent(s.last, r) || now.Sub(s.full) >= fullInterval:
 		return fullToAll
-	case progressed(s.last, r) && age >= progressInterval:
+	case progressed(s.last, r) && now.Sub(s.told) >= progressInterval:
 		return fullToNear
 	case now.Sub(s.far) >= farInterval:
 		return loadToAll
