--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -168,6 +168,7 @@
 		Entries: func() []membership.Member { return s.members.Members(membership.RoleEntry) },
 		Report:  s.report,
 		Heard: func(from ident.Host, sent time.Time, a messages.Ack) {
+			s.spread.Saw(from, a.Offset)
 			s.switcher.Hear(from, sent, a.Wave)
 		},
 	}
@@ -192,7 +193,9 @@
 		Peers: s.peers, Artifact: weights.Artifact, Chunk: weights.Chunk, Logger: s.Logger,
 		Have: func(ctx context.Context, p fetcher.Peer, d ident.Digest) (messages.HaveAnswer, error) {
 			q := messages.HaveQuery{Artifact: d, Offset: s.follower.Offset()}
-			return rpc.Call[messages.HaveAnswer](ctx, controls.Client(p.Control), messages.HaveMethod, q)
+			a, err := rpc.Call[messages.HaveAnswer](ctx, controls.Client(p.Control), messages.HaveMethod, q)
+			s.spread.Saw(p.Host, a.Offset)
+			return a, err
 		},
 	}
 	s.switcher = &switcher.Switcher{
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -8,9 +8,11 @@
 	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
 	"github.com/nutmegdock/nutmegdock/internal/core/claimer"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/recorder"
+	"github.com/nutmegdock/nutmegdock/internal/core/reducer"
 	"github.com/nutmegdock/nutmegdock/internal/core/router"
 	"github.com/nutmegdock/nutmegdock/internal/core/suspector"
 	"github.com/nutmegdock/nutmegdock/internal/deduplicator"
@@ -28,6 +30,9 @@
 // resultBytes bounds the answers that are kept for callers who ask again.
 const resultBytes ident.Bytes = 32 << 20
 
+// refreshTime bounds the wait for a configuration that another host has already.
+const refreshTime = time.Second
+
 // requests holds what runs each caller's request at most once.
 type requests struct {
 	registrar    *registrar.Registrar
@@ -56,6 +61,7 @@
 		Router:    &router.Router{Zone: s.Settings.Zone, Intn: rand.IntN},
 		Forwarder: &forwarder.Forwarder{HTTP: forwarder.NewClient()},
 		Suspector: sus,
+		Refresh:   s.refresh,
 		Logger:    s.Logger,
 	}
 	s.requests = &requests{registrar: reg, relayer: relay, suspector: sus, deduplicator: &deduplicator.Deduplicator{
@@ -69,6 +75,20 @@
 	}}
 }
 
+// refresh waits a little for the configuration that another host has already, and returns the deployment in it.
+func (s *Server) refresh(ctx context.Context, e catalog.Effective, from ident.Host, offset ident.Offset) catalog.Effective {
+	s.spread.Saw(from, offset)
+	ctx, cancel := context.WithTimeout(ctx, refreshTime)
+	defer cancel()
+	_ = s.follower.Wait(ctx, offset)
+	s.follower.View(func(r *reducer.Reducer) {
+		if now, ok := r.Deployment(e.Organisation, e.Name); ok {
+			e = now
+		}
+	})
+	return e
+}
+
 // entryZones returns the entry hosts that are not leaving, by availability zone.
 func (s *Server) entryZones() map[ident.Zone][]membership.Member {
 	out := make(map[ident.Zone][]membership.Member)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -34,8 +34,12 @@
 	Backend string
 	// Forwarder sends repeatable requests.
 	Forwarder *forwarder.Forwarder
+	// Offset returns the host's configuration offset; nil leaves it out of the answers.
+	Offset func() ident.Offset
 	// Watch notes the engine's weights before a request for set is handed over. Nil means a back end without weights.
 	Watch func(set ident.WeightSet) Confirm
+	// Unfenced marks the answers of an engine that does not check who orders it.
+	Unfenced bool
 	// Fresh sends those that may not be repeated, each on a connection of its own.
 	Fresh *forwarder.Forwarder
 	// Permitter admits those that may not be repeated once.
@@ -52,6 +56,9 @@
 
 // ServeHTTP runs one request, or refuses it as not run.
 func (u *Runner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if u.Offset != nil {
+		w.Header().Set(headers.Offset, strconv.FormatInt(int64(u.Offset()), 10))
+	}
 	if err := u.Gate.Enter(ident.WeightSet(r.Header.Get(headers.Set))); err != nil {
 		refuse(w, r, err)
 		return
@@ -96,10 +103,18 @@
 	CopyHeader(w.Header(), resp.Header)
 	w.Header().Set(headers.Outcome, headers.Answered)
 	w.Header().Set(headers.Request, r.Header.Get(headers.Request))
+	if u.Unfenced {
+		w.Header().Set(headers.Unfenced, "1")
+	}
 	w.WriteHeader(resp.StatusCode)
 	if err := forwarder.Copy(w, body); err == nil {
 		return
 	}
+	if body.mixed && stream {
+		_, _ = w.Write(resumer.ChangeEvent())
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
 	death := u.death(r, run, birth)
 	if death != "" && stream {
 		_, _ = w.Write(resumer.DeathEvent(death))
@@ -161,6 +176,13 @@
 	if errors.As(err, &g) && g.Reason == gate.Leaving {
 		o.Reason = outcome.Leaving
 	}
+	if g != nil && g.Reason == gate.Closed {
+		o.Reason = outcome.Closed
+	}
+	if g != nil && g.Reason == gate.Other {
+		o.Reason = outcome.Moved
+		w.Header().Set(headers.Set, string(g.Have))
+	}
 	var p *permitter.Error
 	if errors.As(err, &p) {
 		o.Reason = outcome.Late
--- a/internal/spreader/sources.go
+++ b/internal/spreader/sources.go
@@ -64,16 +64,8 @@
 	s.Follower.Adopt(state)
 }
 
-// boot brings a newcomer near the state of its peers, or else to the best checkpoint.
-func (s *Spreader) boot(ctx context.Context) {
-	if s.askNewcomer(ctx) {
-		return
-	}
-	s.restore(ctx)
-}
-
 // askNewcomer asks several peers at once and takes the state from the one with the highest offset. It tells whether
-// a ready peer answered. The process becomes ready once it is level with the highest ready peer.
+// a ready peer answered. The process becomes ready once it is level with all that answered, if one of them is ready.
 func (s *Spreader) askNewcomer(ctx context.Context) bool {
 	s.mu.Lock()
 	peers := s.selector.Newcomer(bootPeers, time.Now())
@@ -84,15 +76,17 @@
 	}
 	var mu sync.Mutex
 	var best *found
+	ready := false
 	var wg sync.WaitGroup
 	for _, p := range peers {
 		wg.Go(func() {
-			a, err := s.ask(ctx, p, 0)
-			if err != nil || !a.Ready {
+			a, err := s.ask(ctx, p)
+			if err != nil {
 				return
 			}
 			mu.Lock()
 			defer mu.Unlock()
+			ready = ready || a.Ready
 			if best == nil || a.Offset > best.answer.Offset {
 				best = &found{p, a}
 			}
@@ -103,10 +97,10 @@
 		return false
 	}
 	s.catch(ctx, best.peer, best.answer.Offset)
-	if s.Follower.Offset() >= best.answer.Offset {
+	if ready && s.Follower.Offset() >= best.answer.Offset {
 		s.Follower.SetReady()
 	}
-	return true
+	return ready
 }
 
 // catch pulls from a peer until an offset is reached or the peer fails.
@@ -114,7 +108,7 @@
 	tries := 0
 	for s.Follower.Offset() < offset && tries < hintTries && ctx.Err() == nil {
 		before := s.Follower.Offset()
-		_, err := s.ask(ctx, p, 0)
+		_, err := s.ask(ctx, p)
 		if err != nil || s.Follower.Offset() == before {
 			tries++
 		}
@@ -129,14 +123,25 @@
 	if !ok {
 		return idleTime
 	}
-	if _, err := s.ask(ctx, p, pullWait); err != nil {
+	q := messages.PullQuery{Wait: int(pullWait.Milliseconds()), Hold: int(recordHold.Milliseconds())}
+	if lane > 0 {
+		q.Hold, q.Head = int(headHold.Milliseconds()), true
+	}
+	a, err := s.send(ctx, p, q)
+	if err == nil && a.Offset > s.Follower.Offset() {
+		_, err = s.ask(ctx, p)
+	}
+	if err != nil {
 		return minRetry
 	}
 	return 0
 }
 
-// remote pulls once from another zone while the log cannot be read.
+// remote pulls once from another zone while the log cannot be read. A process that is not ready asks its zone too.
 func (s *Spreader) remote(ctx context.Context) time.Duration {
+	if !s.Follower.Ready() {
+		s.askNewcomer(ctx)
+	}
 	s.mu.Lock()
 	p, ok := s.selector.Remote(time.Now())
 	ok = ok && s.age() > remoteTime && s.reads()
@@ -144,20 +149,22 @@
 	if !ok {
 		return listInterval
 	}
-	if _, err := s.ask(ctx, p, 0); err != nil {
+	if _, err := s.ask(ctx, p); err != nil {
 		return minRetry
 	}
-	if !s.Follower.Ready() {
-		s.askNewcomer(ctx)
-	}
 	return listInterval
 }
 
-// ask pulls from a peer and folds the answer.
-func (s *Spreader) ask(ctx context.Context, p selector.Peer, wait time.Duration) (messages.PullAnswer, error) {
-	callCtx, cancel := context.WithTimeout(ctx, wait+callTime)
+// ask pulls from a peer what it has now.
+func (s *Spreader) ask(ctx context.Context, p selector.Peer) (messages.PullAnswer, error) {
+	return s.send(ctx, p, messages.PullQuery{})
+}
+
+// send pulls from a peer and folds the answer.
+func (s *Spreader) send(ctx context.Context, p selector.Peer, q messages.PullQuery) (messages.PullAnswer, error) {
+	callCtx, cancel := context.WithTimeout(ctx, time.Duration(q.Wait+q.Hold)*time.Millisecond+callTime)
 	defer cancel()
-	q := messages.PullQuery{Host: s.Self, Offset: s.Follower.Offset(), Wait: int(wait.Milliseconds())}
+	q.Host, q.Offset = s.Self, s.Follower.Offset()
 	a, err := s.Pull(callCtx, p, q)
 	s.note(ctx, p, err)
 	if err != nil {
@@ -189,8 +196,12 @@
 
 // adopt takes a peer's whole state.
 func (s *Spreader) adopt(ctx context.Context, p selector.Peer) error {
-	s.adopting.Lock()
-	defer s.adopting.Unlock()
+	select {
+	case s.adopting <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-s.adopting }()
 	var parts [][]byte
 	var q messages.StateQuery
 	for {
