A dead back end is refused to, until it is seen alive again

Cause: TestPoisonCostsTwoEngines failed at its first run: requests that came to an engine that was still down were told as two more deaths of it, a neighbour was condemned for them and its stream broken. Change: the prober knows a back end that is down; the runner refuses as not run meanwhile, and closes an engine's gate at its death. TestStateStreams has engines that break connections while they are down, and a switch for the refusal.

--- a/internal/deduplicator/world_test.go
+++ b/internal/deduplicator/world_test.go
@@ -364,6 +364,7 @@
 	u := &runner.Runner{
 		Gate: &e.gate, Backend: "http://service", Forwarder: service, Fresh: service, Permitter: permits,
 		Monitor: &monitor.Monitor{Name: e.name}, Birth: func() int64 { return 0 }, Dead: func(context.Context, int64) bool { return false },
+		Down: func() bool { return false },
 	}
 	mux := http.NewServeMux()
 	mux.Handle(runner.Prefix+"/", u)
--- a/internal/dispatcher/state_test.go
+++ b/internal/dispatcher/state_test.go
@@ -234,8 +234,9 @@
 // TestStreamsWithoutMechanism shows that the oracle sees a violation when a mechanism is off.
 func TestStreamsWithoutMechanism(t *testing.T) {
 	for name, off := range map[string]switches{
-		"suspects":       {noSuspects: true},
-		"resume's token": {noTokens: true},
+		"suspects":          {noSuspects: true},
+		"refusal when down": {noDown: true},
+		"resume's token":    {noTokens: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			violations := 0
--- a/internal/dispatcher/world_test.go
+++ b/internal/dispatcher/world_test.go
@@ -44,7 +44,7 @@
 
 // switches turn mechanisms off, to show that the oracle sees what they prevent.
 type switches struct {
-	noSuspects, noTokens bool
+	noSuspects, noTokens, noDown bool
 }
 
 type world struct {
@@ -70,6 +70,8 @@
 	up    time.Time
 	crash chan struct{}
 	live  int
+	// noticed tells that the endpoint host knows of the engine's death.
+	noticed bool
 }
 
 func newWorld(off switches) *world {
@@ -126,10 +128,17 @@
 			defer e.mu.Unlock()
 			return e.birth
 		},
+		Down: func() bool {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return e.noticed && time.Now().Before(e.up) && !w.off.noDown
+		},
 		Dead: func(_ context.Context, birth int64) bool {
 			e.mu.Lock()
 			defer e.mu.Unlock()
-			return e.birth != birth && !w.off.noSuspects
+			down := time.Now().Before(e.up)
+			e.noticed = e.noticed || down
+			return (e.birth != birth || down) && !w.off.noSuspects
 		},
 	}
 	return e
@@ -236,6 +245,7 @@
 	close(e.crash)
 	e.crash = make(chan struct{})
 	e.birth++
+	e.noticed = false
 	e.up = time.Now().Add(restart)
 }
 
@@ -245,7 +255,7 @@
 	down, crash := time.Now().Before(e.up), e.crash
 	e.mu.Unlock()
 	if down {
-		return nil, &net.OpError{Op: "dial", Err: errGone}
+		return nil, errGone
 	}
 	var q engineapi.Request
 	if err := json.NewDecoder(req.Body).Decode(&q); err != nil {
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -125,7 +125,7 @@
 		backend := next()
 		e.Backend = "http://" + backend
 		if i < engines {
-			cfg.Engines = append(cfg.Engines, platform.Engine{Listen: backend, Token: tokenTime})
+			cfg.Engines = append(cfg.Engines, platform.Engine{Listen: backend, Token: tokenTime, Poison: poison, Restart: restartTime})
 		} else {
 			e.Pool, e.Kind = "bookings", catalog.KindService
 			cfg.Services = append(cfg.Services, platform.Service{Listen: backend})
--- a/internal/endpoint/requests.go
+++ b/internal/endpoint/requests.go
@@ -47,8 +47,13 @@
 		Monitor:   &monitor.Monitor{Name: fmt.Sprintf("%s/%d", s.Settings.Host, s.birth)},
 		Birth:     watch.Birth,
 		Dead:      watch.Dead,
+		Down:      watch.Down,
 		Notify: func(d monitor.Death) {
 			event.BackendDied.Log(s.Logger, log.Fields{"death": d.ID, "requests": len(d.Running)})
+			if s.Settings.Kind == catalog.KindEngine {
+				// An engine that starts again has no weights. The gate opens when they are loaded.
+				s.gate.Close()
+			}
 			tell.Add(d)
 		},
 	}}
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -19,6 +19,8 @@
 const (
 	probeTime = 500 * time.Millisecond
 	interval  = 500 * time.Millisecond
+	// downInterval is the time between probes of a back end that has died.
+	downInterval = 50 * time.Millisecond
 )
 
 // Prober watches one back end. Set its fields before use.
@@ -32,12 +34,17 @@
 
 	mu    sync.Mutex
 	birth int64
+	down  bool
 }
 
-// Run notes the birth of the back end until ctx ends.
+// Run notes the birth of the back end, and its return after a death, until ctx ends.
 func (p *Prober) Run(ctx context.Context) error {
 	for {
-		if p.Kind == catalog.KindEngine {
+		wait := interval
+		if p.Down() {
+			wait = downInterval
+		}
+		if p.Kind == catalog.KindEngine || p.Down() {
 			if birth, err := p.probe(ctx); err == nil {
 				p.set(birth)
 			}
@@ -45,7 +52,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(interval):
+		case <-time.After(wait):
 		}
 	}
 }
@@ -66,13 +73,28 @@
 		return since != 0 && birth != since
 	}
 	var timeout net.Error
-	return !errors.As(err, &timeout) || !timeout.Timeout()
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = true
+	return true
+}
+
+// Down tells whether the back end has died and not been seen alive since. What is sent to it meanwhile is not run, and
+// says nothing about the request.
+func (p *Prober) Down() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.down
 }
 
 func (p *Prober) set(birth int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.birth = birth
+	p.down = false
 }
 
 func (p *Prober) probe(ctx context.Context) (int64, error) {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -50,6 +50,8 @@
 	Birth func() int64
 	// Dead tells whether the back end with a birth has died.
 	Dead func(ctx context.Context, birth int64) bool
+	// Down tells whether the back end has died and is not back yet.
+	Down func() bool
 	// Notify passes on a death.
 	Notify func(d monitor.Death)
 }
@@ -64,6 +66,10 @@
 		return
 	}
 	defer u.Gate.Exit()
+	if u.Down() {
+		fail(w, r, &outcome.Error{Kind: outcome.NotRun, Reason: outcome.Unreachable, Text: "the back end is down"})
+		return
+	}
 	run := u.Monitor.Start(suspector.Digest(r.Header.Get(headers.Digest)), r.Header.Get(headers.Suspect) != "")
 	if run == nil {
 		fail(w, r, &outcome.Error{Kind: outcome.NotRun, Reason: outcome.Suspect, Text: "the endpoint runs another suspect request"})
