--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -50,7 +50,7 @@
 	Birth func() int64
 	// Dead tells whether the back end with a birth has died.
 	Dead func(ctx context.Context, birth int64) bool
-	// Down tells whether the back end has died and is not back yet.
+	// Down tells whether the back end has died and is not back yet; nil stands for one that never is.
 	Down func() bool
 	// Notify passes on a death.
 	Notify func(d monitor.Death)
@@ -66,7 +66,7 @@
 		return
 	}
 	defer u.Gate.Exit()
-	if u.Down() {
+	if u.Down != nil && u.Down() {
 		fail(w, r, &outcome.Error{Kind: outcome.NotRun, Reason: outcome.Unreachable, Text: "the back end is down"})
 		return
 	}
