--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -19,6 +19,8 @@
 	// Key carries the caller's idempotency key between the system's processes. It has a name of its own because
 	// net/http sends a request again by itself when it sees the usual one.
 	Key = "Nutmeg-Key"
+	// Load carries the endpoint host's load with its answers.
+	Load = "Nutmeg-Load"
 	// Permit carries the right to hand over a request that may not be repeated.
 	Permit = "Nutmeg-Permit"
 	// Claim names the stream, the offset and the attempt of a won claim.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -52,6 +52,8 @@
 	Dead func(ctx context.Context, birth int64) bool
 	// Down tells whether the back end has died and is not back yet; nil stands for one that never is.
 	Down func() bool
+	// Load returns the load that answers carry. Nil means none.
+	Load func() string
 	// Notify passes on a death.
 	Notify func(d monitor.Death)
 }
@@ -107,6 +109,9 @@
 	stream := strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
 	body := &sealed{ReadCloser: resp.Body, ctx: r.Context(), confirm: confirm, stream: stream}
 	CopyHeader(w.Header(), resp.Header)
+	if u.Load != nil {
+		w.Header().Set(headers.Load, u.Load())
+	}
 	w.Header().Set(headers.Outcome, headers.Answered)
 	w.Header().Set(headers.Request, r.Header.Get(headers.Request))
 	if u.Unfenced {
