--- /dev/null
+++ b/internal/core/sharder/sharder_test.go
@@ -0,0 +1,41 @@
+package sharder
+
+import (
+	"maps"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+type version struct {
+	got  Map[string, int]
+	want map[string]int
+}
+
+// TestVersionsStayAsTheyWere compares all versions of a map with plain copies after every update.
+func TestVersionsStayAsTheyWere(t *testing.T) {
+	key := rapid.StringMatching("[a-c]{0,3}")
+	rapid.Check(t, func(rt *rapid.T) {
+		versions := []version{{want: map[string]int{}}}
+		for range rapid.IntRange(1, 30).Draw(rt, "updates") {
+			from := versions[rapid.IntRange(0, len(versions)-1).Draw(rt, "version")]
+			next := version{want: maps.Clone(from.want)}
+			if rapid.Bool().Draw(rt, "set") {
+				values := rapid.MapOfN(key, rapid.Int(), 0, 4).Draw(rt, "values")
+				next.got = from.got.SetAll(values)
+				maps.Copy(next.want, values)
+			} else {
+				k := key.Draw(rt, "key")
+				next.got = from.got.Delete(k)
+				delete(next.want, k)
+			}
+			versions = append(versions, next)
+		}
+		for _, v := range versions {
+			if diff := cmp.Diff(v.want, maps.Collect(v.got.All())); diff != "" || v.got.Len() != len(v.want) {
+				rt.Fatal(diff)
+			}
+		}
+	})
+}
--- a/internal/spreader/serve.go
+++ b/internal/spreader/serve.go
@@ -51,8 +51,8 @@
 // AnswerState returns one part of the encoded state. The encoding is kept as long as peers can go on from it.
 func (s *Spreader) AnswerState(_ context.Context, q messages.StateQuery) (messages.StateAnswer, error) {
 	s.init()
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.blobMu.Lock()
+	defer s.blobMu.Unlock()
 	if q.Sum == "" {
 		if err := s.encode(); err != nil {
 			return messages.StateAnswer{}, err
--- a/internal/spreader/spreader.go
+++ b/internal/spreader/spreader.go
@@ -76,7 +76,9 @@
 	level    time.Time
 	reason   string
 	hint     hint
-	blob     checkpointer.Blob
+
+	blobMu sync.Mutex
+	blob   checkpointer.Blob
 }
 
 type hint struct {
