--- a/internal/spreader/spreader.go
+++ b/internal/spreader/spreader.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -72,6 +73,7 @@
 
 	mu       sync.Mutex
 	selector selector.Selector
+	listed   []selector.Peer
 	start    time.Time
 	level    time.Time
 	reason   string
@@ -155,6 +157,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.listed != nil && slices.Equal(peers, s.listed) {
+		return
+	}
+	s.listed = peers
 	s.selector.Update(peers)
 }
 
