--- a/internal/measure/config/world_test.go
+++ b/internal/measure/config/world_test.go
@@ -149,6 +149,8 @@
 	for _, p := range w.all() {
 		<-p.done
 	}
+	// Calls whose caller gave up end too, before the bubble's time stops.
+	time.Sleep(time.Second)
 }
 
 func (w *world) all() []*proc {
@@ -220,6 +222,9 @@
 	}
 	time.Sleep(otherLatency)
 	page, err := p.w.log.read(ctx, s, from, limit, wait)
+	if p.w.isLogCut(p.zone) {
+		return logclient.Page{}, hang(ctx)
+	}
 	time.Sleep(otherLatency)
 	p.gate()
 	return page, err
