--- a/internal/core/selector/selector_test.go
+++ b/internal/core/selector/selector_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/rapidtest"
 )
 
 func hosts(n int) []Peer {
@@ -33,7 +34,7 @@
 
 // TestSourcesMakeNoCycle gives each process a list of its own, with hosts missing, and failures of its own.
 func TestSourcesMakeNoCycle(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
+	rapidtest.Check(t, func(_ *testing.T, rt *rapid.T) {
 		now := time.Unix(0, 0)
 		all := hosts(rapid.IntRange(1, 60).Draw(rt, "hosts"))
 		next := make(map[ident.Host][]ident.Host)
--- a/internal/core/sharder/sharder_test.go
+++ b/internal/core/sharder/sharder_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
+
+	"github.com/nutmegdock/nutmegdock/internal/rapidtest"
 )
 
 type version struct {
@@ -16,7 +18,7 @@
 // TestVersionsStayAsTheyWere compares all versions of a map with plain copies after every update.
 func TestVersionsStayAsTheyWere(t *testing.T) {
 	key := rapid.StringMatching("[a-c]{0,3}")
-	rapid.Check(t, func(rt *rapid.T) {
+	rapidtest.Check(t, func(_ *testing.T, rt *rapid.T) {
 		versions := []version{{want: map[string]int{}}}
 		for range rapid.IntRange(1, 30).Draw(rt, "updates") {
 			from := versions[rapid.IntRange(0, len(versions)-1).Draw(rt, "version")]
