--- a/internal/core/estimator/estimator.go
+++ b/internal/core/estimator/estimator.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
@@ -61,6 +62,11 @@
 	}
 	e.reported = running
 	e.sent = local
+	old := 0
+	for old < len(e.changes) && !e.changes[old].time.After(local) {
+		old++
+	}
+	e.changes = slices.Delete(e.changes, 0, old)
 }
 
 // Lag returns the age of the last report.
@@ -112,7 +118,7 @@
 	for old < len(e.changes) && now.Sub(e.changes[old].time) > keep {
 		old++
 	}
-	e.changes = append(e.changes[old:], change{now, delta})
+	e.changes = append(slices.Delete(e.changes, 0, old), change{now, delta})
 }
 
 // Own returns the number of this entry host's own requests at the endpoint.
--- /dev/null
+++ b/internal/core/view/view_test.go
@@ -0,0 +1,54 @@
+package view_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/view"
+	"github.com/nutmegdock/nutmegdock/internal/messages"
+)
+
+func TestMergesLoadsOfTheSameBirthOnly(t *testing.T) {
+	is := is.New(t)
+	var v view.View
+	_, ok := v.Merge(messages.Load{Host: "h", Birth: 2, Time: 5})
+	is.True(!ok)
+	is.True(v.Put(messages.Report{Host: "h", Birth: 2, Time: 5, Every: 4, Running: 1}))
+	is.True(!v.Put(messages.Report{Host: "h", Birth: 2, Time: 4, Every: 4}))
+	is.True(!v.Put(messages.Report{Host: "h", Birth: 1, Time: 9, Every: 4}))
+	_, ok = v.Merge(messages.Load{Host: "h", Birth: 1, Time: 9})
+	is.True(!ok)
+	_, ok = v.Merge(messages.Load{Host: "h", Birth: 2, Time: 4})
+	is.True(!ok)
+	r, ok := v.Merge(messages.Load{Host: "h", Birth: 2, Time: 6, Running: 7, Slots: 8})
+	is.True(ok)
+	is.Equal(r.Running, 7)
+	is.Equal(v.Reports()[0].Slots, 8)
+}
+
+func TestForgetsAHostThatMissesThreeMessages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var v view.View
+		v.Put(messages.Report{Host: "h", Birth: 1, Every: 4})
+		time.Sleep(11 * time.Second)
+		is.Equal(len(v.Reports()), 1)
+		time.Sleep(2 * time.Second)
+		is.Equal(len(v.Reports()), 0)
+	})
+}
+
+func TestLoadHeader(t *testing.T) {
+	is := is.New(t)
+	l := messages.Load{Host: "h", Birth: 1, Time: 2, Offset: 3, Running: 4, Slots: 5}
+	got, ok := messages.ParseLoad("h", l.Header())
+	is.True(ok)
+	is.Equal(got, l)
+	for _, bad := range []string{"", "1 2 3", "1 2 3 4 5 6", "a b c d e"} {
+		_, ok := messages.ParseLoad("h", bad)
+		is.True(!ok)
+	}
+}
--- /dev/null
+++ b/internal/measure/request/cost_test.go
@@ -0,0 +1,168 @@
+package request
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/nutmegdock/nutmegdock/internal/admitter"
+	"github.com/nutmegdock/nutmegdock/internal/callers"
+	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/manifest"
+	"github.com/nutmegdock/nutmegdock/internal/core/reducer"
+	"github.com/nutmegdock/nutmegdock/internal/core/router"
+	"github.com/nutmegdock/nutmegdock/internal/core/suspector"
+	"github.com/nutmegdock/nutmegdock/internal/core/view"
+	"github.com/nutmegdock/nutmegdock/internal/dispatcher"
+	"github.com/nutmegdock/nutmegdock/internal/engineapi"
+	"github.com/nutmegdock/nutmegdock/internal/forwarder"
+	"github.com/nutmegdock/nutmegdock/internal/headers"
+	"github.com/nutmegdock/nutmegdock/internal/measure"
+	"github.com/nutmegdock/nutmegdock/internal/messages"
+	"github.com/nutmegdock/nutmegdock/internal/meter"
+)
+
+const (
+	callersKey   = "key"
+	streamTokens = 500
+)
+
+var began = time.Now()
+
+// configured returns the configuration with one organisation and one deployment.
+func configured(b *testing.B) (*reducer.Reducer, ident.WeightSet) {
+	b.Helper()
+	t := catalog.Template{Kind: catalog.KindEngine, Pool: pool, Model: &catalog.Ref{Name: "m", Version: "1", Digest: manifest.Sum([]byte("m"))}, Replicas: 1}
+	r := reducer.New()
+	for i, rec := range []catalog.Record{
+		{Object: ident.OrganisationObject("o"), Organisation: &catalog.Organisation{Key: manifest.Sum([]byte(callersKey)), Weight: 1}},
+		{Object: ident.TemplateObject("t"), Template: &t},
+		{Object: ident.DeploymentObject("o", "chat"), Deployment: &catalog.Deployment{Template: "t"}},
+	} {
+		rec.ID = ident.Change(fmt.Sprint(i))
+		rec.Author = "test"
+		data, err := rec.Encode()
+		if err != nil {
+			b.Fatal(err)
+		}
+		if a := r.Apply(data); a.Verdict != reducer.Accepted {
+			b.Fatalf("%s: %s", rec.Object, a.Reason)
+		}
+	}
+	return r, t.Set()
+}
+
+// newHandler returns the callers' interface of an entry host with as many endpoints as it knows at the target's size.
+func newHandler(b *testing.B, client *http.Client, address string) http.Handler {
+	b.Helper()
+	const endpoints = 154
+	logger := &log.Logger{Handler: discard.Default}
+	state, set := configured(b)
+	adm := &admitter.Admitter{
+		Router: &router.Router{Zone: "a", Intn: func(int) int { return 0 }}, Float64: func() float64 { return 0 },
+		Weight: func(ident.Organisation) int { return 1 }, Sharers: func() int { return 1 },
+		Part: func(_ ident.Host, n int) int { return n }, Limit: func(ident.Organisation) int { return 0 },
+		Meter: meter.New(prometheus.NewRegistry()), Logger: logger, View: &view.View{},
+	}
+	for i := range endpoints {
+		adm.Report(messages.Report{
+			Host: ident.Host(fmt.Sprintf("h-%03d", i)), Zone: "a", Pool: pool, Data: address, Birth: 1, Open: true, Set: set, Slots: 64, Every: 1e6,
+		})
+	}
+	d := &dispatcher.Dispatcher{
+		Admit: adm.Admit, Budget: adm.Retry, Forwarder: &forwarder.Forwarder{HTTP: client}, Suspector: &suspector.Suspector{}, Logger: logger,
+	}
+	c := &callers.Callers{View: func(fn func(*reducer.Reducer)) { fn(state) }, Dispatch: d.Do, Logger: logger}
+	return c.Handler()
+}
+
+// answer is what an endpoint host says at the head of its answer.
+func answer(h http.Header, r *http.Request) {
+	h.Set(headers.Request, r.Header.Get(headers.Request))
+	h.Set(headers.Set, r.Header.Get(headers.Set))
+	h.Set(headers.Outcome, headers.Answered)
+	h.Set(headers.Load, messages.Load{Birth: 1, Time: time.Since(began).Milliseconds(), Running: 1, Slots: 64}.Header())
+}
+
+type instant struct{}
+
+// RoundTrip answers at once, without a socket.
+func (instant) RoundTrip(r *http.Request) (*http.Response, error) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	resp := &http.Response{StatusCode: http.StatusOK, Header: make(http.Header), Body: io.NopCloser(strings.NewReader("{}")), Request: r}
+	answer(resp.Header, r)
+	resp.Header.Set("Content-Type", "application/json")
+	return resp, nil
+}
+
+func ask(ctx context.Context, url string, stream bool) *http.Request {
+	body, _ := json.Marshal(engineapi.Request{Model: "chat", Prompt: strings.Repeat("brief ", 100), Tokens: streamTokens, Stream: stream})
+	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, url+engineapi.CompletionsPath, bytes.NewReader(body))
+	r.Header.Set("Authorization", "Bearer "+callersKey)
+	return r
+}
+
+// TestMeasureRequestCost reads the processor time of an entry host: wall time on a machine that does other work too.
+func TestMeasureRequestCost(t *testing.T) {
+	if !measure.Wanted() {
+		t.Skip("wall time is read by script/bench only")
+	}
+	one := testing.Benchmark(func(b *testing.B) {
+		h := newHandler(b, &http.Client{Transport: instant{}}, "endpoint")
+		b.ReportAllocs()
+		for b.Loop() {
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, ask(b.Context(), "http://entry", false))
+			if w.Code != http.StatusOK {
+				b.Fatalf("status %d: %s", w.Code, w.Body)
+			}
+		}
+	})
+	report(t, "cost.request.time", float64(one.NsPerOp()), "ns")
+	report(t, "cost.request.allocations", float64(one.AllocsPerOp()), "allocations")
+	streams := testing.Benchmark(stream)
+	report(t, "cost.stream.tokens", streamTokens*float64(streams.N)/streams.T.Seconds(), "tokens/s on one core")
+}
+
+// stream passes streamed answers through real sockets, with the caller, the entry host and the endpoint on one core.
+func stream(b *testing.B) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		answer(w.Header(), r)
+		w.Header().Set("Content-Type", "text/event-stream")
+		rc := http.NewResponseController(w)
+		for range streamTokens {
+			_, _ = fmt.Fprintf(w, "data: {\"id\":%q,\"choices\":[{\"index\":0,\"text\":\"token \"}]}\n\n", r.Header.Get(headers.Request))
+			_ = rc.Flush()
+		}
+		_, _ = fmt.Fprintf(w, "data: %s\n\n", engineapi.DoneMark)
+	}))
+	defer endpoint.Close()
+	entry := httptest.NewServer(newHandler(b, forwarder.NewClient(), strings.TrimPrefix(endpoint.URL, "http://")))
+	defer entry.Close()
+	client := &http.Client{Timeout: time.Minute}
+	for b.Loop() {
+		resp, err := client.Do(ask(b.Context(), entry.URL, true))
+		if err != nil {
+			b.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if err != nil || !bytes.Contains(body, []byte(engineapi.DoneMark)) {
+			b.Fatalf("answer is not whole: status %d, %v", resp.StatusCode, err)
+		}
+	}
+}
--- a/internal/measure/request/engine_test.go
+++ b/internal/measure/request/engine_test.go
@@ -1,7 +1,6 @@
 package request
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
@@ -34,7 +33,7 @@
 // engine is a fake engine with its endpoint host. Beyond its slots it queues without bound.
 type engine struct {
 	world   *world
-	index   int
+	host    ident.Host
 	zone    ident.Zone
 	state   state
 	pace    float64
@@ -54,13 +53,9 @@
 	over    bool
 }
 
-func (e *engine) host() ident.Host {
-	return ident.Host(fmt.Sprintf("engine-%02d", e.index))
-}
-
 func (e *engine) load() messages.Report {
 	return messages.Report{
-		Host: e.host(), Zone: e.zone, Pool: pool, Data: string(e.host()), Birth: e.birth, Open: true, Set: anySet,
+		Host: e.host, Zone: e.zone, Pool: pool, Data: string(e.host), Birth: e.birth, Open: true, Set: anySet,
 		Running: len(e.running) + len(e.queue), Slots: slots, Time: time.Since(e.world.begin).Milliseconds(), Every: 4,
 	}
 }
--- a/internal/measure/request/entry_test.go
+++ b/internal/measure/request/entry_test.go
@@ -73,14 +73,15 @@
 }
 
 func (e *entry) hear(r messages.Report) {
+	if e.world.policy.choose == nil {
+		e.apply(e.sched.Report(r))
+		return
+	}
 	for i, g := range e.world.engines {
-		if g.host() == r.Host {
+		if g.host == r.Host {
 			e.reports[i] = r
 		}
 	}
-	if e.world.policy.choose == nil {
-		e.apply(e.sched.Report(r))
-	}
 }
 
 // admit takes a request from its caller.
@@ -119,7 +120,7 @@
 			continue
 		}
 		for _, g := range e.world.engines {
-			if g.host() == d.Candidate.Host {
+			if g.host == d.Candidate.Host {
 				e.hand(r, d.Request.ID, g)
 			}
 		}
@@ -129,7 +130,7 @@
 func (e *entry) hand(r *request, id ident.Request, g *engine) {
 	a := &attempt{request: r, entry: e, engine: g, id: id}
 	r.tries++
-	r.tried[g.host()] = true
+	r.tried[g.host] = true
 	e.attempts = append(e.attempts, a)
 	e.world.after(hop, func() {
 		if !a.over {
@@ -156,7 +157,7 @@
 	a.over = true
 	e.attempts = slices.DeleteFunc(e.attempts, func(x *attempt) bool { return x == a })
 	if e.world.policy.choose == nil {
-		e.apply(e.sched.End(a.engine.host(), a.id, how))
+		e.apply(e.sched.End(a.engine.host, a.id, how))
 	}
 	return true
 }
@@ -168,7 +169,7 @@
 		}
 		e.world.first(a.request)
 		if e.world.policy.choose == nil {
-			e.apply(e.sched.First(a.engine.host(), a.id))
+			e.apply(e.sched.First(a.engine.host, a.id))
 			e.apply(e.sched.Report(a.engine.load()))
 		}
 	})
--- a/internal/measure/request/world_test.go
+++ b/internal/measure/request/world_test.go
@@ -92,7 +92,6 @@
 	tried    map[ident.Host]bool
 	measured bool
 	over     bool
-	hot      bool
 }
 
 type result struct {
@@ -116,6 +115,8 @@
 	byOrg   []result
 	// done counts the whole answers of all requests within the measured time.
 	done int
+	// open counts the measured requests that are neither answered nor failed.
+	open int
 }
 
 type action struct {
@@ -162,7 +163,7 @@
 		end := w.begin.Add(warmUp + s.length + deadlines[2])
 		for len(w.events) > 0 {
 			a := heap.Pop(&w.events).(action)
-			if a.at.After(end) {
+			if a.at.After(end) || w.open == 0 && time.Since(w.begin) > warmUp+s.length {
 				break
 			}
 			time.Sleep(time.Until(a.at))
@@ -181,7 +182,7 @@
 		w.byOrg = append(w.byOrg, newResult())
 	}
 	for i := range s.size.engines {
-		w.engines = append(w.engines, &engine{world: w, index: i, zone: zone(i), pace: 1, birth: 1})
+		w.engines = append(w.engines, &engine{world: w, host: ident.Host(fmt.Sprintf("engine-%02d", i)), zone: zone(i), pace: 1, birth: 1})
 	}
 	for i := range s.size.entries {
 		w.entries = append(w.entries, newEntry(w, i))
@@ -228,6 +229,7 @@
 		r.prefix = prefixer.Prefix(1 + w.rng.IntN(w.prefixes))
 	}
 	w.count(r, func(x *result) { x.offered++ })
+	w.settle(r, 1)
 	w.after(deadlines[r.class], func() { w.expire(r) })
 	w.ask(r)
 	w.after(w.gap(i), func() { w.arrive(i) })
@@ -254,6 +256,13 @@
 	add(&w.byOrg[r.org])
 }
 
+// settle keeps the count of measured requests that are open.
+func (w *world) settle(r *request, n int) {
+	if r.measured {
+		w.open += n
+	}
+}
+
 // ask lets the caller's balancer pick an entry host.
 func (w *world) ask(r *request) {
 	r.asked = time.Now()
@@ -290,6 +299,7 @@
 		return
 	}
 	r.over = true
+	w.settle(r, -1)
 	w.count(r, func(x *result) { x.failed++ })
 }
 
@@ -306,6 +316,7 @@
 		return
 	}
 	r.over = true
+	w.settle(r, -1)
 	w.count(r, func(x *result) { x.good++ })
 	if since := time.Since(w.begin); since >= warmUp && since < warmUp+w.length {
 		w.done++
--- /dev/null
+++ b/internal/reporter/reporter_test.go
@@ -0,0 +1,88 @@
+package reporter
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/membership"
+	"github.com/nutmegdock/nutmegdock/internal/messages"
+)
+
+func hosts(role membership.Role, zones, each int) []membership.Member {
+	var out []membership.Member
+	for z := range zones {
+		for i := range each {
+			out = append(out, membership.Member{Host: ident.Host(fmt.Sprintf("%s-%d-%d", role, z, i)), Role: role, Zone: zone(z)})
+		}
+	}
+	return out
+}
+
+func zone(i int) ident.Zone {
+	return ident.Zone(fmt.Sprint(i))
+}
+
+func TestTodayEveryEntryHostKnowsEveryEndpoint(t *testing.T) {
+	is := is.New(t)
+	entries, endpoints := hosts(membership.RoleEntry, 3, 3), hosts(membership.RoleEndpoint, 3, 6)
+	for _, e := range endpoints {
+		is.Equal(len(Chooser{Host: e.Host, Zone: e.Zone}.Targets(entries, endpoints, 18).List), 9)
+	}
+}
+
+func TestAtTargetSizeTargetsAreBounded(t *testing.T) {
+	is := is.New(t)
+	entries, endpoints := hosts(membership.RoleEntry, 13, 25), hosts(membership.RoleEndpoint, 13, 154)
+	got := Chooser{Host: "h", Zone: "0"}.Targets(entries, endpoints, 2000)
+	is.Equal(len(got.near()), nearTargets)
+	is.Equal(len(got.List), 25+12*minFar) // all of the own zone, a few of each other
+	for _, target := range got.near() {
+		is.Equal(target.Zone, zone(0))
+	}
+	is.True(got.Interval > 4*time.Second)
+}
+
+func TestAFewReplicasAreKnownEverywhere(t *testing.T) {
+	is := is.New(t)
+	entries, endpoints := hosts(membership.RoleEntry, 13, 25), hosts(membership.RoleEndpoint, 13, 154)
+	got := Chooser{Host: "h", Zone: "0"}.Targets(entries, endpoints, 3)
+	is.Equal(len(got.List), 13*25)
+}
+
+func TestSchedule(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var s schedule
+		targets := Targets{Interval: time.Second}
+		r := messages.Report{Host: "h", Birth: 1, Open: true, Set: "s", Want: "s", Slots: 16}
+		is.Equal(s.next(r, targets), fullToAll)
+		is.Equal(s.next(r, targets), nothing)
+
+		r.Running = 2 // an eighth of the slots
+		is.Equal(s.next(r, targets), nothing)
+		time.Sleep(time.Second)
+		is.Equal(s.next(r, targets), loadToNear)
+		time.Sleep(time.Second)
+		r.Running = 3
+		is.Equal(s.next(r, targets), nothing) // less than an eighth
+
+		time.Sleep(nearInterval)
+		is.Equal(s.next(r, targets), loadToNear)
+		r.Leaving = true
+		is.Equal(s.next(r, targets), fullToAll) // at once
+
+		r.Want = "t"
+		is.Equal(s.next(r, targets), fullToAll)
+		time.Sleep(progressInterval)
+		is.Equal(s.next(r, targets), fullToNear) // the answer carries the counts of the wave
+		r.Want = "s"
+		is.Equal(s.next(r, targets), fullToAll)
+		time.Sleep(FarInterval)
+		is.Equal(s.next(r, targets), loadToAll)
+	})
+}
--- a/internal/reporter/schedule.go
+++ b/internal/reporter/schedule.go
@@ -9,17 +9,17 @@
 const (
 	// pollInterval is how often the state is looked at.
 	pollInterval = 100 * time.Millisecond
-	// fullInterval is how often a full report is repeated to all targets, in case one has lost it.
-	fullInterval = 2 * time.Minute
+	// FullInterval is how often a full report is repeated to all targets, in case one has lost it.
+	FullInterval = 5 * time.Minute
 	// progressInterval is how often a full report is sent during a fetch, and while the host waits to switch sets.
 	progressInterval = time.Second
 	// greetInterval is how often entry hosts without a report are looked for.
 	greetInterval = time.Second
 	// minInterval is the shortest time between two loads.
 	minInterval = 250 * time.Millisecond
-	// nearInterval and farInterval are the longest times between two loads, also when nothing changes.
+	// nearInterval and FarInterval are the longest times between two loads, also when nothing changes.
 	nearInterval = 4 * time.Second
-	farInterval  = 15 * time.Second
+	FarInterval  = 30 * time.Second
 	// loadStep is the part of the slots by which the running requests must change to be reported.
 	loadStep = 8
 )
@@ -64,11 +64,11 @@
 func (s *schedule) due(now time.Time, r messages.Report, t Targets) message {
 	age := now.Sub(s.near)
 	switch {
-	case urgent(s.last, r) || now.Sub(s.full) >= fullInterval:
+	case urgent(s.last, r) || now.Sub(s.full) >= FullInterval:
 		return fullToAll
 	case progressed(s.last, r) && age >= progressInterval:
 		return fullToNear
-	case now.Sub(s.far) >= farInterval:
+	case now.Sub(s.far) >= FarInterval:
 		return loadToAll
 	case age >= nearInterval || moved(s.last, r) && age >= max(minInterval, t.Interval):
 		return loadToNear
--- a/internal/reporter/targets.go
+++ b/internal/reporter/targets.go
@@ -17,10 +17,10 @@
 	minFar = 3
 	// knownEach is the mean number of endpoints with the same weight set that an entry host of another zone knows.
 	knownEach = 8
-	// loadBytes is the size of one load on the wire.
-	loadBytes = 150
+	// loadBytes is the size of one load on the wire, with the headers of TCP and IP.
+	loadBytes = 210
 	// loadBudget is the rate in bytes a second at which loads may come in at one entry host.
-	loadBudget = 2500
+	loadBudget = 2000
 )
 
 // Target is an entry host that is reported to.
@@ -34,7 +34,7 @@
 	if t.Near {
 		return int(nearInterval.Seconds())
 	}
-	return int(farInterval.Seconds())
+	return int(FarInterval.Seconds())
 }
 
 // Targets are the entry hosts that one endpoint host reports to.
