--- a/internal/core/scheduler/scheduler_test.go
+++ b/internal/core/scheduler/scheduler_test.go
@@ -215,6 +215,16 @@
 		m.left[h] = true
 	}
 	m.take(m.s.Leave(h, 1))
+	m.stranded()
+}
+
+// stranded fails if a request waits that no endpoint may take.
+func (m *model) stranded() {
+	for id, q := range m.waiting {
+		if !m.served(q) {
+			m.rt.Fatalf("request %s waits for endpoints that are all closed, leaving or tried", id)
+		}
+	}
 }
 
 func (m *model) tick() {
@@ -224,6 +234,17 @@
 			m.rt.Fatalf("request %s waits past its deadline", id)
 		}
 	}
+	m.stranded()
+}
+
+// served tells whether an endpoint may take the request, now or later.
+func (m *model) served(q *scheduler.Request) bool {
+	for h, r := range m.reports {
+		if r.Open && !m.left[h] && !q.Tried[h] {
+			return true
+		}
+	}
+	return false
 }
 
 func (m *model) check() {
