--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -167,6 +167,18 @@
 	return r, true
 }
 
+// Serve notes that an endpoint serves another weight set than its last report says.
+func (a *Admitter) Serve(h ident.Host, set ident.WeightSet) {
+	r, ok := a.View.Serve(h, set)
+	if !ok {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p := a.pool(r.Pool)
+	a.deliver(r.Pool, p, p.Report(r))
+}
+
 // Leave ends new work to a host whose process started at birth or before.
 func (a *Admitter) Leave(h ident.Host, birth int64) {
 	a.mu.Lock()
--- a/internal/admitter/lease.go
+++ b/internal/admitter/lease.go
@@ -52,6 +52,7 @@
 // innocent are the reasons of failures that say nothing about other requests at the endpoint.
 var innocent = map[outcome.Reason]bool{
 	outcome.Late: true, outcome.Deadline: true, outcome.Suspect: true, outcome.Running: true, outcome.Condemned: true,
+	outcome.Moved: true,
 }
 
 // Fail ends a lease whose request was not answered.
@@ -70,6 +71,11 @@
 	l.end(end)
 }
 
+// Serves notes that the endpoint refused because it serves another weight set.
+func (l *Lease) Serves(set ident.WeightSet) {
+	l.admitter.Serve(l.Candidate.Host, set)
+}
+
 func (l *Lease) end(how scheduler.End) {
 	l.once.Do(func() {
 		l.cancel()
--- a/internal/core/view/view.go
+++ b/internal/core/view/view.go
@@ -57,6 +57,21 @@
 	return s.report, true
 }
 
+// Serve notes that an endpoint serves another weight set than its last report says. It returns the report, and false if
+// there is none.
+func (v *View) Serve(h ident.Host, set ident.WeightSet) (messages.Report, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s, ok := v.reports[h]
+	if !ok {
+		return messages.Report{}, false
+	}
+	s.report.Set = set
+	s.report.Open = true
+	v.reports[h] = s
+	return s.report, true
+}
+
 // Stale returns the age at which a report counts for nothing any more.
 func Stale(r messages.Report) time.Duration {
 	return missed * time.Duration(r.Every) * time.Second
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -69,6 +69,9 @@
 	Suspector *suspector.Suspector
 	// Budget grants one retry; nil means that every one is granted.
 	Budget func() bool
+	// Refresh returns the deployment as it is at a later configuration offset, if this host learns of it soon. Nil
+	// leaves it as it is.
+	Refresh func(ctx context.Context, e catalog.Effective, from ident.Host, offset ident.Offset) catalog.Effective
 	// Logger receives the events.
 	Logger log.Interface
 }
@@ -89,12 +92,9 @@
 		j.Before = time.Now().Add(handOverTime)
 	}
 	p := &pass{
-		job: j, sets: []ident.WeightSet{j.Deployment.Set}, tried: make(map[ident.Host]bool),
+		job: j, sets: setsOf(j.Deployment), tried: make(map[ident.Host]bool),
 		retrier: &retrier.Retrier{Attempts: maxAttempts, Refusals: maxRefusals, Repeatable: j.Repeatable, Deadline: j.Before, Budget: d.Budget},
 	}
-	if prev := j.Deployment.Previous; prev != "" {
-		p.sets = append(p.sets, prev)
-	}
 	resp, set, err := d.attempt(ctx, p)
 	if err != nil {
 		return nil, err
@@ -134,6 +134,7 @@
 		if isBusy(err) && p.mayWait() {
 			continue
 		}
+		d.note(ctx, p, lease, err)
 		if !p.again(err) {
 			break
 		}
@@ -199,3 +200,27 @@
 	case <-time.After(turnPoll):
 	}
 }
+
+// note learns from a refusal which weight set the endpoint serves by now.
+func (d *Dispatcher) note(ctx context.Context, p *pass, lease *admitter.Lease, err error) {
+	var o *outcome.Error
+	if !errors.As(err, &o) || o.Kind != outcome.NotRun || o.Reason != outcome.Moved {
+		return
+	}
+	host := lease.Candidate.Host
+	lease.Serves(o.Serves)
+	delete(p.tried, host)
+	if d.Refresh != nil {
+		p.job.Deployment = d.Refresh(ctx, p.job.Deployment, host, o.Offset)
+		p.sets = setsOf(p.job.Deployment)
+	}
+}
+
+// setsOf returns the weight sets that may serve a deployment, the one to prefer first.
+func setsOf(e catalog.Effective) []ident.WeightSet {
+	out := []ident.WeightSet{e.Set}
+	if e.Previous != "" {
+		out = append(out, e.Previous)
+	}
+	return out
+}
--- a/internal/measure/request/bytes_test.go
+++ b/internal/measure/request/bytes_test.go
@@ -20,8 +20,8 @@
 	targetZones     = 13
 	targetEntries   = 25
 	targetEndpoints = 154
-	// controlBound is what a daemon may spend on control, in bytes a second.
-	controlBound = 9000
+	// reportBound is what a daemon may spend on control, in bytes a second.
+	reportBound = 9000
 	// packetBytes are the headers of TCP and IP on one message.
 	packetBytes = 52
 )
@@ -98,8 +98,8 @@
 		sum += n
 		fewest = min(fewest, known[h])
 	}
-	bound(t, "bytes.entry.worst", worst, "bytes/s", measure.AtMost, controlBound)
+	bound(t, "bytes.entry.worst", worst, "bytes/s", measure.AtMost, reportBound)
 	report(t, "bytes.entry.mean", sum/float64(len(in)), "bytes/s")
-	bound(t, "bytes.endpoint.worst", most, "bytes/s", measure.AtMost, controlBound)
+	bound(t, "bytes.endpoint.worst", most, "bytes/s", measure.AtMost, reportBound)
 	report(t, "bytes.entry.knows", float64(fewest), "endpoints, least")
 }
