--- a/internal/core/scheduler/scheduler_test.go
+++ b/internal/core/scheduler/scheduler_test.go
@@ -36,6 +36,7 @@
 	s        *scheduler.Scheduler
 	reports  map[ident.Host]messages.Report
 	left     map[ident.Host]bool
+	births   map[ident.Host]int64
 	waiting  map[ident.Request]*scheduler.Request
 	running  map[ident.Request]*running
 	requests map[ident.Request]*scheduler.Request
@@ -46,7 +47,7 @@
 func newModel(rt *rapid.T) *model {
 	intn := func(n int) int { return rapid.IntRange(0, n-1).Draw(rt, "random") }
 	m := &model{
-		rt: rt, reports: make(map[ident.Host]messages.Report), left: make(map[ident.Host]bool),
+		rt: rt, reports: make(map[ident.Host]messages.Report), left: make(map[ident.Host]bool), births: make(map[ident.Host]int64),
 		waiting: make(map[ident.Request]*scheduler.Request), running: make(map[ident.Request]*running),
 		requests: make(map[ident.Request]*scheduler.Request), begin: time.Now(),
 	}
@@ -127,7 +128,7 @@
 		zone = "b"
 	}
 	r := messages.Report{
-		Host: h, Zone: zone, Set: set, Data: string(h), Birth: 1, Open: open, Slots: slots, Running: m.own(h),
+		Host: h, Zone: zone, Set: set, Data: string(h), Birth: m.births[h], Open: open, Slots: slots, Running: m.own(h),
 		Time: time.Since(m.begin).Milliseconds(), Every: 1000,
 	}
 	m.reports[h] = r
@@ -214,7 +215,25 @@
 	if _, ok := m.reports[h]; ok {
 		m.left[h] = true
 	}
-	m.take(m.s.Leave(h, 1))
+	m.take(m.s.Leave(h, m.births[h]))
+	m.stranded()
+}
+
+// rebirth starts a host anew, which takes work again.
+func (m *model) rebirth() {
+	h := m.host()
+	m.births[h]++
+	delete(m.left, h)
+	m.report(h, true)
+}
+
+// stranded fails if a request waits that no endpoint may take.
+func (m *model) stranded() {
+	for id, q := range m.waiting {
+		if !m.served(q) {
+			m.rt.Fatalf("request %s waits for endpoints that are all closed, leaving or tried", id)
+		}
+	}
 }
 
 func (m *model) tick() {
@@ -224,6 +243,17 @@
 			m.rt.Fatalf("request %s waits past its deadline", id)
 		}
 	}
+	m.stranded()
+}
+
+// served tells whether an endpoint may take the request, now or later.
+func (m *model) served(q *scheduler.Request) bool {
+	for h, r := range m.reports {
+		if r.Open && !m.left[h] && !q.Tried[h] {
+			return true
+		}
+	}
+	return false
 }
 
 func (m *model) check() {
@@ -298,8 +328,11 @@
 			case 14:
 				m.cancel()
 			case 15:
-				if rapid.IntRange(0, 9).Draw(rt, "leave") == 0 {
+				switch rapid.IntRange(0, 5).Draw(rt, "leave") {
+				case 0, 1:
 					m.leave()
+				case 2:
+					m.rebirth()
 				}
 			case 16:
 				m.report(m.host(), rapid.IntRange(0, 4).Draw(rt, "open") > 0)
