--- a/internal/core/holder/holder.go
+++ b/internal/core/holder/holder.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
@@ -13,11 +14,21 @@
 type Holder struct {
 	// Limit bounds the bytes of chunks; zero means no bound.
 	Limit ident.Bytes
+	// Epoch starts the numbering of the host's deltas. It must be higher after each restart of the host.
+	Epoch int64
 
 	mu        sync.Mutex
 	chunks    map[ident.Digest][]byte
-	artifacts map[ident.Digest]manifest.Artifact
+	artifacts map[ident.Digest]entry
+	wanted    map[ident.Digest]bool
 	size      ident.Bytes
+	epoch     int64
+	arrivals  []ident.Digest
+}
+
+type entry struct {
+	artifact manifest.Artifact
+	index    map[ident.Digest][]int
 }
 
 // CorruptError reports content that does not match its digest.
@@ -33,14 +44,16 @@
 // FullError reports that the limit of held bytes is reached.
 type FullError struct {
 	Limit ident.Bytes
+	Need  ident.Bytes
 }
 
-// Error names the limit.
+// Error names the limit and the bytes that it would take.
 func (e *FullError) Error() string {
-	return fmt.Sprintf("held chunks would exceed %d bytes; raise the limit or use a smaller model", e.Limit)
+	return fmt.Sprintf("held chunks would take %d bytes of %d; raise the limit or use a smaller model", e.Need, e.Limit)
 }
 
-// PutChunk stores a chunk after it has verified the content.
+// PutChunk stores a chunk after it has verified the content. If the limit is reached, it drops chunks that Want did
+// not name; if that does not suffice, it returns a FullError.
 func (h *Holder) PutChunk(d ident.Digest, data []byte) error {
 	if manifest.Sum(data) != d {
 		return &CorruptError{Digest: d}
@@ -52,11 +65,65 @@
 		return nil
 	}
 	n := ident.Bytes(len(data))
-	if h.Limit > 0 && h.size+n > h.Limit {
-		return &FullError{Limit: h.Limit}
+	if h.isOver(n) {
+		h.evict(n)
+	}
+	if h.isOver(n) {
+		return &FullError{Limit: h.Limit, Need: h.size + n}
 	}
 	h.chunks[d] = data
 	h.size += n
+	h.arrivals = append(h.arrivals, d)
+	return nil
+}
+
+func (h *Holder) isOver(n ident.Bytes) bool {
+	return h.Limit > 0 && h.size+n > h.Limit
+}
+
+// evict drops chunks that are not wanted, the oldest first, until n more bytes fit.
+func (h *Holder) evict(n ident.Bytes) {
+	for _, d := range h.arrivals {
+		if !h.isOver(n) {
+			break
+		}
+		if !h.wanted[d] {
+			h.size -= ident.Bytes(len(h.chunks[d]))
+			delete(h.chunks, d)
+		}
+	}
+	h.renew()
+}
+
+// renew starts a new epoch, so that the next delta of every reader is a full one.
+func (h *Holder) renew() {
+	h.epoch++
+	h.arrivals = slices.DeleteFunc(h.arrivals, func(d ident.Digest) bool {
+		_, ok := h.chunks[d]
+		return !ok
+	})
+}
+
+// Want names the manifests whose chunks are kept when the limit is reached. It returns a FullError if they cannot fit
+// together.
+func (h *Holder) Want(artifacts []ident.Digest) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.init()
+	wanted := make(map[ident.Digest]bool)
+	var need ident.Bytes
+	for _, d := range artifacts {
+		for _, c := range h.artifacts[d].artifact.Chunks {
+			if !wanted[c.Digest] {
+				wanted[c.Digest] = true
+				need += c.Size
+			}
+		}
+	}
+	if h.Limit > 0 && need > h.Limit {
+		return &FullError{Limit: h.Limit, Need: need}
+	}
+	h.wanted = wanted
 	return nil
 }
 
@@ -73,15 +140,23 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.init()
-	h.artifacts[d] = a
+	if _, ok := h.artifacts[d]; ok {
+		return
+	}
+	e := entry{artifact: a, index: make(map[ident.Digest][]int, len(a.Chunks))}
+	for i, c := range a.Chunks {
+		e.index[c.Digest] = append(e.index[c.Digest], i)
+	}
+	h.artifacts[d] = e
+	h.renew()
 }
 
 // Artifact returns a held manifest.
 func (h *Holder) Artifact(d ident.Digest) (manifest.Artifact, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	a, ok := h.artifacts[d]
-	return a, ok
+	e, ok := h.artifacts[d]
+	return e.artifact, ok
 }
 
 // Missing returns the chunks of an artifact that are not held.
@@ -101,25 +176,31 @@
 func (h *Holder) Retain(keep []ident.Digest) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.init()
 	wanted := make(map[ident.Digest]bool)
-	artifacts := make(map[ident.Digest]manifest.Artifact)
+	artifacts := make(map[ident.Digest]entry)
 	for _, d := range keep {
-		a, ok := h.artifacts[d]
+		e, ok := h.artifacts[d]
 		if !ok {
 			continue
 		}
-		artifacts[d] = a
-		for _, c := range a.Chunks {
+		artifacts[d] = e
+		for _, c := range e.artifact.Chunks {
 			wanted[c.Digest] = true
 		}
 	}
 	h.artifacts = artifacts
+	dropped := false
 	for d, data := range h.chunks {
 		if !wanted[d] {
 			delete(h.chunks, d)
 			h.size -= ident.Bytes(len(data))
+			dropped = true
 		}
 	}
+	if dropped {
+		h.renew()
+	}
 }
 
 // Size returns the bytes of the chunks held.
@@ -132,6 +213,7 @@
 func (h *Holder) init() {
 	if h.chunks == nil {
 		h.chunks = make(map[ident.Digest][]byte)
-		h.artifacts = make(map[ident.Digest]manifest.Artifact)
+		h.artifacts = make(map[ident.Digest]entry)
+		h.epoch = h.Epoch
 	}
 }
--- /dev/null
+++ b/internal/core/planner/exchange.go
@@ -0,0 +1,100 @@
+package planner
+
+import (
+	"time"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/ranker"
+)
+
+const (
+	// perNeighbor is the number of chunks to read from one neighbour at a time.
+	perNeighbor = 2
+	// endgameAfter is the age of a fetch from which a second holder is asked for the same chunk.
+	endgameAfter = 2 * time.Second
+)
+
+// exchange returns the next fetch from a neighbour of the zone.
+func (p *Planner) exchange() *Fetch {
+	now := time.Now()
+	var usable []*node
+	for _, n := range p.watched {
+		if n.Zone == p.Self.Zone && n.running < perNeighbor && n.isUsable(now) && p.canAsk(n, now) {
+			usable = append(usable, n)
+		}
+	}
+	if len(usable) == 0 {
+		return nil
+	}
+	if i, n := p.pick(usable); n != nil {
+		return p.begin(i, Source{Host: n.Host}, nil)
+	}
+	if i, n := p.duplicate(usable, now); n != nil {
+		return p.begin(i, Source{Host: n.Host}, nil)
+	}
+	return nil
+}
+
+// pick returns the chunk to ask for and its holder.
+func (p *Planner) pick(usable []*node) (int, *node) {
+	best, holder := -1, (*node)(nil)
+	kept := p.order[:0]
+	for _, i := range p.order {
+		if p.held.Test(uint(i)) {
+			continue
+		}
+		kept = append(kept, i)
+		if p.flight[i] > 0 || p.counts[i] == 0 || (best >= 0 && (p.Choice == RoundRobin || p.counts[i] >= p.counts[best])) {
+			continue
+		}
+		if n := p.holder(usable, i); n != nil {
+			best, holder = i, n
+		}
+	}
+	p.order = kept
+	return best, holder
+}
+
+func (p *Planner) holder(usable []*node, i int) *node {
+	if p.Choice == RoundRobin {
+		return p.holderInTurn(usable, i)
+	}
+	var best *node
+	var score uint64
+	for _, n := range usable {
+		if !n.have.Test(uint(i)) || (best != nil && n.running > best.running) {
+			continue
+		}
+		s := ranker.Score(string(p.Self.Host)+string(p.chunks[i].Digest[:8]), string(n.Host))
+		if best == nil || n.running < best.running || s > score {
+			best, score = n, s
+		}
+	}
+	return best
+}
+
+func (p *Planner) holderInTurn(usable []*node, i int) *node {
+	for k := range usable {
+		n := usable[(p.turn+k)%len(usable)]
+		if n.have.Test(uint(i)) {
+			p.turn += k + 1
+			return n
+		}
+	}
+	return nil
+}
+
+// duplicate returns a chunk that is already being read from one source, and a second holder of it, once no other
+// chunk is left to ask for.
+func (p *Planner) duplicate(usable []*node, now time.Time) (int, *node) {
+	for _, f := range p.running {
+		if f.stripe != nil || p.flight[f.index] > 1 || now.Sub(f.started) < endgameAfter {
+			continue
+		}
+		for _, n := range usable {
+			if n.Host != f.Source.Host && n.have.Test(uint(f.index)) {
+				return f.index, n
+			}
+		}
+	}
+	return -1, nil
+}
