--- a/internal/core/outcome/outcome.go
+++ b/internal/core/outcome/outcome.go
@@ -4,6 +4,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 )
 
 // Kind is one of the three outcomes of a request.
@@ -32,6 +34,13 @@
 	LogDown     Reason = "log-down"
 	KeyConflict Reason = "key-conflict"
 	Condemned   Reason = "condemned"
+	Suspect     Reason = "suspect"
+	Late        Reason = "late"
+	Running     Reason = "running"
+	Stalled     Reason = "stalled"
+	EngineDied  Reason = "engine-died"
+	Moved       Reason = "moved"
+	Closed      Reason = "closed"
 )
 
 // Error is the end of a request without an answer.
@@ -40,7 +49,13 @@
 	Reason Reason
 	// After is when the caller may try again; zero means that it should not.
 	After time.Duration
-	Text  string
+	// Final forbids a further attempt, whatever the kind.
+	Final bool
+	// Serves is the weight set that an endpoint serves which refused a request for another one.
+	Serves ident.WeightSet
+	// Offset is the configuration offset of the endpoint host that refused.
+	Offset ident.Offset
+	Text   string
 }
 
 // Error names the outcome, the reason and the details.
--- a/internal/rpc/pool.go
+++ b/internal/rpc/pool.go
@@ -1,9 +1,16 @@
 package rpc
 
-import "sync"
+import (
+	"context"
+	"net"
+	"sync"
+)
 
 // Pool keeps one client for each address. The zero value is empty.
 type Pool struct {
+	// Dial makes the connections; nil means plain ones.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 	mu      sync.Mutex
 	clients map[string]*Client
 }
@@ -17,8 +24,17 @@
 	}
 	c, ok := p.clients[address]
 	if !ok {
-		c = &Client{Address: address}
+		c = &Client{Address: address, Dial: p.Dial}
 		p.clients[address] = c
 	}
 	return c
 }
+
+// Close ends all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.clients {
+		_ = c.Close()
+	}
+}
