Burst: readers keep to the live zone before them, deadlines double over congested links

A reader that had passed over the zone before it once went on reading from the home region (link 0.95 copies in place of 0.5). Change: patience is at least twice the deadline, a stripe's deadline doubles after a stall, and only the live reader's region is asked.

--- a/internal/core/planner/planner.go
+++ b/internal/core/planner/planner.go
@@ -282,6 +282,7 @@
 	for _, s := range p.stripes {
 		if s.owns(f.index, p.offsets) {
 			s.sign = time.Now()
+			s.slow = 0
 			s.update(p.held)
 		}
 	}
@@ -352,8 +353,11 @@
 	for _, f := range append([]*Fetch(nil), p.running...) {
 		switch {
 		case p.held.Test(uint(f.index)):
-		case now.Sub(f.last) > p.Deadline:
+		case now.Sub(f.last) > p.allowance(f):
 			p.judge(f, Failed)
+			if f.stripe != nil {
+				f.stripe.slow = min(f.stripe.slow+1, maxSlow)
+			}
 		case p.isSuperfluous(f):
 		default:
 			continue
@@ -363,3 +367,11 @@
 	}
 	return out
 }
+
+// allowance is the time that a fetch may go without progress.
+func (p *Planner) allowance(f *Fetch) time.Duration {
+	if f.stripe == nil {
+		return p.Deadline
+	}
+	return p.Deadline << f.stripe.slow
+}
--- a/internal/core/planner/stripe.go
+++ b/internal/core/planner/stripe.go
@@ -21,6 +21,11 @@
 	maxCopies = 4
 	// patienceFactor times the deadline is the time without a sign after which a live reader is passed over.
 	patienceFactor = 3
+	// timePatienceFactor is the same where time matters more than reads from outside.
+	timePatienceFactor = 2
+	// maxSlow bounds how often a stripe's deadline doubles. It doubles when a read over a congested link is given up, so
+	// that retries do not take what the link carries.
+	maxSlow = 2
 	// lastResortFactor times the patience is the time after which any host may read a stripe.
 	lastResortFactor = 3
 )
@@ -36,6 +41,7 @@
 	down   []ident.Host
 	sign   time.Time
 	fetch  *Fetch
+	slow   int
 	// isWhole tells that all chunks are held.
 	isWhole bool
 }
@@ -172,7 +178,7 @@
 // patience is the time without a sign of progress after which a live reader is passed over.
 func (p *Planner) patience() time.Duration {
 	if p.Bias == catalog.BiasTime {
-		return p.Deadline
+		return timePatienceFactor * p.Deadline
 	}
 	return patienceFactor * p.Deadline
 }
@@ -241,7 +247,7 @@
 		if p.held.Test(uint(i)) || p.flight[i] > 0 || p.isInZone(i, now) {
 			continue
 		}
-		if n := p.outsideHolder(i, now); n != nil {
+		if n := p.outsideHolder(i, up, now); n != nil {
 			return p.begin(i, Source{Host: n.Host}, s)
 		}
 		if candidate < 0 {
@@ -270,7 +276,7 @@
 	for _, h := range s.down {
 		p.watch(h)
 	}
-	if n := p.outsideHolder(i, now); n != nil {
+	if n := p.outsideHolder(i, nil, now); n != nil {
 		return p.begin(i, Source{Host: n.Host}, s)
 	}
 	return nil
@@ -309,8 +315,9 @@
 	return n.retry.Sub(now) < longestWait && now.Sub(later(n.watched, n.heard)) <= p.Deadline
 }
 
-// outsideHolder returns the cheapest usable holder of the chunk in another zone.
-func (p *Planner) outsideHolder(i int, now time.Time) *node {
+// outsideHolder returns the cheapest usable holder of the chunk in another zone. While the reader before this zone is
+// live, no other region than its own is asked, which keeps each link between regions to its share.
+func (p *Planner) outsideHolder(i int, up *node, now time.Time) *node {
 	if p.far[i] == 0 {
 		return nil
 	}
@@ -319,6 +326,9 @@
 		if n.Zone == p.Self.Zone || !n.have.Test(uint(i)) || !n.isUsable(now) || !p.canAsk(n, now) {
 			continue
 		}
+		if up != nil && n.Region != up.Region && n.Region != p.Self.Region {
+			continue
+		}
 		if best == nil || p.cost(n) < p.cost(best) {
 			best = n
 		}
--- a/internal/measure/burst/world_test.go
+++ b/internal/measure/burst/world_test.go
@@ -271,9 +271,13 @@
 	id := h.question
 	h.asked[n.Host] = id
 	since, birth := h.cursors[n.Host], h.birth
-	h.w.after(3*heartbeat, func() { h.giveUp(n, id) })
+	h.w.after(3*heartbeat/2, func() { h.giveUp(n, id) })
 	h.w.after(latency, func() {
-		if !h.w.canReach(h, n) || n.goal == nil {
+		if !h.w.canReach(h, n) {
+			return
+		}
+		if n.goal == nil {
+			n.answer(waiter{from: h, id: id, birth: birth, since: since}, holder.Delta{}, nil)
 			return
 		}
 		n.planner.Meet(h.Peer)
@@ -344,7 +348,9 @@
 		if h.set != goal {
 			return
 		}
-		h.cursors[n.Host] = d.Next
+		if d.Next.Epoch != 0 {
+			h.cursors[n.Host] = d.Next
+		}
 		h.planner.Heard(n.Host, d.Full, d.Added, ages)
 		h.decide()
 	})
