--- a/internal/chunkserver/chunkserver.go
+++ b/internal/chunkserver/chunkserver.go
@@ -2,18 +2,36 @@
 package chunkserver
 
 import (
+	"encoding/hex"
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"time"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/holder"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/uploader"
+	"github.com/nutmegdock/nutmegdock/internal/headers"
+	"github.com/nutmegdock/nutmegdock/internal/pacer"
 )
 
-// Server serves from one holder. Set its fields before the first request.
+const (
+	digestBytes = 32
+	// stallTime is how long a reader may take no bytes before its upload slot is given back.
+	stallTime = 10 * time.Second
+)
+
+// Server serves from one holder. A request that names the zone of its sender comes from another host: it takes an
+// upload slot and yields to live traffic. The host's own engine names none. Set its fields before the first request.
 type Server struct {
 	// Holder is where the content is.
 	Holder *holder.Holder
+	// Zone is the host's own zone.
+	Zone ident.Zone
+	// Uploader grants the slots; nil means no bound.
+	Uploader *uploader.Uploader
+	// Pacer yields to live traffic; nil means no bound.
+	Pacer *pacer.Pacer
 
 	sent atomic.Int64
 }
@@ -29,10 +47,20 @@
 	mux.HandleFunc("GET /chunks/{digest}", s.chunk)
 }
 
+func isDigest(d string) bool {
+	data, err := hex.DecodeString(d)
+	return err == nil && len(data) == digestBytes
+}
+
 func (s *Server) artifact(w http.ResponseWriter, r *http.Request) {
-	a, ok := s.Holder.Artifact(ident.Digest(r.PathValue("digest")))
+	d := r.PathValue("digest")
+	if !isDigest(d) {
+		http.Error(w, "name the manifest by its SHA-256 digest", http.StatusBadRequest)
+		return
+	}
+	a, ok := s.Holder.Artifact(ident.Digest(d))
 	if !ok {
-		http.NotFound(w, r)
+		http.Error(w, "manifest is not held here; ask another host", http.StatusNotFound)
 		return
 	}
 	data, err := a.Encode()
@@ -44,12 +72,45 @@
 }
 
 func (s *Server) chunk(w http.ResponseWriter, r *http.Request) {
-	data, ok := s.Holder.Chunk(ident.Digest(r.PathValue("digest")))
+	d := r.PathValue("digest")
+	if !isDigest(d) {
+		http.Error(w, "name the chunk by its SHA-256 digest", http.StatusBadRequest)
+		return
+	}
+	data, ok := s.Holder.Chunk(ident.Digest(d))
 	if !ok {
-		http.NotFound(w, r)
+		http.Error(w, "chunk is not held here; ask another host", http.StatusNotFound)
 		return
 	}
+	zone := ident.Zone(r.Header.Get(headers.Zone))
+	if zone == "" || s.Uploader == nil {
+		s.send(w, r, data, nil)
+		return
+	}
+	release, err := s.Uploader.Start(zone == s.Zone)
+	if err != nil {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	defer release()
+	s.send(w, r, data, s.Pacer)
+}
+
+func (s *Server) send(w http.ResponseWriter, r *http.Request, data []byte, pace *pacer.Pacer) {
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
-	n, _ := w.Write(data)
-	s.sent.Add(int64(n))
+	ctl := http.NewResponseController(w)
+	defer func() { _ = ctl.SetWriteDeadline(time.Time{}) }()
+	for len(data) > 0 {
+		n := min(len(data), pacer.Piece)
+		if pace.Wait(r.Context(), n) != nil {
+			return
+		}
+		_ = ctl.SetWriteDeadline(time.Now().Add(stallTime))
+		if _, err := w.Write(data[:n]); err != nil {
+			return
+		}
+		s.sent.Add(int64(n))
+		data = data[n:]
+	}
 }
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/bits-and-blooms/bitset"
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
@@ -22,7 +21,6 @@
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/fetcher"
 	"github.com/nutmegdock/nutmegdock/internal/follower"
-	"github.com/nutmegdock/nutmegdock/internal/forwarder"
 	"github.com/nutmegdock/nutmegdock/internal/loader"
 	"github.com/nutmegdock/nutmegdock/internal/membership"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
@@ -31,7 +29,6 @@
 	"github.com/nutmegdock/nutmegdock/internal/spreader"
 	"github.com/nutmegdock/nutmegdock/internal/switcher"
 	"github.com/nutmegdock/nutmegdock/internal/webserver"
-	"github.com/nutmegdock/nutmegdock/internal/weightclient"
 )
 
 // Settings configure an endpoint host.
@@ -53,6 +50,11 @@
 	Unfenced bool `json:"unfenced,omitempty"`
 	// Memory is the number of bytes that held chunks may take.
 	Memory ident.Bytes `json:"memory" validate:"min=1"`
+	// Home is the region of the weight store and the origin; empty if they are near to no region.
+	Home ident.Region `json:"home,omitempty"`
+	// Pace is the number of bytes a second that weights may take, in each direction, while requests are running; zero
+	// means no bound.
+	Pace ident.Bytes `json:"pace,omitempty" validate:"min=0"`
 	// Grace is the number of seconds that requests in progress get at a stop.
 	Grace int `json:"grace" validate:"min=1,max=3600"`
 }
@@ -99,7 +101,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var tasks errgroup.Group
-	rpcs := &rpc.Server{Methods: map[string]rpc.Handler{messages.HaveMethod: rpc.Handle(s.have)}}
+	rpcs := &rpc.Server{Methods: map[string]rpc.Handler{messages.HaveMethod: rpc.Handle(s.fetcher.Answer)}}
 	s.configMethods(rpcs.Methods)
 	tasks.Go(func() error { return s.runConfig(background) })
 	tasks.Go(func() error { return s.members.Run(background) })
@@ -159,8 +161,7 @@
 	s.birth = time.Now().UnixNano()
 	s.registry = newRegistry()
 	_ = s.control.Register(s.registry)
-	s.holder = &holder.Holder{Limit: s.Settings.Memory}
-	s.chunks = &chunkserver.Server{Holder: s.holder}
+	s.holder = &holder.Holder{Limit: s.Settings.Memory, Epoch: s.birth}
 	s.buildPlatform()
 	s.buildWeights()
 	s.buildRequests()
@@ -185,16 +186,7 @@
 }
 
 func (s *Server) buildWeights() {
-	weights := &weightclient.Client{HTTP: forwarder.NewClient()}
-	controls := &rpc.Pool{Dial: s.control.Dial}
-	s.fetcher = &fetcher.Fetcher{
-		Self: s.Settings.Host, Sources: []string{s.Settings.Store, s.Settings.Origin}, Holder: s.holder,
-		Peers: s.peers, Artifact: weights.Artifact, Chunk: weights.Chunk, Logger: s.Logger,
-		Have: func(ctx context.Context, p fetcher.Peer, d ident.Digest) (messages.HaveAnswer, error) {
-			q := messages.HaveQuery{Artifact: d, Offset: s.follower.Offset()}
-			return rpc.Call[messages.HaveAnswer](ctx, controls.Client(p.Control), messages.HaveMethod, q)
-		},
-	}
+	s.buildFetcher()
 	s.switcher = &switcher.Switcher{
 		Self: s.Settings.Host, Pool: s.Settings.Pool, Gate: &s.gate, Holder: s.holder,
 		Fetch: s.fetcher.Fetch, View: s.follower.View, Changed: s.follower.Changed,
@@ -206,32 +198,6 @@
 	}
 }
 
-func (s *Server) peers() []fetcher.Peer {
-	var out []fetcher.Peer
-	for _, m := range s.members.Members(membership.RoleEndpoint) {
-		if m.Host != s.Settings.Host && m.Pool == s.Settings.Pool {
-			out = append(out, fetcher.Peer{Host: m.Host, Data: m.Data, Control: m.Control})
-		}
-	}
-	return out
-}
-
-func (s *Server) have(_ context.Context, q messages.HaveQuery) (messages.HaveAnswer, error) {
-	a, ok := s.holder.Artifact(q.Artifact)
-	out := messages.HaveAnswer{Offset: s.follower.Offset()}
-	if !ok {
-		return out, nil
-	}
-	bits := bitset.New(uint(len(a.Chunks)))
-	for i, c := range a.Chunks {
-		if _, held := s.holder.Chunk(c.Digest); held {
-			bits.Set(uint(i))
-		}
-	}
-	out.Bits = bits.Words()
-	return out, nil
-}
-
 func (s *Server) report() messages.Report {
 	st := s.gate.Status()
 	have, total := s.fetcher.Progress()
@@ -241,5 +207,6 @@
 		Data: s.Settings.Listen, Birth: s.birth, Offset: s.follower.Offset(), Open: st.Open, Leaving: st.Leaving,
 		Unfenced: s.Settings.Unfenced, Slots: s.switcher.Slots(),
 		Set: st.Set, Want: want, Since: since, Running: st.Running, Chunks: have, Total: total,
+		Bytes: s.fetcher.Bytes(),
 	}
 }
--- a/internal/fetcher/fetcher.go
+++ b/internal/fetcher/fetcher.go
@@ -6,248 +6,281 @@
 	"errors"
 	"fmt"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/bits-and-blooms/bitset"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
 	"github.com/nutmegdock/nutmegdock/internal/core/holder"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/manifest"
-	"github.com/nutmegdock/nutmegdock/internal/core/ranker"
-	"github.com/nutmegdock/nutmegdock/internal/event"
+	"github.com/nutmegdock/nutmegdock/internal/core/planner"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
+	"github.com/nutmegdock/nutmegdock/internal/weightclient"
 )
 
 const (
-	workers     = 4
-	retryWait   = 50 * time.Millisecond
-	stepInWait  = time.Second
-	chunkTime   = 30 * time.Second
-	queryTime   = time.Second
-	maxNeighbor = 12
+	planInterval  = 250 * time.Millisecond
+	listInterval  = time.Second
+	manifestTime  = 5 * time.Second
+	manifestPeers = 3
 )
 
-// Peer is another endpoint host that may hold chunks.
+// Peer is another endpoint host that wants the same weight set, with its addresses.
 type Peer struct {
-	Host    ident.Host
+	planner.Peer
 	Data    string
 	Control string
 }
 
-// Fetcher fetches for one host. Set its fields before Fetch.
+// Fetcher fetches for one host, and answers what the host holds. Set its fields before Fetch.
 type Fetcher struct {
-	// Self is the host's own id.
-	Self ident.Host
+	// Self is the host itself.
+	Self Peer
+	// Home is the region of the weight store and the origin, or empty if they are near to no region.
+	Home ident.Region
 	// Sources are the base addresses of the weight store and the origin, in the order to try them.
 	Sources []string
 	// Holder receives the verified chunks.
 	Holder *holder.Holder
-	// Peers returns the hosts that may hold chunks.
-	Peers func() []Peer
-	// Have asks a peer which chunks of an artifact it holds.
-	Have func(ctx context.Context, p Peer, artifact ident.Digest) (messages.HaveAnswer, error)
+	// Peers returns the hosts that want the weight set of the artifacts, and what matters more to it.
+	Peers func(artifacts []ident.Digest) ([]Peer, catalog.Bias)
+	// Have asks a peer what it holds.
+	Have func(ctx context.Context, p Peer, q messages.HaveQuery) (messages.HaveAnswer, error)
 	// Artifact reads a manifest from a base address.
 	Artifact func(ctx context.Context, base string, d ident.Digest) (manifest.Artifact, error)
 	// Chunk reads a chunk from a base address.
-	Chunk func(ctx context.Context, base string, c manifest.Chunk) ([]byte, error)
+	Chunk func(ctx context.Context, base string, c manifest.Chunk, zone ident.Zone, p weightclient.Progress) ([]byte, error)
 	// Logger receives the events.
 	Logger log.Interface
 
-	total atomic.Int64
-	have  atomic.Int64
+	mu      sync.Mutex
+	planner *planner.Planner
+	peers   map[ident.Host]Peer
+	met     map[ident.Host]Peer
+	follow  map[ident.Host]*follower
+	news    chan struct{}
+	counts  counts
+}
+
+// burst is one run of Fetch.
+type burst struct {
+	*Fetcher
+	artifacts []ident.Digest
+	tasks     errgroup.Group
+	wake      chan struct{}
+	cancels   map[int64]context.CancelFunc
+	watches   map[ident.Host]context.CancelFunc
+	listed    time.Time
+	err       error
 }
 
 // Progress returns the number of chunks held and wanted of the current fetch.
 func (f *Fetcher) Progress() (have, total int) {
-	return int(f.have.Load()), int(f.total.Load())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.planner == nil {
+		return 0, 0
+	}
+	total = f.planner.Total()
+	return total - f.planner.Left(), total
 }
 
-// Fetch returns when all chunks of all artifacts are held and verified.
+// Fetch returns when all chunks of all artifacts are held and verified. It returns a holder.FullError at once if they
+// cannot fit into memory. A fetch that is stopped leaves the verified chunks held for the next one.
 func (f *Fetcher) Fetch(ctx context.Context, artifacts []ident.Digest) error {
-	f.have.Store(0)
-	f.total.Store(0)
+	var goals []planner.Goal
 	for _, d := range artifacts {
-		a, err := f.manifest(ctx, d)
+		a, err := f.manifest(ctx, artifacts, d)
 		if err != nil {
 			return err
 		}
-		f.total.Add(int64(len(a.Chunks)))
-		f.have.Add(int64(len(a.Chunks) - len(f.Holder.Missing(a))))
+		goals = append(goals, planner.Goal{Digest: d, Artifact: a})
 	}
-	for _, d := range artifacts {
-		a, _ := f.Holder.Artifact(d)
-		if err := f.fetch(ctx, d, a); err != nil {
-			return err
-		}
+	if err := f.Holder.Want(artifacts); err != nil {
+		return err
+	}
+	f.setGoal(artifacts, goals)
+	ctx, stop := context.WithCancel(ctx)
+	b := &burst{
+		Fetcher: f, artifacts: artifacts, wake: make(chan struct{}, 1),
+		cancels: make(map[int64]context.CancelFunc), watches: make(map[ident.Host]context.CancelFunc),
+	}
+	err := b.run(ctx)
+	stop()
+	_ = b.tasks.Wait()
+	return err
+}
+
+func (f *Fetcher) setGoal(artifacts []ident.Digest, goals []planner.Goal) {
+	peers, bias := f.Peers(artifacts)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.planner = &planner.Planner{Self: f.Self.Peer, Home: f.Home, Outside: len(f.Sources), Bias: bias}
+	f.setPeers(peers)
+	f.planner.SetGoal(goals, func(d ident.Digest) bool {
+		_, ok := f.Holder.Chunk(d)
+		return ok
+	})
+}
+
+// setPeers needs the lock.
+func (f *Fetcher) setPeers(peers []Peer) {
+	f.peers = make(map[ident.Host]Peer, len(peers))
+	var plain []planner.Peer
+	for _, p := range peers {
+		f.peers[p.Host] = p
+		plain = append(plain, p.Peer)
+	}
+	f.planner.SetPeers(plain)
+}
+
+// peer needs the lock.
+func (f *Fetcher) peer(h ident.Host) Peer {
+	if p, ok := f.peers[h]; ok {
+		return p
 	}
-	return nil
+	return f.met[h]
 }
 
-func (f *Fetcher) manifest(ctx context.Context, d ident.Digest) (manifest.Artifact, error) {
+// manifest reads a manifest from a few hosts of the zone, then from the sources outside, then from all hosts.
+func (f *Fetcher) manifest(ctx context.Context, artifacts []ident.Digest, d ident.Digest) (manifest.Artifact, error) {
 	if a, ok := f.Holder.Artifact(d); ok {
 		return a, nil
 	}
 	var errs []error
-	for _, base := range f.bases() {
-		a, err := f.Artifact(ctx, base, d)
+	for _, base := range f.manifestBases(artifacts) {
+		a, err := f.readManifest(ctx, base, d)
 		if err == nil {
 			f.Holder.PutArtifact(d, a)
 			return a, nil
 		}
 		errs = append(errs, err)
+		if ctx.Err() != nil {
+			break
+		}
 	}
 	return manifest.Artifact{}, fmt.Errorf("manifest %.12s: no source has it: %w", d, errors.Join(errs...))
 }
 
-func (f *Fetcher) bases() []string {
-	out := append([]string(nil), f.Sources...)
-	for _, p := range f.Peers() {
-		out = append(out, "http://"+p.Data)
-	}
-	return out
-}
-
-func (f *Fetcher) fetch(ctx context.Context, d ident.Digest, a manifest.Artifact) error {
-	todo := make(chan manifest.Chunk, len(a.Chunks))
-	for _, c := range f.order(f.Holder.Missing(a)) {
-		todo <- c
-	}
-	close(todo)
-	table := &holdings{fetcher: f, artifact: d, index: indexOf(a)}
-	g, ctx := errgroup.WithContext(ctx)
-	for range workers {
-		g.Go(func() error {
-			for c := range todo {
-				if err := f.one(ctx, table, c); err != nil {
-					return err
-				}
-				f.have.Add(1)
-			}
-			return nil
-		})
-	}
-	return g.Wait()
+func (f *Fetcher) readManifest(ctx context.Context, base string, d ident.Digest) (manifest.Artifact, error) {
+	ctx, cancel := context.WithTimeout(ctx, manifestTime)
+	defer cancel()
+	return f.Artifact(ctx, base, d)
 }
 
-// order puts the chunks first that this host is to read from outside.
-func (f *Fetcher) order(chunks []manifest.Chunk) []manifest.Chunk {
-	var own, rest []manifest.Chunk
-	for _, c := range chunks {
-		if f.isReader(c) {
-			own = append(own, c)
+func (f *Fetcher) manifestBases(artifacts []ident.Digest) []string {
+	peers, _ := f.Peers(artifacts)
+	var near, far []string
+	for _, p := range peers {
+		if p.Host == f.Self.Host {
+			continue
+		}
+		if p.Zone == f.Self.Zone && len(near) < manifestPeers {
+			near = append(near, "http://"+p.Data)
 		} else {
-			rest = append(rest, c)
+			far = append(far, "http://"+p.Data)
 		}
 	}
-	return append(own, rest...)
-}
-
-func (f *Fetcher) isReader(c manifest.Chunk) bool {
-	hosts := []ident.Host{f.Self}
-	for _, p := range f.Peers() {
-		hosts = append(hosts, p.Host)
-	}
-	return ranker.Rank(string(c.Digest), hosts)[0] == f.Self
+	return append(append(near, f.Sources...), far...)
 }
 
-func (f *Fetcher) one(ctx context.Context, table *holdings, c manifest.Chunk) error {
-	start := time.Now()
+func (b *burst) run(ctx context.Context) error {
 	for {
-		for _, p := range table.holders(ctx, c) {
-			if f.try(ctx, "http://"+p.Data, c) {
-				return nil
-			}
-		}
-		if f.isReader(c) || time.Since(start) > stepInWait {
-			for _, base := range f.Sources {
-				if f.try(ctx, base, c) {
-					return nil
-				}
-			}
+		if left, err := b.step(ctx); left == 0 || err != nil {
+			return err
 		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-time.After(retryWait):
+		case <-b.wake:
+		case <-time.After(planInterval):
 		}
 	}
 }
 
-func (f *Fetcher) try(ctx context.Context, base string, c manifest.Chunk) bool {
-	ctx, cancel := context.WithTimeout(ctx, chunkTime)
-	defer cancel()
-	data, err := f.Chunk(ctx, base, c)
-	if err != nil {
-		return false
+// step carries out what the planner orders, and returns the number of chunks that are left.
+func (b *burst) step(ctx context.Context) (int, error) {
+	var peers []Peer
+	isListed := time.Since(b.listed) < listInterval
+	if !isListed {
+		peers, _ = b.Peers(b.artifacts)
+		b.listed = time.Now()
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !isListed {
+		b.setPeers(peers)
 	}
-	err = f.Holder.PutChunk(c.Digest, data)
-	var bad *holder.CorruptError
-	if errors.As(err, &bad) {
-		event.ChunkCorrupt.Log(f.Logger, log.Fields{"source": base, "chunk": c.Digest})
+	start, stop := b.planner.Next()
+	for _, id := range stop {
+		b.cancels[id]()
+		delete(b.cancels, id)
 	}
-	return err == nil
+	for _, o := range start {
+		b.start(ctx, o)
+	}
+	b.watch(ctx)
+	return b.planner.Left(), b.err
 }
 
-// holdings remembers for a short time which peers hold which chunks of one artifact.
-type holdings struct {
-	fetcher  *Fetcher
-	artifact ident.Digest
-	index    map[ident.Digest]uint
-
-	mu    sync.Mutex
-	asked time.Time
-	bits  map[ident.Host]*bitset.BitSet
-	peers []Peer
+func (b *burst) notify() {
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
 }
 
-func indexOf(a manifest.Artifact) map[ident.Digest]uint {
-	out := make(map[ident.Digest]uint, len(a.Chunks))
-	for i, c := range a.Chunks {
-		out[c.Digest] = uint(i)
-	}
-	return out
+// start needs the lock.
+func (b *burst) start(ctx context.Context, o planner.Fetch) {
+	ctx, cancel := context.WithCancel(ctx)
+	b.cancels[o.ID] = cancel
+	peer := b.peer(o.Source.Host)
+	b.tasks.Go(func() error {
+		defer cancel()
+		b.transfer(ctx, o, peer)
+		b.notify()
+		return nil
+	})
 }
 
-func (h *holdings) holders(ctx context.Context, c manifest.Chunk) []Peer {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if time.Since(h.asked) > retryWait {
-		h.refresh(ctx)
+func (b *burst) transfer(ctx context.Context, o planner.Fetch, peer Peer) {
+	base := "http://" + peer.Data
+	if o.Source.Host == "" {
+		base = b.Sources[o.Source.Outside]
 	}
-	var out []Peer
-	for _, p := range h.peers {
-		if b := h.bits[p.Host]; b != nil && b.Test(h.index[c.Digest]) {
-			out = append(out, p)
-		}
+	data, err := b.Chunk(ctx, base, o.Chunk, b.Self.Zone, func(_ context.Context, done int) error {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.planner.Progress(o.ID, ident.Bytes(done))
+		return nil
+	})
+	if err == nil {
+		b.counts.add(b.Self, o.Source, peer, ident.Bytes(len(data)))
+		err = b.Holder.PutChunk(o.Chunk.Digest, data)
 	}
-	return out
+	b.finish(o, base, err)
 }
 
-func (h *holdings) refresh(ctx context.Context) {
-	h.peers = h.fetcher.Peers()
-	if len(h.peers) > maxNeighbor {
-		h.peers = h.peers[:maxNeighbor]
+func (b *burst) finish(o planner.Fetch, base string, err error) {
+	outcome := outcomeOf(err)
+	if outcome == planner.Corrupt {
+		b.counts.corrupt.Add(1)
+		logCorrupt(b.Logger, base, o.Chunk.Digest)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var full *holder.FullError
+	if errors.As(err, &full) {
+		b.err = err
+	}
+	if _, ok := b.cancels[o.ID]; !ok && outcome != planner.Stored {
+		return
+	}
+	delete(b.cancels, o.ID)
+	b.planner.Finish(o.ID, outcome)
+	if outcome == planner.Stored {
+		b.announce()
 	}
-	h.bits = make(map[ident.Host]*bitset.BitSet)
-	ctx, cancel := context.WithTimeout(ctx, queryTime)
-	defer cancel()
-	var g errgroup.Group
-	var mu sync.Mutex
-	for _, p := range h.peers {
-		g.Go(func() error {
-			a, err := h.fetcher.Have(ctx, p, h.artifact)
-			if err != nil {
-				return nil
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			h.bits[p.Host] = bitset.From(a.Bits)
-			return nil
-		})
-	}
-	_ = g.Wait()
-	h.asked = time.Now()
 }
--- /dev/null
+++ b/internal/fetcher/outcome.go
@@ -0,0 +1,87 @@
+package fetcher
+
+import (
+	"errors"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/apex/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/holder"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/planner"
+	"github.com/nutmegdock/nutmegdock/internal/event"
+	"github.com/nutmegdock/nutmegdock/internal/messages"
+	"github.com/nutmegdock/nutmegdock/internal/weightclient"
+)
+
+func outcomeOf(err error) planner.Outcome {
+	var bad *holder.CorruptError
+	var status *weightclient.Error
+	switch {
+	case err == nil:
+		return planner.Stored
+	case errors.As(err, &bad):
+		return planner.Corrupt
+	case errors.As(err, &status) && status.Status == http.StatusServiceUnavailable:
+		return planner.Busy
+	}
+	return planner.Failed
+}
+
+func logCorrupt(l log.Interface, source string, d ident.Digest) {
+	event.ChunkCorrupt.Log(l, log.Fields{"source": source, "chunk": d})
+}
+
+// counts are the chunk bytes received by kind of source, and the chunks that were dropped as corrupt.
+type counts struct {
+	zone, region, remote, store, origin atomic.Int64
+	corrupt                             atomic.Int64
+}
+
+func (c *counts) add(self Peer, s planner.Source, p Peer, n ident.Bytes) {
+	switch {
+	case s.Host == "" && s.Outside == 0:
+		c.store.Add(int64(n))
+	case s.Host == "":
+		c.origin.Add(int64(n))
+	case p.Zone == self.Zone:
+		c.zone.Add(int64(n))
+	case p.Region == self.Region:
+		c.region.Add(int64(n))
+	default:
+		c.remote.Add(int64(n))
+	}
+}
+
+// Bytes returns the chunk bytes received by kind of source.
+func (f *Fetcher) Bytes() messages.SourceBytes {
+	c := &f.counts
+	return messages.SourceBytes{
+		Zone: ident.Bytes(c.zone.Load()), Region: ident.Bytes(c.region.Load()), Remote: ident.Bytes(c.remote.Load()),
+		Store: ident.Bytes(c.store.Load()), Origin: ident.Bytes(c.origin.Load()),
+	}
+}
+
+// Register adds the fetcher's metrics.
+func (f *Fetcher) Register(r prometheus.Registerer) {
+	c := &f.counts
+	for name, n := range map[string]*atomic.Int64{
+		"zone": &c.zone, "region": &c.region, "remote": &c.remote, "store": &c.store, "origin": &c.origin,
+	} {
+		r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "nutmegdock_weights_received_bytes_total", Help: "Chunk bytes received, by source.",
+			ConstLabels: prometheus.Labels{"source": name},
+		}, func() float64 { return float64(n.Load()) }))
+	}
+	r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "nutmegdock_weights_corrupt_total", Help: "Chunks dropped because they did not match their digest.",
+	}, func() float64 { return float64(c.corrupt.Load()) }))
+	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "nutmegdock_weights_missing_chunks", Help: "Chunks of the wanted weight set that are not held.",
+	}, func() float64 {
+		have, total := f.Progress()
+		return float64(total - have)
+	}))
+}
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -29,6 +29,8 @@
 	Suspect = "Nutmeg-Suspect"
 	// Death names the death of the engine that a request was running on.
 	Death = "Nutmeg-Death"
+	// Zone names the availability zone of a host that asks another one for a chunk.
+	Zone = "Nutmeg-Zone"
 	// Replayed marks an answer that was given before to a request with the same idempotency key.
 	Replayed = "Nutmeg-Replayed"
 	// CallerKey is the field in which callers and plain services exchange idempotency keys.
--- a/internal/measure/burst/world_test.go
+++ b/internal/measure/burst/world_test.go
@@ -23,9 +23,11 @@
 	batch     = time.Second
 	quick     = 200 * time.Millisecond
 	heartbeat = 2 * time.Second
-	skew      = 500 * time.Millisecond
-	listLag   = 2 * time.Second
-	expiry    = 3 * time.Second
+	// maxRealBytes is the largest chunk whose content has the size that the manifest states.
+	maxRealBytes = 1 << 10
+	skew         = 500 * time.Millisecond
+	listLag      = 2 * time.Second
+	expiry       = 3 * time.Second
 )
 
 // place is a zone with its region.
@@ -62,6 +64,12 @@
 	isCut   func(a, b place) bool
 	// outside counts the bytes that the store gave, by chunk.
 	outside map[ident.Digest]ident.Bytes
+	// other is the content of a chunk of another artifact.
+	other []byte
+	// lost is the share of deltas that do not arrive.
+	lost float64
+	// limit bounds the bytes that a host holds.
+	limit   ident.Bytes
 	control int
 	busy    int
 	answers int
@@ -84,6 +92,7 @@
 	dead     bool
 	died     time.Time
 	frozen   bool
+	isFaulty bool
 	birth    int64
 	goal     []planner.Goal
 	set      int
@@ -137,14 +146,14 @@
 	for _, t := range h.running {
 		t.stopped = true
 	}
-	h.holder = &holder.Holder{Epoch: h.birth << 32}
+	h.holder = &holder.Holder{Epoch: h.birth << 32, Limit: h.w.limit}
 	h.uploader = &uploader.Uploader{}
 	h.planner = &planner.Planner{Self: h.Peer, Home: h.w.places[0].region, Outside: 1, Bias: h.w.bias, Choice: h.w.choice}
 	h.cursors = make(map[ident.Host]holder.Cursor)
 	h.asked = make(map[ident.Host]int)
 	h.running = make(map[int64]*transfer)
 	h.waiters, h.goal, h.set = nil, nil, 0
-	h.dead, h.frozen = false, false
+	h.dead, h.frozen, h.isFaulty = false, false, false
 }
 
 // artifact makes a manifest of chunks of the nominal size. The content that the cores verify is a few bytes.
@@ -152,6 +161,9 @@
 	a := manifest.Artifact{Name: "m", Version: version, Size: size * ident.Bytes(chunks)}
 	for i := range chunks {
 		data := fmt.Appendf(nil, "%s/%d", version, i)
+		if size <= maxRealBytes {
+			data = append(data, make([]byte, int(size)-len(data))...)
+		}
 		c := manifest.Chunk{Digest: manifest.Sum(data), Size: size}
 		if shared != nil && i%2 == 0 {
 			c = shared.Chunks[i]
@@ -181,8 +193,13 @@
 		t.stopped = true
 	}
 	h.running = make(map[int64]*transfer)
+	var digests []ident.Digest
 	for _, g := range goals {
 		h.holder.PutArtifact(g.Digest, g.Artifact)
+		digests = append(digests, g.Digest)
+	}
+	if err := h.holder.Want(digests); err != nil {
+		panic(err)
 	}
 	h.planner.SetPeers(h.list())
 	h.planner.SetGoal(goals, func(d ident.Digest) bool {
@@ -338,7 +355,7 @@
 	goal := h.set
 	w.answers++
 	w.after(latency, func() {
-		if h.birth != v.birth || !w.canReach(h, n) {
+		if h.birth != v.birth || !w.canReach(h, n) || w.rng.Float64() < w.lost {
 			return
 		}
 		if h.asked[n.Host] != v.id {
@@ -463,8 +480,9 @@
 
 func (h *host) receive(f planner.Fetch, birth int64) {
 	data := h.w.content[f.Chunk.Digest]
-	if h.w.rng.Float64() < h.w.corrupt {
-		data = append(slices.Clone(data), 'x')
+	from := h.w.byName[f.Source.Host]
+	if h.w.rng.Float64() < h.w.corrupt || (from != nil && from.isFaulty) {
+		data = h.w.spoil(data)
 	}
 	err := h.holder.PutChunk(f.Chunk.Digest, data)
 	var bad *holder.CorruptError
@@ -478,6 +496,17 @@
 	}
 }
 
+// spoil returns content with a wrong byte, cut short, or of another chunk.
+func (w *world) spoil(data []byte) []byte {
+	switch w.rng.IntN(3) {
+	case 0:
+		return append(slices.Clone(data), 'x')
+	case 1:
+		return data[:len(data)-1]
+	}
+	return w.other
+}
+
 func (h *host) finish(f planner.Fetch, birth int64, o planner.Outcome) {
 	if h.birth != birth {
 		return
--- a/internal/messages/report.go
+++ b/internal/messages/report.go
@@ -29,6 +29,8 @@
 	Slots   int          `json:"slots"`
 	Chunks  int          `json:"chunks"`
 	Total   int          `json:"total"`
+	// Bytes is where the host's chunks came from since it started.
+	Bytes SourceBytes `json:"bytes,omitzero"`
 }
 
 // Ack answers a Report with the receiver's offset. Wave is given while the reporting host is to leave the set it serves.
--- a/internal/messages/weights.go
+++ b/internal/messages/weights.go
@@ -33,3 +33,13 @@
 	Ages    []int        `json:"ages,omitempty"`
 	Offset  ident.Offset `json:"offset,omitempty"`
 }
+
+// SourceBytes counts the chunk bytes that a host has received, by what they cost: from hosts of its zone, of its region,
+// of other regions, from the weight store, and from the origin.
+type SourceBytes struct {
+	Zone   ident.Bytes `json:"zone,omitempty"`
+	Region ident.Bytes `json:"region,omitempty"`
+	Remote ident.Bytes `json:"remote,omitempty"`
+	Store  ident.Bytes `json:"store,omitempty"`
+	Origin ident.Bytes `json:"origin,omitempty"`
+}
--- a/internal/weightclient/weightclient.go
+++ b/internal/weightclient/weightclient.go
@@ -10,6 +10,8 @@
 
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/manifest"
+	"github.com/nutmegdock/nutmegdock/internal/headers"
+	"github.com/nutmegdock/nutmegdock/internal/pacer"
 )
 
 const (
@@ -49,27 +51,77 @@
 	return manifest.Decode(data, d)
 }
 
-// Chunk returns the content that a source gives for a chunk. The caller verifies it.
-func (c *Client) Chunk(ctx context.Context, base string, chunk manifest.Chunk) ([]byte, error) {
-	return c.get(ctx, base+"/chunks/"+string(chunk.Digest), int64(chunk.Size))
+// Progress is told of the bytes of a chunk received so far. It may wait before it returns; an error ends the read.
+type Progress func(ctx context.Context, done int) error
+
+// Chunk returns the content that a source gives for a chunk. The caller verifies it. zone is the reader's own.
+func (c *Client) Chunk(ctx context.Context, base string, chunk manifest.Chunk, zone ident.Zone, progress Progress) ([]byte, error) {
+	address := base + "/chunks/" + string(chunk.Digest)
+	body, err := c.open(ctx, address, zone)
+	if err != nil {
+		return nil, err
+	}
+	defer body.Close()
+	data := make([]byte, 0, chunk.Size)
+	for len(data) < cap(data) {
+		n, err := body.Read(data[len(data):min(cap(data), len(data)+pacer.Piece)])
+		data = data[:len(data)+n]
+		if perr := progress(ctx, len(data)); perr != nil {
+			return nil, perr
+		}
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return nil, fmt.Errorf("get %s: %w", address, err)
+		}
+	}
+	if len(data) < cap(data) {
+		return nil, &SizeError{URL: address, Got: ident.Bytes(len(data)), Want: chunk.Size}
+	}
+	return data, nil
+}
+
+// SizeError reports content that ended early.
+type SizeError struct {
+	URL  string
+	Got  ident.Bytes
+	Want ident.Bytes
+}
+
+// Error names the address and the sizes.
+func (e *SizeError) Error() string {
+	return fmt.Sprintf("get %s: ended after %d bytes of %d; ask another source", e.URL, e.Got, e.Want)
 }
 
 func (c *Client) get(ctx context.Context, address string, limit int64) ([]byte, error) {
+	body, err := c.open(ctx, address, "")
+	if err != nil {
+		return nil, err
+	}
+	defer body.Close()
+	data, err := io.ReadAll(io.LimitReader(body, limit))
+	if err != nil {
+		return nil, fmt.Errorf("get %s: %w", address, err)
+	}
+	return data, nil
+}
+
+func (c *Client) open(ctx context.Context, address string, zone ident.Zone) (io.ReadCloser, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
 		return nil, fmt.Errorf("get %s: %w", address, err)
 	}
+	if zone != "" {
+		req.Header.Set(headers.Zone, string(zone))
+	}
 	resp, err := c.HTTP.Do(req)
 	if err != nil {
 		return nil, fmt.Errorf("get %s: %w", address, err)
 	}
-	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
+		_ = resp.Body.Close()
 		return nil, &Error{URL: address, Status: resp.StatusCode}
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, limit))
-	if err != nil {
-		return nil, fmt.Errorf("get %s: %w", address, err)
-	}
-	return data, nil
+	return resp.Body, nil
 }
