--- a/internal/core/planner/planner.go
+++ b/internal/core/planner/planner.go
@@ -282,7 +282,7 @@
 	for _, s := range p.stripes {
 		if s.owns(f.index, p.offsets) {
 			s.sign = time.Now()
-			s.slow = 0
+			s.slow = max(s.slow-1, 0)
 			s.update(p.held)
 		}
 	}
--- a/internal/core/planner/stripe.go
+++ b/internal/core/planner/stripe.go
@@ -25,7 +25,7 @@
 	timePatienceFactor = 2
 	// maxSlow bounds how often a stripe's deadline doubles. It doubles when a read over a congested link is given up, so
 	// that retries do not take what the link carries.
-	maxSlow = 2
+	maxSlow = 4
 	// lastResortFactor times the patience is the time after which any host may read a stripe.
 	lastResortFactor = 3
 )
@@ -176,11 +176,12 @@
 }
 
 // patience is the time without a sign of progress after which a live reader is passed over.
-func (p *Planner) patience() time.Duration {
+// It doubles with the stripe's deadline: a host whose own reads stall has no better way than those before it.
+func (p *Planner) patience(s *stripe) time.Duration {
 	if p.Bias == catalog.BiasTime {
-		return timePatienceFactor * p.Deadline
+		return timePatienceFactor * p.Deadline << s.slow
 	}
-	return patienceFactor * p.Deadline
+	return patienceFactor * p.Deadline << s.slow
 }
 
 // hasFailed tells whether a reader of the stripe is silent, or alive without progress. It starts to watch a reader
@@ -193,7 +194,7 @@
 	if now.Sub(later(n.watched, n.heard)) > p.Deadline {
 		return true
 	}
-	return now.Sub(later(n.watched, n.signs[s.id])) > p.patience()
+	return now.Sub(later(n.watched, n.signs[s.id])) > p.patience(s)
 }
 
 func later(a, b time.Time) time.Time {
@@ -207,7 +208,7 @@
 func (p *Planner) acts(s *stripe, now time.Time) bool {
 	above := s.above
 	if len(above) > watchedRanks {
-		if now.Sub(later(p.start, s.sign)) < lastResortFactor*p.patience() {
+		if now.Sub(later(p.start, s.sign)) < lastResortFactor*p.patience(s) {
 			return false
 		}
 		above = above[len(above)-watchedRanks:]
@@ -347,12 +348,12 @@
 
 // isSuperfluous tells whether a read from outside is to be left to a reader that has taken the stripe up again.
 func (p *Planner) isSuperfluous(f *Fetch) bool {
-	if f.stripe == nil || f.Source.Host != "" || f.done*2 > f.Chunk.Size {
+	if f.stripe == nil || f.done*2 > f.Chunk.Size {
 		return false
 	}
 	now := time.Now()
 	if !p.acts(f.stripe, now) {
 		return true
 	}
-	return !p.readsEarly(f.stripe) && p.live(f.stripe, now) != nil
+	return f.Source.Host == "" && !p.readsEarly(f.stripe) && p.live(f.stripe, now) != nil
 }
