--- a/internal/chunkserver/chunkserver.go
+++ b/internal/chunkserver/chunkserver.go
@@ -2,7 +2,6 @@
 package chunkserver
 
 import (
-	"encoding/hex"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -15,11 +14,8 @@
 	"github.com/nutmegdock/nutmegdock/internal/pacer"
 )
 
-const (
-	digestBytes = 32
-	// stallTime is how long a reader may take no bytes before its upload slot is given back.
-	stallTime = 10 * time.Second
-)
+// stallTime is how long a reader may take no bytes before its upload slot is given back.
+const stallTime = 10 * time.Second
 
 // Server serves from one holder. A request that names the zone of its sender comes from another host: it takes an
 // upload slot and yields to live traffic. The host's own engine names none. Set its fields before the first request.
@@ -47,14 +43,9 @@
 	mux.HandleFunc("GET /chunks/{digest}", s.chunk)
 }
 
-func isDigest(d string) bool {
-	data, err := hex.DecodeString(d)
-	return err == nil && len(data) == digestBytes
-}
-
 func (s *Server) artifact(w http.ResponseWriter, r *http.Request) {
 	d := r.PathValue("digest")
-	if !isDigest(d) {
+	if !ident.Digest(d).IsValid() {
 		http.Error(w, "name the manifest by its SHA-256 digest", http.StatusBadRequest)
 		return
 	}
@@ -73,7 +64,7 @@
 
 func (s *Server) chunk(w http.ResponseWriter, r *http.Request) {
 	d := r.PathValue("digest")
-	if !isDigest(d) {
+	if !ident.Digest(d).IsValid() {
 		http.Error(w, "name the chunk by its SHA-256 digest", http.StatusBadRequest)
 		return
 	}
--- a/internal/core/ident/ident.go
+++ b/internal/core/ident/ident.go
@@ -40,6 +40,22 @@
 // Digest is a SHA-256 sum in lower-case hexadecimal.
 type Digest string
 
+// IsValid tells whether the digest has the form of a SHA-256 sum.
+func (d Digest) IsValid() bool {
+	if len(d) != digestLength {
+		return false
+	}
+	for _, c := range d {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') {
+			return false
+		}
+	}
+	return true
+}
+
+// digestLength is the number of hexadecimal digits of a SHA-256 sum.
+const digestLength = 64
+
 // WeightSet is the digest of a model version with its adapters.
 type WeightSet string
 
--- a/internal/core/manifest/manifest.go
+++ b/internal/core/manifest/manifest.go
@@ -65,21 +65,30 @@
 	return a, a.Check()
 }
 
-// Check reports the first rule that the artifact breaks.
+// Check reports the first rule that the artifact breaks. A chunk may be repeated, as equal parts of a file are; then
+// all its entries must state the same size.
 func (a Artifact) Check() error {
 	if len(a.Chunks) == 0 || len(a.Chunks) > MaxChunks {
 		return &Error{Artifact: a.Name, Reason: fmt.Sprintf("has %d chunks, want 1 to %d", len(a.Chunks), MaxChunks)}
 	}
 	var total ident.Bytes
+	sizes := make(map[ident.Digest]ident.Bytes, len(a.Chunks))
 	for i, c := range a.Chunks {
-		if len(c.Digest) != sha256.Size*2 {
+		if !c.Digest.IsValid() {
 			return &Error{Artifact: a.Name, Reason: fmt.Sprintf("chunk %d has no valid digest", i)}
 		}
 		if c.Size <= 0 || c.Size > MaxChunkBytes {
 			return &Error{Artifact: a.Name, Reason: fmt.Sprintf("chunk %d has %d bytes, want 1 to %d", i, c.Size, MaxChunkBytes)}
 		}
+		if size, ok := sizes[c.Digest]; ok && size != c.Size {
+			return &Error{Artifact: a.Name, Reason: fmt.Sprintf("chunk %d is repeated with %d bytes and with %d", i, size, c.Size)}
+		}
+		sizes[c.Digest] = c.Size
 		total += c.Size
 	}
+	if a.Name == "" || a.Version == "" {
+		return &Error{Artifact: a.Name, Reason: "has no name or no version"}
+	}
 	if total != a.Size {
 		return &Error{Artifact: a.Name, Reason: fmt.Sprintf("chunks add up to %d bytes, the manifest states %d", total, a.Size)}
 	}
--- /dev/null
+++ b/internal/core/manifest/manifest_test.go
@@ -0,0 +1,85 @@
+package manifest
+
+import (
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+)
+
+func sample() Artifact {
+	a, b := Sum([]byte("a")), Sum([]byte("b"))
+	return Artifact{Name: "m", Version: "1", Size: 4, Chunks: []Chunk{{a, 1}, {b, 2}, {a, 1}}}
+}
+
+func TestDecodeRefusesBadManifests(t *testing.T) {
+	cases := map[string]struct {
+		change func(a *Artifact)
+		reason string
+	}{
+		"missing chunk":        {func(a *Artifact) { a.Chunks = a.Chunks[:2] }, "add up"},
+		"no chunk":             {func(a *Artifact) { a.Chunks = nil }, "has 0 chunks"},
+		"repeated, other size": {func(a *Artifact) { a.Chunks[2].Size = 2; a.Size = 5 }, "repeated"},
+		"too large chunk":      {func(a *Artifact) { a.Chunks[1].Size = MaxChunkBytes + 1 }, "chunk 1 has"},
+		"empty chunk":          {func(a *Artifact) { a.Chunks[1].Size = 0 }, "chunk 1 has"},
+		"negative chunk":       {func(a *Artifact) { a.Chunks[1].Size = -1 }, "chunk 1 has"},
+		"wrong sum":            {func(a *Artifact) { a.Size = 7 }, "add up"},
+		"short digest":         {func(a *Artifact) { a.Chunks[0].Digest = "ab" }, "no valid digest"},
+		"digest not hex":       {func(a *Artifact) { a.Chunks[0].Digest = ident.Digest(strings.Repeat("g", 64)) }, "no valid digest"},
+		"no version":           {func(a *Artifact) { a.Version = "" }, "no version"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a := sample()
+			c.change(&a)
+			data, err := a.Encode()
+			is.NoErr(err)
+			_, err = Decode(data, Sum(data))
+			var bad *Error
+			is.True(errors.As(err, &bad))
+			is.True(strings.Contains(bad.Reason, c.reason))
+		})
+	}
+}
+
+func TestDecodeRefusesOtherContent(t *testing.T) {
+	is := is.New(t)
+	data, err := sample().Encode()
+	is.NoErr(err)
+	a, err := Decode(data, Sum(data))
+	is.NoErr(err)
+	is.Equal(a, sample())
+	_, err = Decode(append(data, ' '), Sum(data))
+	var bad *Error
+	is.True(errors.As(err, &bad))
+}
+
+// FuzzDecode checks that whatever is accepted keeps the rules, and encodes to a manifest that is accepted again.
+func FuzzDecode(f *testing.F) {
+	good, _ := json.Marshal(sample())
+	for _, s := range []string{string(good), "", "{}", "null", `{"chunks":[{}]}`, `{"size":-1}`, `{"chunks":[{"digest":"","size":9e18}]}`, string(good) + "x"} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		a, err := Decode(data, Sum(data))
+		var bad *Error
+		if err != nil {
+			if !errors.As(err, &bad) {
+				t.Fatalf("error of type %T", err)
+			}
+			return
+		}
+		again, err := a.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Decode(again, Sum(again)); err != nil {
+			t.Fatalf("encoded again: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/core/planner/planner_test.go
@@ -0,0 +1,142 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/manifest"
+)
+
+func goal(chunks int) Goal {
+	a := manifest.Artifact{Name: "m", Version: "1"}
+	for i := range chunks {
+		a.Chunks = append(a.Chunks, manifest.Chunk{Digest: manifest.Sum(fmt.Append(nil, i)), Size: 1})
+	}
+	return Goal{Digest: "artifact", Artifact: a}
+}
+
+func none(ident.Digest) bool { return false }
+
+// newPair returns a planner of a zone of two hosts, and the other host.
+func newPair(chunks int) (*Planner, ident.Host) {
+	p := &Planner{Self: Peer{"a", "z", "r"}, Outside: 2}
+	p.SetPeers([]Peer{p.Self, {"b", "z", "r"}})
+	p.SetGoal([]Goal{goal(chunks)}, none)
+	return p, "b"
+}
+
+func all(chunks int) [][]int {
+	out := make([]int, chunks)
+	for i := range out {
+		out[i] = i
+	}
+	return [][]int{out}
+}
+
+func TestRepeatedChunkIsFetchedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := goal(1)
+		g.Artifact.Chunks = append(g.Artifact.Chunks, g.Artifact.Chunks[0])
+		p := &Planner{Self: Peer{"a", "z", "r"}, Outside: 1}
+		p.SetGoal([]Goal{g}, none)
+		is.Equal(p.Total(), 1)
+		time.Sleep(2 * DefaultSettle)
+		start, _ := p.Next()
+		is.Equal(len(start), 1)
+		p.Finish(start[0].ID, Stored)
+		is.Equal(p.Left(), 0)
+	})
+}
+
+func TestIndicesOutOfRangeAreLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, b := newPair(4)
+		p.Heard(b, true, [][]int{{-1, 4, 1 << 40, 2}, {0}}, []int{-5, 1, 2, 3, 4, 5, 6, 7, 8, 9})
+		start, _ := p.Next()
+		is.Equal(len(start), 1)
+		is.Equal(start[0].Chunk, p.chunks[2])
+	})
+}
+
+func TestSenderOfCorruptChunksIsBanned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, b := newPair(4)
+		asked := 0
+		for range 40 {
+			p.Heard(b, false, all(4), nil)
+			start, _ := p.Next()
+			for _, f := range start {
+				if f.Source.Host == b {
+					asked++
+				}
+				p.Finish(f.ID, Corrupt)
+			}
+			time.Sleep(time.Second)
+		}
+		is.True(asked >= maxStrikes)
+		is.True(asked <= maxStrikes+perNeighbor)
+	})
+}
+
+func TestStalledSourceLosesTheChunk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, b := newPair(1)
+		p.Heard(b, true, all(1), nil)
+		start, _ := p.Next()
+		is.Equal(len(start), 1)
+		for i := range 20 {
+			time.Sleep(DefaultDeadline / 2)
+			p.Progress(start[0].ID, ident.Bytes(i))
+			_, stop := p.Next()
+			is.Equal(len(stop), 0) // slow is not stalled
+		}
+		time.Sleep(DefaultDeadline + time.Second)
+		_, stop := p.Next()
+		is.Equal(stop, []int64{start[0].ID})
+	})
+}
+
+func TestNextInOrderStepsInForSilentReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, _ := newPair(Stripes)
+		outside := func() int {
+			n := 0
+			start, _ := p.Next()
+			for _, f := range start {
+				n++
+				p.Finish(f.ID, Stored)
+			}
+			return n
+		}
+		time.Sleep(DefaultSettle)
+		own := outside()
+		is.True(own > 0 && own < Stripes) // the other host reads the other stripes
+		time.Sleep(DefaultDeadline + time.Second)
+		is.Equal(own+outside(), Stripes)
+	})
+}
+
+func TestHostThatAsksIsTakenForAPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := &Planner{Self: Peer{"a", "z", "r"}, Outside: 1}
+		p.SetGoal([]Goal{goal(Stripes)}, none)
+		is.Equal(len(p.Watch()), 0)
+		p.Meet(Peer{"b", "z", "r"})
+		p.SetPeers(nil)
+		is.Equal(p.Watch(), []ident.Host{"b"})
+		time.Sleep(metTime + time.Second)
+		p.SetPeers(nil)
+		is.Equal(len(p.Watch()), 0)
+	})
+}
--- a/internal/fetcher/fetcher.go
+++ b/internal/fetcher/fetcher.go
@@ -265,6 +265,9 @@
 
 func (b *burst) finish(o planner.Fetch, base string, err error) {
 	outcome := outcomeOf(err)
+	if outcome == planner.Busy && o.Source.Host == "" {
+		outcome = planner.Failed
+	}
 	if outcome == planner.Corrupt {
 		b.counts.corrupt.Add(1)
 		logCorrupt(b.Logger, base, o.Chunk.Digest)
--- /dev/null
+++ b/internal/measure/burst/control_test.go
@@ -0,0 +1,192 @@
+package burst
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/holder"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/planner"
+	"github.com/nutmegdock/nutmegdock/internal/messages"
+)
+
+type waiter struct {
+	from  *host
+	id    int
+	birth int64
+	since holder.Cursor
+	after time.Time
+	until time.Time
+}
+
+func (h *host) want(set int, goals []planner.Goal) {
+	if h.dead || h.set > set {
+		return
+	}
+	isFirst := h.goal == nil
+	h.goal, h.set = goals, set
+	for _, t := range h.running {
+		t.stopped = true
+	}
+	h.running = make(map[int64]*transfer)
+	var digests []ident.Digest
+	for _, g := range goals {
+		h.holder.PutArtifact(g.Digest, g.Artifact)
+		digests = append(digests, g.Digest)
+	}
+	if err := h.holder.Want(digests); err != nil {
+		panic(err)
+	}
+	h.planner.SetPeers(h.list())
+	h.planner.SetGoal(goals, func(d ident.Digest) bool {
+		_, ok := h.holder.Chunk(d)
+		return ok
+	})
+	h.cursors = make(map[ident.Host]holder.Cursor)
+	if isFirst {
+		h.beat(h.birth)
+	}
+}
+
+func (h *host) beat(birth int64) {
+	if h.dead || h.birth != birth {
+		return
+	}
+	if !h.frozen {
+		if h.beats++; h.beats%4 == 0 {
+			h.planner.SetPeers(h.list())
+		}
+		h.flush()
+		h.decide()
+	}
+	h.w.after(tick, func() { h.beat(birth) })
+}
+
+// list is the lagging list of hosts. While the list is partial, a host sees itself and about half of the others.
+func (h *host) list() []planner.Peer {
+	var out []planner.Peer
+	for i, q := range h.w.hosts {
+		if q.dead && time.Since(q.died) > expiry+listLag {
+			continue
+		}
+		if h != q && time.Since(h.w.began) < h.w.partial && (i+int(h.Host[len(h.Host)-1]))%2 == 0 {
+			continue
+		}
+		out = append(out, q.Peer)
+	}
+	return out
+}
+
+// decide carries out what the planner orders.
+func (h *host) decide() {
+	if h.dead || h.frozen || h.goal == nil {
+		return
+	}
+	for _, name := range h.planner.Watch() {
+		h.ask(h.w.byName[name])
+	}
+	start, stop := h.planner.Next()
+	for _, id := range stop {
+		if t := h.running[id]; t != nil {
+			t.stopped = true
+			delete(h.running, id)
+		}
+	}
+	for _, f := range start {
+		h.fetch(f)
+	}
+}
+
+// ask follows another host's holdings, one question at a time.
+func (h *host) ask(n *host) {
+	if h.asked[n.Host] != 0 {
+		return
+	}
+	h.question++
+	id := h.question
+	h.asked[n.Host] = id
+	since, birth := h.cursors[n.Host], h.birth
+	h.w.after(3*heartbeat/2, func() { h.giveUp(n, id) })
+	h.w.after(latency, func() {
+		if !h.w.canReach(h, n) {
+			return
+		}
+		if n.goal == nil {
+			n.answer(waiter{from: h, id: id, birth: birth, since: since}, holder.Delta{}, nil)
+			return
+		}
+		n.planner.Meet(h.Peer)
+		if h.w.counted {
+			h.w.countBytes(messages.HaveQuery{Epoch: since.Epoch, Count: since.Count, Host: h.Host})
+		}
+		wait := batch
+		if h.Zone != n.Zone {
+			wait = quick
+		}
+		now := time.Now()
+		n.waiters = append(n.waiters, waiter{from: h, id: id, birth: birth, since: since, after: now.Add(wait), until: now.Add(heartbeat)})
+	})
+}
+
+// giveUp makes room for the next question, if this one has had no answer.
+func (h *host) giveUp(n *host, id int) {
+	if h.asked[n.Host] == id {
+		h.asked[n.Host] = 0
+	}
+}
+
+// countBytes adds a message with its JSON-RPC envelope, at both ends.
+func (w *world) countBytes(v any) {
+	const envelope = 60
+	data, _ := json.Marshal(v)
+	w.control += 2 * (len(data) + envelope)
+}
+
+// flush answers those who wait, if there is news for them or they have waited for a heartbeat.
+func (h *host) flush() {
+	if h.dead || h.frozen || h.goal == nil {
+		return
+	}
+	var rest []waiter
+	now := time.Now()
+	for _, v := range h.waiters {
+		if now.Before(v.after) {
+			rest = append(rest, v)
+			continue
+		}
+		artifacts := v.from.planner.Artifacts()
+		d := h.holder.Delta(artifacts, v.since)
+		if d.IsEmpty() && now.Before(v.until) {
+			rest = append(rest, v)
+			continue
+		}
+		h.answer(v, d, h.planner.Ages(artifacts))
+	}
+	h.waiters = rest
+}
+
+func (h *host) answer(v waiter, d holder.Delta, ages []int) {
+	to, w := v.from, h.w
+	if w.counted {
+		w.countBytes(messages.HaveAnswer{Epoch: d.Next.Epoch, Count: d.Next.Count, Full: d.Full, Added: d.Added, Ages: ages})
+	}
+	goal := to.set
+	w.answers++
+	w.after(latency, func() {
+		if to.birth != v.birth || !w.canReach(to, h) || w.rng.Float64() < w.lost {
+			return
+		}
+		if to.asked[h.Host] != v.id {
+			return
+		}
+		to.asked[h.Host] = 0
+		if to.set != goal {
+			return
+		}
+		if d.Next.Epoch != 0 {
+			to.cursors[h.Host] = d.Next
+		}
+		to.planner.Heard(h.Host, d.Full, d.Added, ages)
+		to.decide()
+	})
+}
--- /dev/null
+++ b/internal/measure/burst/data_test.go
@@ -0,0 +1,158 @@
+package burst
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/holder"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/planner"
+)
+
+func (h *host) fetch(f planner.Fetch) {
+	if f.Source.Host == "" {
+		h.fetchOutside(f)
+		return
+	}
+	n, birth := h.w.byName[f.Source.Host], h.birth
+	h.w.after(latency, func() {
+		if !h.w.canReach(h, n) || h.birth != birth {
+			return
+		}
+		if _, ok := n.holder.Chunk(f.Chunk.Digest); !ok {
+			h.finish(f, birth, planner.Failed)
+			return
+		}
+		release, err := n.uploader.Start(h.Zone == n.Zone)
+		if err != nil {
+			h.w.busy++
+			h.w.after(latency, func() { h.finish(f, birth, planner.Busy) })
+			return
+		}
+		h.transfer(f, n, release)
+	})
+}
+
+func (h *host) transfer(f planner.Fetch, n *host, release func()) {
+	birth, from := h.birth, n.birth
+	path := []*link{n.up}
+	if l := h.w.between(n.Region, h.Region); l != nil {
+		path = append(path, l)
+	}
+	t := &transfer{
+		path: append(path, h.down), size: f.Chunk.Size,
+		isOpen:   func() bool { return h.w.canReach(h, n) && h.birth == birth && n.birth == from },
+		progress: func(done ident.Bytes) { h.planner.Progress(f.ID, done) },
+	}
+	t.finish = func() { h.receive(f, birth) }
+	h.running[f.ID] = t
+	h.w.release(t, n, release)
+	t.start()
+}
+
+// release gives the upload slot back once the transfer has ended, or has stalled for long.
+func (w *world) release(t *transfer, n *host, release func()) {
+	done := -1
+	var check func()
+	check = func() {
+		if t.stopped || t.done == pieces || t.done == done {
+			release()
+			return
+		}
+		if time.Since(n.w.began)%time.Second < tick {
+			done = t.done
+		}
+		w.after(tick, check)
+	}
+	finish := t.finish
+	t.finish = func() {
+		release()
+		finish()
+	}
+	w.after(4*tick, check)
+}
+
+func (w *world) between(a, b ident.Region) *link {
+	if w.region == 0 || a == b {
+		return nil
+	}
+	key := [2]ident.Region{a, b}
+	if w.regions[key] == nil {
+		w.regions[key] = &link{queue: &w.queue, rate: w.region}
+	}
+	return w.regions[key]
+}
+
+func (h *host) fetchOutside(f planner.Fetch) {
+	w, birth := h.w, h.birth
+	if w.first == nil {
+		w.first = h
+	}
+	w.onRead(h)
+	home := w.places[0]
+	path := []*link{w.store}
+	if l := w.between(home.region, h.Region); l != nil {
+		path = append(path, l)
+	}
+	sent := ident.Bytes(0)
+	t := &transfer{
+		path: append(path, h.down), size: f.Chunk.Size,
+		isOpen: func() bool {
+			return !h.dead && !h.frozen && h.birth == birth && !w.down && !w.isCut(home, h.place)
+		},
+		progress: func(done ident.Bytes) {
+			w.outside[f.Chunk.Digest] += done - sent
+			sent = done
+			h.planner.Progress(f.ID, done)
+		},
+	}
+	t.finish = func() {
+		w.outside[f.Chunk.Digest] += f.Chunk.Size - sent
+		h.receive(f, birth)
+	}
+	h.running[f.ID] = t
+	t.start()
+}
+
+func (h *host) receive(f planner.Fetch, birth int64) {
+	data := h.w.content[f.Chunk.Digest]
+	from := h.w.byName[f.Source.Host]
+	if h.w.rng.Float64() < h.w.corrupt || (from != nil && from.isFaulty) {
+		data = h.w.spoil(data)
+	}
+	err := h.holder.PutChunk(f.Chunk.Digest, data)
+	var bad *holder.CorruptError
+	switch {
+	case err == nil:
+		h.finish(f, birth, planner.Stored)
+	case errors.As(err, &bad):
+		h.finish(f, birth, planner.Corrupt)
+	default:
+		h.finish(f, birth, planner.Failed)
+	}
+}
+
+// spoil returns content with a wrong byte, cut short, or of another chunk.
+func (w *world) spoil(data []byte) []byte {
+	switch w.rng.IntN(3) {
+	case 0:
+		return append(slices.Clone(data), 'x')
+	case 1:
+		return data[:len(data)-1]
+	}
+	return w.other
+}
+
+func (h *host) finish(f planner.Fetch, birth int64, o planner.Outcome) {
+	if h.birth != birth {
+		return
+	}
+	delete(h.running, f.ID)
+	wasReady := h.isReady()
+	h.planner.Finish(f.ID, o)
+	if !wasReady && h.isReady() {
+		h.w.ready = append(h.w.ready, time.Since(h.w.began))
+	}
+	h.decide()
+}
