--- a/internal/core/planner/nodes.go
+++ b/internal/core/planner/nodes.go
@@ -5,6 +5,7 @@
 
 	"github.com/bits-and-blooms/bitset"
 
+	"github.com/nutmegdock/nutmegdock/internal/core/holder"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 )
 
@@ -55,6 +56,7 @@
 	Peer
 	health
 	have    *bitset.BitSet
+	cursor  holder.Cursor
 	watched time.Time
 	heard   time.Time
 	signs   []time.Time
@@ -157,23 +159,26 @@
 	n.have.ClearAll()
 }
 
-// Heard takes a delta of a host that is followed. added holds, for each artifact of the goal, the indices of chunks;
-// full tells that they replace what was known. ages holds the milliseconds since the last sign of each stripe at that
-// host, below zero if there was none.
-func (p *Planner) Heard(h ident.Host, full bool, added [][]int, ages []int) {
+// Cursor returns the place in a host's sequence of arrivals from which to ask it for its next delta.
+func (p *Planner) Cursor(h ident.Host) holder.Cursor {
+	if n := p.nodes[h]; n != nil {
+		return n.cursor
+	}
+	return holder.Cursor{}
+}
+
+// Heard takes the answer of a host that is followed to the question from the cursor since. A delta from another cursor
+// than the host's present one is left out, because it would leave a gap. ages holds the milliseconds since the last
+// sign of each stripe at that host, below zero if there was none.
+func (p *Planner) Heard(h ident.Host, since holder.Cursor, d holder.Delta, ages []int) {
 	n := p.nodes[h]
 	if n == nil {
 		return
 	}
 	now := time.Now()
 	n.heard = now
-	if full {
-		p.clear(n)
-	}
-	for k, list := range added {
-		for _, i := range list {
-			p.add(n, k, i)
-		}
+	if d.Full || since == n.cursor {
+		p.take(n, d)
 	}
 	for k, age := range ages {
 		if k < len(n.signs) && age >= 0 {
@@ -182,6 +187,18 @@
 	}
 }
 
+func (p *Planner) take(n *node, d holder.Delta) {
+	if d.Full {
+		p.clear(n)
+	}
+	n.cursor = d.Next
+	for k, list := range d.Added {
+		for _, i := range list {
+			p.add(n, k, i)
+		}
+	}
+}
+
 // add notes one chunk of a node. Indices out of range come from a faulty sender and are left out.
 func (p *Planner) add(n *node, artifact, i int) {
 	if artifact >= len(p.offsets) || i < 0 || p.offsets[artifact]+i >= p.end(artifact) {
--- a/internal/core/planner/planner_test.go
+++ b/internal/core/planner/planner_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/nutmegdock/nutmegdock/internal/core/holder"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/manifest"
 )
@@ -58,7 +59,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		p, b := newPair(4)
-		p.Heard(b, true, [][]int{{-1, 4, 1 << 40, 2}, {0}}, []int{-5, 1, 2, 3, 4, 5, 6, 7, 8, 9})
+		p.Heard(b, holder.Cursor{}, holder.Delta{Full: true, Added: [][]int{{-1, 4, 1 << 40, 2}, {0}}}, []int{-5, 1, 2, 3, 4, 5, 6, 7, 8, 9})
 		start, _ := p.Next()
 		is.Equal(len(start), 1)
 		is.Equal(start[0].Chunk, p.chunks[2])
@@ -71,7 +72,7 @@
 		p, b := newPair(4)
 		asked := 0
 		for range 40 {
-			p.Heard(b, false, all(4), nil)
+			p.Heard(b, holder.Cursor{}, holder.Delta{Added: all(4)}, nil)
 			start, _ := p.Next()
 			for _, f := range start {
 				if f.Source.Host == b {
@@ -90,7 +91,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		p, b := newPair(1)
-		p.Heard(b, true, all(1), nil)
+		p.Heard(b, holder.Cursor{}, holder.Delta{Full: true, Added: all(1)}, nil)
 		start, _ := p.Next()
 		is.Equal(len(start), 1)
 		for i := range 20 {
@@ -140,3 +141,16 @@
 		is.Equal(len(p.Watch()), 0)
 	})
 }
+
+func TestDeltaThatWouldLeaveAGapIsLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, b := newPair(4)
+		old := p.Cursor(b)
+		next := holder.Cursor{Epoch: 1, Count: 2}
+		p.Heard(b, old, holder.Delta{Next: next, Full: true, Added: [][]int{{0, 1}}}, nil)
+		p.SetGoal([]Goal{goal(4)}, none)
+		p.Heard(b, next, holder.Delta{Next: holder.Cursor{Epoch: 1, Count: 3}, Added: [][]int{{2}}}, nil)
+		is.Equal(p.Cursor(b), holder.Cursor{}) // the next question is for all that the host holds
+	})
+}
--- a/internal/fetcher/follow.go
+++ b/internal/fetcher/follow.go
@@ -64,14 +64,21 @@
 			b.introduce(&q)
 			continue
 		}
-		q = messages.HaveQuery{Host: b.Self.Host, Epoch: a.Epoch, Count: a.Count}
-		b.mu.Lock()
-		b.planner.Heard(p.Host, a.Full, a.Added, a.Ages)
-		b.mu.Unlock()
+		q = b.heard(p, q, a)
 		b.notify()
 	}
 }
 
+// heard takes an answer and returns the next question.
+func (b *burst) heard(p Peer, q messages.HaveQuery, a messages.HaveAnswer) messages.HaveQuery {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	d := holder.Delta{Next: holder.Cursor{Epoch: a.Epoch, Count: a.Count}, Full: a.Full, Added: a.Added}
+	b.planner.Heard(p.Host, holder.Cursor{Epoch: q.Epoch, Count: q.Count}, d, a.Ages)
+	next := b.planner.Cursor(p.Host)
+	return messages.HaveQuery{Host: b.Self.Host, Epoch: next.Epoch, Count: next.Count}
+}
+
 func pause(ctx context.Context) {
 	select {
 	case <-ctx.Done():
--- a/internal/measure/burst/control_test.go
+++ b/internal/measure/burst/control_test.go
@@ -11,12 +11,14 @@
 )
 
 type waiter struct {
-	from  *host
-	id    int
-	birth int64
-	since holder.Cursor
-	after time.Time
-	until time.Time
+	from      *host
+	id        int
+	birth     int64
+	set       int
+	artifacts []ident.Digest
+	since     holder.Cursor
+	after     time.Time
+	until     time.Time
 }
 
 func (h *host) want(set int, goals []planner.Goal) {
@@ -42,7 +44,6 @@
 		_, ok := h.holder.Chunk(d)
 		return ok
 	})
-	h.cursors = make(map[ident.Host]holder.Cursor)
 	if isFirst {
 		h.beat(h.birth)
 	}
@@ -105,14 +106,14 @@
 	h.question++
 	id := h.question
 	h.asked[n.Host] = id
-	since, birth := h.cursors[n.Host], h.birth
+	since, birth, set, artifacts := h.planner.Cursor(n.Host), h.birth, h.set, h.planner.Artifacts()
 	h.w.after(3*heartbeat/2, func() { h.giveUp(n, id) })
 	h.w.after(latency, func() {
 		if !h.w.canReach(h, n) {
 			return
 		}
 		if n.goal == nil {
-			n.answer(waiter{from: h, id: id, birth: birth, since: since}, holder.Delta{}, nil)
+			n.answer(waiter{from: h, id: id, birth: birth, set: set, since: since}, holder.Delta{}, nil)
 			return
 		}
 		n.planner.Meet(h.Peer)
@@ -124,7 +125,7 @@
 			wait = quick
 		}
 		now := time.Now()
-		n.waiters = append(n.waiters, waiter{from: h, id: id, birth: birth, since: since, after: now.Add(wait), until: now.Add(heartbeat)})
+		n.waiters = append(n.waiters, waiter{from: h, id: id, birth: birth, set: set, artifacts: artifacts, since: since, after: now.Add(wait), until: now.Add(heartbeat)})
 	})
 }
 
@@ -154,13 +155,12 @@
 			rest = append(rest, v)
 			continue
 		}
-		artifacts := v.from.planner.Artifacts()
-		d := h.holder.Delta(artifacts, v.since)
+		d := h.holder.Delta(v.artifacts, v.since)
 		if d.IsEmpty() && now.Before(v.until) {
 			rest = append(rest, v)
 			continue
 		}
-		h.answer(v, d, h.planner.Ages(artifacts))
+		h.answer(v, d, h.planner.Ages(v.artifacts))
 	}
 	h.waiters = rest
 }
@@ -170,7 +170,6 @@
 	if w.counted {
 		w.countBytes(messages.HaveAnswer{Epoch: d.Next.Epoch, Count: d.Next.Count, Full: d.Full, Added: d.Added, Ages: ages})
 	}
-	goal := to.set
 	w.answers++
 	w.after(latency, func() {
 		if to.birth != v.birth || !w.canReach(to, h) || w.rng.Float64() < w.lost {
@@ -180,13 +179,10 @@
 			return
 		}
 		to.asked[h.Host] = 0
-		if to.set != goal {
+		if to.set != v.set {
 			return
 		}
-		if d.Next.Epoch != 0 {
-			to.cursors[h.Host] = d.Next
-		}
-		to.planner.Heard(h.Host, d.Full, d.Added, ages)
+		to.planner.Heard(h.Host, v.since, d, ages)
 		to.decide()
 	})
 }
--- a/internal/measure/burst/cost_test.go
+++ b/internal/measure/burst/cost_test.go
@@ -5,6 +5,7 @@
 	"runtime"
 	"testing"
 
+	"github.com/nutmegdock/nutmegdock/internal/core/holder"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/planner"
 	"github.com/nutmegdock/nutmegdock/internal/measure"
@@ -62,7 +63,8 @@
 	watched := p.Watch()
 	ages := make([]int, planner.Stripes)
 	for i := range b.N {
-		p.Heard(watched[i%len(watched)], false, [][]int{{i % chunkCount}}, ages)
+		h := watched[i%len(watched)]
+		p.Heard(h, p.Cursor(h), holder.Delta{Added: [][]int{{i % chunkCount}}}, ages)
 		start, _ := p.Next()
 		for _, f := range start {
 			p.Finish(f.ID, planner.Busy)
--- a/internal/measure/burst/world_test.go
+++ b/internal/measure/burst/world_test.go
@@ -92,7 +92,6 @@
 	birth    int64
 	goal     []planner.Goal
 	set      int
-	cursors  map[ident.Host]holder.Cursor
 	asked    map[ident.Host]int
 	question int
 	waiters  []waiter
@@ -136,7 +135,6 @@
 	h.holder = &holder.Holder{Epoch: h.birth << 32, Limit: h.w.limit}
 	h.uploader = &uploader.Uploader{}
 	h.planner = &planner.Planner{Self: h.Peer, Home: h.w.places[0].region, Outside: 1, Bias: h.w.bias, Choice: h.w.choice}
-	h.cursors = make(map[ident.Host]holder.Cursor)
 	h.asked = make(map[ident.Host]int)
 	h.running = make(map[int64]*transfer)
 	h.waiters, h.goal, h.set = nil, nil, 0
