--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -52,9 +52,9 @@
 	Memory ident.Bytes `json:"memory" validate:"min=1"`
 	// Home is the region of the weight store and the origin; empty if they are near to no region.
 	Home ident.Region `json:"home,omitempty"`
-	// Pace is the number of bytes a second that weights may take, in each direction, while requests are running; zero
-	// means no bound.
-	Pace ident.Bytes `json:"pace,omitempty" validate:"min=0"`
+	// Pace is the number of bytes a second that weights may take, in each direction, while requests are running: 1048576 or more, or zero
+	// for no bound.
+	Pace ident.Bytes `json:"pace,omitempty" validate:"omitempty,min=1048576"`
 	// Grace is the number of seconds that requests in progress get at a stop.
 	Grace int `json:"grace" validate:"min=1,max=3600"`
 }
--- a/internal/fetcher/fetcher_test.go
+++ b/internal/fetcher/fetcher_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
 	"github.com/nutmegdock/nutmegdock/internal/core/holder"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/manifest"
 	"github.com/nutmegdock/nutmegdock/internal/core/planner"
 	"github.com/nutmegdock/nutmegdock/internal/core/uploader"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
@@ -172,3 +174,25 @@
 		is.Equal(resp.StatusCode, want)
 	}
 }
+
+func TestStalledPeerIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t)
+	d := b.artifact("1")
+	stalled, whole := b.add("a", 0), b.add("a", 0)
+	is.NoErr(b.fetch(d, stalled, whole))
+	f := b.add("a", 0)
+	read := f.Chunk
+	asked := atomic.Int64{}
+	f.Chunk = func(ctx context.Context, base string, c manifest.Chunk, zone ident.Zone, p weightclient.Progress) ([]byte, error) {
+		if base == "http://"+stalled.Self.Data {
+			asked.Add(1)
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return read(ctx, base, c, zone, p)
+	}
+	b.source.SetDown(true)
+	is.NoErr(b.fetch(d, f))
+	is.True(asked.Load() > 0)
+}
