--- a/internal/deduplicator/world_test.go
+++ b/internal/deduplicator/world_test.go
@@ -14,7 +14,9 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/nutmegdock/nutmegdock/internal/admitter"
 	"github.com/nutmegdock/nutmegdock/internal/core/claimer"
 	"github.com/nutmegdock/nutmegdock/internal/core/gate"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
@@ -29,14 +31,20 @@
 	"github.com/nutmegdock/nutmegdock/internal/forwarder"
 	"github.com/nutmegdock/nutmegdock/internal/headers"
 	"github.com/nutmegdock/nutmegdock/internal/logclient"
+	"github.com/nutmegdock/nutmegdock/internal/membership"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
+	"github.com/nutmegdock/nutmegdock/internal/meter"
 	"github.com/nutmegdock/nutmegdock/internal/registrar"
+	"github.com/nutmegdock/nutmegdock/internal/relayer"
 	"github.com/nutmegdock/nutmegdock/internal/runner"
 )
 
 // unkeyedTime is how long after its arrival an unkeyed request may be handed over.
 const unkeyedTime = 10 * time.Second
 
+// longPause is longer than any time in which a request may be handed over.
+const longPause = unkeyedTime + 2*permitter.Life
+
 var errGone = errors.New("connection lost")
 
 // fakeLog keeps streams, and loses or delays appends on request.
@@ -142,8 +150,9 @@
 type entryHost struct {
 	host
 	name string
-	view *view.View
+	adm  *admitter.Admitter
 	reg  *registrar.Registrar
+	rel  *relayer.Relayer
 	dup  *deduplicator.Deduplicator
 	stop func()
 	done sync.WaitGroup
@@ -162,6 +171,7 @@
 }
 
 type world struct {
+	begin   time.Time
 	off     switches
 	log     fakeLog
 	mu      sync.Mutex
@@ -174,12 +184,15 @@
 	// late names a request that reached the back end by a hand-over after its time.
 	late ident.Request
 	// faults for the next hand-overs and the next executions.
-	lost, crossed, slow, mute int
+	lost, crossed, slow, mute, torn int
+	// pausedClaims and pausedSends freeze the entry host after it won a claim, and before it hands over.
+	pausedClaims, pausedSends int
+	gone                      []membership.Member
 	previous                  *answer
 }
 
 func newWorld(off switches) *world {
-	w := &world{off: off, runs: make(map[ident.Request]int), keys: make(map[string]int), asked: make(map[ident.Request]time.Time)}
+	w := &world{off: off, begin: time.Now(), runs: make(map[ident.Request]int), keys: make(map[string]int), asked: make(map[ident.Request]time.Time)}
 	w.log.streams = make(map[logclient.Stream][][]byte)
 	for range 2 {
 		w.entries = append(w.entries, w.newEntry())
@@ -212,12 +225,12 @@
 }
 
 func (w *world) newEntry() *entryHost {
-	e := &entryHost{name: w.name("entry"), view: &view.View{}}
+	e := &entryHost{name: w.name("entry"), adm: newAdmitter(func(n int) int { return n - 1 })}
 	ctx, cancel := context.WithCancel(context.Background())
 	e.stop = cancel
 	logger := &log.Logger{Handler: discard.Default}
 	e.reg = &registrar.Registrar{
-		Hosts: func() int { return 2 }, Logger: logger,
+		Writers: func() int { return 1 }, Logger: logger,
 		Append: func(_ context.Context, s logclient.Stream, data []byte) (ident.Offset, error) {
 			if err := e.point(); err != nil {
 				return 0, err
@@ -233,12 +246,13 @@
 			return p, errors.Join(err, e.point())
 		},
 	}
+	e.rel = &relayer.Relayer{Host: ident.Host(e.name), Zone: w.zone, Registrar: e.reg, Send: w.relay(e)}
 	d := &dispatcher.Dispatcher{
-		View: e.view, Router: &router.Router{Zone: "z", Intn: func(n int) int { return n - 1 }},
+		Admit:     e.adm.Admit,
 		Forwarder: &forwarder.Forwarder{HTTP: &http.Client{Transport: &wire{w, e}}}, Suspector: &suspector.Suspector{}, Logger: logger,
 	}
 	e.dup = &deduplicator.Deduplicator{
-		Host: ident.Host(e.name), Control: e.name, Claim: w.claim(e), Release: e.reg.Release, Recorder: &recorder.Recorder{Limit: 1 << 20},
+		Host: ident.Host(e.name), Control: e.name, Claim: w.claim(e), Release: e.rel.Release, Recorder: &recorder.Recorder{Limit: 1 << 20},
 		Next: func(ctx context.Context, j dispatcher.Job) (*http.Response, error) {
 			if w.off.noDeadline {
 				j.Before = time.Now().Add(time.Hour)
@@ -250,9 +264,20 @@
 		},
 	}
 	e.done.Go(func() { _ = e.reg.Run(ctx) })
+	e.done.Go(func() { _ = e.adm.Run(ctx) })
 	return e
 }
 
+// newAdmitter returns an entry host's admission, with the random numbers of intn.
+func newAdmitter(intn func(int) int) *admitter.Admitter {
+	return &admitter.Admitter{
+		Router: &router.Router{Zone: "z", Intn: intn}, Float64: func() float64 { return 0.5 },
+		Weight: func(ident.Organisation) int { return 1 }, Limit: func(ident.Organisation) int { return 0 },
+		Sharers: func() int { return 2 }, Part: func(_ ident.Host, limit int) int { return limit },
+		Meter: meter.New(prometheus.NewRegistry()), Logger: &log.Logger{Handler: discard.Default}, View: &view.View{},
+	}
+}
+
 func (w *world) claim(e *entryHost) func(context.Context, claimer.Claim) (registrar.Ticket, error) {
 	return func(ctx context.Context, c claimer.Claim) (registrar.Ticket, error) {
 		if w.off.noClaims {
@@ -260,7 +285,13 @@
 		}
 		ctx, cancel := e.stretch(ctx)
 		defer cancel()
-		t, err := e.reg.Claim(ctx, c)
+		t, err := e.rel.Claim(ctx, c)
+		if t.Won && w.take(&w.pausedClaims) {
+			e.freeze(longPause)
+		}
+		if perr := e.point(); perr != nil {
+			return t, registrar.LogDown("the host is dead")
+		}
 		t.Won = t.Won || w.off.alwaysWon
 		if err != nil && w.off.noReadBack {
 			t.Won, err = true, nil
@@ -269,6 +300,51 @@
 	}
 }
 
+// zone returns the entry hosts as the membership knows them; those that died lately are still on it.
+func (w *world) zone() []membership.Member {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []membership.Member
+	for _, e := range w.entries {
+		out = append(out, membership.Member{Host: ident.Host(e.name), Control: e.name})
+	}
+	return append(out, w.gone...)
+}
+
+// relay brings claims to another entry host's registrar.
+func (w *world) relay(from *entryHost) func(context.Context, string, messages.ClaimQuery) (messages.ClaimAnswer, error) {
+	return func(ctx context.Context, control string, q messages.ClaimQuery) (messages.ClaimAnswer, error) {
+		if err := from.point(); err != nil {
+			return messages.ClaimAnswer{}, err
+		}
+		to, _ := w.find(control)
+		if to == nil {
+			return messages.ClaimAnswer{}, errGone
+		}
+		out := make(chan messages.ClaimAnswer, 1)
+		go func() {
+			if to.point() != nil {
+				return
+			}
+			// The call goes on at the other host when its caller gives it up.
+			serve, cancel := context.WithTimeout(context.Background(), deduplicator.ClaimTime)
+			defer cancel()
+			if a, err := to.rel.Serve(serve, q); err == nil && to.point() == nil {
+				out <- a
+			}
+		}()
+		select {
+		case a := <-out:
+			if w.take(&w.torn) {
+				return messages.ClaimAnswer{}, errGone
+			}
+			return a, from.point()
+		case <-ctx.Done():
+			return messages.ClaimAnswer{}, ctx.Err()
+		}
+	}
+}
+
 func (w *world) fetch(ctx context.Context, from *entryHost, c claimer.Claim, wait time.Duration) (recorder.Result, error) {
 	if err := from.point(); err != nil {
 		return recorder.Result{}, err
@@ -318,7 +394,10 @@
 	for _, e := range w.entries {
 		for _, end := range w.ends {
 			st := end.gate.Status()
-			e.view.Put(messages.Report{Host: ident.Host(end.name), Zone: "z", Pool: "p", Data: end.name, Open: st.Open, Leaving: st.Leaving, Slots: 8})
+			e.adm.Report(messages.Report{
+				Host: ident.Host(end.name), Zone: "z", Pool: "p", Data: end.name, Open: st.Open, Leaving: st.Leaving, Slots: 8,
+				Time: time.Since(w.begin).Milliseconds(), Every: 1000,
+			})
 		}
 	}
 }
@@ -349,6 +428,9 @@
 		h.Set(headers.Request, req.Header.Get(headers.Request))
 		return &http.Response{StatusCode: http.StatusNoContent, Header: h, Body: http.NoBody}, nil
 	}
+	if !permit && c.w.take(&c.w.pausedSends) {
+		c.from.freeze(longPause)
+	}
 	if err := c.from.point(); err != nil {
 		return nil, err
 	}
@@ -461,5 +543,8 @@
 	rec := httptest.NewRecorder()
 	rec.WriteHeader(http.StatusCreated)
 	_, _ = rec.WriteString("booked " + req.URL.Path)
-	return rec.Result(), b.at.point()
+	if err := b.at.point(); err != nil {
+		return nil, err
+	}
+	return rec.Result(), nil
 }
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -80,6 +80,7 @@
 	registry *prometheus.Registry
 	control  bytecounter.Counter
 	requests *requests
+	began    time.Time
 }
 
 // Run serves until ctx ends, then refuses new work and finishes the requests in progress.
@@ -101,7 +102,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var tasks errgroup.Group
-	rpcs := &rpc.Server{Methods: map[string]rpc.Handler{messages.HaveMethod: rpc.Handle(s.fetcher.Answer)}}
+	rpcs := &rpc.Server{Methods: map[string]rpc.Handler{messages.HaveMethod: rpc.Handle(s.have)}}
 	s.configMethods(rpcs.Methods)
 	tasks.Go(func() error { return s.runConfig(background) })
 	tasks.Go(func() error { return s.members.Run(background) })
@@ -158,7 +159,8 @@
 }
 
 func (s *Server) build() {
-	s.birth = time.Now().UnixNano()
+	s.began = time.Now()
+	s.birth = s.began.UnixNano()
 	s.registry = newRegistry()
 	_ = s.control.Register(s.registry)
 	s.holder = &holder.Holder{Limit: s.Settings.Memory, Epoch: s.birth}
@@ -166,9 +168,10 @@
 	s.buildWeights()
 	s.buildRequests()
 	s.reporter = &reporter.Reporter{
-		Entries: func() []membership.Member { return s.members.Members(membership.RoleEntry) },
+		Targets: s.targets,
 		Report:  s.report,
 		Heard: func(from ident.Host, sent time.Time, a messages.Ack) {
+			s.spread.Saw(from, a.Offset)
 			s.switcher.Hear(from, sent, a.Wave)
 		},
 	}
@@ -208,5 +211,6 @@
 		Unfenced: s.Settings.Unfenced, Slots: s.switcher.Slots(),
 		Set: st.Set, Want: want, Since: since, Running: st.Running, Chunks: have, Total: total,
 		Bytes: s.fetcher.Bytes(),
+		Time:  s.uptime(),
 	}
 }
--- a/internal/endpoint/weights.go
+++ b/internal/endpoint/weights.go
@@ -41,7 +41,10 @@
 			return weights.Chunk(ctx, base, c, zone, paced(inward, p))
 		},
 		Have: func(ctx context.Context, p fetcher.Peer, q messages.HaveQuery) (messages.HaveAnswer, error) {
-			return rpc.Call[messages.HaveAnswer](ctx, controls.Client(p.Control), messages.HaveMethod, q)
+			q.Offset = s.follower.Offset()
+			a, err := rpc.Call[messages.HaveAnswer](ctx, controls.Client(p.Control), messages.HaveMethod, q)
+			s.spread.Saw(p.Host, a.Offset)
+			return a, err
 		},
 	}
 	s.fetcher.Register(s.registry)
@@ -60,6 +63,13 @@
 	}
 }
 
+// have answers what the host holds.
+func (s *Server) have(ctx context.Context, q messages.HaveQuery) (messages.HaveAnswer, error) {
+	a, err := s.fetcher.Answer(ctx, q)
+	a.Offset = s.follower.Offset()
+	return a, err
+}
+
 // peers returns the hosts that are to serve the weight set made of the artifacts.
 func (s *Server) peers(artifacts []ident.Digest) ([]fetcher.Peer, catalog.Bias) {
 	var needs []placer.Need
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmegdock/nutmegdock/internal/checkpointer"
+	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/reducer"
 	"github.com/nutmegdock/nutmegdock/internal/follower"
 	"github.com/nutmegdock/nutmegdock/internal/logclient"
 	"github.com/nutmegdock/nutmegdock/internal/membership"
@@ -17,6 +20,9 @@
 	"github.com/nutmegdock/nutmegdock/internal/spreader"
 )
 
+// reportWait is how long a new entry host waits for the first report of an endpoint host before it is ready.
+const reportWait = 10 * time.Second
+
 // buildConfig makes what follows, spreads and checkpoints the configuration.
 func (s *Server) buildConfig() {
 	logs := &logclient.Client{URL: s.Settings.Log, HTTP: s.control.Client()}
@@ -66,5 +72,29 @@
 		http.Error(w, "configuration is not complete yet: "+s.spread.Reason(), http.StatusServiceUnavailable)
 		return
 	}
+	if pool, ok := s.unknownPool(); ok {
+		http.Error(w, fmt.Sprintf("no endpoint host of pool %q has reported yet", pool), http.StatusServiceUnavailable)
+		return
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
+
+// unknownPool returns a pool that a deployment uses and no endpoint host has reported for. A host that has waited long
+// knows of none, so that a balancer sees its refusals.
+func (s *Server) unknownPool() (ident.Pool, bool) {
+	if time.Since(s.started) > reportWait {
+		return "", false
+	}
+	known := make(map[ident.Pool]bool)
+	for _, r := range s.view.Reports() {
+		known[r.Pool] = true
+	}
+	var deployments []catalog.Effective
+	s.follower.View(func(r *reducer.Reducer) { deployments = r.Deployments() })
+	for _, d := range deployments {
+		if !known[d.Spec.Pool] {
+			return d.Spec.Pool, true
+		}
+	}
+	return "", false
+}
--- a/internal/spreader/spreader.go
+++ b/internal/spreader/spreader.go
@@ -21,6 +21,10 @@
 const (
 	// logWait is how long a read of the log waits for a record.
 	logWait = time.Second
+	// recordHold is how long an answer with records waits for more.
+	recordHold = 50 * time.Millisecond
+	// headHold is how long the second lane leaves the first one to bring the records.
+	headHold = 300 * time.Millisecond
 	// pullWait is how long a pull waits for a record.
 	pullWait = time.Second
 	// callTime is how long an answer may take beyond the wait.
@@ -42,6 +46,7 @@
 	minRetry   = 50 * time.Millisecond
 	maxRetry   = time.Second
 	maxWait    = 10 * time.Second
+	maxHold    = time.Second
 	answerSize = 256 << 10
 )
 
@@ -62,7 +67,7 @@
 	Logger log.Interface
 
 	once     sync.Once
-	adopting sync.Mutex
+	adopting chan struct{}
 	hinted   chan struct{}
 
 	mu       sync.Mutex
@@ -82,6 +87,7 @@
 func (s *Spreader) init() {
 	s.once.Do(func() {
 		s.hinted = make(chan struct{}, 1)
+		s.adopting = make(chan struct{}, 1)
 		s.selector = selector.Selector{Self: s.Self, Zone: s.Zone}
 		s.start = time.Now()
 		s.reason = "no peer and no log has answered yet"
@@ -92,7 +98,7 @@
 func (s *Spreader) Run(ctx context.Context) error {
 	s.init()
 	s.await(ctx)
-	s.boot(ctx)
+	s.askNewcomer(ctx)
 	var g errgroup.Group
 	g.Go(func() error { return s.repeat(ctx, s.follow) })
 	for lane := range selector.Lanes {
@@ -176,13 +182,17 @@
 
 func (s *Spreader) setLevel(at time.Time) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if at.After(s.level) {
 		s.level = at
 	}
-	if s.age() < staleTime {
+	fresh := s.age() < staleTime
+	if fresh {
 		s.reason = ""
 	}
+	s.mu.Unlock()
+	if fresh {
+		s.Follower.SetReady()
+	}
 }
 
 func (s *Spreader) setReason(text string) {
@@ -208,6 +218,9 @@
 	if !s.IsReader() {
 		return idleTime
 	}
+	if s.Follower.Offset() == 0 {
+		s.restore(ctx)
+	}
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval, retry.MaxInterval = minRetry, maxRetry
 	for ctx.Err() == nil && s.IsReader() {
