A load that overtakes a full report does not hide it; loads change loads alone

Cause: loads travel on answers and carry a later time than a full report under way, which was then dropped as old; a switched host stayed unknown for minutes, so that the wave of a version change hung. A load also reopened an endpoint that had refused as closed. Change: view and scheduler hold the time of the state and of the load apart; a refusal as closed shuts an endpoint for 500 ms. Test (view): failed before, passes now.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -163,7 +163,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	p := a.pool(r.Pool)
-	a.deliver(r.Pool, p, p.Report(r))
+	a.deliver(r.Pool, p, p.Load(l))
 	return r, true
 }
 
@@ -178,9 +178,6 @@
 
 // serve notes the weight set that an endpoint serves by now; none means that it is closed.
 func (a *Admitter) serve(name ident.Pool, h ident.Host, set ident.WeightSet) {
-	if set != "" {
-		_, _ = a.View.Serve(h, set)
-	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	p := a.pool(name)
--- a/internal/core/scheduler/endpoint.go
+++ b/internal/core/scheduler/endpoint.go
@@ -29,18 +29,22 @@
 )
 
 type endpoint struct {
-	report  messages.Report
-	seen    time.Time
+	report messages.Report
+	seen   time.Time
+	// state is when the full report was made that is known.
+	state   int64
 	closed  bool
 	leaving bool
-	est     estimator.Estimator
-	lim     limiter.Limiter
-	brk     breaker.Breaker
+	// shut is until when the endpoint gets no work since it refused a request.
+	shut time.Time
+	est  estimator.Estimator
+	lim  limiter.Limiter
+	brk  breaker.Breaker
 }
 
 // put takes a report and returns false if it is older than one that is known.
 func (e *endpoint) put(r messages.Report) bool {
-	if r.Birth < e.report.Birth || r.Birth == e.report.Birth && r.Time < e.report.Time {
+	if r.Birth < e.report.Birth || r.Birth == e.report.Birth && r.Time < e.state {
 		return false
 	}
 	if r.Birth > e.report.Birth {
@@ -48,18 +52,37 @@
 		e.brk.Succeed()
 		e.est.Reset()
 	}
+	late := r.Birth == e.report.Birth && r.Time < e.report.Time
+	e.state = r.Time
+	if late {
+		r.Time, r.Running, r.Slots = e.report.Time, e.report.Running, e.report.Slots
+	}
 	e.report = r
-	e.seen = time.Now()
 	e.closed = !r.Open
 	e.leaving = e.leaving || r.Leaving
-	e.lim.Resize(r.Slots)
-	e.est.Report(r.Running, time.UnixMilli(r.Time))
+	e.heard()
+	return true
+}
+
+// load takes a load and returns false if it is older than what is known, or of another birth.
+func (e *endpoint) load(l messages.Load) bool {
+	if l.Birth != e.report.Birth || l.Time < e.report.Time {
+		return false
+	}
+	e.report.Time, e.report.Running, e.report.Slots = l.Time, l.Running, l.Slots
+	e.heard()
 	return true
 }
 
+func (e *endpoint) heard() {
+	e.seen = time.Now()
+	e.lim.Resize(e.report.Slots)
+	e.est.Report(e.report.Running, time.UnixMilli(e.report.Time))
+}
+
 // alive tells whether the endpoint can be expected to take work, now or soon.
 func (e *endpoint) alive() bool {
-	return !e.closed && !e.leaving && time.Since(e.seen) < view.Stale(e.report)
+	return !e.closed && !e.leaving && time.Now().After(e.shut) && time.Since(e.seen) < view.Stale(e.report)
 }
 
 // gone tells whether nothing is known or owed of the endpoint any more.
--- a/internal/core/scheduler/progress.go
+++ b/internal/core/scheduler/progress.go
@@ -8,6 +8,7 @@
 
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
+	"github.com/nutmegdock/nutmegdock/internal/messages"
 )
 
 func decay(since time.Time) float64 {
@@ -80,17 +81,30 @@
 	return s.pump()
 }
 
-// Serve notes the weight set that an endpoint serves by now; none means that it is closed. It holds until the next
-// report.
+// shutTime is how long an endpoint that refused a request as closed gets no work, unless a report comes first.
+const shutTime = 500 * time.Millisecond
+
+// Load takes an endpoint's load.
+func (s *Scheduler) Load(l messages.Load) []Decision {
+	e, ok := s.byHost[l.Host]
+	if !ok || !e.load(l) {
+		return nil
+	}
+	return s.pump()
+}
+
+// Serve notes the weight set that an endpoint serves by now, until the next report; none means that it is closed.
 func (s *Scheduler) Serve(h ident.Host, set ident.WeightSet) []Decision {
 	e, ok := s.byHost[h]
 	if !ok {
 		return nil
 	}
-	e.closed = set == ""
-	if !e.closed {
-		e.report.Set = set
+	if set == "" {
+		e.shut = time.Now().Add(shutTime)
+		return s.pump()
 	}
+	e.closed = false
+	e.report.Set = set
 	return s.pump()
 }
 
--- a/internal/core/view/view.go
+++ b/internal/core/view/view.go
@@ -21,21 +21,29 @@
 
 type seen struct {
 	report messages.Report
-	time   time.Time
+	// state is when the full report was made. The report's own time may be that of a later load.
+	state int64
+	time  time.Time
 }
 
-// Put stores a report. It returns false if a later one of the host is known.
+// Put stores a report. It returns false if a later one of the host is known. A load that was made later and came first
+// is kept.
 func (v *View) Put(r messages.Report) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.reports == nil {
 		v.reports = make(map[ident.Host]seen)
 	}
-	old := v.reports[r.Host].report
-	if old.Birth > r.Birth || old.Birth == r.Birth && old.Time > r.Time {
+	old, state := v.reports[r.Host], r.Time
+	same := old.report.Birth == r.Birth
+	if old.report.Birth > r.Birth || same && old.state > r.Time {
 		return false
 	}
-	v.reports[r.Host] = seen{report: r, time: time.Now()}
+	if same && old.report.Time > r.Time {
+		r.Running, r.Slots, r.Time = old.report.Running, old.report.Slots, old.report.Time
+		r.Offset = max(r.Offset, old.report.Offset)
+	}
+	v.reports[r.Host] = seen{report: r, state: state, time: time.Now()}
 	return true
 }
 
@@ -57,21 +65,6 @@
 	return s.report, true
 }
 
-// Serve notes that an endpoint serves another weight set than its last report says. It returns the report, and false if
-// there is none.
-func (v *View) Serve(h ident.Host, set ident.WeightSet) (messages.Report, bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	s, ok := v.reports[h]
-	if !ok {
-		return messages.Report{}, false
-	}
-	s.report.Set = set
-	s.report.Open = true
-	v.reports[h] = s
-	return s.report, true
-}
-
 // Stale returns the age at which a report counts for nothing any more.
 func Stale(r messages.Report) time.Duration {
 	return missed * time.Duration(r.Every) * time.Second
--- a/internal/core/view/view_test.go
+++ b/internal/core/view/view_test.go
@@ -29,6 +29,20 @@
 	is.Equal(v.Reports()[0].Slots, 8)
 }
 
+// A load on an answer may overtake a full report that was made before it. The state in that report still counts.
+func TestLoadDoesNotHideAnEarlierReport(t *testing.T) {
+	is := is.New(t)
+	var v view.View
+	is.True(v.Put(messages.Report{Host: "h", Birth: 1, Time: 1, Every: 4}))
+	_, ok := v.Merge(messages.Load{Host: "h", Birth: 1, Time: 6, Running: 7})
+	is.True(ok)
+	is.True(v.Put(messages.Report{Host: "h", Birth: 1, Time: 5, Every: 4, Open: true, Set: "x", Running: 3}))
+	got := v.Reports()[0]
+	is.True(got.Open)
+	is.Equal(got.Running, 7)
+	is.True(!v.Put(messages.Report{Host: "h", Birth: 1, Time: 4, Every: 4})) // an older state does not count
+}
+
 func TestForgetsAHostThatMissesThreeMessages(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -260,6 +260,20 @@
 	return st
 }
 
+// engineRunning returns the requests that run on an engine, by its own word.
+func (c *cluster) engineRunning(backend string) int {
+	var st engineapi.State
+	resp, err := http.Get(backend + engineapi.StatePath)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	if json.NewDecoder(resp.Body).Decode(&st) != nil {
+		return 0
+	}
+	return st.Running
+}
+
 func (c *cluster) ready(pool ident.Pool) int {
 	n := 0
 	for _, r := range c.status().Endpoints {
@@ -426,8 +440,10 @@
 	}
 	c.eventually("streams run", func() bool {
 		n := 0
-		for _, r := range c.status().Endpoints {
-			n += r.Running
+		for _, e := range c.ends {
+			if e.Kind == catalog.KindEngine {
+				n += c.engineRunning(e.Backend)
+			}
 		}
 		return n >= streams
 	})
--- a/internal/reporter/schedule.go
+++ b/internal/reporter/schedule.go
@@ -17,9 +17,10 @@
 	greetInterval = time.Second
 	// minInterval is the shortest time between two loads.
 	minInterval = 250 * time.Millisecond
-	// nearInterval and FarInterval are the longest times between two loads, also when nothing changes.
+	// nearInterval is the longest time between two loads, also when nothing changes.
 	nearInterval = 4 * time.Second
-	FarInterval  = 30 * time.Second
+	// FarInterval is the longest time between two messages to an entry host of another zone.
+	FarInterval = 30 * time.Second
 	// loadStep is the part of the slots by which the running requests must change to be reported.
 	loadStep = 8
 )
