--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -116,7 +116,7 @@
 		if err != nil {
 			return nil, "", err
 		}
-		lease, err := d.Admit(ctx, p.query())
+		lease, err := d.admit(ctx, p)
 		if err != nil && p.mayWait() {
 			d.awaitTurn(ctx, p)
 			continue
@@ -142,6 +142,24 @@
 	return nil, "", p.retrier.Final(refusal)
 }
 
+// admit waits for an endpoint, but not beyond the time in which the request may be handed over. Its refusals tell when
+// to come back.
+func (d *Dispatcher) admit(ctx context.Context, p *pass) (*admitter.Lease, error) {
+	if !p.job.Before.IsZero() {
+		// The lease lives longer than the wait, so the wait is ended by a cancel instead of a deadline.
+		waiting, cancel := context.WithCancel(ctx)
+		stop := time.AfterFunc(time.Until(p.job.Before), cancel)
+		defer stop.Stop()
+		ctx = waiting
+	}
+	lease, err := d.Admit(ctx, p.query())
+	var o *outcome.Error
+	if errors.As(err, &o) && o.After == 0 {
+		o.After = comeBack
+	}
+	return lease, err
+}
+
 // query asks for an endpoint that was not tried yet.
 func (p *pass) query() admitter.Query {
 	j, d := p.job, p.job.Deployment
