--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -59,6 +59,7 @@
 		Budget:    s.load.admitter.Retry,
 		Forwarder: &forwarder.Forwarder{HTTP: forwarder.NewClient()},
 		Suspector: sus,
+		Refused:   s.members.Refused,
 		Refresh:   s.refresh,
 		Logger:    s.Logger,
 	}
--- a/internal/switcher/planner.go
+++ b/internal/switcher/planner.go
@@ -1,6 +1,7 @@
 package switcher
 
 import (
+	"reflect"
 	"slices"
 	"time"
 
@@ -27,14 +28,21 @@
 	return out
 }
 
-// planTime is the least time between two evaluations of the placement.
-const planTime = 200 * time.Millisecond
+const (
+	// planTime is the least time between two looks at the configuration.
+	planTime = 200 * time.Millisecond
+	// placeTime is the least time between two evaluations of the placement for a change of the hosts alone.
+	placeTime = time.Second
+)
 
 // planner evaluates the placement again only when the configuration or the hosts have changed.
 type planner struct {
 	valid       bool
 	evaluated   time.Time
+	placed      time.Time
 	nodes       []placer.Node
+	needs       []placer.Need
+	counts      map[ident.WeightSet]int
 	deployments []catalog.Effective
 	last        plan
 }
@@ -60,15 +68,32 @@
 	if p.valid && slices.Equal(nodes, p.nodes) {
 		return p.last
 	}
+	if p.valid && time.Since(p.placed) < placeTime {
+		return p.last
+	}
+	needs := placer.Needs(slices.DeleteFunc(slices.Clone(p.deployments), func(d catalog.Effective) bool {
+		return d.Spec.Pool != s.Pool
+	}))
+	need := p.last.need
+	if !slices.EqualFunc(needs, p.needs, isSame) || !slices.Equal(nodes, p.nodes) {
+		placed := placer.Place(needs, nodes)
+		need = placed[s.Self]
+		p.placed = time.Now()
+		p.counts = make(map[ident.WeightSet]int)
+		for _, n := range placed {
+			p.counts[n.Set]++
+		}
+	}
+	p.needs = needs
 	p.valid = true
 	p.evaluated = time.Now()
 	p.nodes = nodes
-	p.last = plan{offset: offset, need: placer.Place(placer.Needs(p.deployments), nodes)[s.Self]}
+	p.last = plan{offset: offset, need: need}
 	for _, d := range p.deployments {
 		if d.Set == "" || d.Spec.Pool != s.Pool {
 			continue
 		}
-		g := waver.Group{Sets: []ident.WeightSet{d.Set}, Floor: placer.Floor(d.Spec)}
+		g := waver.Group{Sets: []ident.WeightSet{d.Set}, Floor: p.floor(d)}
 		if d.Previous != "" {
 			g.Sets = append(g.Sets, d.Previous)
 		}
@@ -77,3 +102,17 @@
 	}
 	return p.last
 }
+
+// floor returns the replicas of a deployment that must go on serving. Where the template states none, it is half of
+// those that the hosts there are allow.
+func (p *planner) floor(d catalog.Effective) int {
+	if d.Spec.Floor > 0 {
+		return d.Spec.Floor
+	}
+	d.Spec.Replicas = min(d.Spec.Replicas, p.counts[d.Set])
+	return placer.Floor(d.Spec)
+}
+
+func isSame(a, b placer.Need) bool {
+	return reflect.DeepEqual(a, b)
+}
