Retry budget spares the rest of cut streams and runs after an engine's death

Change: such runs replace lost work and are bounded by the three attempts, so the budget is not asked.

--- a/internal/core/outcome/outcome.go
+++ b/internal/core/outcome/outcome.go
@@ -39,6 +39,7 @@
 	Running     Reason = "running"
 	Stalled     Reason = "stalled"
 	EngineDied  Reason = "engine-died"
+	Cut         Reason = "cut"
 	Moved       Reason = "moved"
 	Closed      Reason = "closed"
 )
--- a/internal/core/retrier/retrier.go
+++ b/internal/core/retrier/retrier.go
@@ -21,7 +21,8 @@
 	Repeatable bool
 	// Deadline is when no further attempt may begin; zero means never.
 	Deadline time.Time
-	// Budget grants one retry; nil means that every one is granted.
+	// Budget grants one retry; nil means that every one is granted. It is not asked for the rest of a cut stream, nor
+	// after the death of an engine: both take the place of lost work, and Attempts bounds them.
 	Budget func() bool
 
 	moves   int
@@ -66,6 +67,9 @@
 	case !r.Deadline.IsZero() && !now.Before(r.Deadline):
 		return false
 	}
+	if o.Reason == outcome.Cut || o.Reason == outcome.EngineDied {
+		return true
+	}
 	return r.Budget == nil || r.Budget()
 }
 
--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -84,7 +84,7 @@
 	if death := r.resumer.Death(); death != "" {
 		d.Suspector.Blame(death, []suspector.Digest{r.pass.job.Digest})
 	}
-	cut := &outcome.Error{Kind: outcome.Unknown, Reason: outcome.Lost, Text: "streamed answer was cut: " + cause.Error()}
+	cut := &outcome.Error{Kind: outcome.Unknown, Reason: outcome.Cut, Text: "streamed answer was cut: " + cause.Error()}
 	if errors.Is(cause, io.EOF) {
 		cut.Text = "streamed answer ended without its end mark"
 	}
