Few entry hosts are all kept up to date; offsets are reported with the loads

TestWholePath failed (not within 30s: streams run): a far entry host saw the load of an endpoint every 30 s only.

--- a/internal/reporter/schedule.go
+++ b/internal/reporter/schedule.go
@@ -17,9 +17,10 @@
 	greetInterval = time.Second
 	// minInterval is the shortest time between two loads.
 	minInterval = 250 * time.Millisecond
-	// nearInterval and FarInterval are the longest times between two loads, also when nothing changes.
+	// nearInterval is the longest time between two loads to those kept up to date, also when nothing changes.
 	nearInterval = 4 * time.Second
-	FarInterval  = 30 * time.Second
+	// FarInterval is the time between two loads to the others.
+	FarInterval = 30 * time.Second
 	// loadStep is the part of the slots by which the running requests must change to be reported.
 	loadStep = 8
 )
@@ -88,7 +89,7 @@
 // urgent tells whether entry hosts must learn of a change at once.
 func urgent(old, now messages.Report) bool {
 	return old.Birth != now.Birth || old.Open != now.Open || old.Leaving != now.Leaving || old.Set != now.Set ||
-		old.Want != now.Want || old.Data != now.Data
+		old.Want != now.Want || old.Since != now.Since || old.Data != now.Data
 }
 
 // progressed tells whether a full report is due soon: of a fetch, or to be answered with the counts of a wave.
@@ -99,5 +100,5 @@
 
 func moved(old, now messages.Report) bool {
 	delta := now.Running - old.Running
-	return max(delta, -delta) >= max(1, now.Slots/loadStep) || now.Slots != old.Slots
+	return max(delta, -delta) >= max(1, now.Slots/loadStep) || now.Slots != old.Slots || now.Offset != old.Offset
 }
--- a/internal/reporter/targets.go
+++ b/internal/reporter/targets.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	// nearTargets is the number of entry hosts of the own zone that are kept up to date with the load.
+	// nearTargets is the number of entry hosts that are kept up to date with the load: those of the own zone, and of all
+	// zones where there are no more.
 	nearTargets = 8
 	// minFar is the least number of entry hosts of each other zone that know an endpoint.
 	minFar = 3
@@ -20,7 +21,7 @@
 	// loadBytes is the size of one load on the wire, with the headers of TCP and IP.
 	loadBytes = 210
 	// loadBudget is the rate in bytes a second at which loads may come in at one entry host.
-	loadBudget = 2000
+	loadBudget = 3000
 )
 
 // Target is an entry host that is reported to.
@@ -65,27 +66,33 @@
 		zones[m.Zone] = append(zones[m.Zone], m.Host)
 		members[m.Host] = m
 	}
+	small := len(entries) <= nearTargets
 	var out Targets
 	for z, hosts := range zones {
 		far := max(minFar, (knownEach*len(hosts)+replicas-1)/max(1, replicas))
 		for i, h := range ranker.Rank(string(c.Host), hosts) {
 			if z == c.Zone || i < far {
-				out.List = append(out.List, Target{Member: members[h], Near: z == c.Zone && i < nearTargets})
+				out.List = append(out.List, Target{Member: members[h], Near: small || z == c.Zone && i < nearTargets})
 			}
 		}
 	}
 	slices.SortFunc(out.List, func(a, b Target) int { return strings.Compare(string(a.Host), string(b.Host)) })
-	out.Interval = c.interval(len(zones[c.Zone]), endpoints)
-	return out
-}
-
-func (c Chooser) interval(entries int, endpoints []membership.Member) time.Duration {
+	if small {
+		out.Interval = interval(len(entries), len(endpoints))
+		return out
+	}
 	n := 0
 	for _, m := range endpoints {
 		if m.Zone == c.Zone {
 			n++
 		}
 	}
+	out.Interval = interval(len(zones[c.Zone]), n)
+	return out
+}
+
+// interval returns the time between loads when n endpoints keep entries up to date.
+func interval(entries, n int) time.Duration {
 	each := float64(n*min(entries, nearTargets)) / float64(max(1, entries))
 	return time.Duration(each * loadBytes / loadBudget * float64(time.Second))
 }
