A new entry host hears of all endpoints within a second, and is ready after that

TestConfigurationOutlivesProcesses failed: a replaced entry host was ready before the endpoints had noticed it. Endpoint hosts now greet a target again as soon as its connection is lost, and readiness waits for the reports.

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -66,5 +66,9 @@
 		http.Error(w, "configuration is not complete yet: "+s.spread.Reason(), http.StatusServiceUnavailable)
 		return
 	}
+	if !s.load.isReady() {
+		http.Error(w, "endpoints have not reported yet", http.StatusServiceUnavailable)
+		return
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -152,6 +152,7 @@
 	r = s.join(r)
 	s.spread.Saw(r.Host, r.Offset)
 	s.load.admitter.Report(r)
+	s.load.hear()
 	return messages.Ack{Offset: s.follower.Offset(), Wave: s.wave(r)}, nil
 }
 
--- a/internal/entry/load.go
+++ b/internal/entry/load.go
@@ -25,6 +25,10 @@
 const (
 	// leavingPoll is how often the list of hosts is searched for endpoints that are leaving.
 	leavingPoll = 250 * time.Millisecond
+	// reportTime is how long after the first report the others are waited for.
+	reportTime = 500 * time.Millisecond
+	// aloneTime is how long after the start the first report is waited for.
+	aloneTime = 5 * time.Second
 	// shareAll is the number of entry hosts up to which those of all zones share the endpoints. Beyond it only those
 	// of the own zone do, and the others are lent what is free.
 	shareAll = 16
@@ -35,7 +39,10 @@
 	admitter *admitter.Admitter
 	meter    *meter.Meter
 
+	began time.Time
+
 	mu    sync.Mutex
+	first time.Time
 	hosts []ident.Host
 	parts map[part]int
 }
@@ -48,7 +55,7 @@
 
 func (s *Server) buildLoad() {
 	m := meter.New(s.registry)
-	s.load = &load{meter: m, hosts: []ident.Host{s.Settings.Host}, parts: make(map[part]int)}
+	s.load = &load{began: time.Now(), meter: m, hosts: []ident.Host{s.Settings.Host}, parts: make(map[part]int)}
 	s.load.admitter = &admitter.Admitter{
 		Router:  &router.Router{Zone: s.Settings.Zone, Intn: rand.IntN},
 		Float64: rand.Float64, Weight: s.weight, Sharers: s.load.sharers,
@@ -69,6 +76,22 @@
 	return n
 }
 
+// hear notes that an endpoint has reported.
+func (l *load) hear() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.first.IsZero() {
+		l.first = time.Now()
+	}
+}
+
+// isReady tells whether the endpoints have had time to report since the first did, or since the start if there is none.
+func (l *load) isReady() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.first.IsZero() && time.Since(l.first) >= reportTime || time.Since(l.began) >= aloneTime
+}
+
 func (l *load) sharers() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -25,7 +25,9 @@
 	mu      sync.Mutex
 	clients map[ident.Host]*rpc.Client
 	// known maps the entry hosts that hold a full report to their births.
-	known    map[ident.Host]int64
+	known map[ident.Host]int64
+	// failed maps those that could not be reached to when that was.
+	failed   map[ident.Host]time.Time
 	schedule schedule
 }
 
@@ -103,16 +105,16 @@
 	wg.Wait()
 }
 
-// strangers returns the targets that have no full report of this host yet. It finds none more often than once a second.
+// strangers returns the targets that have no full report of this host yet, or whose connection was lost since. One that
+// could not be reached is tried again after a while.
 func (r *Reporter) strangers(targets []Target) []Target {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.schedule.greet() {
-		return nil
-	}
 	var out []Target
 	for _, t := range targets {
-		if birth, ok := r.known[t.Host]; !ok || birth != t.Birth {
+		birth, ok := r.known[t.Host]
+		ok = ok && birth == t.Birth && r.clients[t.Host].Connected()
+		if !ok && time.Since(r.failed[t.Host]) >= greetInterval {
 			out = append(out, t)
 		}
 	}
@@ -124,10 +126,14 @@
 	defer r.mu.Unlock()
 	if r.known == nil {
 		r.known = make(map[ident.Host]int64)
+		r.failed = make(map[ident.Host]time.Time)
 	}
 	delete(r.known, t.Host)
+	delete(r.failed, t.Host)
 	if ok {
 		r.known[t.Host] = t.Birth
+	} else {
+		r.failed[t.Host] = time.Now()
 	}
 }
 
--- a/internal/reporter/schedule.go
+++ b/internal/reporter/schedule.go
@@ -13,7 +13,7 @@
 	FullInterval = 5 * time.Minute
 	// progressInterval is how often a full report is sent during a fetch, and while the host waits to switch sets.
 	progressInterval = time.Second
-	// greetInterval is how often entry hosts without a report are looked for.
+	// greetInterval is how often an entry host that cannot be reached is tried.
 	greetInterval = time.Second
 	// minInterval is the shortest time between two loads.
 	minInterval = 250 * time.Millisecond
@@ -37,11 +37,10 @@
 
 // schedule decides what is sent when. The zero value has sent nothing.
 type schedule struct {
-	last    messages.Report
-	full    time.Time
-	far     time.Time
-	near    time.Time
-	greeted time.Time
+	last messages.Report
+	full time.Time
+	far  time.Time
+	near time.Time
 }
 
 // next returns what is due, and takes it as sent.
@@ -77,15 +76,6 @@
 	return nothing
 }
 
-// greet tells whether it is time to look for entry hosts without a report.
-func (s *schedule) greet() bool {
-	if time.Since(s.greeted) < greetInterval {
-		return false
-	}
-	s.greeted = time.Now()
-	return true
-}
-
 // urgent tells whether entry hosts must learn of a change at once.
 func urgent(old, now messages.Report) bool {
 	return old.Birth != now.Birth || old.Open != now.Open || old.Leaving != now.Leaving || old.Set != now.Set ||
--- a/internal/rpc/notify.go
+++ b/internal/rpc/notify.go
@@ -16,3 +16,18 @@
 	}
 	return nil
 }
+
+// Connected tells whether the client has a connection that is not known to be lost.
+func (c *Client) Connected() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == nil {
+		return false
+	}
+	select {
+	case <-c.conn.DisconnectNotify():
+		return false
+	default:
+		return true
+	}
+}
