--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -167,18 +167,6 @@
 	return r, true
 }
 
-// Serve notes that an endpoint serves another weight set than its last report says.
-func (a *Admitter) Serve(h ident.Host, set ident.WeightSet) {
-	r, ok := a.View.Serve(h, set)
-	if !ok {
-		return
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	p := a.pool(r.Pool)
-	a.deliver(r.Pool, p, p.Report(r))
-}
-
 // Leave ends new work to a host whose process started at birth or before.
 func (a *Admitter) Leave(h ident.Host, birth int64) {
 	a.mu.Lock()
@@ -188,6 +176,17 @@
 	}
 }
 
+// serve notes the weight set that an endpoint serves by now; none means that it is closed.
+func (a *Admitter) serve(name ident.Pool, h ident.Host, set ident.WeightSet) {
+	if set != "" {
+		_, _ = a.View.Serve(h, set)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p := a.pool(name)
+	a.deliver(name, p, p.Serve(h, set))
+}
+
 // Retry tells whether one more attempt may be made for a request.
 func (a *Admitter) Retry() bool {
 	ok := a.budget.Spend()
--- a/internal/admitter/lease.go
+++ b/internal/admitter/lease.go
@@ -65,17 +65,16 @@
 	if l.caller.Err() != nil || o != nil && innocent[o.Reason] {
 		end = scheduler.Done
 	}
+	if o != nil && (o.Reason == outcome.Moved || o.Reason == outcome.Closed) {
+		l.admitter.serve(l.pool, l.Candidate.Host, o.Serves)
+		end = scheduler.Outdated
+	}
 	if o != nil && o.Reason == outcome.Leaving {
 		l.admitter.Leave(l.Candidate.Host, math.MaxInt64)
 	}
 	l.end(end)
 }
 
-// Serves notes that the endpoint refused because it serves another weight set.
-func (l *Lease) Serves(set ident.WeightSet) {
-	l.admitter.Serve(l.Candidate.Host, set)
-}
-
 func (l *Lease) end(how scheduler.End) {
 	l.once.Do(func() {
 		l.cancel()
--- a/internal/core/scheduler/progress.go
+++ b/internal/core/scheduler/progress.go
@@ -43,6 +43,9 @@
 	}
 	e := s.byHost[h]
 	e.est.End(id)
+	if end == Outdated {
+		return s.pump()
+	}
 	if end != Done {
 		e.brk.Fail()
 		return s.pump()
@@ -77,6 +80,20 @@
 	return s.pump()
 }
 
+// Serve notes the weight set that an endpoint serves by now; none means that it is closed. It holds until the next
+// report.
+func (s *Scheduler) Serve(h ident.Host, set ident.WeightSet) []Decision {
+	e, ok := s.byHost[h]
+	if !ok {
+		return nil
+	}
+	e.closed = set == ""
+	if !e.closed {
+		e.report.Set = set
+	}
+	return s.pump()
+}
+
 // Tick refuses the requests that can no longer be handed over in time, and hands over where a pause has ended.
 // It must be called at every TickInterval.
 func (s *Scheduler) Tick() []Decision {
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -77,6 +77,8 @@
 	Refused
 	// Lost means that the endpoint or the connection failed.
 	Lost
+	// Outdated means that the endpoint refused since its state was not known as it is.
+	Outdated
 )
 
 // Scheduler decides for one pool of endpoints. It is not safe for concurrent use. Set its fields before use.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -59,6 +59,7 @@
 	members     *membership.List
 	view        *view.View
 	registry    *prometheus.Registry
+	started     time.Time
 	control     bytecounter.Counter
 	requests    *requests
 	load        *load
@@ -132,6 +133,7 @@
 }
 
 func (s *Server) build() {
+	s.started = time.Now()
 	s.view = &view.View{}
 	s.registry = prometheus.NewRegistry()
 	s.registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
@@ -152,7 +154,6 @@
 	r = s.join(r)
 	s.spread.Saw(r.Host, r.Offset)
 	s.load.admitter.Report(r)
-	s.load.hear()
 	return messages.Ack{Offset: s.follower.Offset(), Wave: s.wave(r)}, nil
 }
 
--- a/internal/messages/report.go
+++ b/internal/messages/report.go
@@ -32,6 +32,8 @@
 	Slots   int          `json:"slots"`
 	Chunks  int          `json:"chunks"`
 	Total   int          `json:"total"`
+	// Bytes is where the host's chunks came from since it started.
+	Bytes SourceBytes `json:"bytes,omitzero"`
 	// Time is when the report was made, in milliseconds since Birth by a clock that is never set.
 	Time int64 `json:"time"`
 	// Every is the longest time in seconds until the receiver hears of the host again.
--- a/internal/reporter/targets.go
+++ b/internal/reporter/targets.go
@@ -68,11 +68,14 @@
 	}
 	small := len(entries) <= nearTargets
 	var out Targets
+	lone := len(zones[c.Zone]) == 0
 	for z, hosts := range zones {
 		far := max(minFar, (knownEach*len(hosts)+replicas-1)/max(1, replicas))
 		for i, h := range ranker.Rank(string(c.Host), hosts) {
 			if z == c.Zone || i < far {
-				out.List = append(out.List, Target{Member: members[h], Near: small || z == c.Zone && i < nearTargets})
+				// A zone without entry hosts of its own is served, and its switches are counted, from the others.
+				near := small || z == c.Zone && i < nearTargets || lone && i < minFar
+				out.List = append(out.List, Target{Member: members[h], Near: near})
 			}
 		}
 	}
