--- a/internal/reporter/schedule.go
+++ b/internal/reporter/schedule.go
@@ -13,13 +13,13 @@
 	FullInterval = 5 * time.Minute
 	// progressInterval is how often a full report is sent during a fetch, and while the host waits to switch sets.
 	progressInterval = time.Second
-	// greetInterval is how often entry hosts without a report are looked for.
+	// greetInterval is how often an entry host that cannot be reached is tried.
 	greetInterval = time.Second
 	// minInterval is the shortest time between two loads.
 	minInterval = 250 * time.Millisecond
-	// nearInterval is the longest time between two loads, also when nothing changes.
+	// nearInterval is the longest time between two loads to those kept up to date, also when nothing changes.
 	nearInterval = 4 * time.Second
-	// FarInterval is the longest time between two messages to an entry host of another zone.
+	// FarInterval is the time between two loads to the others.
 	FarInterval = 30 * time.Second
 	// loadStep is the part of the slots by which the running requests must change to be reported.
 	loadStep = 8
@@ -38,12 +38,11 @@
 // schedule decides what is sent when. The zero value has sent nothing. Full is the last full report to all targets and
 // told the last to the near ones; far and near are the last messages of any kind.
 type schedule struct {
-	last    messages.Report
-	full    time.Time
-	told    time.Time
-	far     time.Time
-	near    time.Time
-	greeted time.Time
+	last messages.Report
+	full time.Time
+	told time.Time
+	far  time.Time
+	near time.Time
 }
 
 // next returns what is due, and takes it as sent.
@@ -81,19 +80,10 @@
 	return nothing
 }
 
-// greet tells whether it is time to look for entry hosts without a report.
-func (s *schedule) greet() bool {
-	if time.Since(s.greeted) < greetInterval {
-		return false
-	}
-	s.greeted = time.Now()
-	return true
-}
-
 // urgent tells whether entry hosts must learn of a change at once.
 func urgent(old, now messages.Report) bool {
 	return old.Birth != now.Birth || old.Open != now.Open || old.Leaving != now.Leaving || old.Set != now.Set ||
-		old.Want != now.Want || old.Data != now.Data
+		old.Want != now.Want || old.Since != now.Since || old.Data != now.Data
 }
 
 // progressed tells whether a full report is due soon: of a fetch, or to be answered with the counts of a wave.
@@ -104,5 +94,5 @@
 
 func moved(old, now messages.Report) bool {
 	delta := now.Running - old.Running
-	return max(delta, -delta) >= max(1, now.Slots/loadStep) || now.Slots != old.Slots
+	return max(delta, -delta) >= max(1, now.Slots/loadStep) || now.Slots != old.Slots || now.Offset != old.Offset
 }
