--- a/internal/core/checkpointer/checkpointer_test.go
+++ b/internal/core/checkpointer/checkpointer_test.go
@@ -65,6 +65,9 @@
 		is.NoErr(err)
 		got, err := Decode(blob.Parts, blob.Sum)
 		is.NoErr(err)
+		if diff := cmp.Diff(r.Deployments(), got.Deployments()); diff != "" {
+			t.Fatalf("seed %d: %s", seed, diff)
+		}
 		rnd := rand.New(rand.NewPCG(seed, 2))
 		for range 100 {
 			data := randomRecord(t, r, rnd)
