A failed read of the log is tried again with a smaller page

Cause: 1,000 records of the log service's largest size exceed the client's bound on a page, and the read would fail for ever. The alternating limit after a success keeps a catch-up past large records going at every other read.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -19,9 +19,11 @@
 
 const (
 	pageRecords = 1000
-	pollWait    = 2 * time.Second
-	minRetry    = 50 * time.Millisecond
-	maxRetry    = 2 * time.Second
+	// smallPageRecords is the limit after a failed read, as a page of large records may be too long to be read.
+	smallPageRecords = 16
+	pollWait         = 2 * time.Second
+	minRetry         = 50 * time.Millisecond
+	maxRetry         = 2 * time.Second
 )
 
 // GapError reports that the log no longer keeps the records that follow the state.
@@ -53,6 +55,7 @@
 	Logger log.Interface
 
 	published atomic.Pointer[reducer.Reducer]
+	failed    atomic.Bool
 
 	mu      sync.Mutex
 	state   *reducer.Reducer
@@ -87,7 +90,12 @@
 // Poll reads one page of the log and folds it. Its error is a GapError if records are missing in between.
 func (f *Follower) Poll(ctx context.Context, wait time.Duration) (logclient.Page, error) {
 	asked := f.Offset()
-	page, err := f.Read(ctx, asked, pageRecords, wait)
+	limit := pageRecords
+	if f.failed.Load() {
+		limit = smallPageRecords
+	}
+	page, err := f.Read(ctx, asked, limit, wait)
+	f.failed.Store(err != nil)
 	if err != nil {
 		return page, err
 	}
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -76,3 +76,22 @@
 	_, ok = f.Tail(7, 1)
 	is.True(!ok)
 }
+
+func TestFailedReadMakesThePageSmaller(t *testing.T) {
+	is := is.New(t)
+	var limits []int
+	f, _ := newFollower(logclient.Page{})
+	f.Read = func(_ context.Context, _ ident.Offset, limit int, _ time.Duration) (logclient.Page, error) {
+		limits = append(limits, limit)
+		if limit > smallPageRecords {
+			return logclient.Page{}, errors.New("page is too long")
+		}
+		return logclient.Page{Next: 1, Records: []logclient.Record{{Data: record("a")}}}, nil
+	}
+	_, err := f.Poll(t.Context(), 0)
+	is.True(err != nil)
+	_, err = f.Poll(t.Context(), 0)
+	is.NoErr(err)
+	is.Equal(limits, []int{pageRecords, smallPageRecords})
+	is.Equal(f.Offset(), ident.Offset(1))
+}
