--- a/internal/admitter/lease.go
+++ b/internal/admitter/lease.go
@@ -52,6 +52,7 @@
 // innocent are the reasons of failures that say nothing about other requests at the endpoint.
 var innocent = map[outcome.Reason]bool{
 	outcome.Late: true, outcome.Deadline: true, outcome.Suspect: true, outcome.Running: true, outcome.Condemned: true,
+	outcome.Moved: true,
 }
 
 // Fail ends a lease whose request was not answered.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -67,6 +67,8 @@
 	Forwarder *forwarder.Forwarder
 	// Suspector remembers the requests that were running when engines died.
 	Suspector *suspector.Suspector
+	// Refused is told of an endpoint that refused a request or could not be reached; nil means nobody is.
+	Refused func(h ident.Host, r outcome.Reason)
 	// Budget grants one retry; nil means that every one is granted.
 	Budget func() bool
 	// Refresh returns the deployment as it is at a later configuration offset, if this host learns of it soon. Nil
@@ -201,10 +203,16 @@
 	}
 }
 
-// note learns from a refusal for an outdated view which weight sets may serve the deployment by now.
+// note tells of a refusal, and learns from one for an outdated view which weight sets may serve the deployment by now.
 func (d *Dispatcher) note(ctx context.Context, p *pass, from ident.Host, err error) {
 	var o *outcome.Error
-	if !errors.As(err, &o) || o.Kind != outcome.NotRun || o.Reason != outcome.Moved {
+	if !errors.As(err, &o) || o.Kind != outcome.NotRun {
+		return
+	}
+	if d.Refused != nil {
+		d.Refused(from, o.Reason)
+	}
+	if o.Reason != outcome.Moved {
 		return
 	}
 	delete(p.tried, from)
--- a/internal/messages/weights.go
+++ b/internal/messages/weights.go
@@ -2,17 +2,44 @@
 
 import "github.com/nutmegdock/nutmegdock/internal/core/ident"
 
-// HaveMethod asks an endpoint host which chunks of an artifact it holds.
+// HaveMethod follows which chunks of artifacts an endpoint host holds. The answer comes when there is news, and
+// after a second at the latest.
 const HaveMethod = "have"
 
-// HaveQuery names an artifact.
+// HaveQuery names the asker and the place in the answerer's sequence of arrivals from which to go on. The first query,
+// and one after the answer Unknown, also names the artifacts and describes the asker, which the answerer takes for a
+// peer.
 type HaveQuery struct {
-	Artifact ident.Digest `json:"artifact"`
-	Offset   ident.Offset `json:"offset"`
+	Host      ident.Host     `json:"host"`
+	Epoch     int64          `json:"epoch"`
+	Count     int            `json:"count"`
+	Artifacts []ident.Digest `json:"artifacts,omitempty"`
+	Zone      ident.Zone     `json:"zone,omitempty"`
+	Region    ident.Region   `json:"region,omitempty"`
+	Data      string         `json:"data,omitempty"`
+	Control   string         `json:"control,omitempty"`
+	Offset    ident.Offset   `json:"offset,omitempty"`
 }
 
-// HaveAnswer lists the indices of the chunks that are held, packed as a bit set.
+// HaveAnswer lists the indices of the chunks that arrived since the query's place, for each artifact. Full tells that
+// they replace what the asker knew. Ages holds the milliseconds since the last sign of progress of each stripe.
+// Unknown tells that the answerer has to be told the artifacts again.
 type HaveAnswer struct {
-	Bits   []uint64     `json:"bits"`
-	Offset ident.Offset `json:"offset"`
+	Epoch   int64        `json:"epoch"`
+	Count   int          `json:"count"`
+	Unknown bool         `json:"unknown,omitempty"`
+	Full    bool         `json:"full,omitempty"`
+	Added   [][]int      `json:"added,omitempty"`
+	Ages    []int        `json:"ages,omitempty"`
+	Offset  ident.Offset `json:"offset,omitempty"`
+}
+
+// SourceBytes counts the chunk bytes that a host has received, by what they cost: from hosts of its zone, of its region,
+// of other regions, from the weight store, and from the origin.
+type SourceBytes struct {
+	Zone   ident.Bytes `json:"zone,omitempty"`
+	Region ident.Bytes `json:"region,omitempty"`
+	Remote ident.Bytes `json:"remote,omitempty"`
+	Store  ident.Bytes `json:"store,omitempty"`
+	Origin ident.Bytes `json:"origin,omitempty"`
 }
--- a/internal/reporter/schedule.go
+++ b/internal/reporter/schedule.go
@@ -9,17 +9,17 @@
 const (
 	// pollInterval is how often the state is looked at.
 	pollInterval = 100 * time.Millisecond
-	// fullInterval is how often a full report is repeated to all targets, in case one has lost it.
-	fullInterval = 2 * time.Minute
+	// FullInterval is how often a full report is repeated to all targets, in case one has lost it.
+	FullInterval = 5 * time.Minute
 	// progressInterval is how often a full report is sent during a fetch, and while the host waits to switch sets.
 	progressInterval = time.Second
 	// greetInterval is how often entry hosts without a report are looked for.
 	greetInterval = time.Second
 	// minInterval is the shortest time between two loads.
 	minInterval = 250 * time.Millisecond
-	// nearInterval and farInterval are the longest times between two loads, also when nothing changes.
+	// nearInterval and FarInterval are the longest times between two loads, also when nothing changes.
 	nearInterval = 4 * time.Second
-	farInterval  = 15 * time.Second
+	FarInterval  = 30 * time.Second
 	// loadStep is the part of the slots by which the running requests must change to be reported.
 	loadStep = 8
 )
@@ -34,10 +34,12 @@
 	loadToNear
 )
 
-// schedule decides what is sent when. The zero value has sent nothing.
+// schedule decides what is sent when. The zero value has sent nothing. Full is the last full report to all targets and
+// told the last to the near ones; far and near are the last messages of any kind.
 type schedule struct {
 	last    messages.Report
 	full    time.Time
+	told    time.Time
 	far     time.Time
 	near    time.Time
 	greeted time.Time
@@ -49,10 +51,12 @@
 	what := s.due(now, r, t)
 	switch what {
 	case fullToAll:
-		s.full, s.far, s.near = now, now, now
+		s.full, s.told, s.far, s.near = now, now, now, now
 	case loadToAll:
 		s.far, s.near = now, now
-	case fullToNear, loadToNear:
+	case fullToNear:
+		s.told, s.near = now, now
+	case loadToNear:
 		s.near = now
 	default:
 		return nothing
@@ -64,11 +68,11 @@
 func (s *schedule) due(now time.Time, r messages.Report, t Targets) message {
 	age := now.Sub(s.near)
 	switch {
-	case urgent(s.last, r) || now.Sub(s.full) >= fullInterval:
+	case urgent(s.last, r) || now.Sub(s.full) >= FullInterval:
 		return fullToAll
-	case progressed(s.last, r) && age >= progressInterval:
+	case progressed(s.last, r) && now.Sub(s.told) >= progressInterval:
 		return fullToNear
-	case now.Sub(s.far) >= farInterval:
+	case now.Sub(s.far) >= FarInterval:
 		return loadToAll
 	case age >= nearInterval || moved(s.last, r) && age >= max(minInterval, t.Interval):
 		return loadToNear
