--- a/internal/measure/burst/control_test.go
+++ b/internal/measure/burst/control_test.go
@@ -67,7 +67,7 @@
 func (h *host) list() []planner.Peer {
 	var out []planner.Peer
 	for i, q := range h.w.hosts {
-		if q.dead && time.Since(q.died) > expiry+listLag {
+		if q.dead && !h.w.stale && time.Since(q.died) > expiry+listLag {
 			continue
 		}
 		if h != q && time.Since(h.w.began) < h.w.partial && (i+int(h.Host[len(h.Host)-1]))%2 == 0 {
--- a/internal/measure/burst/state_test.go
+++ b/internal/measure/burst/state_test.go
@@ -62,6 +62,7 @@
 	m.world.limit = stateChunks * stateChunkBytes * 5 / 4
 	m.world.other = []byte("content of another artifact")
 	m.world.partial = time.Duration(rapid.IntRange(0, 4).Draw(rt, "partial")) * time.Second
+	m.world.stale = rapid.Bool().Draw(rt, "stale")
 	for _, h := range m.world.hosts {
 		h.boot()
 	}
--- a/internal/measure/burst/world_test.go
+++ b/internal/measure/burst/world_test.go
@@ -62,6 +62,8 @@
 	outside map[ident.Digest]ident.Bytes
 	// other is the content of a chunk of another artifact.
 	other []byte
+	// stale tells that the list of hosts goes on to name the dead ones.
+	stale bool
 	// lost is the share of deltas that do not arrive.
 	lost float64
 	// limit bounds the bytes that a host holds.
