--- a/internal/deduplicator/world_test.go
+++ b/internal/deduplicator/world_test.go
@@ -252,7 +252,7 @@
 		Forwarder: &forwarder.Forwarder{HTTP: &http.Client{Transport: &wire{w, e}}}, Suspector: &suspector.Suspector{}, Logger: logger,
 	}
 	e.dup = &deduplicator.Deduplicator{
-		Host: ident.Host(e.name), Control: e.name, Claim: w.claim(e), Release: e.rel.Release, Recorder: &recorder.Recorder{Limit: 1 << 20},
+		Control: e.name, Claim: w.claim(e), Release: e.rel.Release, Recorder: &recorder.Recorder{Limit: 1 << 20},
 		Next: func(ctx context.Context, j dispatcher.Job) (*http.Response, error) {
 			if w.off.noDeadline {
 				j.Before = time.Now().Add(time.Hour)
@@ -379,6 +379,7 @@
 	u := &runner.Runner{
 		Gate: &e.gate, Backend: "http://service", Forwarder: service, Fresh: service, Permitter: permits,
 		Monitor: &monitor.Monitor{Name: e.name}, Birth: func() int64 { return 0 }, Dead: func(context.Context, int64) bool { return false },
+		Down: func() bool { return false },
 	}
 	mux := http.NewServeMux()
 	mux.Handle(runner.Prefix+"/", u)
