--- a/internal/admin/progress.go
+++ b/internal/admin/progress.go
@@ -6,6 +6,7 @@
 
 	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/messages"
 )
 
 // Zone sums up the endpoints of one availability zone.
@@ -53,6 +54,8 @@
 	// Chunks and Total count chunks held and wanted on all hosts that wait for a set.
 	Chunks int
 	Total  int
+	// Bytes sums up where all hosts' chunks came from since they started.
+	Bytes messages.SourceBytes
 }
 
 // Ready counts the endpoints that serve the deployment's current weight set.
@@ -70,6 +73,7 @@
 func (s Status) Progress() Progress {
 	var p Progress
 	for _, r := range s.Endpoints {
+		p.Bytes = p.Bytes.Add(r.Bytes)
 		if r.Want == "" || r.Leaving {
 			continue
 		}
--- a/internal/entry/orders_test.go
+++ b/internal/entry/orders_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,9 +33,23 @@
 
 func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
 
-func listed(members *[]membership.Member) *membership.List {
+// service is a membership service whose list a test changes while it is polled.
+type service struct {
+	mu   sync.Mutex
+	list []membership.Member
+}
+
+func (s *service) set(list ...membership.Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list = list
+}
+
+func (s *service) client() *membership.List {
 	answer := roundTrip(func(*http.Request) (*http.Response, error) {
-		data, err := json.Marshal(*members)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		data, err := json.Marshal(s.list)
 		return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(data))}, err
 	})
 	return &membership.List{
@@ -48,9 +63,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		m := membership.Member{Host: "e", Role: membership.RoleEndpoint, Zone: "z", Pool: "p", Birth: 5}
-		list := []membership.Member{m}
+		platform := &service{}
+		platform.set(m)
 		s := &Server{
-			members: listed(&list), view: &view.View{}, registry: prometheus.NewRegistry(), follower: &follower.Follower{},
+			members: platform.client(), view: &view.View{}, registry: prometheus.NewRegistry(), follower: &follower.Follower{},
 			Logger: &log.Logger{Handler: discard.New()},
 		}
 		s.buildLoad()
@@ -70,7 +86,7 @@
 		time.Sleep(time.Second)
 		is.Equal(report(5), 1)
 		m.Leaving = true
-		list = []membership.Member{m}
+		platform.set(m)
 		begin := time.Now()
 		for report(5) != 0 {
 			time.Sleep(250 * time.Millisecond)
--- a/internal/messages/weights.go
+++ b/internal/messages/weights.go
@@ -43,3 +43,14 @@
 	Store  ident.Bytes `json:"store,omitempty"`
 	Origin ident.Bytes `json:"origin,omitempty"`
 }
+
+// Add returns the sum of two counts.
+func (b SourceBytes) Add(o SourceBytes) SourceBytes {
+	return SourceBytes{
+		Zone:   b.Zone + o.Zone,
+		Region: b.Region + o.Region,
+		Remote: b.Remote + o.Remote,
+		Store:  b.Store + o.Store,
+		Origin: b.Origin + o.Origin,
+	}
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -60,3 +61,18 @@
 		})
 	}
 }
+
+func TestPageNamesEveryKey(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/SETTINGS.md")
+	is.NoErr(err)
+	for _, settings := range []any{entry.Settings{}, endpoint.Settings{}, platform.Settings{}} {
+		kind := reflect.TypeOf(settings)
+		for i := range kind.NumField() {
+			key, _, _ := strings.Cut(kind.Field(i).Tag.Get("json"), ",")
+			if !strings.Contains(string(page), "`"+key+"`") {
+				t.Errorf("docs/SETTINGS.md does not name %q of %s", key, kind)
+			}
+		}
+	}
+}
--- a/pkg/cmd/status/status.go
+++ b/pkg/cmd/status/status.go
@@ -12,6 +12,8 @@
 	"github.com/nutmegdock/nutmegdock/internal/factory"
 )
 
+const megabyte = 1_000_000
+
 // Args are the command's arguments.
 type Args struct {
 	Zones    bool          `arg:"--zones" help:"sum up by availability zone, with the spread of the configuration's offset"`
@@ -105,7 +107,9 @@
 }
 
 func printProgress(w io.Writer, p admin.Progress, elapsed time.Duration) error {
-	_, err := fmt.Fprintf(w, "replicas %d of %d, chunks %d of %d, %s\n", p.Ready, p.Want, p.Chunks, p.Total, left(p, elapsed))
+	b := p.Bytes
+	_, err := fmt.Fprintf(w, "replicas %d of %d, chunks %d of %d, %s; MB from zone %d, region %d, other regions %d, store %d, origin %d\n",
+		p.Ready, p.Want, p.Chunks, p.Total, left(p, elapsed), b.Zone/megabyte, b.Region/megabyte, b.Remote/megabyte, b.Store/megabyte, b.Origin/megabyte)
 	return err
 }
 
