--- a/pkg/cmd/status/status.go
+++ b/pkg/cmd/status/status.go
@@ -115,7 +115,10 @@
 
 // left estimates the time until all chunks are held, from the rate since the watch began.
 func left(p admin.Progress, elapsed time.Duration) string {
-	if p.Chunks == 0 || p.Total == 0 || p.Chunks >= p.Total {
+	if p.Chunks >= p.Total {
+		return "all chunks held"
+	}
+	if p.Chunks == 0 {
 		return "time left unknown"
 	}
 	rest := elapsed * time.Duration(p.Total-p.Chunks) / time.Duration(p.Chunks)
