An entry host is ready once it knows an open endpoint of every pool in use

Cause: TestConfigurationOutlivesProcesses failed once in a clean clone: a replaced entry host was ready when only a restarted endpoint host, its gate still closed, had reported; the next request was refused for want of an endpoint.

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -73,13 +73,13 @@
 		return
 	}
 	if pool, ok := s.unknownPool(); ok {
-		http.Error(w, fmt.Sprintf("no endpoint host of pool %q has reported yet", pool), http.StatusServiceUnavailable)
+		http.Error(w, fmt.Sprintf("no endpoint host of pool %q has reported an open gate yet", pool), http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// unknownPool returns a pool that a deployment uses and no endpoint host has reported for. A host that has waited long
+// unknownPool returns a pool that a deployment uses and no endpoint host has reported for with its gate open. A host that has waited long
 // knows of none, so that a balancer sees its refusals.
 func (s *Server) unknownPool() (ident.Pool, bool) {
 	if time.Since(s.started) > reportWait {
@@ -87,7 +87,7 @@
 	}
 	known := make(map[ident.Pool]bool)
 	for _, r := range s.view.Reports() {
-		known[r.Pool] = true
+		known[r.Pool] = known[r.Pool] || r.Open && !r.Leaving
 	}
 	var deployments []catalog.Effective
 	s.follower.View(func(r *reducer.Reducer) { deployments = r.Deployments() })
