--- /dev/null
+++ b/internal/admin/wire.go
@@ -0,0 +1,156 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/reducer"
+	"github.com/nutmegdock/nutmegdock/internal/messages"
+)
+
+// Object is one configuration object with its path, and the offset it was read at.
+type Object struct {
+	Object ident.Object  `json:"object"`
+	Entry  reducer.Entry `json:"entry"`
+	Offset ident.Offset  `json:"offset"`
+}
+
+// Status is an entry host's picture of the system.
+type Status struct {
+	Offset      ident.Offset        `json:"offset"`
+	Digest      ident.Digest        `json:"digest"`
+	Endpoints   []messages.Report   `json:"endpoints"`
+	Deployments []catalog.Effective `json:"deployments"`
+}
+
+// Attempt is a request of an operator that was refused.
+type Attempt struct {
+	Time   time.Time    `json:"time"`
+	Name   ident.Author `json:"name,omitempty"`
+	Action string       `json:"action"`
+	From   string       `json:"from,omitempty"`
+	Reason string       `json:"reason"`
+}
+
+// Error is a refusal or failure towards an operator.
+type Error struct {
+	// Status is the HTTP status.
+	Status int    `json:"-"`
+	Code   string `json:"code"`
+	Text   string `json:"text"`
+}
+
+// Error gives the text.
+func (e *Error) Error() string {
+	return e.Text
+}
+
+// HistoryFilter selects entries of the audit trail. A zero field selects all.
+type HistoryFilter struct {
+	// Object is the start of the objects' paths.
+	Object  string
+	Author  ident.Author
+	Verdict reducer.Verdict
+	// Limit is the number of entries, the newest ones.
+	Limit int
+}
+
+// Query returns the filter as the interface takes it.
+func (f HistoryFilter) Query() url.Values {
+	q := url.Values{}
+	set := func(key, value string) {
+		if value != "" {
+			q.Set(key, value)
+		}
+	}
+	set("object", f.Object)
+	set("author", string(f.Author))
+	set("verdict", string(f.Verdict))
+	if f.Limit > 0 {
+		q.Set("limit", strconv.Itoa(f.Limit))
+	}
+	return q
+}
+
+func (f HistoryFilter) apply(all []reducer.Audit) []reducer.Audit {
+	out := []reducer.Audit{}
+	for _, a := range all {
+		if f.selects(a) {
+			out = append(out, a)
+		}
+	}
+	if f.Limit > 0 && len(out) > f.Limit {
+		out = out[len(out)-f.Limit:]
+	}
+	return out
+}
+
+func (f HistoryFilter) selects(a reducer.Audit) bool {
+	if !strings.HasPrefix(string(a.Object), f.Object) {
+		return false
+	}
+	if f.Author != "" && a.Author != f.Author {
+		return false
+	}
+	return f.Verdict == "" || a.Verdict == f.Verdict
+}
+
+type changeRequest struct {
+	Record catalog.Record
+	// Dry asks what the change would do, without publishing it.
+	Dry bool
+}
+
+type objectsRequest struct {
+	prefix string
+	// at is an offset of the log; nil means the current state.
+	at *ident.Offset
+}
+
+func decodeChange(_ context.Context, r *http.Request) (any, error) {
+	var q changeRequest
+	dec := json.NewDecoder(r.Body)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&q.Record); err != nil {
+		return nil, &Error{Status: http.StatusBadRequest, Code: "malformed", Text: "body is not a change record: " + err.Error()}
+	}
+	if q.Record.ID == "" || q.Record.Object == "" {
+		return nil, &Error{Status: http.StatusBadRequest, Code: "malformed", Text: "change record needs id and object"}
+	}
+	q.Dry = r.URL.Query().Get("dry") == "true"
+	return q, nil
+}
+
+func decodeObjects(_ context.Context, r *http.Request) (any, error) {
+	q := objectsRequest{prefix: r.URL.Query().Get("prefix")}
+	if s := r.URL.Query().Get("at"); s != "" {
+		n, err := strconv.ParseInt(s, 10, 64)
+		if err != nil || n < 0 {
+			return nil, &Error{Status: http.StatusBadRequest, Code: "malformed", Text: fmt.Sprintf("at %q is not an offset", s)}
+		}
+		at := ident.Offset(n)
+		q.at = &at
+	}
+	return q, nil
+}
+
+func decodeHistory(_ context.Context, r *http.Request) (any, error) {
+	q := r.URL.Query()
+	f := HistoryFilter{Object: q.Get("object"), Author: ident.Author(q.Get("author")), Verdict: reducer.Verdict(q.Get("verdict"))}
+	if s := q.Get("limit"); s != "" {
+		n, err := strconv.Atoi(s)
+		if err != nil || n < 1 {
+			return nil, &Error{Status: http.StatusBadRequest, Code: "malformed", Text: fmt.Sprintf("limit %q is not a number above zero", s)}
+		}
+		f.Limit = n
+	}
+	return f, nil
+}
--- a/internal/adminclient/adminclient.go
+++ b/internal/adminclient/adminclient.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 
 	"github.com/nutmegdock/nutmegdock/internal/admin"
 	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
@@ -30,33 +31,54 @@
 
 // Change publishes a change. It is safe to call again with the same id.
 func (c *Client) Change(ctx context.Context, rec catalog.Record) (reducer.Audit, error) {
-	return call[reducer.Audit](ctx, c, http.MethodPost, "/admin/v1/changes", rec)
+	return call[reducer.Audit](ctx, c, http.MethodPost, admin.ChangesPath, rec)
+}
+
+// Preview tells what a change would do, without publishing it.
+func (c *Client) Preview(ctx context.Context, rec catalog.Record) (admin.Preview, error) {
+	return call[admin.Preview](ctx, c, http.MethodPost, admin.ChangesPath+"?dry=true", rec)
 }
 
 // Object returns one object, or a zero entry when it does not exist.
 func (c *Client) Object(ctx context.Context, o ident.Object) (reducer.Entry, error) {
 	list, err := c.Objects(ctx, string(o))
+	return find(list, o), err
+}
+
+// ObjectAt returns one object as it was at an offset of the log, or a zero entry when it did not exist.
+func (c *Client) ObjectAt(ctx context.Context, o ident.Object, at ident.Offset) (reducer.Entry, error) {
+	q := url.Values{"prefix": {string(o)}, "at": {strconv.FormatInt(int64(at), 10)}}
+	list, err := call[[]admin.Object](ctx, c, http.MethodGet, admin.ObjectsPath+"?"+q.Encode(), nil)
+	return find(list, o), err
+}
+
+func find(list []admin.Object, o ident.Object) reducer.Entry {
 	for _, item := range list {
 		if item.Object == o {
-			return item.Entry, nil
+			return item.Entry
 		}
 	}
-	return reducer.Entry{}, err
+	return reducer.Entry{}
 }
 
 // Objects lists the objects whose paths start with prefix.
 func (c *Client) Objects(ctx context.Context, prefix string) ([]admin.Object, error) {
-	return call[[]admin.Object](ctx, c, http.MethodGet, "/admin/v1/objects?prefix="+url.QueryEscape(prefix), nil)
+	return call[[]admin.Object](ctx, c, http.MethodGet, admin.ObjectsPath+"?prefix="+url.QueryEscape(prefix), nil)
+}
+
+// History returns the selected entries of the audit trail, oldest first.
+func (c *Client) History(ctx context.Context, f admin.HistoryFilter) ([]reducer.Audit, error) {
+	return call[[]reducer.Audit](ctx, c, http.MethodGet, admin.HistoryPath+"?"+f.Query().Encode(), nil)
 }
 
-// History returns the audit trail, oldest first.
-func (c *Client) History(ctx context.Context) ([]reducer.Audit, error) {
-	return call[[]reducer.Audit](ctx, c, http.MethodGet, "/admin/v1/history", nil)
+// Attempts returns the operators' requests that were refused, oldest first.
+func (c *Client) Attempts(ctx context.Context) ([]admin.Attempt, error) {
+	return call[[]admin.Attempt](ctx, c, http.MethodGet, admin.AttemptsPath, nil)
 }
 
 // Status returns the entry host's picture of the system.
 func (c *Client) Status(ctx context.Context) (admin.Status, error) {
-	return call[admin.Status](ctx, c, http.MethodGet, "/admin/v1/status", nil)
+	return call[admin.Status](ctx, c, http.MethodGet, admin.StatusPath, nil)
 }
 
 func call[A any](ctx context.Context, c *Client, method, path string, q any) (A, error) {
--- /dev/null
+++ b/internal/entry/admin.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/nutmegdock/nutmegdock/internal/admin"
+	"github.com/nutmegdock/nutmegdock/internal/authorizer"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/reducer"
+	"github.com/nutmegdock/nutmegdock/internal/logclient"
+	"github.com/nutmegdock/nutmegdock/internal/publisher"
+	"github.com/nutmegdock/nutmegdock/internal/recorder"
+	"github.com/nutmegdock/nutmegdock/internal/replayer"
+	"github.com/nutmegdock/nutmegdock/internal/weightclient"
+)
+
+// admin returns the handler of the second address: operators, metrics, health and readiness.
+func (s *Server) admin(tokens *authorizer.Authorizer) http.Handler {
+	logs := &logclient.Client{URL: s.Settings.Log, HTTP: &http.Client{}}
+	store := &weightclient.Client{HTTP: &http.Client{}}
+	attempts := recorder.New(logs, s.Logger)
+	p := &publisher.Publisher{
+		Append: func(ctx context.Context, data []byte) (ident.Offset, error) {
+			return logs.Append(ctx, logclient.Config, data)
+		},
+		Find:    s.find,
+		Changed: s.follower.Changed,
+	}
+	replay := &replayer.Replayer{
+		Read: func(ctx context.Context, from ident.Offset, limit int, wait time.Duration) (logclient.Page, error) {
+			return logs.Read(ctx, logclient.Config, from, limit, wait)
+		},
+	}
+	a := &admin.Admin{
+		Authorizer: tokens,
+		Publish:    p.Publish,
+		View:       s.follower.View,
+		Replay:     replay.Replay,
+		Resolve: func(ctx context.Context, name, version string) (ident.Digest, error) {
+			return store.Resolve(ctx, s.Settings.Store, name, version)
+		},
+		Reports:  s.view.Reports,
+		Refused:  attempts.Record,
+		Attempts: attempts.List,
+	}
+	mux := http.NewServeMux()
+	a.Register(mux)
+	mux.Handle("GET /metrics", promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	mux.HandleFunc("GET /ready", s.ready)
+	return mux
+}
+
+func (s *Server) find(id ident.Change) (audit reducer.Audit, ok bool) {
+	s.follower.View(func(r *reducer.Reducer) { audit, ok = r.Find(id) })
+	return audit, ok
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if !s.follower.Ready() {
+		http.Error(w, "configuration is not complete yet", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,10 +11,9 @@
 
 	"github.com/apex/log"
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/nutmegdock/nutmegdock/internal/admin"
+	"github.com/nutmegdock/nutmegdock/internal/authorizer"
 	"github.com/nutmegdock/nutmegdock/internal/callers"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/router"
@@ -28,7 +27,6 @@
 	"github.com/nutmegdock/nutmegdock/internal/messages"
 	"github.com/nutmegdock/nutmegdock/internal/rpc"
 	"github.com/nutmegdock/nutmegdock/internal/webserver"
-	"github.com/nutmegdock/nutmegdock/internal/weightclient"
 )
 
 // Settings configure an entry host.
@@ -60,7 +58,7 @@
 
 // Run serves until ctx ends, then finishes the requests in progress.
 func (s *Server) Run(ctx context.Context) error {
-	tokens, err := admin.LoadTokens(s.Settings.Tokens)
+	tokens, err := authorizer.Load(s.Settings.Tokens)
 	if err != nil {
 		return err
 	}
@@ -153,33 +151,3 @@
 	c := &callers.Callers{View: s.follower.View, Dispatch: d.Do, Logger: s.Logger}
 	return c.Handler()
 }
-
-func (s *Server) admin(tokens []admin.Token) http.Handler {
-	logs := &logclient.Client{URL: s.Settings.Log, HTTP: &http.Client{}}
-	store := &weightclient.Client{HTTP: &http.Client{}}
-	a := &admin.Admin{
-		Tokens: tokens,
-		Append: func(ctx context.Context, data []byte) (ident.Offset, error) {
-			return logs.Append(ctx, logclient.Config, data)
-		},
-		View:    s.follower.View,
-		Changed: s.follower.Changed,
-		Resolve: func(ctx context.Context, name, version string) (ident.Digest, error) {
-			return store.Resolve(ctx, s.Settings.Store, name, version)
-		},
-		Reports: s.view.Reports,
-		Logger:  s.Logger,
-	}
-	mux := http.NewServeMux()
-	a.Register(mux)
-	mux.Handle("GET /metrics", promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{}))
-	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
-	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
-		if !s.follower.Ready() {
-			http.Error(w, "configuration is not complete yet", http.StatusServiceUnavailable)
-			return
-		}
-		w.WriteHeader(http.StatusNoContent)
-	})
-	return mux
-}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -17,8 +17,8 @@
 	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/nutmegdock/nutmegdock/internal/admin"
 	"github.com/nutmegdock/nutmegdock/internal/adminclient"
+	"github.com/nutmegdock/nutmegdock/internal/authorizer"
 	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/manifest"
@@ -167,7 +167,7 @@
 }
 
 func (l *Lab) writeTokens() (string, error) {
-	data, err := json.Marshal([]admin.Token{{Name: "dev", Role: admin.Operator, Digest: manifest.Sum([]byte(token))}})
+	data, err := json.Marshal([]authorizer.Token{{Name: "dev", Role: authorizer.Operator, Digest: manifest.Sum([]byte(token))}})
 	if err != nil {
 		return "", fmt.Errorf("dev: %w", err)
 	}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,62 @@
+package settings_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/nutmegdock/nutmegdock/internal/authorizer"
+	"github.com/nutmegdock/nutmegdock/internal/endpoint"
+	"github.com/nutmegdock/nutmegdock/internal/entry"
+	"github.com/nutmegdock/nutmegdock/internal/settings"
+	"github.com/nutmegdock/nutmegdock/internal/standin/platform"
+)
+
+const samples = "../../docs/settings/"
+
+func TestSamplesAreValid(t *testing.T) {
+	is := is.New(t)
+	_, err := settings.Load[entry.Settings](samples + "entryd.json")
+	is.NoErr(err)
+	_, err = settings.Load[endpoint.Settings](samples + "endpointd.json")
+	is.NoErr(err)
+	_, err = settings.Load[platform.Settings](samples + "platformd.json")
+	is.NoErr(err)
+	_, err = authorizer.Load(samples + "tokens.json")
+	is.NoErr(err)
+}
+
+func TestEveryFaultIsNamedByItsKey(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "s.json")
+	is.NoErr(os.WriteFile(path, []byte(`{"host":"a","zone":"z","listen":"nowhere","grace":0}`), 0o600))
+	_, err := settings.Load[entry.Settings](path)
+	var bad *settings.Error
+	is.True(errors.As(err, &bad))
+	for _, key := range []string{"region", "listen", "admin", "control", "log", "members", "store", "tokens", "grace"} {
+		is.True(strings.Contains(err.Error(), key+": must satisfy")) // the fault of this key
+	}
+}
+
+func TestMalformedFilesAreRefused(t *testing.T) {
+	for name, content := range map[string]string{
+		"unknown key":   `{"hots":"a"}`,
+		"wrong type":    `{"grace":"long"}`,
+		"two objects":   `{} {}`,
+		"not an object": `[]`,
+		"empty":         ``,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			path := filepath.Join(t.TempDir(), "s.json")
+			is.NoErr(os.WriteFile(path, []byte(content), 0o600))
+			_, err := settings.Load[entry.Settings](path)
+			var bad *settings.Error
+			is.True(errors.As(err, &bad))
+		})
+	}
+}
--- /dev/null
+++ b/internal/viewer/viewer.go
@@ -0,0 +1,64 @@
+// Package viewer prints one configuration object for a command.
+package viewer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/reducer"
+	"github.com/nutmegdock/nutmegdock/internal/factory"
+)
+
+// Viewer prints objects. Set its fields before use.
+type Viewer struct {
+	// Object returns the current state of an object.
+	Object func(ctx context.Context, o ident.Object) (reducer.Entry, error)
+	// ObjectAt returns the state of an object at an offset of the configuration log.
+	ObjectAt func(ctx context.Context, o ident.Object, at ident.Offset) (reducer.Entry, error)
+	// JSON selects JSON without a heading.
+	JSON bool
+	// Out receives the output.
+	Out io.Writer
+}
+
+// New returns a viewer for the factory's entry host.
+func New(f *factory.Factory) *Viewer {
+	c := f.Client()
+	return &Viewer{Object: c.Object, ObjectAt: c.ObjectAt, JSON: f.JSON, Out: f.Out}
+}
+
+// View prints an object as it is now, or as it was at an offset.
+func (v *Viewer) View(ctx context.Context, o ident.Object, at *ident.Offset) error {
+	entry, err := v.read(ctx, o, at)
+	if err != nil {
+		return err
+	}
+	if entry.Revision == 0 || entry.Record.Delete {
+		return fmt.Errorf("%s does not exist; see the list command", o)
+	}
+	if v.JSON {
+		return json.NewEncoder(v.Out).Encode(entry)
+	}
+	rec := entry.Record
+	fmt.Fprintf(v.Out, "%s, revision %d, by %s at %s\n", o, entry.Revision, rec.Author, rec.Time.Format(time.RFC3339))
+	enc := json.NewEncoder(v.Out)
+	enc.SetIndent("", "  ")
+	switch {
+	case rec.Template != nil:
+		return enc.Encode(rec.Template)
+	case rec.Deployment != nil:
+		return enc.Encode(rec.Deployment)
+	}
+	return enc.Encode(rec.Organisation)
+}
+
+func (v *Viewer) read(ctx context.Context, o ident.Object, at *ident.Offset) (reducer.Entry, error) {
+	if at == nil {
+		return v.Object(ctx, o)
+	}
+	return v.ObjectAt(ctx, o, *at)
+}
--- a/pkg/cmd/dev/dev.go
+++ b/pkg/cmd/dev/dev.go
@@ -104,3 +104,8 @@
 		r.Ready, r.Want, r.Size, r.Seconds, r.Origin, r.Answers, r.Wrong, r.Bookings, r.Doubled)
 	return err
 }
+
+// Example shows a use of the command.
+func (Args) Example() string {
+	return "nutmegdock dev --once --json"
+}
--- a/pkg/cmd/history/history.go
+++ b/pkg/cmd/history/history.go
@@ -6,24 +6,48 @@
 	"strconv"
 	"time"
 
+	"github.com/nutmegdock/nutmegdock/internal/admin"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/reducer"
 	"github.com/nutmegdock/nutmegdock/internal/factory"
 )
 
+// Args are the command's arguments.
+type Args struct {
+	Object  string `arg:"--object" help:"only objects whose path starts so, such as deployment/agency/"`
+	Author  string `arg:"--author" help:"only this author"`
+	Verdict string `arg:"--verdict" help:"only this verdict: accepted, conflict, refused, repeated or malformed"`
+	Limit   int    `arg:"--limit" default:"50" help:"number of entries, the newest"`
+	Refused bool   `arg:"--refused" help:"show instead the requests that were refused for their token"`
+}
+
+// Example shows a use of the command.
+func (Args) Example() string {
+	return "nutmegdock history --object deployment/agency/ --verdict conflict"
+}
+
 // Options are what the command needs.
 type Options struct {
-	History func(ctx context.Context) ([]reducer.Audit, error)
-	Print   func(v any, header []string, rows [][]string) error
+	Args
+	History  func(ctx context.Context, f admin.HistoryFilter) ([]reducer.Audit, error)
+	Attempts func(ctx context.Context) ([]admin.Attempt, error)
+	Print    func(v any, header []string, rows [][]string) error
 }
 
 // Command returns the command, ready to run.
-func Command(f *factory.Factory) func(ctx context.Context) error {
-	opts := &Options{History: f.Client().History, Print: f.Print}
+func Command(f *factory.Factory, a Args) func(ctx context.Context) error {
+	c := f.Client()
+	opts := &Options{Args: a, History: c.History, Attempts: c.Attempts, Print: f.Print}
 	return func(ctx context.Context) error { return historyRun(ctx, opts) }
 }
 
 func historyRun(ctx context.Context, opts *Options) error {
-	list, err := opts.History(ctx)
+	if opts.Refused {
+		return attemptsRun(ctx, opts)
+	}
+	list, err := opts.History(ctx, admin.HistoryFilter{
+		Object: opts.Object, Author: ident.Author(opts.Author), Verdict: reducer.Verdict(opts.Verdict), Limit: opts.Limit,
+	})
 	if err != nil {
 		return err
 	}
@@ -31,8 +55,20 @@
 	for _, a := range list {
 		rows = append(rows, []string{
 			strconv.FormatInt(int64(a.Offset), 10), a.Time.Format(time.RFC3339), string(a.Author), string(a.Object),
-			string(a.Verdict), a.Reason,
+			string(a.Verdict), strconv.FormatInt(int64(a.Revision), 10), string(a.ID), a.Reason,
 		})
 	}
-	return opts.Print(list, []string{"OFFSET", "TIME", "AUTHOR", "OBJECT", "VERDICT", "REASON"}, rows)
+	return opts.Print(list, []string{"OFFSET", "TIME", "AUTHOR", "OBJECT", "VERDICT", "REVISION", "CHANGE", "REASON"}, rows)
+}
+
+func attemptsRun(ctx context.Context, opts *Options) error {
+	list, err := opts.Attempts(ctx)
+	if err != nil {
+		return err
+	}
+	var rows [][]string
+	for _, a := range list {
+		rows = append(rows, []string{a.Time.Format(time.RFC3339), string(a.Name), a.Action, a.From, a.Reason})
+	}
+	return opts.Print(list, []string{"TIME", "NAME", "ACTION", "FROM", "REASON"}, rows)
 }
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -11,46 +11,25 @@
 
 	"github.com/alexflint/go-arg"
 
+	"github.com/nutmegdock/nutmegdock/internal/admin"
+	"github.com/nutmegdock/nutmegdock/internal/core/reducer"
 	"github.com/nutmegdock/nutmegdock/internal/factory"
-	deploymentcreate "github.com/nutmegdock/nutmegdock/pkg/cmd/deployment/create"
-	"github.com/nutmegdock/nutmegdock/pkg/cmd/dev"
-	"github.com/nutmegdock/nutmegdock/pkg/cmd/history"
-	organisationcreate "github.com/nutmegdock/nutmegdock/pkg/cmd/organisation/create"
-	"github.com/nutmegdock/nutmegdock/pkg/cmd/status"
-	templatepublish "github.com/nutmegdock/nutmegdock/pkg/cmd/template/publish"
+	"github.com/nutmegdock/nutmegdock/internal/submitter"
 )
 
 // Exit codes.
 const (
-	exitOK     = 0
-	exitFailed = 1
-	exitUsage  = 2
+	exitOK       = 0
+	exitFailed   = 1
+	exitUsage    = 2
+	exitConflict = 3
+	exitUnknown  = 4
+	exitRefused  = 5
 )
 
-type templateArgs struct {
-	Publish *templatepublish.Args `arg:"subcommand:publish" help:"publish a template"`
-}
-
-type deploymentArgs struct {
-	Create *deploymentcreate.Args `arg:"subcommand:create" help:"create a deployment"`
-}
-
-type organisationArgs struct {
-	Create *organisationcreate.Args `arg:"subcommand:create" help:"create an organisation or change its key"`
-}
-
-type empty struct{}
-
-type args struct {
-	Template     *templateArgs     `arg:"subcommand:template" help:"templates"`
-	Deployment   *deploymentArgs   `arg:"subcommand:deployment" help:"deployments of organisations"`
-	Organisation *organisationArgs `arg:"subcommand:organisation" help:"organisations"`
-	History      *empty            `arg:"subcommand:history" help:"audit trail of changes"`
-	Status       *empty            `arg:"subcommand:status" help:"hosts, weight sets and configuration"`
-	Dev          *dev.Args         `arg:"subcommand:dev" help:"run the whole system on loopback"`
-	Admin        string            `arg:"--admin,env:NUTMEGDOCK_ADMIN" default:"http://127.0.0.1:7001" help:"address of an entry host's operators' interface"`
-	Token        string            `arg:"--token-file,env:NUTMEGDOCK_TOKEN_FILE" help:"file with the operator's token"`
-	JSON         bool              `arg:"--json" help:"write JSON"`
+// example is what the arguments of a command show in its help.
+type example interface {
+	Example() string
 }
 
 // Main runs the program and returns its exit code.
@@ -63,8 +42,7 @@
 	}
 	err = p.Parse(argv)
 	if errors.Is(err, arg.ErrHelp) {
-		_ = p.WriteHelpForSubcommand(stdout, p.SubcommandNames()...)
-		return exitOK
+		return help(p, stdout)
 	}
 	if err != nil {
 		fmt.Fprintf(stderr, "nutmegdock: %v; see nutmegdock --help\n", err)
@@ -75,18 +53,48 @@
 		fmt.Fprintf(stderr, "nutmegdock: %v\n", err)
 		return exitUsage
 	}
-	run := command(f, &a)
+	run := a.command(f)
 	if run == nil {
-		p.WriteHelp(stderr)
+		_ = p.WriteHelpForSubcommand(stderr, p.SubcommandNames()...)
 		return exitUsage
 	}
 	if err := run(ctx); err != nil {
 		fmt.Fprintf(stderr, "nutmegdock: %v\n", err)
+		return exitCode(err)
+	}
+	return exitOK
+}
+
+func help(p *arg.Parser, w io.Writer) int {
+	if err := p.WriteHelpForSubcommand(w, p.SubcommandNames()...); err != nil {
 		return exitFailed
 	}
+	if e, ok := p.Subcommand().(example); ok {
+		fmt.Fprintf(w, "\nExample:\n  %s\n", e.Example())
+	}
 	return exitOK
 }
 
+func exitCode(err error) int {
+	var verdict *submitter.VerdictError
+	if errors.As(err, &verdict) {
+		if verdict.Audit.Verdict == reducer.Conflict {
+			return exitConflict
+		}
+		return exitRefused
+	}
+	var answer *admin.Error
+	if errors.As(err, &answer) {
+		switch answer.Code {
+		case "unknown":
+			return exitUnknown
+		case "refused":
+			return exitRefused
+		}
+	}
+	return exitFailed
+}
+
 func readToken(f *factory.Factory, path string) error {
 	if path == "" {
 		return nil
@@ -98,21 +106,3 @@
 	f.Token = strings.TrimSpace(string(data))
 	return nil
 }
-
-func command(f *factory.Factory, a *args) func(ctx context.Context) error {
-	switch {
-	case a.Template != nil && a.Template.Publish != nil:
-		return templatepublish.Command(f, *a.Template.Publish)
-	case a.Deployment != nil && a.Deployment.Create != nil:
-		return deploymentcreate.Command(f, *a.Deployment.Create)
-	case a.Organisation != nil && a.Organisation.Create != nil:
-		return organisationcreate.Command(f, *a.Organisation.Create)
-	case a.History != nil:
-		return history.Command(f)
-	case a.Status != nil:
-		return status.Command(f)
-	case a.Dev != nil:
-		return dev.Command(f, *a.Dev)
-	}
-	return nil
-}
--- a/pkg/cmd/status/status.go
+++ b/pkg/cmd/status/status.go
@@ -4,25 +4,43 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"strconv"
+	"time"
 
 	"github.com/nutmegdock/nutmegdock/internal/admin"
 	"github.com/nutmegdock/nutmegdock/internal/factory"
 )
 
+// Args are the command's arguments.
+type Args struct {
+	Watch    bool          `arg:"--watch" help:"print the progress of bursts until all replicas are ready"`
+	Interval time.Duration `arg:"--interval" default:"1s" help:"time between two looks with --watch"`
+}
+
+// Example shows a use of the command.
+func (Args) Example() string {
+	return "nutmegdock status --watch"
+}
+
 // Options are what the command needs.
 type Options struct {
+	Args
 	Status func(ctx context.Context) (admin.Status, error)
 	Print  func(v any, header []string, rows [][]string) error
+	Out    io.Writer
 }
 
 // Command returns the command, ready to run.
-func Command(f *factory.Factory) func(ctx context.Context) error {
-	opts := &Options{Status: f.Client().Status, Print: f.Print}
+func Command(f *factory.Factory, a Args) func(ctx context.Context) error {
+	opts := &Options{Args: a, Status: f.Client().Status, Print: f.Print, Out: f.Out}
 	return func(ctx context.Context) error { return statusRun(ctx, opts) }
 }
 
 func statusRun(ctx context.Context, opts *Options) error {
+	if opts.Watch {
+		return watchRun(ctx, opts)
+	}
 	st, err := opts.Status(ctx)
 	if err != nil {
 		return err
@@ -30,9 +48,59 @@
 	var rows [][]string
 	for _, r := range st.Endpoints {
 		rows = append(rows, []string{
-			string(r.Host), string(r.Zone), string(r.Pool), fmt.Sprintf("%.12s", r.Set), strconv.FormatBool(r.Open),
-			fmt.Sprintf("%d/%d", r.Chunks, r.Total), strconv.FormatInt(int64(r.Offset), 10),
+			string(r.Host), string(r.Zone), string(r.Pool), factory.Short(r.Set), state(r.Open, r.Leaving),
+			fmt.Sprintf("%d/%d", r.Chunks, r.Total), strconv.Itoa(r.Running), strconv.FormatInt(int64(r.Offset), 10),
 		})
 	}
-	return opts.Print(st, []string{"HOST", "ZONE", "POOL", "SET", "OPEN", "CHUNKS", "OFFSET"}, rows)
+	header := []string{"HOST", "ZONE", "POOL", "SET", "STATE", "CHUNKS", "RUNNING", "OFFSET"}
+	if err := opts.Print(st, header, rows); err != nil {
+		return err
+	}
+	return nil
+}
+
+func state(open, leaving bool) string {
+	switch {
+	case leaving:
+		return "leaving"
+	case open:
+		return "serving"
+	}
+	return "closed"
+}
+
+func watchRun(ctx context.Context, opts *Options) error {
+	begin := time.Now()
+	for {
+		st, err := opts.Status(ctx)
+		if err != nil {
+			return err
+		}
+		p := st.Progress()
+		if err := printProgress(opts.Out, p, time.Since(begin)); err != nil {
+			return err
+		}
+		if p.Ready >= p.Want {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(opts.Interval):
+		}
+	}
+}
+
+func printProgress(w io.Writer, p admin.Progress, elapsed time.Duration) error {
+	_, err := fmt.Fprintf(w, "replicas %d of %d, chunks %d of %d, %s\n", p.Ready, p.Want, p.Chunks, p.Total, left(p, elapsed))
+	return err
+}
+
+// left estimates the time until all chunks are held, from the rate since the watch began.
+func left(p admin.Progress, elapsed time.Duration) string {
+	if p.Chunks == 0 || p.Total == 0 || p.Chunks >= p.Total {
+		return "time left unknown"
+	}
+	rest := elapsed * time.Duration(p.Total-p.Chunks) / time.Duration(p.Chunks)
+	return fmt.Sprintf("about %s left", rest.Round(time.Second))
 }
