--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -7,6 +7,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/go-kit/kit/endpoint"
@@ -18,7 +20,6 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/reducer"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
 	"github.com/nutmegdock/nutmegdock/internal/publisher"
-	"github.com/nutmegdock/nutmegdock/internal/replayer"
 )
 
 const maxBodyBytes = 1 << 20
@@ -30,6 +31,8 @@
 	HistoryPath  = "/admin/v1/history"
 	StatusPath   = "/admin/v1/status"
 	AttemptsPath = "/admin/v1/attempts"
+	// UndoPath, followed by a change's id, gives the record that reverses it.
+	UndoPath = "/admin/v1/undo/"
 )
 
 // Admin answers operators. Set its fields before Register.
@@ -40,8 +43,6 @@
 	Publish func(ctx context.Context, rec catalog.Record) (reducer.Audit, error)
 	// View gives access to the configuration state.
 	View func(fn func(*reducer.Reducer))
-	// Replay folds the log anew up to an offset.
-	Replay func(ctx context.Context, to ident.Offset) (*reducer.Reducer, error)
 	// Resolve finds the digest of an artifact version.
 	Resolve func(ctx context.Context, name, version string) (ident.Digest, error)
 	// Reports returns the endpoints' reports.
@@ -63,6 +64,7 @@
 	handle("POST "+ChangesPath, authorizer.Operator, a.change, decodeChange)
 	handle("GET "+ObjectsPath, authorizer.Reader, a.objects, decodeObjects)
 	handle("GET "+HistoryPath, authorizer.Reader, a.history, decodeHistory)
+	handle("GET "+UndoPath+"{id}", authorizer.Reader, a.undo, decodeUndo)
 	handle("GET "+StatusPath, authorizer.Reader, a.status, kithttp.NopRequestDecoder)
 	handle("GET "+AttemptsPath, authorizer.Reader, a.attempts, kithttp.NopRequestDecoder)
 }
@@ -120,7 +122,12 @@
 		return nil, err
 	}
 	if req.Dry {
-		return a.preview(ctx, rec)
+		return a.preview(rec)
+	}
+	if faults := rec.Check(); len(faults) > 0 {
+		err := &Error{Status: http.StatusUnprocessableEntity, Code: "faults", Text: faultText(rec.Object, faults)}
+		a.record(ctx, "POST "+ChangesPath, "", err)
+		return nil, err
 	}
 	return a.Publish(ctx, rec)
 }
@@ -139,33 +146,56 @@
 	return nil
 }
 
-func (a *Admin) objects(ctx context.Context, q any) (any, error) {
-	req := q.(objectsRequest)
-	if req.at != nil {
-		state, err := a.Replay(ctx, *req.at)
-		if err != nil {
-			return nil, err
-		}
-		return list(state, req.prefix), nil
+func (a *Admin) preview(rec catalog.Record) (out reducer.Preview, err error) {
+	a.View(func(s *reducer.Reducer) { out, err = s.Preview(rec) })
+	return out, err
+}
+
+func faultText(o ident.Object, faults []catalog.Fault) string {
+	out := make([]string, len(faults))
+	for i, f := range faults {
+		out[i] = f.Field + " " + f.Text
 	}
+	return fmt.Sprintf("change of %s: %s", o, strings.Join(out, "; "))
+}
+
+func (a *Admin) objects(_ context.Context, q any) (any, error) {
 	var out []Object
-	a.View(func(s *reducer.Reducer) { out = list(s, req.prefix) })
-	return out, nil
+	var err error
+	a.View(func(s *reducer.Reducer) { out, err = list(s, q.(objectsRequest)) })
+	return out, err
 }
 
-func list(s *reducer.Reducer, prefix string) []Object {
+func list(s *reducer.Reducer, q objectsRequest) ([]Object, error) {
 	out := []Object{}
-	for _, o := range s.Objects(prefix) {
-		e, _ := s.Object(o)
-		out = append(out, Object{Object: o, Entry: e, Offset: s.Offset()})
+	if q.at == nil {
+		for _, o := range s.Objects(q.prefix) {
+			e, _ := s.Object(o)
+			out = append(out, Object{Object: o, Entry: e, Offset: s.Offset()})
+		}
+		return out, nil
+	}
+	past, err := s.At(*q.at)
+	for o, e := range past {
+		if !e.Record.Delete && strings.HasPrefix(string(o), q.prefix) {
+			out = append(out, Object{Object: o, Entry: e, Offset: *q.at})
+		}
 	}
-	return out
+	slices.SortFunc(out, func(a, b Object) int { return strings.Compare(string(a.Object), string(b.Object)) })
+	return out, err
 }
 
 func (a *Admin) history(_ context.Context, q any) (any, error) {
-	var all []reducer.Audit
-	a.View(func(s *reducer.Reducer) { all = s.History() })
-	return q.(HistoryFilter).apply(all), nil
+	var out []reducer.Audit
+	a.View(func(s *reducer.Reducer) { out = s.Select(q.(reducer.Filter)) })
+	return out, nil
+}
+
+func (a *Admin) undo(_ context.Context, q any) (any, error) {
+	var rec catalog.Record
+	var err error
+	a.View(func(s *reducer.Reducer) { rec, err = s.Undo(q.(ident.Change)) })
+	return rec, err
 }
 
 func (a *Admin) status(context.Context, any) (any, error) {
@@ -205,13 +235,13 @@
 	if errors.As(err, &unknown) {
 		return &Error{Status: http.StatusServiceUnavailable, Code: "unknown", Text: unknown.Error()}
 	}
-	var expired *replayer.ExpiredError
-	if errors.As(err, &expired) {
-		return &Error{Status: http.StatusGone, Code: "expired", Text: expired.Error()}
+	var horizon *reducer.HorizonError
+	if errors.As(err, &horizon) {
+		return &Error{Status: http.StatusNotFound, Code: "horizon", Text: horizon.Error()}
 	}
-	var beyond *replayer.RangeError
-	if errors.As(err, &beyond) {
-		return &Error{Status: http.StatusNotFound, Code: "beyond", Text: beyond.Error()}
+	var bad *catalog.Error
+	if errors.As(err, &bad) {
+		return &Error{Status: http.StatusUnprocessableEntity, Code: "record", Text: bad.Error()}
 	}
 	return &Error{Status: http.StatusInternalServerError, Code: "internal", Text: err.Error()}
 }
--- a/internal/admin/wire.go
+++ b/internal/admin/wire.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
@@ -53,56 +52,27 @@
 	return e.Text
 }
 
-// HistoryFilter selects entries of the audit trail. A zero field selects all.
-type HistoryFilter struct {
-	// Object is the start of the objects' paths.
-	Object  string
-	Author  ident.Author
-	Verdict reducer.Verdict
-	// Limit is the number of entries, the newest ones.
-	Limit int
-}
-
-// Query returns the filter as the interface takes it.
-func (f HistoryFilter) Query() url.Values {
+// Query writes a filter of the audit trail as the interface takes it.
+func Query(f reducer.Filter) url.Values {
 	q := url.Values{}
 	set := func(key, value string) {
 		if value != "" {
 			q.Set(key, value)
 		}
 	}
-	set("object", f.Object)
+	set("object", f.Prefix)
+	set("organisation", string(f.Organisation))
 	set("author", string(f.Author))
 	set("verdict", string(f.Verdict))
+	if !f.Since.IsZero() {
+		q.Set("since", f.Since.Format(time.RFC3339))
+	}
 	if f.Limit > 0 {
 		q.Set("limit", strconv.Itoa(f.Limit))
 	}
 	return q
 }
 
-func (f HistoryFilter) apply(all []reducer.Audit) []reducer.Audit {
-	out := []reducer.Audit{}
-	for _, a := range all {
-		if f.selects(a) {
-			out = append(out, a)
-		}
-	}
-	if f.Limit > 0 && len(out) > f.Limit {
-		out = out[len(out)-f.Limit:]
-	}
-	return out
-}
-
-func (f HistoryFilter) selects(a reducer.Audit) bool {
-	if !strings.HasPrefix(string(a.Object), f.Object) {
-		return false
-	}
-	if f.Author != "" && a.Author != f.Author {
-		return false
-	}
-	return f.Verdict == "" || a.Verdict == f.Verdict
-}
-
 type changeRequest struct {
 	Record catalog.Record
 	// Dry asks what the change would do, without publishing it.
@@ -144,7 +114,19 @@
 
 func decodeHistory(_ context.Context, r *http.Request) (any, error) {
 	q := r.URL.Query()
-	f := HistoryFilter{Object: q.Get("object"), Author: ident.Author(q.Get("author")), Verdict: reducer.Verdict(q.Get("verdict"))}
+	f := reducer.Filter{
+		Prefix:       q.Get("object"),
+		Organisation: ident.Organisation(q.Get("organisation")),
+		Author:       ident.Author(q.Get("author")),
+		Verdict:      reducer.Verdict(q.Get("verdict")),
+	}
+	if s := q.Get("since"); s != "" {
+		t, err := time.Parse(time.RFC3339, s)
+		if err != nil {
+			return nil, &Error{Status: http.StatusBadRequest, Code: "malformed", Text: fmt.Sprintf("since %q is not a time such as 2026-01-31T12:00:00Z", s)}
+		}
+		f.Since = t
+	}
 	if s := q.Get("limit"); s != "" {
 		n, err := strconv.Atoi(s)
 		if err != nil || n < 1 {
@@ -154,3 +136,7 @@
 	}
 	return f, nil
 }
+
+func decodeUndo(_ context.Context, r *http.Request) (any, error) {
+	return ident.Change(r.PathValue("id")), nil
+}
--- a/internal/adminclient/adminclient.go
+++ b/internal/adminclient/adminclient.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 
 	"github.com/nutmegdock/nutmegdock/internal/admin"
@@ -35,8 +36,13 @@
 }
 
 // Preview tells what a change would do, without publishing it.
-func (c *Client) Preview(ctx context.Context, rec catalog.Record) (admin.Preview, error) {
-	return call[admin.Preview](ctx, c, http.MethodPost, admin.ChangesPath+"?dry=true", rec)
+func (c *Client) Preview(ctx context.Context, rec catalog.Record) (reducer.Preview, error) {
+	return call[reducer.Preview](ctx, c, http.MethodPost, admin.ChangesPath+"?dry=true", rec)
+}
+
+// Undo returns the record that reverses an accepted change.
+func (c *Client) Undo(ctx context.Context, id ident.Change) (catalog.Record, error) {
+	return call[catalog.Record](ctx, c, http.MethodGet, admin.UndoPath+url.PathEscape(string(id)), nil)
 }
 
 // Object returns one object, or a zero entry when it does not exist.
@@ -67,8 +73,21 @@
 }
 
 // History returns the selected entries of the audit trail, oldest first.
-func (c *Client) History(ctx context.Context, f admin.HistoryFilter) ([]reducer.Audit, error) {
-	return call[[]reducer.Audit](ctx, c, http.MethodGet, admin.HistoryPath+"?"+f.Query().Encode(), nil)
+func (c *Client) History(ctx context.Context, f reducer.Filter) ([]reducer.Audit, error) {
+	return call[[]reducer.Audit](ctx, c, http.MethodGet, admin.HistoryPath+"?"+admin.Query(f).Encode(), nil)
+}
+
+// Find returns the audit entry of one change.
+func (c *Client) Find(ctx context.Context, id ident.Change) (reducer.Audit, error) {
+	list, err := c.History(ctx, reducer.Filter{})
+	if err != nil {
+		return reducer.Audit{}, err
+	}
+	i := slices.IndexFunc(list, func(a reducer.Audit) bool { return a.ID == id && a.Verdict != reducer.Repeated })
+	if i < 0 {
+		return reducer.Audit{}, fmt.Errorf("change %s is not in the history; see nutmegdock history", id)
+	}
+	return list[i], nil
 }
 
 // Attempts returns the operators' requests that were refused, oldest first.
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
@@ -14,7 +13,6 @@
 	"github.com/nutmegdock/nutmegdock/internal/logclient"
 	"github.com/nutmegdock/nutmegdock/internal/publisher"
 	"github.com/nutmegdock/nutmegdock/internal/recorder"
-	"github.com/nutmegdock/nutmegdock/internal/replayer"
 	"github.com/nutmegdock/nutmegdock/internal/weightclient"
 )
 
@@ -30,16 +28,10 @@
 		Find:    s.find,
 		Changed: s.follower.Changed,
 	}
-	replay := &replayer.Replayer{
-		Read: func(ctx context.Context, from ident.Offset, limit int, wait time.Duration) (logclient.Page, error) {
-			return logs.Read(ctx, logclient.Config, from, limit, wait)
-		},
-	}
 	a := &admin.Admin{
 		Authorizer: tokens,
 		Publish:    p.Publish,
 		View:       s.follower.View,
-		Replay:     replay.Replay,
 		Resolve: func(ctx context.Context, name, version string) (ident.Digest, error) {
 			return store.Resolve(ctx, s.Settings.Store, name, version)
 		},
--- a/internal/submitter/submitter.go
+++ b/internal/submitter/submitter.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"strings"
 
 	"github.com/google/uuid"
 
@@ -23,7 +24,7 @@
 	// Change publishes a change; it is safe to call again with the same id.
 	Change func(ctx context.Context, rec catalog.Record) (reducer.Audit, error)
 	// Ask tells what a change would do, without publishing it.
-	Ask func(ctx context.Context, rec catalog.Record) (admin.Preview, error)
+	Ask func(ctx context.Context, rec catalog.Record) (reducer.Preview, error)
 	// Print writes the verdict.
 	Print func(v any, header []string, rows [][]string) error
 }
@@ -36,7 +37,11 @@
 
 // Error names the object, the verdict and its reason.
 func (e *VerdictError) Error() string {
-	return fmt.Sprintf("change of %s: %s: %s", e.Object, e.Audit.Verdict, e.Audit.Reason)
+	text := fmt.Sprintf("change of %s: %s: %s", e.Object, e.Audit.Verdict, e.Audit.Reason)
+	if e.Audit.Verdict == reducer.Conflict {
+		text += "; read the object again, then repeat the change"
+	}
+	return text
 }
 
 // New returns a submitter for the factory's entry host.
@@ -85,7 +90,7 @@
 	}
 	var rows [][]string
 	for _, m := range p.Moves {
-		rows = append(rows, []string{fmt.Sprintf("%s/%s", m.Organisation, m.Deployment), describe(m.Before), describe(m.After)})
+		rows = append(rows, []string{strings.TrimPrefix(string(m.Object), "deployment/"), describe(m.Before), describe(m.After)})
 	}
 	return s.Print(p, []string{"DEPLOYMENT", "BEFORE", "AFTER"}, rows)
 }
