--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -7,12 +7,12 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/nutmegdock/nutmegdock/internal/admin"
+	"github.com/nutmegdock/nutmegdock/internal/auditor"
 	"github.com/nutmegdock/nutmegdock/internal/authorizer"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/reducer"
 	"github.com/nutmegdock/nutmegdock/internal/logclient"
 	"github.com/nutmegdock/nutmegdock/internal/publisher"
-	"github.com/nutmegdock/nutmegdock/internal/recorder"
 	"github.com/nutmegdock/nutmegdock/internal/weightclient"
 )
 
@@ -20,7 +20,7 @@
 func (s *Server) admin(tokens *authorizer.Authorizer) http.Handler {
 	logs := &logclient.Client{URL: s.Settings.Log, HTTP: &http.Client{}}
 	store := &weightclient.Client{HTTP: &http.Client{}}
-	attempts := recorder.New(logs, s.Logger)
+	attempts := auditor.New(logs, s.Logger)
 	p := &publisher.Publisher{
 		Append: func(ctx context.Context, data []byte) (ident.Offset, error) {
 			return logs.Append(ctx, logclient.Config, data)
--- a/pkg/cmd/status/status.go
+++ b/pkg/cmd/status/status.go
@@ -14,6 +14,7 @@
 
 // Args are the command's arguments.
 type Args struct {
+	Zones    bool          `arg:"--zones" help:"sum up by availability zone, with the spread of the configuration's offset"`
 	Watch    bool          `arg:"--watch" help:"print the progress of bursts until all replicas are ready"`
 	Interval time.Duration `arg:"--interval" default:"1s" help:"time between two looks with --watch"`
 }
@@ -45,6 +46,9 @@
 	if err != nil {
 		return err
 	}
+	if opts.Zones {
+		return printZones(opts, st)
+	}
 	var rows [][]string
 	for _, r := range st.Endpoints {
 		rows = append(rows, []string{
@@ -53,10 +57,19 @@
 		})
 	}
 	header := []string{"HOST", "ZONE", "POOL", "SET", "STATE", "CHUNKS", "RUNNING", "OFFSET"}
-	if err := opts.Print(st, header, rows); err != nil {
-		return err
+	return opts.Print(st, header, rows)
+}
+
+func printZones(opts *Options, st admin.Status) error {
+	zones := st.Zones()
+	var rows [][]string
+	for _, z := range zones {
+		rows = append(rows, []string{
+			string(z.Zone), strconv.Itoa(z.Hosts), strconv.Itoa(z.Serving), strconv.Itoa(z.Leaving),
+			strconv.FormatInt(int64(z.Low), 10), strconv.FormatInt(int64(z.High), 10),
+		})
 	}
-	return nil
+	return opts.Print(zones, []string{"ZONE", "HOSTS", "SERVING", "LEAVING", "LOWEST OFFSET", "HIGHEST OFFSET"}, rows)
 }
 
 func state(open, leaving bool) string {
