--- a/internal/endpoint/requests.go
+++ b/internal/endpoint/requests.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
 	"github.com/nutmegdock/nutmegdock/internal/core/monitor"
 	"github.com/nutmegdock/nutmegdock/internal/core/permitter"
 	"github.com/nutmegdock/nutmegdock/internal/event"
@@ -29,7 +30,7 @@
 }
 
 func (s *Server) buildRequests() {
-	entries := &rpc.Pool{}
+	entries := &rpc.Pool{Dial: s.control.Dial}
 	watch := &prober.Prober{Kind: s.Settings.Kind, Backend: s.Settings.Backend, HTTP: &http.Client{}}
 	tell := &notifier.Notifier{
 		Entries: func() []membership.Member { return s.members.Members(membership.RoleEntry) },
@@ -51,6 +52,9 @@
 			tell.Add(d)
 		},
 	}}
+	if s.Settings.Kind == catalog.KindEngine {
+		s.requests.runner.Watch = s.watch
+	}
 }
 
 func (q *requests) register(mux *http.ServeMux) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -10,18 +10,21 @@
 
 	"github.com/apex/log"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmegdock/nutmegdock/internal/authorizer"
+	"github.com/nutmegdock/nutmegdock/internal/bytecounter"
 	"github.com/nutmegdock/nutmegdock/internal/callers"
+	"github.com/nutmegdock/nutmegdock/internal/checkpointer"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/view"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/follower"
-	"github.com/nutmegdock/nutmegdock/internal/logclient"
 	"github.com/nutmegdock/nutmegdock/internal/membership"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
 	"github.com/nutmegdock/nutmegdock/internal/rpc"
+	"github.com/nutmegdock/nutmegdock/internal/spreader"
 	"github.com/nutmegdock/nutmegdock/internal/webserver"
 )
 
@@ -37,6 +40,9 @@
 	Members string       `json:"members" validate:"required,url"`
 	Store   string       `json:"store" validate:"required,url"`
 	Tokens  string       `json:"tokens" validate:"required"`
+	// Checkpoint is the age in seconds at which the configuration's checkpoint is written again, well below the
+	// log's retention; zero stands for five minutes.
+	Checkpoint int `json:"checkpoint,omitempty" validate:"min=0,max=86400"`
 	// Grace is the number of seconds that requests in progress get at a stop.
 	Grace int `json:"grace" validate:"min=1,max=3600"`
 }
@@ -46,11 +52,15 @@
 	Settings Settings
 	Logger   log.Interface
 
-	follower *follower.Follower
-	members  *membership.List
-	view     *view.View
-	registry *prometheus.Registry
-	requests *requests
+	follower    *follower.Follower
+	spread      *spreader.Spreader
+	checkpoints *checkpointer.Checkpointer
+	peers       rpc.Pool
+	members     *membership.List
+	view        *view.View
+	registry    *prometheus.Registry
+	control     bytecounter.Counter
+	requests    *requests
 }
 
 // Run serves until ctx ends, then finishes the requests in progress.
@@ -71,11 +81,12 @@
 	defer stop()
 	var tasks errgroup.Group
 	control := &rpc.Server{Methods: map[string]rpc.Handler{messages.ReportMethod: rpc.Handle(s.report)}}
+	s.configMethods(control.Methods)
+	s.runConfig(background, &tasks)
 	s.requests.addMethods(control.Methods, s.Logger)
 	s.requests.run(background, &tasks)
-	tasks.Go(func() error { return s.follower.Run(background) })
 	tasks.Go(func() error { return s.members.Run(background) })
-	tasks.Go(func() error { return control.Serve(background, listeners.control) })
+	tasks.Go(func() error { return control.Serve(background, s.control.Listener(listeners.control)) })
 
 	g, gctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
@@ -118,28 +129,26 @@
 }
 
 func (s *Server) build() {
-	logs := &logclient.Client{URL: s.Settings.Log, HTTP: &http.Client{}}
 	s.view = &view.View{}
 	s.registry = prometheus.NewRegistry()
-	s.follower = &follower.Follower{
-		Read: func(ctx context.Context, from ident.Offset, limit int, wait time.Duration) (logclient.Page, error) {
-			return logs.Read(ctx, logclient.Config, from, limit, wait)
-		},
-		Logger: s.Logger,
-	}
+	s.registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
+	_ = s.control.Register(s.registry)
 	s.members = &membership.List{
-		URL: s.Settings.Members, HTTP: &http.Client{}, Logger: s.Logger,
+		URL: s.Settings.Members, HTTP: s.control.Client(), Logger: s.Logger,
 		Self: membership.Member{
 			Host: s.Settings.Host, Role: membership.RoleEntry, Zone: s.Settings.Zone, Region: s.Settings.Region,
 			Data: s.Settings.Listen, Control: s.Settings.Control, Birth: time.Now().UnixNano(),
 		},
 	}
+	s.buildConfig()
 	s.buildRequests()
 }
 
 func (s *Server) report(_ context.Context, r messages.Report) (messages.Ack, error) {
+	r = s.join(r)
+	s.spread.Saw(r.Host, r.Offset)
 	s.view.Put(r)
-	return messages.Ack{Offset: s.follower.Offset()}, nil
+	return messages.Ack{Offset: s.follower.Offset(), Wave: s.wave(r)}, nil
 }
 
 func (s *Server) callers() http.Handler {
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
 	"github.com/apex/log"
@@ -36,8 +35,8 @@
 }
 
 func (s *Server) buildRequests() {
-	logs := &logclient.Client{URL: s.Settings.Log, HTTP: &http.Client{}}
-	peers := &rpc.Pool{}
+	logs := &logclient.Client{URL: s.Settings.Log, HTTP: s.control.Client()}
+	peers := &rpc.Pool{Dial: s.control.Dial}
 	sus := &suspector.Suspector{}
 	reg := &registrar.Registrar{
 		Append: logs.Append, Read: logs.Read, Logger: s.Logger,
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -34,6 +34,8 @@
 	Backend string
 	// Forwarder sends repeatable requests.
 	Forwarder *forwarder.Forwarder
+	// Watch notes the engine's weights before a request for set is handed over. Nil means a back end without weights.
+	Watch func(set ident.WeightSet) Confirm
 	// Fresh sends those that may not be repeated, each on a connection of its own.
 	Fresh *forwarder.Forwarder
 	// Permitter admits those that may not be repeated once.
@@ -74,6 +76,7 @@
 
 func (u *Runner) run(w http.ResponseWriter, r *http.Request, run *monitor.Run, send *forwarder.Forwarder) {
 	birth := u.Birth()
+	confirm := u.watch(r)
 	resp, err := send.Send(r.Context(), u.call(r))
 	if err != nil {
 		if death := u.death(r, run, birth); death != "" {
@@ -84,15 +87,21 @@
 		return
 	}
 	defer resp.Body.Close()
+	if err := u.check(r, resp); err != nil {
+		fail(w, r, err)
+		return
+	}
+	stream := strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+	body := &sealed{ReadCloser: resp.Body, ctx: r.Context(), confirm: confirm, stream: stream}
 	CopyHeader(w.Header(), resp.Header)
 	w.Header().Set(headers.Outcome, headers.Answered)
 	w.Header().Set(headers.Request, r.Header.Get(headers.Request))
 	w.WriteHeader(resp.StatusCode)
-	if err := forwarder.Copy(w, resp.Body); err == nil {
+	if err := forwarder.Copy(w, body); err == nil {
 		return
 	}
 	death := u.death(r, run, birth)
-	if death != "" && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+	if death != "" && stream {
 		_, _ = w.Write(resumer.DeathEvent(death))
 		_ = http.NewResponseController(w).Flush()
 	}
