--- /dev/null
+++ b/cmd/gatewayd/main.go
@@ -0,0 +1,73 @@
+// Command gatewayd runs the gateway of an entry host on the users' platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+
+	"github.com/apex/log"
+
+	"github.com/nutmegdock/nutmegdock/internal/connector"
+	"github.com/nutmegdock/nutmegdock/internal/fleet"
+	"github.com/nutmegdock/nutmegdock/internal/fronthost"
+	"github.com/nutmegdock/nutmegdock/internal/journaler"
+	"github.com/nutmegdock/nutmegdock/platform/decoder"
+	"github.com/nutmegdock/nutmegdock/platform/names"
+	"github.com/nutmegdock/nutmegdock/platform/settings"
+	"github.com/nutmegdock/nutmegdock/platform/storeclient"
+	"github.com/nutmegdock/nutmegdock/platform/translator"
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	cfg, err := settings.Load(os.Getenv(settings.Variable))
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "gatewayd: %v\n", err)
+		return 2
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	journal := &journaler.Journaler{Writer: os.Stdout}
+	done, written := make(chan struct{}), make(chan struct{})
+	go func() {
+		journal.Run(done)
+		close(written)
+	}()
+	logger := &log.Logger{Handler: journal, Level: log.InfoLevel}
+	store := &storeclient.Client{Address: cfg.Store, HTTP: (&connector.Connector{}).Client()}
+	h := &fronthost.Host{
+		Name: cfg.Host, Zone: cfg.Zone, IP: cfg.IP, Callers: cfg.Callers, Readiness: cfg.Readiness,
+		Metrics: net.JoinHostPort(cfg.IP, strconv.Itoa(cfg.Ports[0])), Exchange: cfg.Ports[0],
+		Grace: cfg.Grace, RetryRatio: cfg.RetryRatio, RetrySlack: cfg.RetrySlack, RetryWindow: cfg.RetryWindow,
+		ReleaseBound: cfg.ReleaseBound, Dialect: translator.New(), Logger: logger,
+		Fleet: &fleet.Follower{
+			Topics: fleet.Topics{
+				Operator: names.Operator, Endpoints: names.Endpoints, Status: names.Status,
+				Directory: names.Directory, Release: names.ReleaseKey,
+			},
+			Decode: fleet.Decoder{Directory: decoder.Directory, Endpoint: decoder.Endpoint, Release: decoder.Release},
+			Newest: store.Newest, Changes: store.Changes, Logger: logger,
+		},
+		Register: func(ctx context.Context, key string, value []byte) error {
+			return store.Put(ctx, names.Status, key, value)
+		},
+	}
+	err = h.Run(ctx)
+	if err != nil {
+		logger.WithError(err).Error("process failed")
+	}
+	close(done)
+	<-written
+	if err != nil {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/cmd/stockd/main.go
@@ -0,0 +1,74 @@
+// Command stockd runs the host beside a model engine on the users' platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/apex/log"
+
+	"github.com/nutmegdock/nutmegdock/internal/connector"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/fleet"
+	"github.com/nutmegdock/nutmegdock/internal/stocker"
+	"github.com/nutmegdock/nutmegdock/internal/journaler"
+	"github.com/nutmegdock/nutmegdock/platform/decoder"
+	"github.com/nutmegdock/nutmegdock/platform/engineclient"
+	"github.com/nutmegdock/nutmegdock/platform/names"
+	"github.com/nutmegdock/nutmegdock/platform/settings"
+	"github.com/nutmegdock/nutmegdock/platform/storeclient"
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	cfg, err := settings.Load(os.Getenv(settings.Variable))
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "stockd: %v\n", err)
+		return 2
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	journal := &journaler.Journaler{Writer: os.Stdout}
+	done, written := make(chan struct{}), make(chan struct{})
+	go func() {
+		journal.Run(done)
+		close(written)
+	}()
+	logger := &log.Logger{Handler: journal, Level: log.InfoLevel}
+	calls := (&connector.Connector{}).Client()
+	store := &storeclient.Client{Address: cfg.Store, HTTP: calls}
+	engine := &engineclient.Client{HTTP: calls, Engine: cfg.Engine}
+	h := &stocker.Host{
+		Name: ident.Host(cfg.IP), Zone: cfg.Zone, Region: cfg.Region, IP: cfg.IP, Pool: cfg.Pool, Regions: cfg.Regions,
+		Control: cfg.Ports[0], Data: cfg.Ports[0] + 1, Metrics: cfg.Ports[0] + 2, ReleaseBound: cfg.ReleaseBound,
+		Dial: (&connector.Connector{}).DialContext, HTTP: calls, Logger: logger,
+		Engine: stocker.Engine{
+			Report: engine.Report, Stage: engine.Stage, Staged: engine.Staged, Load: engine.Load,
+			Manifest: engine.Manifest, Chunk: engine.Chunk,
+		},
+		Fleet: &fleet.Follower{
+			Topics: fleet.Topics{
+				Operator: names.Operator, Endpoints: names.Endpoints, Status: names.Status,
+				Directory: names.Directory, Release: names.ReleaseKey,
+			},
+			Decode: fleet.Decoder{Directory: decoder.Directory, Endpoint: decoder.Endpoint, Release: decoder.Release},
+			Newest: store.Newest, Changes: store.Changes, Logger: logger,
+		},
+	}
+	err = h.Run(ctx)
+	if err != nil {
+		logger.WithError(err).Error("process failed")
+	}
+	close(done)
+	<-written
+	if err != nil {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/core/surveyor/surveyor.go
@@ -0,0 +1,190 @@
+// Package surveyor keeps the picture of a fleet: its configuration, its endpoints and the releases of its models, as
+// they are read from the store in whole images and in changes.
+package surveyor
+
+import (
+	"sync"
+	"time"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/directory"
+)
+
+const (
+	// returnTime is how long endpoints whose entries lapsed while the store was away have to write them again.
+	returnTime = 2 * time.Second
+	// awayTime is the shortest time without an answer that counts as an outage of the store.
+	awayTime = time.Second
+	// releaseMargin is how long before the bound requests stop to begin on an older release: it covers a request's wait
+	// in the engine's own queue.
+	releaseMargin = 1500 * time.Millisecond
+)
+
+type release struct {
+	number  directory.Release
+	enforce time.Time
+	seen    time.Time
+}
+
+type entry struct {
+	directory.Endpoint
+	// until is when an entry that lapsed is given up; zero for one that stands.
+	until time.Time
+}
+
+// Surveyor holds the picture. Set its fields before use. It is safe for concurrent use.
+type Surveyor struct {
+	// ReleaseBound is the time after which requests may no longer begin on an older release.
+	ReleaseBound time.Duration
+
+	mu       sync.Mutex
+	entries  map[string]*entry
+	releases map[directory.Model][]release
+	heard    time.Time
+	returned time.Time
+	known    bool
+}
+
+// Heard notes that the store answered, or did not.
+func (s *Surveyor) Heard(ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if !ok {
+		return
+	}
+	if !s.heard.IsZero() && now.Sub(s.heard) > awayTime {
+		s.returned = now
+	}
+	s.heard = now
+}
+
+// Away notes the outage before changes that were read after it are taken.
+func (s *Surveyor) Away() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if !s.heard.IsZero() && now.Sub(s.heard) > awayTime {
+		s.returned = now
+	}
+}
+
+// Reset takes a whole image of the endpoints.
+func (s *Surveyor) Reset(all []directory.Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.entries
+	s.entries = make(map[string]*entry, len(all))
+	for _, e := range all {
+		s.entries[e.ID] = &entry{Endpoint: e}
+	}
+	for id, e := range old {
+		if s.entries[id] == nil {
+			s.lapse(id, e)
+		}
+	}
+	s.known = true
+}
+
+// Put takes the entry of one endpoint.
+func (s *Surveyor) Put(e directory.Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.entries == nil {
+		s.entries = make(map[string]*entry)
+	}
+	s.entries[e.ID] = &entry{Endpoint: e}
+}
+
+// Drop takes the removal of an entry. If the store has just come back, the endpoint has some time to write it again.
+func (s *Surveyor) Drop(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[id]
+	if e == nil {
+		return
+	}
+	delete(s.entries, id)
+	s.lapse(id, e)
+}
+
+func (s *Surveyor) lapse(id string, e *entry) {
+	until := s.returned.Add(returnTime)
+	if e.Leaving || s.returned.IsZero() || !time.Now().Before(until) {
+		return
+	}
+	e.until = until
+	s.entries[id] = e
+}
+
+// Endpoints returns the endpoints that may be used.
+func (s *Surveyor) Endpoints() []directory.Endpoint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	out := make([]directory.Endpoint, 0, len(s.entries))
+	for id, e := range s.entries {
+		if !e.until.IsZero() && now.After(e.until) {
+			delete(s.entries, id)
+			continue
+		}
+		out = append(out, e.Endpoint)
+	}
+	return out
+}
+
+// Known tells whether the endpoints have been read.
+func (s *Surveyor) Known() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.known
+}
+
+// SetRelease takes the newest release of a model. First says that it was read in a whole image, so that it may have
+// been named long ago.
+func (s *Surveyor) SetRelease(m directory.Model, n directory.Release, first bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.releases == nil {
+		s.releases = make(map[directory.Model][]release)
+	}
+	for _, r := range s.releases[m] {
+		if r.number >= n {
+			return false
+		}
+	}
+	now := time.Now()
+	at := now.Add(s.ReleaseBound - releaseMargin)
+	if first {
+		// The release may have been named up to the whole bound ago; engines get a part of it to say what they serve.
+		at = now.Add(s.ReleaseBound / 2)
+	}
+	s.releases[m] = append(s.releases[m], release{number: n, enforce: at, seen: now})
+	return true
+}
+
+// Oldest returns the oldest release of a model on which a request may begin now.
+func (s *Surveyor) Oldest(m directory.Model) directory.Release {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	oldest := directory.Release(1)
+	for _, r := range s.releases[m] {
+		if !now.Before(r.enforce) {
+			oldest = max(oldest, r.number)
+		}
+	}
+	return oldest
+}
+
+// Newest returns the newest release of a model and when it was first seen; zero if none was named.
+func (s *Surveyor) Newest(m directory.Model) (directory.Release, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var last release
+	for _, r := range s.releases[m] {
+		if r.number > last.number {
+			last = r
+		}
+	}
+	return last.number, last.seen
+}
--- /dev/null
+++ b/internal/exchanger/exchanger.go
@@ -0,0 +1,105 @@
+// Package exchanger tells the other entry hosts how many requests this one has at each endpoint, and hears the same of
+// them, over UDP. A lost message is made good by the next one.
+package exchanger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+)
+
+const (
+	// DefaultEvery is how often the others are told: about one arrival at an endpoint falls between two messages.
+	DefaultEvery = 100 * time.Millisecond
+	maxBytes     = 8 << 10
+)
+
+// Message is what one entry host tells.
+type Message struct {
+	Host  ident.Host     `cbor:"host"`
+	Loads map[string]int `cbor:"loads"`
+}
+
+// Exchanger runs on one socket. Set its fields before Run.
+type Exchanger struct {
+	// Host names this host.
+	Host ident.Host
+	// Conn sends and receives.
+	Conn net.PacketConn
+	// Every is the time between two messages; zero means the default.
+	Every time.Duration
+	// Peers returns the addresses of the others.
+	Peers func() []netip.AddrPort
+	// Own returns what to tell.
+	Own func() map[string]int
+	// Heard takes what another host tells.
+	Heard func(h ident.Host, loads map[string]int)
+	// Logger receives messages that cannot be decoded.
+	Logger log.Interface
+}
+
+// Run tells and hears until ctx ends.
+func (x *Exchanger) Run(ctx context.Context) error {
+	if x.Every == 0 {
+		x.Every = DefaultEvery
+	}
+	stop := context.AfterFunc(ctx, func() { _ = x.Conn.Close() })
+	defer stop()
+	var tasks errgroup.Group
+	tasks.Go(func() error { return x.tell(ctx) })
+	tasks.Go(func() error { return x.hear(ctx) })
+	return tasks.Wait()
+}
+
+func (x *Exchanger) tell(ctx context.Context) error {
+	tick := time.NewTicker(x.Every)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		data, err := cbor.Marshal(Message{Host: x.Host, Loads: x.Own()})
+		if err != nil {
+			return fmt.Errorf("encode loads: %w", err)
+		}
+		for _, p := range x.Peers() {
+			// A message that cannot be sent is as good as a lost one.
+			_, _ = x.Conn.WriteTo(data, net.UDPAddrFromAddrPort(p))
+		}
+	}
+}
+
+func (x *Exchanger) hear(ctx context.Context) error {
+	buf := make([]byte, maxBytes)
+	for {
+		n, _, err := x.Conn.ReadFrom(buf)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return fmt.Errorf("receive loads: %w", err)
+		}
+		if err != nil {
+			continue
+		}
+		var m Message
+		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
+			x.Logger.WithError(err).Warn("load message does not parse")
+			continue
+		}
+		if m.Host != x.Host {
+			x.Heard(m.Host, m.Loads)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,176 @@
+// Package fleet follows the topics of the platform's store that describe the fleet.
+package fleet
+
+import (
+	"context"
+	"maps"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/directory"
+	"github.com/nutmegdock/nutmegdock/internal/core/surveyor"
+	"github.com/nutmegdock/nutmegdock/internal/watcher"
+)
+
+const (
+	// operatorWait and operatorPause: a change is known at once, and those that follow within the pause share a call. The
+	// pause is a tenth of the time within which a change has to be in force.
+	operatorWait  = 20 * time.Second
+	operatorPause = 200 * time.Millisecond
+	// endpointPause: heartbeats come all the time, so the list is asked for now and then, within half of the time in
+	// which an endpoint that leaves must be known.
+	endpointPause = 900 * time.Millisecond
+	// peerPause: the list of entry hosts changes when hosts start.
+	peerPause = 2 * time.Second
+)
+
+// Topics names the topics of the store.
+type Topics struct {
+	Operator, Endpoints, Status string
+	// Directory is the key of the configuration, and Release the prefix of the keys of releases.
+	Directory, Release string
+}
+
+// Decoder decodes the records.
+type Decoder struct {
+	Directory func(data []byte) (*directory.Directory, error)
+	Endpoint  func(id string, data []byte) (directory.Endpoint, error)
+	Release   func(data []byte) (directory.Serving, error)
+}
+
+// Follower follows the fleet. Set its fields before Run.
+type Follower struct {
+	Topics Topics
+	Decode Decoder
+	// Newest and Changes read the store.
+	Newest  func(ctx context.Context, topic string) (watcher.Image, error)
+	Changes func(ctx context.Context, topic string, from int64, wait time.Duration) (watcher.Batch, error)
+	// Surveyor takes endpoints and releases.
+	Surveyor *surveyor.Surveyor
+	// OnDirectory, OnEndpoints, OnRelease and OnPeers are told of changes; each may be nil.
+	OnDirectory func(d *directory.Directory)
+	OnEndpoints func()
+	OnRelease   func(s directory.Serving)
+	OnPeers     func(values map[string][]byte)
+	// Logger receives the changes.
+	Logger log.Interface
+
+	peers map[string][]byte
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	var tasks errgroup.Group
+	operator := f.watcher(f.Topics.Operator)
+	operator.Wait, operator.Pause = operatorWait, operatorPause
+	operator.Reset = func(values map[string][]byte) { f.operate(values, true) }
+	operator.Apply = func(changes []watcher.Change) { f.operate(newest(changes), false) }
+	tasks.Go(func() error { return operator.Run(ctx) })
+	endpoints := f.watcher(f.Topics.Endpoints)
+	endpoints.Pause = endpointPause
+	endpoints.Heard = f.Surveyor.Heard
+	endpoints.Reset = f.resetEndpoints
+	endpoints.Apply = f.applyEndpoints
+	tasks.Go(func() error { return endpoints.Run(ctx) })
+	if f.OnPeers != nil {
+		peers := f.watcher(f.Topics.Status)
+		peers.Wait, peers.Pause = operatorWait, peerPause
+		peers.Reset = func(values map[string][]byte) {
+			f.peers = values
+			f.OnPeers(maps.Clone(values))
+		}
+		peers.Apply = func(changes []watcher.Change) {
+			maps.Copy(f.peers, newest(changes))
+			f.OnPeers(maps.Clone(f.peers))
+		}
+		tasks.Go(func() error { return peers.Run(ctx) })
+	}
+	return tasks.Wait()
+}
+
+func (f *Follower) watcher(topic string) *watcher.Watcher {
+	return &watcher.Watcher{Topic: topic, Newest: f.Newest, Changes: f.Changes, Logger: f.Logger}
+}
+
+func newest(changes []watcher.Change) map[string][]byte {
+	out := make(map[string][]byte, len(changes))
+	for _, c := range changes {
+		out[c.Key] = c.Value
+	}
+	return out
+}
+
+func (f *Follower) operate(values map[string][]byte, isFirst bool) {
+	for key, v := range values {
+		switch {
+		case len(v) == 0:
+		case key == f.Topics.Directory:
+			d, err := f.Decode.Directory(v)
+			if err != nil {
+				f.Logger.WithError(err).Error("configuration does not parse")
+				continue
+			}
+			if f.OnDirectory != nil {
+				f.OnDirectory(d)
+			}
+		case strings.HasPrefix(key, f.Topics.Release):
+			s, err := f.Decode.Release(v)
+			if err != nil {
+				f.Logger.WithError(err).WithField("key", key).Warn("release does not parse")
+				continue
+			}
+			if !f.Surveyor.SetRelease(s.Model, s.Release, isFirst) {
+				continue
+			}
+			f.Logger.WithFields(log.Fields{"model": string(s.Model), "release": int64(s.Release), "first": isFirst}).Info("release known")
+			if f.OnRelease != nil {
+				f.OnRelease(s)
+			}
+		}
+	}
+}
+
+func (f *Follower) resetEndpoints(values map[string][]byte) {
+	f.Surveyor.Away()
+	var all []directory.Endpoint
+	for id, v := range values {
+		if e, ok := f.endpoint(id, v); ok {
+			all = append(all, e)
+		}
+	}
+	f.Surveyor.Reset(all)
+	f.tell()
+}
+
+func (f *Follower) applyEndpoints(changes []watcher.Change) {
+	f.Surveyor.Away()
+	for _, c := range changes {
+		if len(c.Value) == 0 {
+			f.Logger.WithField("endpoint", c.Key).Info("endpoint's entry was removed")
+			f.Surveyor.Drop(c.Key)
+			continue
+		}
+		if e, ok := f.endpoint(c.Key, c.Value); ok {
+			f.Surveyor.Put(e)
+		}
+	}
+	f.tell()
+}
+
+func (f *Follower) tell() {
+	if f.OnEndpoints != nil {
+		f.OnEndpoints()
+	}
+}
+
+func (f *Follower) endpoint(id string, v []byte) (directory.Endpoint, bool) {
+	e, err := f.Decode.Endpoint(id, v)
+	if err != nil {
+		f.Logger.WithError(err).WithField("endpoint", id).Debug("endpoint's entry names no endpoint to use")
+		return e, false
+	}
+	return e, true
+}
--- /dev/null
+++ b/internal/fronthost/fronthost.go
@@ -0,0 +1,243 @@
+// Package fronthost runs the gateway of an entry host on a platform whose store holds the configuration and the list of
+// endpoints.
+package fronthost
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/nutmegdock/nutmegdock/internal/connector"
+	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
+	"github.com/nutmegdock/nutmegdock/internal/core/budgeter"
+	"github.com/nutmegdock/nutmegdock/internal/core/directory"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/surveyor"
+	"github.com/nutmegdock/nutmegdock/internal/dialect"
+	"github.com/nutmegdock/nutmegdock/internal/exchanger"
+	"github.com/nutmegdock/nutmegdock/internal/fleet"
+	"github.com/nutmegdock/nutmegdock/internal/gateway"
+	"github.com/nutmegdock/nutmegdock/internal/sender"
+)
+
+const (
+	headerTime = 10 * time.Second
+	// idleTime is longer than any idle time that callers are told, so that they close first.
+	idleTime       = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+	// quietTime is how long a leaving host waits for the balancer to notice, at least.
+	quietTime = 2500 * time.Millisecond
+	// endMargin is kept free of the time until SIGKILL.
+	endMargin = 500 * time.Millisecond
+	// registerEvery is the pause after a failed registration.
+	registerEvery = 500 * time.Millisecond
+	// refreshEvery is how often entries that lapsed are looked at.
+	refreshEvery = 250 * time.Millisecond
+	// returnShare is the part of a caller's time left after which it may come back: the most that callers honour.
+	returnShare = 3
+	peerPrefix  = "entry/"
+)
+
+// Host is one entry host. Set its fields before Run.
+type Host struct {
+	Name ident.Host
+	Zone ident.Zone
+	IP   string
+	// Callers, Readiness and Metrics are the addresses to listen on.
+	Callers, Readiness, Metrics string
+	// Exchange is the port of the exchange between entry hosts.
+	Exchange int
+	// Grace is the time from the end of ctx until the process is killed.
+	Grace time.Duration
+	// RetryRatio, RetrySlack and RetryWindow bound the repeats of the whole fleet.
+	RetryRatio, RetrySlack float64
+	RetryWindow            time.Duration
+	// ReleaseBound is the time after which requests may no longer begin on an older release.
+	ReleaseBound time.Duration
+	// Dialect reads and writes the callers' headers.
+	Dialect dialect.Dialect
+	// Fleet follows the store.
+	Fleet *fleet.Follower
+	// Register writes this host's entry in the list of entry hosts.
+	Register func(ctx context.Context, key string, value []byte) error
+	// Logger receives the events.
+	Logger log.Interface
+
+	gateway  *gateway.Gateway
+	assigner *assigner.Assigner
+	ready    atomic.Bool
+	leaving  atomic.Bool
+
+	mu    sync.Mutex
+	peers []netip.AddrPort
+}
+
+// Run serves until ctx ends, and then until the requests in progress have ended.
+func (h *Host) Run(ctx context.Context) error {
+	registry := prometheus.NewRegistry()
+	h.assigner = &assigner.Assigner{Zone: h.Zone}
+	survey := &surveyor.Surveyor{ReleaseBound: h.ReleaseBound}
+	h.gateway = &gateway.Gateway{
+		Dialect: h.Dialect, Assigner: h.assigner, Sender: &sender.Sender{Dial: (&connector.Connector{}).DialContext},
+		Budget:  &budgeter.Budgeter{Ratio: h.RetryRatio / 2, Burst: h.RetrySlack / 8},
+		Release: survey.Oldest, Logger: h.Logger, Meter: gateway.NewMeter(registry),
+		Return: func(left time.Duration) time.Duration { return max(0, left/returnShare) },
+	}
+	h.Fleet.Surveyor = survey
+	h.Fleet.OnDirectory = h.setDirectory
+	h.Fleet.OnEndpoints = func() { h.assigner.SetEndpoints(survey.Endpoints()) }
+	h.Fleet.OnPeers = h.setPeers
+	conn, err := net.ListenPacket("udp4", net.JoinHostPort(h.IP, fmt.Sprint(h.Exchange)))
+	if err != nil {
+		return fmt.Errorf("listen for loads: %w", err)
+	}
+	// What serves goes on until the requests in progress have ended, after ctx.
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	tasks, life := errgroup.WithContext(life)
+	tasks.Go(func() error { return h.Fleet.Run(life) })
+	tasks.Go(func() error { return h.register(life) })
+	tasks.Go(func() error { return h.refresh(life) })
+	tasks.Go(func() error {
+		return (&exchanger.Exchanger{
+			Host: h.Name, Conn: conn, Peers: h.others, Own: h.assigner.Own, Heard: h.assigner.SetPeer, Logger: h.Logger,
+		}).Run(life)
+	})
+	mux := http.NewServeMux()
+	mux.Handle("/", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	tasks.Go(func() error { return h.serve(life, h.Metrics, mux) })
+	tasks.Go(func() error { return h.serve(life, h.Readiness, http.HandlerFunc(h.answerReady)) })
+	tasks.Go(func() error { return h.serve(life, h.Callers, h.gateway) })
+	h.Logger.WithFields(log.Fields{"host": string(h.Name), "callers": h.Callers, "metrics": h.Metrics}).Info("process started")
+	select {
+	case <-ctx.Done():
+		h.leave(life)
+	case <-life.Done():
+	}
+	end()
+	err = tasks.Wait()
+	h.Logger.Info("process stopped")
+	return err
+}
+
+func (h *Host) leave(ctx context.Context) {
+	h.leaving.Store(true)
+	h.gateway.Leave()
+	h.Logger.WithField("running", h.gateway.Running()).Info("graceful shutdown began")
+	begun := time.Now()
+	last := begun.Add(max(quietTime, h.Grace-endMargin))
+	for time.Now().Before(last) && ctx.Err() == nil {
+		if h.gateway.Running() == 0 && time.Since(begun) >= quietTime {
+			return
+		}
+		const step = 20 * time.Millisecond
+		time.Sleep(step)
+	}
+}
+
+func (h *Host) serve(ctx context.Context, address string, handler http.Handler) error {
+	ln, err := net.Listen("tcp4", address)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	srv := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeaderBytes,
+		DisableGeneralOptionsHandler: true,
+	}
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	if err := srv.Serve(ln); ctx.Err() == nil {
+		return fmt.Errorf("serve %s: %w", address, err)
+	}
+	return nil
+}
+
+func (h *Host) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if h.leaving.Load() || h.gateway.Directory() == nil || !h.Fleet.Surveyor.Known() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if !h.ready.Swap(true) {
+		h.Logger.Info("host is ready")
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (h *Host) setDirectory(d *directory.Directory) {
+	if !h.gateway.SetDirectory(d) {
+		return
+	}
+	h.assigner.SetPools(d.Pools)
+	h.Logger.WithFields(log.Fields{"revision": int64(d.Revision), "pools": len(d.Pools), "keys": len(d.Keys)}).Info("configuration in force")
+}
+
+// setPeers takes the list of entry hosts.
+func (h *Host) setPeers(values map[string][]byte) {
+	var out []netip.AddrPort
+	for k, v := range values {
+		if !strings.HasPrefix(k, peerPrefix) || k == h.key() || len(v) == 0 {
+			continue
+		}
+		a, err := netip.ParseAddrPort(string(v))
+		if err != nil {
+			h.Logger.WithError(err).WithField("key", k).Warn("entry host's address does not parse")
+			continue
+		}
+		out = append(out, a)
+	}
+	slices.SortFunc(out, netip.AddrPort.Compare)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.peers = out
+}
+
+func (h *Host) others() []netip.AddrPort {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.peers
+}
+
+func (h *Host) key() string {
+	return peerPrefix + h.IP
+}
+
+// register writes this host's entry until that is acknowledged.
+func (h *Host) register(ctx context.Context) error {
+	value := netip.AddrPortFrom(netip.MustParseAddr(h.IP), uint16(h.Exchange)).String()
+	for ctx.Err() == nil {
+		err := h.Register(ctx, h.key(), []byte(value))
+		if err == nil {
+			return nil
+		}
+		h.Logger.WithError(err).Warn("host is not registered")
+		select {
+		case <-ctx.Done():
+		case <-time.After(registerEvery):
+		}
+	}
+	return nil
+}
+
+// refresh drops endpoints whose entries lapsed and did not come back.
+func (h *Host) refresh(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(refreshEvery):
+			h.assigner.SetEndpoints(h.Fleet.Surveyor.Endpoints())
+		}
+	}
+}
--- /dev/null
+++ b/internal/journaler/journaler.go
@@ -0,0 +1,141 @@
+// Package journaler writes log lines as JSON without ever holding up the code that logs them.
+package journaler
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"golang.org/x/time/rate"
+)
+
+const (
+	// queueLines is the number of lines that wait for a slow reader: two seconds at the full rate.
+	queueLines = 400
+	// DefaultRate and burst bound the lines of one process: a hundred a second are about 30 KB/s, a tenth of a percent of
+	// a core.
+	DefaultRate = 100
+	burst       = 400
+	tellEvery   = 5 * time.Second
+)
+
+// Journaler is a log handler. Set its fields before Run.
+type Journaler struct {
+	// Writer receives the lines.
+	Writer io.Writer
+	// Rate is the number of lines a second that are kept on average; zero means the default.
+	Rate float64
+
+	once    sync.Once
+	lines   chan []byte
+	limit   *rate.Limiter
+	dropped atomic.Int64
+}
+
+func (j *Journaler) init() {
+	j.once.Do(func() {
+		if j.Rate == 0 {
+			j.Rate = DefaultRate
+		}
+		j.lines = make(chan []byte, queueLines)
+		j.limit = rate.NewLimiter(rate.Limit(j.Rate), burst)
+	})
+}
+
+// HandleLog takes one line, or counts it as dropped if there are too many or nobody reads them. Warnings go past the
+// bound on the rate, but not past that on the queue.
+func (j *Journaler) HandleLog(e *log.Entry) error {
+	j.init()
+	if e.Level < log.WarnLevel && !j.limit.Allow() {
+		j.dropped.Add(1)
+		return nil
+	}
+	line, err := encode(e)
+	if err != nil {
+		j.dropped.Add(1)
+		return err
+	}
+	select {
+	case j.lines <- line:
+	default:
+		j.dropped.Add(1)
+	}
+	return nil
+}
+
+func encode(e *log.Entry) ([]byte, error) {
+	fields := make(map[string]any, len(e.Fields)+3)
+	for k, v := range e.Fields {
+		if err, ok := v.(error); ok {
+			v = err.Error()
+		}
+		fields[k] = v
+	}
+	fields["time"] = e.Timestamp.UTC().Format("2006-01-02T15:04:05.000Z")
+	fields["level"] = e.Level.String()
+	fields["text"] = e.Message
+	data, err := json.Marshal(fields)
+	if err != nil {
+		return nil, fmt.Errorf("encode log line %q: %w", e.Message, err)
+	}
+	return append(data, '\n'), nil
+}
+
+// Run writes the lines until done is closed, and then those that still wait.
+func (j *Journaler) Run(done <-chan struct{}) {
+	j.init()
+	tick := time.NewTicker(tellEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case line := <-j.lines:
+			j.write(line)
+		case <-tick.C:
+			j.tell()
+		case <-done:
+			j.flush()
+			return
+		}
+	}
+}
+
+func (j *Journaler) flush() {
+	for {
+		select {
+		case line := <-j.lines:
+			j.write(line)
+		default:
+			j.tell()
+			return
+		}
+	}
+}
+
+// write joins the lines that wait, so that a burst takes few system calls.
+func (j *Journaler) write(line []byte) {
+	buf := bytes.NewBuffer(line)
+	for range len(j.lines) {
+		buf.Write(<-j.lines)
+	}
+	if _, err := j.Writer.Write(buf.Bytes()); err != nil {
+		// There is nowhere else to say so.
+		j.dropped.Add(1)
+	}
+}
+
+// tell writes how many lines were dropped since the last time.
+func (j *Journaler) tell() {
+	n := j.dropped.Swap(0)
+	if n == 0 {
+		return
+	}
+	e := &log.Entry{Level: log.WarnLevel, Message: "log lines dropped", Timestamp: time.Now(), Fields: log.Fields{"lines": n}}
+	if line, err := encode(e); err == nil {
+		_, _ = j.Writer.Write(line)
+	}
+}
--- a/internal/messages/weights.go
+++ b/internal/messages/weights.go
@@ -1,6 +1,9 @@
 package messages
 
-import "github.com/nutmegdock/nutmegdock/internal/core/ident"
+import (
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/manifest"
+)
 
 // HaveMethod follows which chunks of artifacts an endpoint host holds. The answer comes when there is news, and
 // after a second at the latest.
@@ -54,3 +57,18 @@
 		Origin: b.Origin + o.Origin,
 	}
 }
+
+// ManifestMethod asks another host for the manifest of a release, when the origin does not give it.
+const ManifestMethod = "manifest"
+
+// ManifestQuery names a release of a model.
+type ManifestQuery struct {
+	Model   string `json:"model"`
+	Release int64  `json:"release"`
+}
+
+// ManifestAnswer carries the manifest, if Known says that the host has it.
+type ManifestAnswer struct {
+	Known    bool              `json:"known"`
+	Manifest manifest.Artifact `json:"manifest"`
+}
