Stripes of a burst turn over the hosts of a zone; waits suit small weights

Cause: rendezvous over 9 hosts gave two of them all 8 stripes, so that their uplinks were the bottleneck, and answers to followers came once a second for weights that take two seconds. Ruled out: the origin's rate (1.7 s a copy) and upload slots.

--- a/internal/core/directory/directory.go
+++ b/internal/core/directory/directory.go
@@ -74,6 +74,8 @@
 	HealthPath string
 	// Origin is the address of the source of weights, if the pool is one.
 	Origin string
+	// Zone is that of the origin.
+	Zone ident.Zone
 	// Engine holds the figures of the pool's model engines; nil for a plain service.
 	Engine *Engine
 }
--- a/internal/core/planner/nodes.go
+++ b/internal/core/planner/nodes.go
@@ -15,7 +15,6 @@
 	banTime     = time.Minute
 	firstWait   = 500 * time.Millisecond
 	longestWait = 8 * time.Second
-	busyWait    = 400 * time.Millisecond
 	metTime     = 10 * time.Second
 )
 
@@ -32,7 +31,7 @@
 }
 
 // judge counts the outcome of a fetch for or against its source.
-func (h *health) judge(o Outcome, now time.Time) {
+func (h *health) judge(o Outcome, now time.Time, busy time.Duration) {
 	switch o {
 	case Stored:
 		h.good++
@@ -44,7 +43,7 @@
 			h.retry = now.Add(banTime)
 		}
 	case Busy:
-		h.retry = now.Add(busyWait)
+		h.retry = now.Add(busy)
 	case Failed:
 		h.retry = now.Add(min(firstWait<<h.fails, longestWait))
 		h.fails = min(h.fails+1, 5)
@@ -66,11 +65,11 @@
 func (p *Planner) judge(f *Fetch, o Outcome) {
 	now := time.Now()
 	if f.Source.Host == "" {
-		p.sources[f.Source.Outside].judge(o, now)
+		p.sources[f.Source.Outside].judge(o, now, p.Busy)
 		return
 	}
 	if n := p.nodes[f.Source.Host]; n != nil {
-		n.judge(o, now)
+		n.judge(o, now, p.Busy)
 	}
 }
 
--- a/internal/core/planner/planner.go
+++ b/internal/core/planner/planner.go
@@ -26,6 +26,7 @@
 	DefaultFetches   = 3
 	DefaultDeadline  = 4 * time.Second
 	DefaultSettle    = time.Second
+	DefaultBusy      = 400 * time.Millisecond
 )
 
 // Peer is a host that wants the same weight set.
@@ -100,6 +101,8 @@
 	Deadline time.Duration
 	// Settle is the time that a reader listens before it reads from outside; zero means the default.
 	Settle time.Duration
+	// Busy is how long a source without a free upload slot is not asked again; zero means the default.
+	Busy time.Duration
 	// Choice picks chunks and holders.
 	Choice Choice
 
@@ -190,6 +193,9 @@
 	if p.Settle == 0 {
 		p.Settle = DefaultSettle
 	}
+	if p.Busy == 0 {
+		p.Busy = DefaultBusy
+	}
 	if p.met == nil {
 		p.met = make(map[ident.Host]met)
 		p.peers = make(map[ident.Host]Peer)
@@ -202,7 +208,7 @@
 	p.offsets = append(p.offsets, offset)
 	own := make([]*stripe, Stripes)
 	for k := range own {
-		own[k] = &stripe{id: len(p.stripes) + k, key: stripeKey(g.Digest, k)}
+		own[k] = &stripe{id: len(p.stripes) + k}
 	}
 	for i, c := range g.Artifact.Chunks {
 		at := offset + i
--- a/internal/core/planner/stripe.go
+++ b/internal/core/planner/stripe.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -32,7 +31,6 @@
 // stripe is a share of an artifact's chunks that one host brings into the zone.
 type stripe struct {
 	id     int
-	key    string
 	chunks []int
 	place  int
 	above  []ident.Host
@@ -45,10 +43,6 @@
 	isWhole bool
 }
 
-func stripeKey(d ident.Digest, k int) string {
-	return fmt.Sprintf("%s/%d", d, k)
-}
-
 func (s *stripe) owns(i int, offsets []int) bool {
 	artifact := s.id / Stripes
 	if i < offsets[artifact] || (artifact+1 < len(offsets) && i >= offsets[artifact+1]) {
@@ -122,7 +116,7 @@
 			s.place = i
 		}
 	}
-	for _, h := range ranker.Rank(s.key, zones[p.Self.Zone]) {
+	for _, h := range p.hostOrder(s, zones[p.Self.Zone]) {
 		if h == p.Self.Host {
 			break
 		}
@@ -132,15 +126,20 @@
 		return
 	}
 	for i := s.place - 1; i >= 0; i-- {
-		s.up = append(s.up, top(s.key, zones[order[i]])...)
+		s.up = append(s.up, top(p.hostOrder(s, zones[order[i]]))...)
 	}
 	for i := len(order) - 1; i > s.place; i-- {
-		s.down = append(s.down, top(s.key, zones[order[i]])...)
+		s.down = append(s.down, top(p.hostOrder(s, zones[order[i]]))...)
 	}
 }
 
-func top(key string, hosts []ident.Host) []ident.Host {
-	ranked := ranker.Rank(key, hosts)
+// hostOrder puts the hosts of a zone in the order in which they read a stripe. Each stripe turns the order by one place,
+// so that no host of a small zone reads several stripes while others read none.
+func (p *Planner) hostOrder(s *stripe, hosts []ident.Host) []ident.Host {
+	return turn(ranker.Rank(string(p.artifacts[s.id/Stripes]), hosts), s.id)
+}
+
+func top(ranked []ident.Host) []ident.Host {
 	return ranked[:min(readersPerZone, len(ranked))]
 }
 
--- a/internal/fetcher/fetcher.go
+++ b/internal/fetcher/fetcher.go
@@ -52,6 +52,8 @@
 	Artifact func(ctx context.Context, base string, d ident.Digest) (manifest.Artifact, error)
 	// Chunk reads a chunk from a base address.
 	Chunk func(ctx context.Context, base string, c manifest.Chunk, zone ident.Zone, p weightclient.Progress) ([]byte, error)
+	// Tempo suits the waits to the size of the weights; the zero value is for those that take minutes.
+	Tempo Tempo
 	// Logger receives the events.
 	Logger log.Interface
 
@@ -64,6 +66,14 @@
 	counts  counts
 }
 
+// Tempo holds the waits of a burst; zero fields mean the defaults.
+type Tempo struct {
+	// Settle, Deadline and Busy are those of the planner.
+	Settle, Deadline, Busy time.Duration
+	// News is the number of answers a second to each host that follows this one's holdings.
+	News float64
+}
+
 // burst is one run of Fetch.
 type burst struct {
 	*Fetcher
@@ -117,7 +127,8 @@
 	peers, bias := f.Peers(artifacts)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.planner = &planner.Planner{Self: f.Self.Peer, Home: f.Home, Outside: len(f.Sources), Bias: bias}
+	f.planner = &planner.Planner{Self: f.Self.Peer, Home: f.Home, Outside: len(f.Sources), Bias: bias,
+		Settle: f.Tempo.Settle, Deadline: f.Tempo.Deadline, Busy: f.Tempo.Busy}
 	f.setPeers(peers)
 	f.planner.SetGoal(goals, func(d ident.Digest) bool {
 		_, ok := f.Holder.Chunk(d)
--- a/internal/fetcher/follow.go
+++ b/internal/fetcher/follow.go
@@ -172,6 +172,9 @@
 	if q.Zone == f.Self.Zone {
 		limit = zoneRate
 	}
+	if f.Tempo.News > 0 {
+		limit = rate.Limit(f.Tempo.News)
+	}
 	f.follow[q.Host] = &follower{
 		peer: Peer{
 			Peer: planner.Peer{Host: q.Host, Zone: q.Zone, Region: q.Region}, Data: q.Data, Control: q.Control,
--- a/internal/stocker/stocker.go
+++ b/internal/stocker/stocker.go
@@ -41,6 +41,12 @@
 	callTime = 2 * time.Second
 	// chunkTime bounds the read of one chunk from outside.
 	chunkTime = 5 * time.Second
+	// settleTime, sourceTime, busyTime and newsRate suit weights of a few megabytes, which take two seconds on a link of
+	// the side machines: a chunk takes 35 ms.
+	settleTime = 100 * time.Millisecond
+	sourceTime = 1500 * time.Millisecond
+	busyTime   = 50 * time.Millisecond
+	newsRate   = 20
 	// retryTime is the pause after a failed step.
 	retryTime = 300 * time.Millisecond
 )
@@ -127,6 +133,7 @@
 	h.fetcher = &fetcher.Fetcher{
 		Self: h.peer(h.Name, h.Zone, h.IP), Sources: []string{""}, Holder: h.holder, Peers: h.peers,
 		Artifact: weights.Artifact, Logger: h.Logger,
+		Tempo: fetcher.Tempo{Settle: settleTime, Deadline: sourceTime, Busy: busyTime, News: newsRate},
 		Chunk: func(ctx context.Context, base string, c manifest.Chunk, zone ident.Zone, p weightclient.Progress) ([]byte, error) {
 			if base == "" {
 				return h.fromOrigin(ctx, c, p)
@@ -151,6 +158,11 @@
 	defer h.mu.Unlock()
 	if h.dir == nil || d.Revision > h.dir.Revision {
 		h.dir = d
+		for _, p := range d.Pools {
+			if p.Origin != "" {
+				h.fetcher.Home = h.Regions[p.Zone]
+			}
+		}
 		h.notify()
 	}
 }
