Requests are placed by the unread prompts at each engine; hosts of a zone hear of each change at once

Cause: answers were late (14% at 0.62 of the capacity) by prompts read before theirs at the same engine, which the count of requests does not show, and by hosts choosing the same engine within the 100 ms between two messages.

--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -1,9 +1,11 @@
 // Package assigner places requests on endpoints, or turns them away, when more work arrives than the endpoints can do.
 //
-// The load pattern that it answers is a steady overload seen by many entry hosts at once: each knows its own requests
-// exactly and those of the others as of some tens of milliseconds ago. An endpoint takes a request only if its first
-// event is predicted within what is left of the caller's objective; a request that is late already takes free places
-// only. So the queues at the engines stay short, and a request that cannot be served in time hears so at once.
+// The load pattern that it answers is a steady overload seen by many entry hosts at once. A model engine reads one
+// prompt after the other, so the time to the first event of a request is decided by the prompts that are still unread
+// there; each entry host knows its own exactly, and those of the others as of their last message. A request goes where
+// its first event is predicted soonest, and only if that is within what is left of its objective. So the queues at the
+// engines stay short, and a request that cannot be served in time hears so at once. A request that is late already
+// takes room that is left over.
 package assigner
 
 import (
@@ -20,17 +22,27 @@
 	// peerAge is how long the word of another entry host counts: several of its messages, so that single lost ones do no
 	// harm.
 	peerAge = time.Second
-	// zoneCost is what a request to another zone is taken to be later, so that equal endpoints nearby come first.
-	zoneCost = 3 * time.Millisecond
+	// zoneCost is how much later a first event must be in the own zone before another zone is chosen: what hosts of other
+	// zones say is older, and bytes between regions cost money.
+	zoneCost = 20 * time.Millisecond
 	// margin is kept free of the objective for the network and for errors of the prediction.
-	margin = 40 * time.Millisecond
+	margin = 30 * time.Millisecond
 	// plainWork is the work of a request at a plain service until some have been seen.
 	plainWork = 30 * time.Millisecond
-	// spread is the part of a request's usual time by which equal predictions are told apart at random, so that the entry
-	// hosts do not all choose the same endpoint.
-	spread = 0.3
+	// spread is the largest random part of a cost, so that hosts do not all choose the same of two equal endpoints.
+	spread = 10 * time.Millisecond
 	// plainQueue is the number of requests, as a multiple of the slots, that a plain service may have waiting.
 	plainQueue = 2
+	// spare is the share of the slots up to which an engine takes requests that are late already.
+	spare = 0.9
+	// paceWeight is the weight of one observation in an endpoint's pace, and paceMemory the time after which an unobserved
+	// pace has halved its distance from one.
+	paceWeight = 0.25
+	paceMemory = 3 * time.Second
+	minPace    = 0.8
+	maxPace    = 20
+	// overdueGrace is how much later than predicted a first event may be before the endpoint counts as stalled.
+	overdueGrace = 250 * time.Millisecond
 )
 
 // Query is a request to place.
@@ -49,13 +61,25 @@
 	Tried map[string]bool
 }
 
+// Load is what one entry host has at an endpoint.
+type Load struct {
+	_ struct{} `cbor:",toarray"`
+	// Requests counts those in progress, and Unread the prompt tokens of those whose first event has not come.
+	Requests, Unread int
+}
+
 // Choice is an endpoint for a request, with what decided it.
 type Choice struct {
 	Endpoint directory.Endpoint
-	// Load is the number of requests taken to be there, and Own those of this host.
-	Load, Own int
+	// Load is what all hosts are taken to have there, without the request.
+	Load Load
 	// First is the predicted time to the first event.
 	First time.Duration
+
+	prompt int
+	sent   time.Time
+	begun  bool
+	plain  time.Duration
 }
 
 // Refusal is why no endpoint was chosen.
@@ -71,17 +95,16 @@
 
 type state struct {
 	directory.Endpoint
-	own     int
+	own     Load
 	breaker breaker.Breaker
-	// switching says that the engine takes no new work until it has loaded other weights.
-	switching time.Time
-	// release overrides the entry, for a report that is newer.
-	release map[directory.Model]directory.Release
+	pending map[*Choice]bool
+	pace    float64
+	paced   time.Time
 }
 
 type peer struct {
-	heard  time.Time
-	counts map[string]int
+	heard time.Time
+	loads map[string]Load
 }
 
 // Assigner holds what is known of the endpoints. Set its fields before use.
@@ -90,6 +113,8 @@
 	Zone ident.Zone
 	// Draw returns a number from 0 up to 1; nil means a random one.
 	Draw func() float64
+	// Changed is told when this host's loads changed; it may be nil.
+	Changed func()
 
 	mu        sync.Mutex
 	endpoints map[string]*state
@@ -114,30 +139,30 @@
 	for _, e := range all {
 		s := old[e.ID]
 		if s == nil || s.Born != e.Born || s.Address != e.Address {
-			s = &state{}
+			s = &state{pending: make(map[*Choice]bool), pace: 1}
 		}
 		s.Endpoint = e
 		a.endpoints[e.ID] = s
 	}
 }
 
-// SetPeer takes another entry host's word of how many requests it has at each endpoint, by id.
-func (a *Assigner) SetPeer(h ident.Host, counts map[string]int) {
+// SetPeer takes another entry host's word of what it has at each endpoint, by id.
+func (a *Assigner) SetPeer(h ident.Host, loads map[string]Load) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.peers == nil {
 		a.peers = make(map[ident.Host]*peer)
 	}
-	a.peers[h] = &peer{heard: time.Now(), counts: counts}
+	a.peers[h] = &peer{heard: time.Now(), loads: loads}
 }
 
-// Own returns the number of requests that this host has at each endpoint, by id.
-func (a *Assigner) Own() map[string]int {
+// Own returns what this host has at each endpoint, by id.
+func (a *Assigner) Own() map[string]Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	out := make(map[string]int)
+	out := make(map[string]Load)
 	for id, s := range a.endpoints {
-		if s.own > 0 {
+		if s.own.Requests > 0 {
 			out[id] = s.own
 		}
 	}
@@ -145,47 +170,56 @@
 }
 
 // Assign chooses an endpoint and counts the request there until Release. It returns a refusal if there is none.
-func (a *Assigner) Assign(q Query) (Choice, Refusal) {
+func (a *Assigner) Assign(q Query) (*Choice, Refusal) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
 	a.forget(now)
 	pool := a.pools[q.Pool]
 	var best *state
-	var choice Choice
+	var choice *Choice
 	var bestCost time.Duration
 	refusal := None
 	for id, s := range a.endpoints {
-		if !a.serves(s, q, now) {
+		if !s.serves(q) || q.Tried[id] {
 			continue
 		}
-		if q.Tried[id] || !s.breaker.Allows(s.own) {
+		refusal = Full
+		if !s.breaker.Allows(s.own.Requests) {
 			continue
 		}
-		refusal = Full
-		load := s.own + a.others(id)
-		first, ok := a.predict(pool, s, load, q)
+		load := a.load(s)
+		first, ok := a.predict(pool, s, load, q, now)
 		if !ok {
 			continue
 		}
-		cost := first + time.Duration(a.draw()*spread*float64(a.perRequest(pool, s)))
+		cost := first + time.Duration(a.draw()*float64(spread))
 		if s.Zone != a.Zone {
 			cost += zoneCost
 		}
-		cost += time.Duration(float64(load) / float64(max(1, slots(pool, s))) * float64(a.perRequest(pool, s)))
 		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
-			choice = Choice{Endpoint: s.Endpoint, Load: load, Own: s.own, First: first}
+			choice = &Choice{Endpoint: s.Endpoint, Load: load, First: first, prompt: int(q.Prompt), sent: now}
 		}
 	}
 	if best == nil {
-		return Choice{}, refusal
+		return nil, refusal
 	}
-	best.own++
+	choice.plain = time.Duration(float64(choice.First) / best.paceNow(now))
+	best.own.Requests++
+	best.own.Unread += choice.prompt
+	best.pending[choice] = true
+	a.changed()
 	return choice, ""
 }
 
-func (a *Assigner) serves(s *state, q Query, _ time.Time) bool {
+func (a *Assigner) changed() {
+	if a.Changed != nil {
+		a.Changed()
+	}
+}
+
+func (s *state) serves(q Query) bool {
 	if s.Pool != q.Pool || s.Leaving {
 		return false
 	}
@@ -208,12 +242,14 @@
 	}
 }
 
-func (a *Assigner) others(id string) int {
-	n := 0
+func (a *Assigner) load(s *state) Load {
+	l := s.own
 	for _, p := range a.peers {
-		n += p.counts[id]
+		other := p.loads[s.ID]
+		l.Requests += other.Requests
+		l.Unread += other.Unread
 	}
-	return n
+	return l
 }
 
 func slots(pool *directory.Pool, s *state) int {
@@ -223,19 +259,6 @@
 	return max(1, s.Slots)
 }
 
-// perRequest is the time after which a full endpoint has room for one more request.
-func (a *Assigner) perRequest(pool *directory.Pool, s *state) time.Duration {
-	if pool == nil || pool.Engine == nil {
-		work := a.work[s.Pool]
-		if work == 0 {
-			work = plainWork
-		}
-		return work / time.Duration(max(1, s.Slots))
-	}
-	e := pool.Engine
-	return reading(e, e.Prompt) + time.Duration(e.Answer/float64(max(1, e.Slots))*float64(step(e)))
-}
-
 func reading(e *directory.Engine, tokens float64) time.Duration {
 	if e.ReadRate <= 0 {
 		return 0
@@ -243,27 +266,62 @@
 	return time.Duration(tokens / e.ReadRate * float64(time.Second))
 }
 
-// step is the time of one step of a full batch.
-func step(e *directory.Engine) time.Duration {
+// step is the time of one step of n requests.
+func step(e *directory.Engine, n int) time.Duration {
 	const perThousand = 1000
 	context := (e.Prompt + e.Answer/2) / perThousand * float64(e.StepContext)
-	return e.Step + time.Duration(float64(e.Slots)*(float64(e.StepSlot)+context))
+	return e.Step + time.Duration(float64(n)*(float64(e.StepSlot)+context))
+}
+
+// leaving is the time after which one of n requests of a full batch ends.
+func leaving(e *directory.Engine, n int) time.Duration {
+	return reading(e, e.Prompt) + time.Duration(e.Answer/float64(max(1, n))*float64(step(e, n)))
 }
 
 // predict returns the time until the first event, and whether the request may go there.
-func (a *Assigner) predict(pool *directory.Pool, s *state, load int, q Query) (time.Duration, bool) {
+func (a *Assigner) predict(pool *directory.Pool, s *state, load Load, q Query, now time.Time) (time.Duration, bool) {
 	n := slots(pool, s)
-	wait := time.Duration(max(0, load+1-n)) * a.perRequest(pool, s)
 	if pool == nil || pool.Engine == nil {
-		return wait + a.work[s.Pool], load < n*(1+plainQueue)
+		work := a.work[s.Pool]
+		if work == 0 {
+			work = plainWork
+		}
+		work = time.Duration(float64(work) * s.paceNow(now))
+		wait := work * time.Duration(max(0, load.Requests+1-n)) / time.Duration(n)
+		// A place that is taken counts a little, so that equal endpoints get equal shares.
+		wait += work * time.Duration(load.Requests) / time.Duration(4*n)
+		return max(wait+work, s.overdue(now)), load.Requests < n*(1+plainQueue)
 	}
 	e := pool.Engine
-	pass := time.Duration(e.Stride) * step(e)
-	first := wait + pass/2 + reading(e, q.Prompt) + pass
+	pass := time.Duration(e.Stride) * step(e, min(n, load.Requests+1))
+	first := pass/2 + reading(e, float64(load.Unread)+q.Prompt) + pass
+	first += time.Duration(max(0, load.Requests+1-n)) * leaving(e, n)
+	first = time.Duration(float64(first) * s.paceNow(now))
+	first = max(first, s.overdue(now))
 	if q.Left <= 0 {
-		return first, load < n
+		return first, float64(load.Requests) < spare*float64(n)
+	}
+	return first, first <= q.Left-margin
+}
+
+// overdue returns how long the request has waited that is the most behind its prediction, if it is far behind.
+func (s *state) overdue(now time.Time) time.Duration {
+	var worst time.Duration
+	for c := range s.pending {
+		if age := now.Sub(c.sent); age > c.First+overdueGrace {
+			worst = max(worst, age)
+		}
 	}
-	return first, load < n || first <= q.Left-margin
+	return worst
+}
+
+// paceNow is how many times longer than by its figures the endpoint takes, drawn towards one with time.
+func (s *state) paceNow(now time.Time) float64 {
+	if s.pace == 1 || s.paced.IsZero() {
+		return 1
+	}
+	halvings := float64(now.Sub(s.paced)) / float64(paceMemory)
+	return 1 + (s.pace-1)/(1+halvings)
 }
 
 func (a *Assigner) draw() float64 {
@@ -273,6 +331,30 @@
 	return rand.Float64()
 }
 
+// Begin notes that the first event of a request has come.
+func (a *Assigner) Begin(c *Choice) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.begin(c)
+}
+
+func (a *Assigner) begin(c *Choice) {
+	s := a.endpoints[c.Endpoint.ID]
+	if c.begun || s == nil || s.Born != c.Endpoint.Born {
+		return
+	}
+	c.begun = true
+	now := time.Now()
+	s.own.Unread = max(0, s.own.Unread-c.prompt)
+	delete(s.pending, c)
+	if c.plain > 0 {
+		seen := min(maxPace, max(minPace, float64(now.Sub(c.sent))/float64(c.plain)))
+		s.pace = s.paceNow(now)*(1-paceWeight) + seen*paceWeight
+		s.paced = now
+	}
+	a.changed()
+}
+
 // End is how a request at an endpoint ended.
 type End int
 
@@ -289,22 +371,27 @@
 )
 
 // Release takes a request from the count of its endpoint.
-func (a *Assigner) Release(e directory.Endpoint, end End, took time.Duration) {
+func (a *Assigner) Release(c *Choice, end End) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	s := a.endpoints[e.ID]
-	if s == nil || s.Born != e.Born {
+	s := a.endpoints[c.Endpoint.ID]
+	if s == nil || s.Born != c.Endpoint.Born {
 		return
 	}
-	s.own = max(0, s.own-1)
+	if !c.begun {
+		s.own.Unread = max(0, s.own.Unread-c.prompt)
+		delete(s.pending, c)
+	}
+	s.own.Requests = max(0, s.own.Requests-1)
 	switch end {
 	case Failed:
 		s.breaker.Fail()
 	case Served:
 		s.breaker.Succeed()
-		a.learn(e.Pool, took)
+		a.learn(c.Endpoint.Pool, time.Since(c.sent))
 	case Shed, Withdrawn:
 	}
+	a.changed()
 }
 
 // learn keeps a moving mean of the time that requests take in a pool.
--- a/internal/core/directory/directory.go
+++ b/internal/core/directory/directory.go
@@ -58,6 +58,8 @@
 	Timeout time.Duration
 	// Objective is the time to the answer, or to the first event of a stream, that callers are promised.
 	Objective time.Duration
+	// Gap is the longest time between two events of a stream that callers are promised; zero means none is.
+	Gap time.Duration
 	// Priority is the rank of the requests, 0 being the most urgent.
 	Priority int
 }
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -1,5 +1,5 @@
-// Package exchanger tells the other entry hosts how many requests this one has at each endpoint, and hears the same of
-// them, over UDP. A lost message is made good by the next one.
+// Package exchanger tells the other entry hosts what this one has at each endpoint, and hears the same of them, over
+// UDP. Each message is whole, so that a lost one is made good by the next.
 package exchanger
 
 import (
@@ -14,19 +14,22 @@
 	"github.com/fxamacker/cbor/v2"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 )
 
 const (
-	// DefaultEvery is how often the others are told: about one arrival at an endpoint falls between two messages.
+	// DefaultEvery is how often all hosts are told: about one arrival at an endpoint falls between two messages.
 	DefaultEvery = 100 * time.Millisecond
-	maxBytes     = 8 << 10
+	// DefaultSpacing is the shortest time between two messages to the hosts of the same zone, which hear of each change.
+	DefaultSpacing = 10 * time.Millisecond
+	maxBytes       = 16 << 10
 )
 
 // Message is what one entry host tells.
 type Message struct {
-	Host  ident.Host     `cbor:"host"`
-	Loads map[string]int `cbor:"loads"`
+	Host  ident.Host               `cbor:"host"`
+	Loads map[string]assigner.Load `cbor:"loads"`
 }
 
 // Exchanger runs on one socket. Set its fields before Run.
@@ -35,14 +38,16 @@
 	Host ident.Host
 	// Conn sends and receives.
 	Conn net.PacketConn
-	// Every is the time between two messages; zero means the default.
-	Every time.Duration
-	// Peers returns the addresses of the others.
-	Peers func() []netip.AddrPort
+	// Every and Spacing are the times between two messages; zero means the defaults.
+	Every, Spacing time.Duration
+	// Near returns the addresses of the hosts of the same zone, and Far those of the others.
+	Near, Far func() []netip.AddrPort
+	// Changes says that there is news for the hosts nearby.
+	Changes <-chan struct{}
 	// Own returns what to tell.
-	Own func() map[string]int
+	Own func() map[string]assigner.Load
 	// Heard takes what another host tells.
-	Heard func(h ident.Host, loads map[string]int)
+	Heard func(h ident.Host, loads map[string]assigner.Load)
 	// Logger receives messages that cannot be decoded.
 	Logger log.Interface
 }
@@ -52,6 +57,9 @@
 	if x.Every == 0 {
 		x.Every = DefaultEvery
 	}
+	if x.Spacing == 0 {
+		x.Spacing = DefaultSpacing
+	}
 	stop := context.AfterFunc(ctx, func() { _ = x.Conn.Close() })
 	defer stop()
 	var tasks errgroup.Group
@@ -63,23 +71,38 @@
 func (x *Exchanger) tell(ctx context.Context) error {
 	tick := time.NewTicker(x.Every)
 	defer tick.Stop()
+	var near time.Time
 	for {
+		isFar := false
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
+			isFar = true
+		case <-x.Changes:
+			if wait := x.Spacing - time.Since(near); wait > 0 {
+				time.Sleep(wait)
+			}
 		}
 		data, err := cbor.Marshal(Message{Host: x.Host, Loads: x.Own()})
 		if err != nil {
 			return fmt.Errorf("encode loads: %w", err)
 		}
-		for _, p := range x.Peers() {
-			// A message that cannot be sent is as good as a lost one.
-			_, _ = x.Conn.WriteTo(data, net.UDPAddrFromAddrPort(p))
+		near = time.Now()
+		x.send(data, x.Near())
+		if isFar {
+			x.send(data, x.Far())
 		}
 	}
 }
 
+func (x *Exchanger) send(data []byte, to []netip.AddrPort) {
+	for _, p := range to {
+		// A message that cannot be sent is as good as a lost one.
+		_, _ = x.Conn.WriteTo(data, net.UDPAddrFromAddrPort(p))
+	}
+}
+
 func (x *Exchanger) hear(ctx context.Context) error {
 	buf := make([]byte, maxBytes)
 	for {
--- a/internal/fronthost/fronthost.go
+++ b/internal/fronthost/fronthost.go
@@ -4,11 +4,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -80,14 +80,21 @@
 	ready    atomic.Bool
 	leaving  atomic.Bool
 
-	mu    sync.Mutex
-	peers []netip.AddrPort
+	mu   sync.Mutex
+	near []netip.AddrPort
+	far  []netip.AddrPort
 }
 
 // Run serves until ctx ends, and then until the requests in progress have ended.
 func (h *Host) Run(ctx context.Context) error {
 	registry := prometheus.NewRegistry()
-	h.assigner = &assigner.Assigner{Zone: h.Zone}
+	changes := make(chan struct{}, 1)
+	h.assigner = &assigner.Assigner{Zone: h.Zone, Changed: func() {
+		select {
+		case changes <- struct{}{}:
+		default:
+		}
+	}}
 	survey := &surveyor.Surveyor{ReleaseBound: h.ReleaseBound}
 	h.gateway = &gateway.Gateway{
 		Dialect: h.Dialect, Assigner: h.assigner, Sender: &sender.Sender{Dial: (&connector.Connector{}).DialContext},
@@ -112,7 +119,8 @@
 	tasks.Go(func() error { return h.refresh(life) })
 	tasks.Go(func() error {
 		return (&exchanger.Exchanger{
-			Host: h.Name, Conn: conn, Peers: h.others, Own: h.assigner.Own, Heard: h.assigner.SetPeer, Logger: h.Logger,
+			Host: h.Name, Conn: conn, Near: h.neighbors, Far: h.others, Changes: changes, Own: h.assigner.Own,
+			Heard: h.assigner.SetPeer, Logger: h.Logger,
 		}).Run(life)
 	})
 	mux := http.NewServeMux()
@@ -185,28 +193,43 @@
 
 // setPeers takes the list of entry hosts.
 func (h *Host) setPeers(values map[string][]byte) {
-	var out []netip.AddrPort
+	var near, far []netip.AddrPort
 	for k, v := range values {
 		if !strings.HasPrefix(k, peerPrefix) || k == h.key() || len(v) == 0 {
 			continue
 		}
-		a, err := netip.ParseAddrPort(string(v))
-		if err != nil {
-			h.Logger.WithError(err).WithField("key", k).Warn("entry host's address does not parse")
+		var e entry
+		if err := json.Unmarshal(v, &e); err != nil {
+			h.Logger.WithError(err).WithField("key", k).Warn("entry host's record does not parse")
 			continue
 		}
-		out = append(out, a)
+		if e.Zone == h.Zone {
+			near = append(near, e.Address)
+		} else {
+			far = append(far, e.Address)
+		}
 	}
-	slices.SortFunc(out, netip.AddrPort.Compare)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.peers = out
+	h.near, h.far = near, far
+}
+
+// entry is the record of one entry host in the list of them.
+type entry struct {
+	Zone    ident.Zone     `json:"zone"`
+	Address netip.AddrPort `json:"address"`
+}
+
+func (h *Host) neighbors() []netip.AddrPort {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.near
 }
 
 func (h *Host) others() []netip.AddrPort {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.peers
+	return h.far
 }
 
 func (h *Host) key() string {
@@ -215,9 +238,16 @@
 
 // register writes this host's entry until that is acknowledged.
 func (h *Host) register(ctx context.Context) error {
-	value := netip.AddrPortFrom(netip.MustParseAddr(h.IP), uint16(h.Exchange)).String()
+	address, err := netip.ParseAddr(h.IP)
+	if err != nil {
+		return fmt.Errorf("own address: %w", err)
+	}
+	value, err := json.Marshal(entry{Zone: h.Zone, Address: netip.AddrPortFrom(address, uint16(h.Exchange))})
+	if err != nil {
+		return fmt.Errorf("encode own entry: %w", err)
+	}
 	for ctx.Err() == nil {
-		err := h.Register(ctx, h.key(), []byte(value))
+		err := h.Register(ctx, h.key(), value)
 		if err == nil {
 			return nil
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,9 @@
 	defaultBody = 4 << 20
 	// startAfter is when a caller may come back to a host that has no configuration yet.
 	startAfter = 300 * time.Millisecond
+	// patienceSpread is the part by which the deadlines of first attempts differ. A caller that has less time left than
+	// that was here before.
+	patienceSpread = 0.16
 	// fallbackTimeout bounds a request whose route and caller state no time.
 	fallbackTimeout = 30 * time.Second
 )
@@ -187,7 +190,11 @@
 	}
 	most := max(g.whole[q.route.Name], q.Remaining)
 	g.whole[q.route.Name] = most
-	return most - q.Remaining
+	spent := most - q.Remaining
+	if float64(spent) <= patienceSpread*float64(most) {
+		return 0
+	}
+	return spent
 }
 
 func (g *Gateway) readBody(q *request) error {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -42,6 +42,13 @@
 	seq     sequencer.Sequencer
 	started bool
 	release directory.Release
+	// first and gap are the time to the first event and the longest time between two.
+	first, gap time.Duration
+	event      time.Time
+	load       assigner.Load
+	// begin tells the assigner of the first event at the present endpoint.
+	begin     func()
+	predicted time.Duration
 }
 
 type heldAnswer struct {
@@ -61,18 +68,20 @@
 			return
 		}
 		a.tried[choice.Endpoint.ID] = true
-		begun := time.Now()
+		a.load, a.predicted = choice.Load, choice.First
+		a.begin = func() { g.Assigner.Begin(choice) }
 		g.Logger.WithFields(g.fields(q)).WithFields(log.Fields{
-			"endpoint": choice.Endpoint.ID, "load": choice.Load, "own": choice.Own, "first": choice.First.Milliseconds(), "attempt": len(a.tried),
+			"endpoint": choice.Endpoint.ID, "load": choice.Load.Requests, "unread": choice.Load.Unread,
+			"first": choice.First.Milliseconds(), "attempt": len(a.tried),
 		}).Debug("request sent")
 		end, done := g.try(ctx, q, a, choice)
-		g.Assigner.Release(choice.Endpoint, end, time.Since(begun))
+		g.Assigner.Release(choice, end)
 		if done {
 			return
 		}
 		if a.last != nil {
 			f := g.fields(q)
-			f["endpoint"], f["cause"], f["load"], f["sent"] = choice.Endpoint.ID, a.last.Error(), choice.Load, a.sent
+			f["endpoint"], f["cause"], f["load"], f["sent"] = choice.Endpoint.ID, a.last.Error(), choice.Load.Requests, a.sent
 			g.Logger.WithFields(f).Info("attempt failed")
 		}
 		if !g.again(ctx, q, a) {
@@ -142,7 +151,7 @@
 }
 
 // try makes one attempt. It returns how the endpoint did, and whether the caller has got the whole answer.
-func (g *Gateway) try(ctx context.Context, q *request, a *attempts, c assigner.Choice) (assigner.End, bool) {
+func (g *Gateway) try(ctx context.Context, q *request, a *attempts, c *assigner.Choice) (assigner.End, bool) {
 	h := dialect.Handover{Endpoint: c.Endpoint.ID, Priority: q.route.Priority}
 	if q.org != nil {
 		h.Organisation = q.org.Name
@@ -236,7 +245,7 @@
 	if _, err := q.w.Write(head); err == nil {
 		_, err = io.Copy(q.w, ans)
 		if err == nil {
-			g.served(q, ans.Status)
+			g.served(q, nil, ans.Status)
 			return assigner.Served, true
 		}
 	}
@@ -271,16 +280,24 @@
 		g.note(q, "left", "answer", err)
 		return
 	}
-	g.served(q, status)
+	g.served(q, nil, status)
 }
 
-func (g *Gateway) served(q *request, status int) {
+// served counts a whole answer; a is nil unless it was a stream.
+func (g *Gateway) served(q *request, a *attempts, status int) {
 	took := time.Since(q.arrived)
 	g.Meter.Answered(status, took)
 	isLate := q.spent+took > q.route.Objective
+	if a != nil {
+		isLate = q.spent+a.first > q.route.Objective || a.gap > q.route.Gap && q.route.Gap > 0
+	}
 	if status >= http.StatusBadRequest || isLate || sampled(q) {
 		f := g.fields(q)
-		f["status"] = status
+		f["status"], f["late"] = status, isLate
+		if a != nil {
+			f["first"], f["gap"], f["load"], f["predicted"] = a.first.Milliseconds(), a.gap.Milliseconds(), a.load.Requests, a.predicted.Milliseconds()
+			f["unread"] = a.load.Unread
+		}
 		g.Logger.WithFields(f).Info("request answered")
 	}
 }
@@ -315,7 +332,7 @@
 			if !a.started {
 				g.begin(q, a, ans, v)
 			}
-			g.served(q, ans.Status)
+			g.served(q, a, ans.Status)
 			return assigner.Served, true
 		case errors.Is(err, io.EOF):
 			err = io.ErrUnexpectedEOF
@@ -333,7 +350,8 @@
 func (g *Gateway) begin(q *request, a *attempts, ans *sender.Answer, v dialect.Verdict) {
 	a.started = true
 	a.release = v.Release
-	g.Meter.First(time.Since(q.arrived))
+	a.first = time.Since(q.arrived)
+	g.Meter.First(a.first)
 	g.writeHead(q, ans.Status, ans.Header, -1)
 }
 
@@ -341,6 +359,12 @@
 	if !a.started {
 		g.begin(q, a, ans, v)
 	}
+	now := time.Now()
+	a.begin()
+	if !a.event.IsZero() {
+		a.gap = max(a.gap, now.Sub(a.event))
+	}
+	a.event = now
 	if _, err := q.w.Write(out); err != nil {
 		return err
 	}
