Entry hosts are seeds of the weights of their zone

Cause: at a release, 27 engines' hosts with links of 7.6 Mbit/s read from each other for 3.7 to 5 s, and their uplinks carry the streams of live requests: events reached callers over 120 ms late (500 of 2100 answers from 18 to 26 s), though the gateway saw no long gap between events. Ruled out: the first event's time and gaps at the gateway (68 of the 500).

--- a/cmd/gatewayd/main.go
+++ b/cmd/gatewayd/main.go
@@ -12,11 +12,14 @@
 
 	"github.com/apex/log"
 
+	"github.com/nutmegdock/nutmegdock/internal/carrier"
 	"github.com/nutmegdock/nutmegdock/internal/connector"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/fleet"
 	"github.com/nutmegdock/nutmegdock/internal/fronthost"
 	"github.com/nutmegdock/nutmegdock/internal/journaler"
 	"github.com/nutmegdock/nutmegdock/platform/decoder"
+	"github.com/nutmegdock/nutmegdock/platform/engineclient"
 	"github.com/nutmegdock/nutmegdock/platform/names"
 	"github.com/nutmegdock/nutmegdock/platform/settings"
 	"github.com/nutmegdock/nutmegdock/platform/storeclient"
@@ -42,12 +45,19 @@
 		close(written)
 	}()
 	logger := &log.Logger{Handler: journal, Level: log.InfoLevel}
-	store := &storeclient.Client{Address: cfg.Store, HTTP: (&connector.Connector{}).Client()}
+	calls := (&connector.Connector{}).Client()
+	store := &storeclient.Client{Address: cfg.Store, HTTP: calls}
+	origin := &engineclient.Client{HTTP: calls}
 	h := &fronthost.Host{
 		Name: cfg.Host, Zone: cfg.Zone, IP: cfg.IP, Callers: cfg.Callers, Readiness: cfg.Readiness,
 		Metrics: net.JoinHostPort(cfg.IP, strconv.Itoa(cfg.Ports[0])), Exchange: cfg.Ports[0],
 		Grace: cfg.Grace, RetryRatio: cfg.RetryRatio, RetrySlack: cfg.RetrySlack, RetryWindow: cfg.RetryWindow,
-		ReleaseBound: cfg.ReleaseBound, Dialect: translator.New(), Logger: logger,
+		ReleaseBound: cfg.ReleaseBound, Regions: cfg.Regions,
+		Carrier: &carrier.Carrier{
+			Name: ident.Host(cfg.IP), Zone: cfg.Zone, Region: cfg.Region, IP: cfg.IP, Seed: true, Control: cfg.Ports[0] + 1, Data: cfg.Ports[0] + 3,
+			Manifest: origin.Manifest, Chunk: origin.Chunk, Dial: (&connector.Connector{}).DialContext, HTTP: calls, Logger: logger,
+		},
+		Dialect: translator.New(), Logger: logger,
 		Fleet: &fleet.Follower{
 			Topics: fleet.Topics{
 				Operator: names.Operator, Endpoints: names.Endpoints, Status: names.Status,
@@ -56,7 +66,7 @@
 			Decode: fleet.Decoder{Directory: decoder.Directory, Endpoint: decoder.Endpoint, Release: decoder.Release},
 			Newest: store.Newest, Changes: store.Changes, Logger: logger,
 		},
-		Register: func(ctx context.Context, key string, value []byte) error {
+		Put: func(ctx context.Context, key string, value []byte) error {
 			return store.Put(ctx, names.Status, key, value)
 		},
 	}
--- a/cmd/stockd/main.go
+++ b/cmd/stockd/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/nutmegdock/nutmegdock/internal/carrier"
 	"github.com/nutmegdock/nutmegdock/internal/connector"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/fleet"
@@ -45,12 +46,11 @@
 	store := &storeclient.Client{Address: cfg.Store, HTTP: calls}
 	engine := &engineclient.Client{HTTP: calls, Engine: cfg.Engine}
 	h := &stocker.Host{
-		Name: ident.Host(cfg.IP), Zone: cfg.Zone, Region: cfg.Region, IP: cfg.IP, Pool: cfg.Pool, Regions: cfg.Regions,
-		Control: cfg.Ports[0], Data: cfg.Ports[0] + 1, Metrics: cfg.Ports[0] + 2, ReleaseBound: cfg.ReleaseBound,
-		Dial: (&connector.Connector{}).DialContext, HTTP: calls, Logger: logger,
-		Engine: stocker.Engine{
-			Report: engine.Report, Stage: engine.Stage, Staged: engine.Staged, Load: engine.Load,
-			Manifest: engine.Manifest, Chunk: engine.Chunk,
+		IP: cfg.IP, Pool: cfg.Pool, Regions: cfg.Regions, Metrics: cfg.Ports[0] + 2, ReleaseBound: cfg.ReleaseBound, Logger: logger,
+		Engine: stocker.Engine{Report: engine.Report, Stage: engine.Stage, Staged: engine.Staged, Load: engine.Load},
+		Carrier: &carrier.Carrier{
+			Name: ident.Host(cfg.IP), Zone: cfg.Zone, Region: cfg.Region, IP: cfg.IP, Control: cfg.Ports[0] + 1, Data: cfg.Ports[0] + 3,
+			Manifest: engine.Manifest, Chunk: engine.Chunk, Dial: (&connector.Connector{}).DialContext, HTTP: calls, Logger: logger,
 		},
 		Fleet: &fleet.Follower{
 			Topics: fleet.Topics{
--- /dev/null
+++ b/internal/carrier/carrier.go
@@ -0,0 +1,371 @@
+// Package carrier holds the chunks of a model's releases on one host, fetches those that it lacks, and gives them to the
+// other hosts.
+package carrier
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/nutmegdock/nutmegdock/internal/chunkserver"
+	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
+	"github.com/nutmegdock/nutmegdock/internal/core/directory"
+	"github.com/nutmegdock/nutmegdock/internal/core/holder"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/manifest"
+	"github.com/nutmegdock/nutmegdock/internal/core/planner"
+	"github.com/nutmegdock/nutmegdock/internal/core/uploader"
+	"github.com/nutmegdock/nutmegdock/internal/fetcher"
+	"github.com/nutmegdock/nutmegdock/internal/messages"
+	"github.com/nutmegdock/nutmegdock/internal/rpc"
+	"github.com/nutmegdock/nutmegdock/internal/weightclient"
+)
+
+const (
+	// callTime bounds one small call.
+	callTime = 2 * time.Second
+	// chunkTime bounds the read of one chunk from the origin.
+	chunkTime = 5 * time.Second
+	// settleTime, sourceTime, busyTime and newsRate suit weights of a few megabytes, which take two seconds on a link of
+	// the engines' hosts: a chunk takes 35 ms.
+	settleTime = 100 * time.Millisecond
+	sourceTime = 1500 * time.Millisecond
+	busyTime   = 50 * time.Millisecond
+	newsRate   = 20
+	// hostFetches is the number of chunks that a host reads at a time: with two the link stays busy, and a request on the
+	// same link waits for no more than the two.
+	hostFetches = 2
+	// seedFetches and seedUploads are those of a seed, whose link is wide.
+	seedFetches = 8
+	seedUploads = 64
+	// manifestPeers is the number of other hosts that are asked for a manifest when the origin does not give it.
+	manifestPeers = 3
+	// kept is the number of releases that are held: the one served, and the one that comes.
+	kept = 2
+)
+
+// Carrier is the part of one host. Set its fields before Build.
+type Carrier struct {
+	Name   ident.Host
+	Zone   ident.Zone
+	Region ident.Region
+	IP     string
+	// Seed says that the host's link is much wider than those of the engines' hosts.
+	Seed bool
+	// Control and Data are the ports for other hosts; all hosts have the same ones.
+	Control, Data int
+	// Peers returns the other hosts that carry chunks.
+	Peers func() []planner.Peer
+	// Origin returns the address of the origin and its region; empty if none is known.
+	Origin func() (string, ident.Region)
+	// Manifest and Chunk read from the origin.
+	Manifest func(ctx context.Context, origin string, s directory.Serving) (manifest.Artifact, error)
+	Chunk    func(ctx context.Context, origin string, s directory.Serving, number int) ([]byte, error)
+	// Dial makes connections to other hosts, and HTTP reads chunks from them.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	HTTP *http.Client
+	// Logger receives the events.
+	Logger log.Interface
+
+	holder   *holder.Holder
+	fetcher  *fetcher.Fetcher
+	controls *rpc.Pool
+
+	mu      sync.Mutex
+	serving map[ident.Digest]directory.Serving
+	digest  map[directory.Serving]ident.Digest
+	order   []directory.Serving
+}
+
+// Build makes the parts and registers their metrics.
+func (c *Carrier) Build(registry prometheus.Registerer) {
+	c.serving = make(map[ident.Digest]directory.Serving)
+	c.digest = make(map[directory.Serving]ident.Digest)
+	c.holder = &holder.Holder{Epoch: time.Now().UnixMilli()}
+	c.controls = &rpc.Pool{Dial: c.Dial}
+	weights := &weightclient.Client{HTTP: c.HTTP}
+	fetches := hostFetches
+	if c.Seed {
+		fetches = seedFetches
+	}
+	c.fetcher = &fetcher.Fetcher{
+		Self:    c.peer(planner.Peer{Host: c.Name, Zone: c.Zone, Region: c.Region, Seed: c.Seed}),
+		Sources: []string{""}, Holder: c.holder, Peers: c.peers, Artifact: weights.Artifact, Logger: c.Logger,
+		Tempo: fetcher.Tempo{Settle: settleTime, Deadline: sourceTime, Busy: busyTime, News: newsRate, Fetches: fetches},
+		Chunk: func(ctx context.Context, base string, k manifest.Chunk, zone ident.Zone, p weightclient.Progress) ([]byte, error) {
+			if base == "" {
+				return c.fromOrigin(ctx, k, p)
+			}
+			return weights.Chunk(ctx, base, k, zone, p)
+		},
+		Have: func(ctx context.Context, p fetcher.Peer, q messages.HaveQuery) (messages.HaveAnswer, error) {
+			return rpc.Call[messages.HaveAnswer](ctx, c.controls.Client(p.Control), messages.HaveMethod, q)
+		},
+	}
+	c.fetcher.Register(registry)
+}
+
+// peer adds the addresses. A host is named by its IP address, as an engine's id changes with each start.
+func (c *Carrier) peer(p planner.Peer) fetcher.Peer {
+	return fetcher.Peer{
+		Peer: p, Data: net.JoinHostPort(string(p.Host), strconv.Itoa(c.Data)),
+		Control: net.JoinHostPort(string(p.Host), strconv.Itoa(c.Control)),
+	}
+}
+
+func (c *Carrier) peers([]ident.Digest) ([]fetcher.Peer, catalog.Bias) {
+	out := []fetcher.Peer{c.fetcher.Self}
+	for _, p := range c.Peers() {
+		if p.Host != c.Name {
+			out = append(out, c.peer(p))
+		}
+	}
+	return out, catalog.Bias("")
+}
+
+// Run serves the other hosts until ctx ends.
+func (c *Carrier) Run(ctx context.Context) error {
+	slots := &uploader.Uploader{}
+	if c.Seed {
+		slots.Inside, slots.Outside = seedUploads, seedUploads
+	}
+	mux := http.NewServeMux()
+	(&chunkserver.Server{Holder: c.holder, Zone: c.Zone, Uploader: slots}).Register(mux)
+	tasks, ctx := errgroup.WithContext(ctx)
+	tasks.Go(func() error { return c.serveData(ctx, mux) })
+	tasks.Go(func() error { return c.serveControl(ctx) })
+	return tasks.Wait()
+}
+
+func (c *Carrier) listen(port int) (net.Listener, error) {
+	ln, err := net.Listen("tcp4", net.JoinHostPort(c.IP, strconv.Itoa(port)))
+	if err != nil {
+		return nil, fmt.Errorf("listen for other hosts: %w", err)
+	}
+	return ln, nil
+}
+
+func (c *Carrier) serveControl(ctx context.Context) error {
+	ln, err := c.listen(c.Control)
+	if err != nil {
+		return err
+	}
+	return (&rpc.Server{Methods: map[string]rpc.Handler{
+		messages.HaveMethod:     rpc.Handle(c.fetcher.Answer),
+		messages.ManifestMethod: rpc.Handle(c.answerManifest),
+	}}).Serve(ctx, ln)
+}
+
+func (c *Carrier) serveData(ctx context.Context, handler http.Handler) error {
+	ln, err := c.listen(c.Data)
+	if err != nil {
+		return err
+	}
+	srv := &http.Server{Handler: handler, ReadHeaderTimeout: callTime}
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	if err := srv.Serve(ln); ctx.Err() == nil {
+		return fmt.Errorf("serve chunks: %w", err)
+	}
+	return nil
+}
+
+// fromOrigin reads a chunk that no host holds.
+func (c *Carrier) fromOrigin(ctx context.Context, k manifest.Chunk, p weightclient.Progress) ([]byte, error) {
+	origin, _ := c.Origin()
+	s, number, ok := c.place(k.Digest)
+	if origin == "" || !ok {
+		return nil, fmt.Errorf("chunk %.12s: no origin is known", k.Digest)
+	}
+	ctx, cancel := context.WithTimeout(ctx, chunkTime)
+	defer cancel()
+	data, err := c.Chunk(ctx, origin, s, number)
+	if err != nil {
+		return nil, err
+	}
+	return data, p(ctx, len(data))
+}
+
+// place returns the release and the number by which the origin knows a chunk.
+func (c *Carrier) place(d ident.Digest) (directory.Serving, int, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for sum, s := range c.serving {
+		a, ok := c.holder.Artifact(sum)
+		if !ok {
+			continue
+		}
+		for i, k := range a.Chunks {
+			if k.Digest == d {
+				return s, i, true
+			}
+		}
+	}
+	return directory.Serving{}, 0, false
+}
+
+// Knows tells whether the manifest of a release is held.
+func (c *Carrier) Knows(s directory.Serving) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.digest[s]
+	return ok
+}
+
+// Artifact returns the list of chunks of a release.
+func (c *Carrier) Artifact(ctx context.Context, s directory.Serving) (manifest.Artifact, ident.Digest, error) {
+	c.mu.Lock()
+	d, ok := c.digest[s]
+	c.mu.Unlock()
+	if ok {
+		if a, ok := c.holder.Artifact(d); ok {
+			return a, d, nil
+		}
+	}
+	a, err := c.askOrigin(ctx, s)
+	if err != nil {
+		var perr error
+		if a, perr = c.askPeers(ctx, s); perr != nil {
+			return a, "", errors.Join(err, perr)
+		}
+	}
+	data, err := a.Encode()
+	if err != nil {
+		return a, "", fmt.Errorf("encode manifest of %s: %w", s.Model, err)
+	}
+	d = manifest.Sum(data)
+	c.holder.PutArtifact(d, a)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.digest[s]; !ok {
+		c.order = append(c.order, s)
+	}
+	c.digest[s], c.serving[d] = d, s
+	return a, d, nil
+}
+
+func (c *Carrier) askOrigin(ctx context.Context, s directory.Serving) (manifest.Artifact, error) {
+	origin, _ := c.Origin()
+	if origin == "" {
+		return manifest.Artifact{}, errors.New("no origin is known")
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	return c.Manifest(ctx, origin, s)
+}
+
+// askPeers asks a few other hosts for a manifest.
+func (c *Carrier) askPeers(ctx context.Context, s directory.Serving) (manifest.Artifact, error) {
+	peers := c.Peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	err := errors.New("no other host is known")
+	for _, p := range peers[:min(manifestPeers, len(peers))] {
+		if p.Host == c.Name {
+			continue
+		}
+		var a manifest.Artifact
+		if a, err = c.askManifest(ctx, c.peer(p).Control, s); err == nil {
+			return a, nil
+		}
+	}
+	return manifest.Artifact{}, err
+}
+
+func (c *Carrier) askManifest(ctx context.Context, control string, s directory.Serving) (manifest.Artifact, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	q := messages.ManifestQuery{Model: string(s.Model), Release: int64(s.Release)}
+	a, err := rpc.Call[messages.ManifestAnswer](ctx, c.controls.Client(control), messages.ManifestMethod, q)
+	if err != nil {
+		return a.Manifest, err
+	}
+	if !a.Known {
+		return a.Manifest, fmt.Errorf("host %s has no manifest of release %d of %s", control, s.Release, s.Model)
+	}
+	return a.Manifest, a.Manifest.Check()
+}
+
+// answerManifest gives a manifest that this host has.
+func (c *Carrier) answerManifest(_ context.Context, q messages.ManifestQuery) (messages.ManifestAnswer, error) {
+	c.mu.Lock()
+	d, ok := c.digest[directory.Serving{Model: directory.Model(q.Model), Release: directory.Release(q.Release)}]
+	c.mu.Unlock()
+	if !ok {
+		return messages.ManifestAnswer{}, nil
+	}
+	a, ok := c.holder.Artifact(d)
+	return messages.ManifestAnswer{Known: ok, Manifest: a}, nil
+}
+
+// Put takes a chunk that was found elsewhere, if it matches its digest.
+func (c *Carrier) Put(d ident.Digest, data []byte) error {
+	return c.holder.PutChunk(d, data)
+}
+
+// Get returns a chunk that is held.
+func (c *Carrier) Get(d ident.Digest) ([]byte, bool) {
+	return c.holder.Chunk(d)
+}
+
+// Fetch brings all chunks of a release here. It ends early when superseded returns true.
+func (c *Carrier) Fetch(ctx context.Context, s directory.Serving, superseded func() bool) (manifest.Artifact, error) {
+	a, d, err := c.Artifact(ctx, s)
+	if err != nil || len(c.holder.Missing(a)) == 0 {
+		return a, err
+	}
+	c.forget(s)
+	_, c.fetcher.Home = c.Origin()
+	begun := time.Now()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go watch(ctx, superseded, cancel)
+	if err := c.fetcher.Fetch(ctx, []ident.Digest{d}); err != nil {
+		return a, fmt.Errorf("fetch release %d of %s: %w", s.Release, s.Model, err)
+	}
+	c.Logger.WithFields(log.Fields{
+		"model": string(s.Model), "release": int64(s.Release), "took": time.Since(begun).Milliseconds(),
+	}).Info("chunks fetched and verified")
+	return a, nil
+}
+
+// forget drops the releases before the one that is served and the one that comes.
+func (c *Carrier) forget(next directory.Serving) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var keep []ident.Digest
+	for i, s := range c.order {
+		if s == next || i >= len(c.order)-kept {
+			keep = append(keep, c.digest[s])
+			continue
+		}
+		delete(c.serving, c.digest[s])
+		delete(c.digest, s)
+	}
+	c.order = c.order[max(0, len(c.order)-kept):]
+	c.holder.Retain(keep)
+}
+
+func watch(ctx context.Context, superseded func() bool, cancel func()) {
+	const every = 100 * time.Millisecond
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(every):
+			if superseded() {
+				cancel()
+				return
+			}
+		}
+	}
+}
--- a/internal/core/planner/exchange.go
+++ b/internal/core/planner/exchange.go
@@ -17,8 +17,9 @@
 func (p *Planner) exchange() *Fetch {
 	now := time.Now()
 	var usable []*node
+	isSeeded := p.isSeeded(now)
 	for _, n := range p.watched {
-		if n.Zone == p.Self.Zone && n.running < perNeighbor && n.isUsable(now) && p.canAsk(n, now) {
+		if n.Zone == p.Self.Zone && n.running < perNeighbor && n.isUsable(now) && p.canAsk(n, now) && (n.Seed || !isSeeded) {
 			usable = append(usable, n)
 		}
 	}
@@ -34,6 +35,19 @@
 	return nil
 }
 
+// isSeeded tells whether a seed of the zone serves this host, which is none itself.
+func (p *Planner) isSeeded(now time.Time) bool {
+	if p.Self.Seed {
+		return false
+	}
+	for _, n := range p.watched {
+		if n.Seed && n.Zone == p.Self.Zone && !n.heard.IsZero() && p.canAsk(n, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // pick returns the chunk to ask for and its holder.
 func (p *Planner) pick(usable []*node) (int, *node) {
 	best, holder := -1, (*node)(nil)
--- a/internal/core/planner/planner.go
+++ b/internal/core/planner/planner.go
@@ -34,6 +34,9 @@
 	Host   ident.Host
 	Zone   ident.Zone
 	Region ident.Region
+	// Seed marks a host whose link is much wider than those of the others. The hosts of its zone read from it alone while
+	// it can be asked, so that their own uplinks stay free for live traffic.
+	Seed bool
 }
 
 // Source is where a chunk is read from: a host, or one of the sources outside, by its place in the order of cost.
--- a/internal/core/planner/planner_test.go
+++ b/internal/core/planner/planner_test.go
@@ -25,8 +25,8 @@
 
 // newPair returns a planner of a zone of two hosts, and the other host.
 func newPair(chunks int) (*Planner, ident.Host) {
-	p := &Planner{Self: Peer{"a", "z", "r"}, Outside: 2}
-	p.SetPeers([]Peer{p.Self, {"b", "z", "r"}})
+	p := &Planner{Self: Peer{Host: "a", Zone: "z", Region: "r"}, Outside: 2}
+	p.SetPeers([]Peer{p.Self, {Host: "b", Zone: "z", Region: "r"}})
 	p.SetGoal([]Goal{goal(chunks)}, none)
 	return p, "b"
 }
@@ -44,7 +44,7 @@
 		is := is.New(t)
 		g := goal(1)
 		g.Artifact.Chunks = append(g.Artifact.Chunks, g.Artifact.Chunks[0])
-		p := &Planner{Self: Peer{"a", "z", "r"}, Outside: 1}
+		p := &Planner{Self: Peer{Host: "a", Zone: "z", Region: "r"}, Outside: 1}
 		p.SetGoal([]Goal{g}, none)
 		is.Equal(p.Total(), 1)
 		time.Sleep(2 * DefaultSettle)
@@ -130,10 +130,10 @@
 func TestHostThatAsksIsTakenForAPeer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		p := &Planner{Self: Peer{"a", "z", "r"}, Outside: 1}
+		p := &Planner{Self: Peer{Host: "a", Zone: "z", Region: "r"}, Outside: 1}
 		p.SetGoal([]Goal{goal(Stripes)}, none)
 		is.Equal(len(p.Watch()), 0)
-		p.Meet(Peer{"b", "z", "r"})
+		p.Meet(Peer{Host: "b", Zone: "z", Region: "r"})
 		p.SetPeers(nil)
 		is.Equal(p.Watch(), []ident.Host{"b"})
 		time.Sleep(metTime + time.Second)
@@ -158,11 +158,11 @@
 func TestHostReadsAllOnceAllOthersAreSilent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		p := &Planner{Self: Peer{"self", "z", "r"}, Outside: 1}
+		p := &Planner{Self: Peer{Host: "self", Zone: "z", Region: "r"}, Outside: 1}
 		peers := []Peer{p.Self}
 		for i := range 40 {
-			peers = append(peers, Peer{ident.Host(fmt.Sprint("h", i)), ident.Zone(fmt.Sprint("z", i%2)), "r"})
-			peers = append(peers, Peer{ident.Host(fmt.Sprint("g", i)), "z", "r"})
+			peers = append(peers, Peer{Host: ident.Host(fmt.Sprint("h", i)), Zone: ident.Zone(fmt.Sprint("z", i%2)), Region: "r"})
+			peers = append(peers, Peer{Host: ident.Host(fmt.Sprint("g", i)), Zone: "z", Region: "r"})
 		}
 		p.SetPeers(peers)
 		p.SetGoal([]Goal{goal(2 * Stripes)}, none)
--- a/internal/core/planner/stripe.go
+++ b/internal/core/planner/stripe.go
@@ -100,7 +100,7 @@
 
 func (p *Planner) neighbors(zone []ident.Host) []ident.Host {
 	var out []ident.Host
-	for _, h := range ranker.Rank(string(p.Self.Host), zone) {
+	for _, h := range p.seedsFirst(ranker.Rank(string(p.Self.Host), zone)) {
 		if h != p.Self.Host && len(out) < p.Neighbors {
 			out = append(out, h)
 		}
@@ -136,7 +136,28 @@
 // hostOrder puts the hosts of a zone in the order in which they read a stripe. Each stripe turns the order by one place,
 // so that no host of a small zone reads several stripes while others read none.
 func (p *Planner) hostOrder(s *stripe, hosts []ident.Host) []ident.Host {
-	return turn(ranker.Rank(string(p.artifacts[s.id/Stripes]), hosts), s.id)
+	ranked := ranker.Rank(string(p.artifacts[s.id/Stripes]), hosts)
+	n := 0
+	for _, h := range ranked {
+		if p.peers[h].Seed {
+			n++
+		}
+	}
+	ranked = p.seedsFirst(ranked)
+	return append(turn(ranked[:n], s.id), turn(ranked[n:], s.id)...)
+}
+
+// seedsFirst puts the seeds before the other hosts and keeps the order among both.
+func (p *Planner) seedsFirst(hosts []ident.Host) []ident.Host {
+	out := make([]ident.Host, 0, len(hosts))
+	for _, isSeed := range []bool{true, false} {
+		for _, h := range hosts {
+			if p.peers[h].Seed == isSeed {
+				out = append(out, h)
+			}
+		}
+	}
+	return out
 }
 
 func top(ranked []ident.Host) []ident.Host {
--- /dev/null
+++ b/internal/enroller/enroller.go
@@ -0,0 +1,86 @@
+// Package enroller keeps the list of entry hosts, which write their own entries in the store.
+package enroller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+)
+
+const (
+	prefix = "entry/"
+	// retryTime is the pause after a failed write.
+	retryTime = 500 * time.Millisecond
+	callTime  = 2 * time.Second
+)
+
+// Entry is the record of one entry host. Address is where it hears of the others' loads; its IP address names the host.
+type Entry struct {
+	Zone    ident.Zone     `json:"zone"`
+	Address netip.AddrPort `json:"address"`
+}
+
+// Host returns the name by which the host carries chunks.
+func (e Entry) Host() ident.Host {
+	return ident.Host(e.Address.Addr().String())
+}
+
+// Parse returns the entries among the values of the list. Those that do not parse are logged and left out.
+func Parse(values map[string][]byte, l log.Interface) []Entry {
+	var out []Entry
+	for k, v := range values {
+		if !strings.HasPrefix(k, prefix) || len(v) == 0 {
+			continue
+		}
+		var e Entry
+		if err := json.Unmarshal(v, &e); err != nil {
+			l.WithError(err).WithField("key", k).Warn("entry host's record does not parse")
+			continue
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+// Enroller writes the entry of one host. Set its fields before Run.
+type Enroller struct {
+	// Self is the entry.
+	Self Entry
+	// Put writes a value to the store.
+	Put func(ctx context.Context, key string, value []byte) error
+	// Logger receives failed writes.
+	Logger log.Interface
+}
+
+// Run returns when the write is acknowledged or ctx ends. A write may be made twice; that does no harm.
+func (e *Enroller) Run(ctx context.Context) error {
+	value, err := json.Marshal(e.Self)
+	if err != nil {
+		return fmt.Errorf("encode own entry: %w", err)
+	}
+	for ctx.Err() == nil {
+		err := e.put(ctx, value)
+		if err == nil {
+			return nil
+		}
+		e.Logger.WithError(err).Warn("host is not enrolled yet")
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryTime):
+		}
+	}
+	return nil
+}
+
+func (e *Enroller) put(ctx context.Context, value []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	return e.Put(ctx, prefix+string(e.Self.Host()), value)
+}
--- a/internal/fetcher/follow.go
+++ b/internal/fetcher/follow.go
@@ -88,6 +88,7 @@
 
 func (b *burst) introduce(q *messages.HaveQuery) {
 	q.Artifacts = b.artifacts
+	q.Seed = b.Self.Seed
 	q.Zone, q.Region, q.Data, q.Control = b.Self.Zone, b.Self.Region, b.Self.Data, b.Self.Control
 }
 
@@ -177,7 +178,7 @@
 	}
 	f.follow[q.Host] = &follower{
 		peer: Peer{
-			Peer: planner.Peer{Host: q.Host, Zone: q.Zone, Region: q.Region}, Data: q.Data, Control: q.Control,
+			Peer: planner.Peer{Host: q.Host, Zone: q.Zone, Region: q.Region, Seed: q.Seed}, Data: q.Data, Control: q.Control,
 		},
 		artifacts: q.Artifacts, limiter: rate.NewLimiter(limit, burstSize),
 	}
--- a/internal/fronthost/fronthost.go
+++ b/internal/fronthost/fronthost.go
@@ -4,12 +4,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/nutmegdock/nutmegdock/internal/carrier"
 	"github.com/nutmegdock/nutmegdock/internal/connector"
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
 	"github.com/nutmegdock/nutmegdock/internal/core/budgeter"
@@ -26,6 +25,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/surveyor"
 	"github.com/nutmegdock/nutmegdock/internal/dialect"
+	"github.com/nutmegdock/nutmegdock/internal/enroller"
 	"github.com/nutmegdock/nutmegdock/internal/exchanger"
 	"github.com/nutmegdock/nutmegdock/internal/fleet"
 	"github.com/nutmegdock/nutmegdock/internal/gateway"
@@ -41,13 +41,10 @@
 	quietTime = 2500 * time.Millisecond
 	// endMargin is kept free of the time until SIGKILL.
 	endMargin = 500 * time.Millisecond
-	// registerEvery is the pause after a failed registration.
-	registerEvery = 500 * time.Millisecond
 	// refreshEvery is how often entries that lapsed are looked at.
 	refreshEvery = 250 * time.Millisecond
 	// returnShare is the part of a caller's time left after which it may come back: the most that callers honour.
 	returnShare = 3
-	peerPrefix  = "entry/"
 )
 
 // Host is one entry host. Set its fields before Run.
@@ -70,8 +67,12 @@
 	Dialect dialect.Dialect
 	// Fleet follows the store.
 	Fleet *fleet.Follower
-	// Register writes this host's entry in the list of entry hosts.
-	Register func(ctx context.Context, key string, value []byte) error
+	// Regions maps each zone to its region.
+	Regions map[ident.Zone]ident.Region
+	// Carrier holds the chunks of the weights for the engines' hosts. Its Peers and Origin are set by Run.
+	Carrier *carrier.Carrier
+	// Put writes this host's entry in the list of entry hosts.
+	Put func(ctx context.Context, key string, value []byte) error
 	// Logger receives the events.
 	Logger log.Interface
 
@@ -80,9 +81,10 @@
 	ready    atomic.Bool
 	leaving  atomic.Bool
 
-	mu   sync.Mutex
-	near []netip.AddrPort
-	far  []netip.AddrPort
+	mu    sync.Mutex
+	seeds []enroller.Entry
+	near  []netip.AddrPort
+	far   []netip.AddrPort
 }
 
 // Run serves until ctx ends, and then until the requests in progress have ended.
@@ -103,6 +105,9 @@
 		Return: func(left time.Duration) time.Duration { return max(0, left/returnShare) },
 	}
 	h.Fleet.Surveyor = survey
+	h.Carrier.Peers = h.carriers
+	h.Carrier.Origin = h.origin
+	h.Carrier.Build(registry)
 	h.Fleet.OnDirectory = h.setDirectory
 	h.Fleet.OnEndpoints = func() { h.assigner.SetEndpoints(survey.Endpoints()) }
 	h.Fleet.OnPeers = h.setPeers
@@ -115,7 +120,9 @@
 	defer end()
 	tasks, life := errgroup.WithContext(life)
 	tasks.Go(func() error { return h.Fleet.Run(life) })
-	tasks.Go(func() error { return h.register(life) })
+	tasks.Go(func() error { return h.enroll(life) })
+	tasks.Go(func() error { return h.Carrier.Run(life) })
+	tasks.Go(func() error { return h.carry(life) })
 	tasks.Go(func() error { return h.refresh(life) })
 	tasks.Go(func() error {
 		return (&exchanger.Exchanger{
@@ -193,31 +200,20 @@
 
 // setPeers takes the list of entry hosts.
 func (h *Host) setPeers(values map[string][]byte) {
+	all := enroller.Parse(values, h.Logger)
 	var near, far []netip.AddrPort
-	for k, v := range values {
-		if !strings.HasPrefix(k, peerPrefix) || k == h.key() || len(v) == 0 {
-			continue
-		}
-		var e entry
-		if err := json.Unmarshal(v, &e); err != nil {
-			h.Logger.WithError(err).WithField("key", k).Warn("entry host's record does not parse")
-			continue
-		}
-		if e.Zone == h.Zone {
+	for _, e := range all {
+		switch {
+		case string(e.Host()) == h.IP:
+		case e.Zone == h.Zone:
 			near = append(near, e.Address)
-		} else {
+		default:
 			far = append(far, e.Address)
 		}
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.near, h.far = near, far
-}
-
-// entry is the record of one entry host in the list of them.
-type entry struct {
-	Zone    ident.Zone     `json:"zone"`
-	Address netip.AddrPort `json:"address"`
+	h.seeds, h.near, h.far = all, near, far
 }
 
 func (h *Host) neighbors() []netip.AddrPort {
@@ -232,34 +228,6 @@
 	return h.far
 }
 
-func (h *Host) key() string {
-	return peerPrefix + h.IP
-}
-
-// register writes this host's entry until that is acknowledged.
-func (h *Host) register(ctx context.Context) error {
-	address, err := netip.ParseAddr(h.IP)
-	if err != nil {
-		return fmt.Errorf("own address: %w", err)
-	}
-	value, err := json.Marshal(entry{Zone: h.Zone, Address: netip.AddrPortFrom(address, uint16(h.Exchange))})
-	if err != nil {
-		return fmt.Errorf("encode own entry: %w", err)
-	}
-	for ctx.Err() == nil {
-		err := h.Register(ctx, h.key(), value)
-		if err == nil {
-			return nil
-		}
-		h.Logger.WithError(err).Warn("host is not registered")
-		select {
-		case <-ctx.Done():
-		case <-time.After(registerEvery):
-		}
-	}
-	return nil
-}
-
 // refresh drops endpoints whose entries lapsed and did not come back.
 func (h *Host) refresh(ctx context.Context) error {
 	for {
--- a/internal/messages/weights.go
+++ b/internal/messages/weights.go
@@ -19,6 +19,7 @@
 	Artifacts []ident.Digest `json:"artifacts,omitempty"`
 	Zone      ident.Zone     `json:"zone,omitempty"`
 	Region    ident.Region   `json:"region,omitempty"`
+	Seed      bool           `json:"seed,omitempty"`
 	Data      string         `json:"data,omitempty"`
 	Control   string         `json:"control,omitempty"`
 	Offset    ident.Offset   `json:"offset,omitempty"`
--- a/internal/stocker/run.go
+++ b/internal/stocker/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"strconv"
 	"time"
@@ -12,14 +11,10 @@
 	"github.com/apex/log"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/directory"
-	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/manifest"
 	"github.com/nutmegdock/nutmegdock/internal/core/stager"
 )
 
-// manifestPeers is the number of other hosts that are asked for a manifest when the origin does not give it.
-const manifestPeers = 3
-
 // errSuperseded ends a step for a release that is no longer the newest.
 var errSuperseded = errors.New("a newer release was named")
 
@@ -42,7 +37,7 @@
 
 // goal returns the release to serve, and when it was named.
 func (h *Host) goal() (directory.Serving, time.Time, bool) {
-	e, _ := h.engine()
+	e := h.engine()
 	if e == nil || len(e.Models) == 0 {
 		return directory.Serving{}, time.Time{}, false
 	}
@@ -68,7 +63,7 @@
 	if have >= goal.Release || r.Loading {
 		return nil
 	}
-	a, err := h.fetch(ctx, goal)
+	a, err := h.Carrier.Fetch(ctx, goal, func() bool { return h.isSuperseded(goal) })
 	if err != nil {
 		return err
 	}
@@ -89,72 +84,13 @@
 	return h.Engine.Report(ctx)
 }
 
-// manifest returns the list of chunks of a release.
-func (h *Host) manifest(ctx context.Context, s directory.Serving) (manifest.Artifact, ident.Digest, error) {
-	h.mu.Lock()
-	d, ok := h.digest[s]
-	h.mu.Unlock()
-	if ok {
-		if a, ok := h.holder.Artifact(d); ok {
-			return a, d, nil
-		}
-	}
-	_, origin := h.engine()
-	a, err := h.askOrigin(ctx, origin, s)
-	if err != nil {
-		var perr error
-		if a, perr = h.askPeers(ctx, s); perr != nil {
-			return a, "", errors.Join(err, perr)
-		}
-	}
-	data, err := a.Encode()
-	if err != nil {
-		return a, "", fmt.Errorf("encode manifest of %s: %w", s.Model, err)
-	}
-	d = manifest.Sum(data)
-	h.holder.PutArtifact(d, a)
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.digest[s], h.served[d] = d, s
-	return a, d, nil
-}
-
-func (h *Host) askOrigin(ctx context.Context, origin string, s directory.Serving) (manifest.Artifact, error) {
-	if origin == "" {
-		return manifest.Artifact{}, errors.New("no origin is known")
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
-	return h.Engine.Manifest(ctx, origin, s)
-}
-
-// askPeers asks a few other hosts for a manifest.
-func (h *Host) askPeers(ctx context.Context, s directory.Serving) (manifest.Artifact, error) {
-	peers, _ := h.peers(nil)
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	err := errors.New("no other host is known")
-	for _, p := range peers[:min(manifestPeers, len(peers))] {
-		if p.Data == h.fetcher.Self.Data {
-			continue
-		}
-		var a manifest.Artifact
-		if a, err = h.askManifest(ctx, p.Control, s); err == nil {
-			return a, nil
-		}
-	}
-	return manifest.Artifact{}, err
-}
-
 // adopt takes the chunks of the release that the engine serves over from those that lie beside it, so that other hosts
 // can have them from here.
 func (h *Host) adopt(ctx context.Context, s directory.Serving) error {
-	h.mu.Lock()
-	_, ok := h.digest[s]
-	h.mu.Unlock()
-	if ok {
+	if h.Carrier.Knows(s) {
 		return nil
 	}
-	a, _, err := h.manifest(ctx, s)
+	a, _, err := h.Carrier.Artifact(ctx, s)
 	if err != nil {
 		return err
 	}
@@ -164,7 +100,7 @@
 		if err != nil {
 			return err
 		}
-		if h.holder.PutChunk(c.Digest, data) == nil {
+		if h.Carrier.Put(c.Digest, data) == nil {
 			taken++
 		}
 	}
@@ -178,38 +114,10 @@
 	return h.Engine.Staged(ctx, m, number)
 }
 
-// fetch brings all chunks of a release here. It ends early if a newer release is named.
-func (h *Host) fetch(ctx context.Context, s directory.Serving) (manifest.Artifact, error) {
-	a, d, err := h.manifest(ctx, s)
-	if err != nil || len(h.holder.Missing(a)) == 0 {
-		return a, err
-	}
-	begun := time.Now()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go h.watch(ctx, s, cancel)
-	if err := h.fetcher.Fetch(ctx, []ident.Digest{d}); err != nil {
-		return a, fmt.Errorf("fetch release %d of %s: %w", s.Release, s.Model, err)
-	}
-	h.Logger.WithFields(log.Fields{
-		"model": string(s.Model), "release": int64(s.Release), "took": time.Since(begun).Milliseconds(),
-	}).Info("chunks fetched and verified")
-	return a, nil
-}
-
-// watch calls cancel when a release newer than s is named.
-func (h *Host) watch(ctx context.Context, s directory.Serving, cancel func()) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(reportEvery):
-			if g, _, ok := h.goal(); ok && g.Release > s.Release {
-				cancel()
-				return
-			}
-		}
-	}
+// isSuperseded tells whether a release newer than s is named.
+func (h *Host) isSuperseded(s directory.Serving) bool {
+	g, _, ok := h.goal()
+	return ok && g.Release > s.Release
 }
 
 // stage puts all chunks beside the engine.
@@ -223,7 +131,7 @@
 }
 
 func (h *Host) put(ctx context.Context, m directory.Model, number int, c manifest.Chunk) error {
-	data, ok := h.holder.Chunk(c.Digest)
+	data, ok := h.Carrier.Get(c.Digest)
 	if !ok {
 		return fmt.Errorf("chunk %d of %s is not held", number, m)
 	}
@@ -247,7 +155,7 @@
 			return ctx.Err()
 		case <-time.After(min(reportEvery, time.Until(turn))):
 		}
-		if g, _, ok := h.goal(); ok && g.Release > s.Release {
+		if h.isSuperseded(s) {
 			return errSuperseded
 		}
 	}
