Engines that load are told to the entry hosts at once; a pool changes over in four groups

Cause: requests went to engines that took no new work until they had loaded, and half of the engines changed over at once.

--- a/cmd/stockd/main.go
+++ b/cmd/stockd/main.go
@@ -4,8 +4,10 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 
 	"github.com/apex/log"
@@ -45,8 +47,13 @@
 	calls := (&connector.Connector{}).Client()
 	store := &storeclient.Client{Address: cfg.Store, HTTP: calls}
 	engine := &engineclient.Client{HTTP: calls, Engine: cfg.Engine}
+	conn, err := net.ListenPacket("udp4", net.JoinHostPort(cfg.IP, strconv.Itoa(cfg.Ports[0])))
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "stockd: %v\n", err)
+		return 1
+	}
 	h := &stocker.Host{
-		IP: cfg.IP, Pool: cfg.Pool, Regions: cfg.Regions, Metrics: cfg.Ports[0] + 2, ReleaseBound: cfg.ReleaseBound, Logger: logger,
+		IP: cfg.IP, Address: cfg.Engine, Conn: conn, Pool: cfg.Pool, Regions: cfg.Regions, Metrics: cfg.Ports[0] + 2, ReleaseBound: cfg.ReleaseBound, Logger: logger,
 		Engine: stocker.Engine{Report: engine.Report, Stage: engine.Stage, Staged: engine.Staged, Load: engine.Load},
 		Carrier: &carrier.Carrier{
 			Name: ident.Host(cfg.IP), Zone: cfg.Zone, Region: cfg.Region, IP: cfg.IP, Control: cfg.Ports[0] + 1, Data: cfg.Ports[0] + 3,
--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -42,6 +42,8 @@
 	minPace    = 0.8
 	maxPace    = 20
 	// overdueGrace is how much later than predicted a first event may be before the endpoint counts as stalled.
+	// gateTime is how long a closed gate counts without being told again.
+	gateTime     = time.Second
 	overdueGrace = 250 * time.Millisecond
 )
 
@@ -93,11 +95,25 @@
 	Full Refusal = "overload"
 )
 
+// Gate is what the host beside an engine says of it, ahead of the engine's own entry.
+type Gate struct {
+	// Address and Born name the engine.
+	Address string `cbor:"address"`
+	Born    int64  `cbor:"born"`
+	// Closed says that it takes no requests until it has loaded other weights.
+	Closed bool `cbor:"closed,omitempty"`
+	// Model and Release are what it serves, if Closed is not set.
+	Model   directory.Model   `cbor:"model,omitempty"`
+	Release directory.Release `cbor:"release,omitempty"`
+}
+
 type state struct {
 	directory.Endpoint
 	own     Load
 	breaker breaker.Breaker
 	pending map[*Choice]bool
+	gate    Gate
+	gated   time.Time
 	pace    float64
 	paced   time.Time
 }
@@ -156,6 +172,17 @@
 	a.peers[h] = &peer{heard: time.Now(), loads: loads}
 }
 
+// SetGate takes the word of the host beside an engine.
+func (a *Assigner) SetGate(g Gate) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, s := range a.endpoints {
+		if s.Address == g.Address && s.Born == g.Born {
+			s.gate, s.gated = g, time.Now()
+		}
+	}
+}
+
 // Own returns what this host has at each endpoint, by id.
 func (a *Assigner) Own() map[string]Load {
 	a.mu.Lock()
@@ -181,7 +208,7 @@
 	var bestCost time.Duration
 	refusal := None
 	for id, s := range a.endpoints {
-		if !s.serves(q) || q.Tried[id] {
+		if !s.serves(q, now) || q.Tried[id] {
 			continue
 		}
 		refusal = Full
@@ -219,14 +246,18 @@
 	}
 }
 
-func (s *state) serves(q Query) bool {
-	if s.Pool != q.Pool || s.Leaving {
+func (s *state) serves(q Query, now time.Time) bool {
+	if s.Pool != q.Pool || s.Leaving || s.gate.Closed && now.Sub(s.gated) < gateTime {
 		return false
 	}
 	if q.Model == "" {
 		return true
 	}
 	have, ok := s.Endpoint.Release(q.Model)
+	if !s.gate.Closed && s.gate.Model == q.Model {
+		// The engine's entry may be older.
+		have, ok = max(have, s.gate.Release), true
+	}
 	if !ok {
 		return false
 	}
--- a/internal/core/stager/stager.go
+++ b/internal/core/stager/stager.go
@@ -5,19 +5,17 @@
 package stager
 
 import (
-	"time"
+	"cmp"
+	"slices"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/directory"
 	"github.com/nutmegdock/nutmegdock/internal/core/ranker"
 )
 
-const (
-	// groups is the number of parts in which a pool changes over: with four, three quarters of the engines serve.
-	groups = 4
-	// switchTime is what one engine takes from the order until it serves again: the longest answer in progress and the
-	// loading.
-	switchTime = 3 * time.Second
-)
+// starts are the shares of the bound after which the groups change over. An engine is away for about a fifth of the
+// bound: the answers in progress and the loading. The first group's share is about the time that the chunks take; the
+// last one still begins before the bound, and takes no new requests from then on.
+var starts = []float64{0.33, 0.52, 0.71, 0.90}
 
 // Report is an engine's own word of its state.
 type Report struct {
@@ -44,20 +42,30 @@
 	return 0
 }
 
-// Turn returns when an engine may change over from an older release: self's place among all endpoints of the pool
-// decides its group, and the groups share the time between named and the latest moment at which the change ends in
-// time.
-func Turn(self string, all []string, named time.Time, bound time.Duration) time.Time {
-	if len(all) < groups {
-		return named
-	}
-	place := 0
-	for i, id := range ranker.Rank("turn", all) {
-		if id == self {
-			place = i
+// Member is one engine of the pool.
+type Member struct {
+	// Host is the address of the host beside it.
+	Host string
+	// Release is the one that it serves; zero if none.
+	Release directory.Release
+}
+
+// Turn returns the share of the bound after which an engine changes over. Engines on the oldest releases come first;
+// among equals the order is drawn from their names.
+func Turn(self string, all []Member) float64 {
+	hosts := make([]string, 0, len(all))
+	release := make(map[string]directory.Release, len(all))
+	for _, m := range all {
+		if m.Release > 0 {
+			hosts = append(hosts, m.Host)
+			release[m.Host] = m.Release
 		}
 	}
-	group := place * groups / len(all)
-	last := bound - switchTime
-	return named.Add(last * time.Duration(group) / (groups - 1))
+	ranked := ranker.Rank("turn", hosts)
+	slices.SortStableFunc(ranked, func(a, b string) int { return cmp.Compare(release[a], release[b]) })
+	place := slices.Index(ranked, self)
+	if place < 0 || len(ranked) < len(starts) {
+		return starts[0]
+	}
+	return starts[place*len(starts)/len(ranked)]
 }
--- a/internal/core/surveyor/surveyor.go
+++ b/internal/core/surveyor/surveyor.go
@@ -16,7 +16,7 @@
 	awayTime = time.Second
 	// releaseMargin is how long before the bound requests stop to begin on an older release: it covers a request's wait
 	// in the engine's own queue.
-	releaseMargin = 1500 * time.Millisecond
+	releaseMargin = time.Second
 )
 
 type release struct {
@@ -176,15 +176,26 @@
 	return oldest
 }
 
-// Newest returns the newest release of a model and when it was first seen; zero if none was named.
-func (s *Surveyor) Newest(m directory.Model) (directory.Release, time.Time) {
+// Newest returns the newest release of a model; zero if none was named.
+func (s *Surveyor) Newest(m directory.Model) directory.Release {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var last release
+	var n directory.Release
 	for _, r := range s.releases[m] {
-		if r.number > last.number {
-			last = r
+		n = max(n, r.number)
+	}
+	return n
+}
+
+// Named returns when the first release after the one given was seen here; zero if there is none.
+func (s *Surveyor) Named(m directory.Model, after directory.Release) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var first time.Time
+	for _, r := range s.releases[m] {
+		if r.number > after && (first.IsZero() || r.seen.Before(first)) {
+			first = r.seen
 		}
 	}
-	return last.number, last.seen
+	return first
 }
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -28,8 +28,19 @@
 
 // Message is what one entry host tells.
 type Message struct {
-	Host  ident.Host               `cbor:"host"`
-	Loads map[string]assigner.Load `cbor:"loads"`
+	Host  ident.Host               `cbor:"host,omitempty"`
+	Loads map[string]assigner.Load `cbor:"loads,omitempty"`
+	// Gate comes from the host beside an engine, which says nothing else.
+	Gate *assigner.Gate `cbor:"gate,omitempty"`
+}
+
+// Encode returns the message as it is sent.
+func Encode(m Message) ([]byte, error) {
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode loads: %w", err)
+	}
+	return data, nil
 }
 
 // Exchanger runs on one socket. Set its fields before Run.
@@ -48,6 +59,8 @@
 	Own func() map[string]assigner.Load
 	// Heard takes what another host tells.
 	Heard func(h ident.Host, loads map[string]assigner.Load)
+	// Gated takes what the host beside an engine tells.
+	Gated func(g assigner.Gate)
 	// Logger receives messages that cannot be decoded.
 	Logger log.Interface
 }
@@ -84,9 +97,9 @@
 				time.Sleep(wait)
 			}
 		}
-		data, err := cbor.Marshal(Message{Host: x.Host, Loads: x.Own()})
+		data, err := Encode(Message{Host: x.Host, Loads: x.Own()})
 		if err != nil {
-			return fmt.Errorf("encode loads: %w", err)
+			return err
 		}
 		near = time.Now()
 		x.send(data, x.Near())
@@ -121,6 +134,10 @@
 			x.Logger.WithError(err).Warn("load message does not parse")
 			continue
 		}
+		if m.Gate != nil {
+			x.Gated(*m.Gate)
+			continue
+		}
 		if m.Host != x.Host {
 			x.Heard(m.Host, m.Loads)
 		}
--- a/internal/fronthost/carry.go
+++ b/internal/fronthost/carry.go
@@ -97,6 +97,5 @@
 		return directory.Serving{}, false
 	}
 	m := p.Engine.Models[0]
-	n, _ := h.Fleet.Surveyor.Newest(m)
-	return directory.Serving{Model: m, Release: max(1, n)}, true
+	return directory.Serving{Model: m, Release: max(1, h.Fleet.Surveyor.Newest(m))}, true
 }
--- a/internal/fronthost/fronthost.go
+++ b/internal/fronthost/fronthost.go
@@ -127,7 +127,7 @@
 	tasks.Go(func() error {
 		return (&exchanger.Exchanger{
 			Host: h.Name, Conn: conn, Near: h.neighbors, Far: h.others, Changes: changes, Own: h.assigner.Own,
-			Heard: h.assigner.SetPeer, Logger: h.Logger,
+			Heard: h.assigner.SetPeer, Gated: h.assigner.SetGate, Logger: h.Logger,
 		}).Run(life)
 	})
 	mux := http.NewServeMux()
--- a/internal/stocker/run.go
+++ b/internal/stocker/run.go
@@ -35,18 +35,18 @@
 	return nil
 }
 
-// goal returns the release to serve, and when it was named.
-func (h *Host) goal() (directory.Serving, time.Time, bool) {
+// goal returns the release to serve.
+func (h *Host) goal() (directory.Serving, bool) {
 	e := h.engine()
 	if e == nil || len(e.Models) == 0 {
-		return directory.Serving{}, time.Time{}, false
+		return directory.Serving{}, false
 	}
-	n, named := h.survey.Newest(e.Models[0])
-	return directory.Serving{Model: e.Models[0], Release: max(1, n)}, named, true
+	n := h.survey.Newest(e.Models[0])
+	return directory.Serving{Model: e.Models[0], Release: max(1, n)}, true
 }
 
 func (h *Host) step(ctx context.Context) error {
-	goal, named, ok := h.goal()
+	goal, ok := h.goal()
 	if !ok {
 		return nil
 	}
@@ -71,7 +71,7 @@
 		return err
 	}
 	if have > 0 {
-		if err := h.await(ctx, goal, named); err != nil {
+		if err := h.await(ctx, goal, have); err != nil {
 			return err
 		}
 	}
@@ -116,7 +116,7 @@
 
 // isSuperseded tells whether a release newer than s is named.
 func (h *Host) isSuperseded(s directory.Serving) bool {
-	g, _, ok := h.goal()
+	g, ok := h.goal()
 	return ok && g.Release > s.Release
 }
 
@@ -140,16 +140,14 @@
 	return h.Engine.Stage(ctx, m, number, data)
 }
 
-// await waits for this engine's turn to change over.
-func (h *Host) await(ctx context.Context, s directory.Serving, named time.Time) error {
-	var ids []string
-	for _, e := range h.survey.Endpoints() {
-		if ip, _, err := net.SplitHostPort(e.Address); err == nil && e.Pool == h.Pool {
-			ids = append(ids, ip)
+// await waits for this engine's turn to change over from the release have.
+func (h *Host) await(ctx context.Context, s directory.Serving, have directory.Release) error {
+	for {
+		share := stager.Turn(h.IP, h.members(s.Model, have))
+		turn := h.survey.Named(s.Model, have).Add(time.Duration(share * float64(h.ReleaseBound)))
+		if !time.Now().Before(turn) {
+			return nil
 		}
-	}
-	turn := stager.Turn(h.IP, ids, named, h.ReleaseBound)
-	for time.Now().Before(turn) {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -159,7 +157,20 @@
 			return errSuperseded
 		}
 	}
-	return nil
+}
+
+// members returns the engines of the pool with the releases that they serve.
+func (h *Host) members(m directory.Model, have directory.Release) []stager.Member {
+	out := []stager.Member{{Host: h.IP, Release: have}}
+	for _, e := range h.survey.Endpoints() {
+		ip, _, err := net.SplitHostPort(e.Address)
+		if err != nil || e.Pool != h.Pool || ip == h.IP {
+			continue
+		}
+		n, _ := e.Release(m)
+		out = append(out, stager.Member{Host: ip, Release: n})
+	}
+	return out
 }
 
 // load reads the staged chunks back, since they may have turned bad there, and orders the engine to load them.
@@ -184,12 +195,51 @@
 	if r.Loading || r.Release(s.Model) >= s.Release {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
-	f := log.Fields{"model": string(s.Model), "release": int64(s.Release), "orders": r.Orders}
-	if err := h.Engine.Load(ctx, s, r.Orders); err != nil {
+	h.setGate(gate{Closed: true, Born: r.Born})
+	if r.Release(s.Model) > 0 {
+		// The entry hosts hear of it before the engine stops to take requests.
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(closeTime):
+		}
+	}
+	f := log.Fields{"model": string(s.Model), "release": int64(s.Release), "orders": r.Orders, "running": r.Running}
+	if err := h.order(ctx, s, r.Orders); err != nil {
 		return fmt.Errorf("order release %d of %s: %w", s.Release, s.Model, err)
 	}
 	h.Logger.WithFields(f).Info("engine was ordered to load")
-	return nil
+	return h.confirm(ctx, s, r.Born)
+}
+
+func (h *Host) order(ctx context.Context, s directory.Serving, orders int64) error {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	return h.Engine.Load(ctx, s, orders)
+}
+
+// confirm waits until the engine serves the release, and tells the entry hosts.
+func (h *Host) confirm(ctx context.Context, s directory.Serving, born int64) error {
+	begun := time.Now()
+	for time.Since(begun) < loadTime {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(confirmEvery):
+		}
+		r, err := h.report(ctx)
+		if err != nil || r.Born != born {
+			h.setGate(gate{})
+			return errors.Join(errors.New("engine ended while it loaded"), err)
+		}
+		if r.Release(s.Model) >= s.Release {
+			h.setGate(gate{Born: born, Model: s.Model, Release: r.Release(s.Model)})
+			h.Logger.WithFields(log.Fields{
+				"model": string(s.Model), "release": int64(s.Release), "took": time.Since(begun).Milliseconds(),
+			}).Info("engine serves the release")
+			return nil
+		}
+	}
+	h.setGate(gate{})
+	return fmt.Errorf("engine does not serve release %d of %s %s after the order", s.Release, s.Model, loadTime)
 }
--- a/internal/stocker/stocker.go
+++ b/internal/stocker/stocker.go
@@ -50,6 +50,10 @@
 	Pool ident.Pool
 	// Regions maps each zone to its region.
 	Regions map[ident.Zone]ident.Region
+	// Address is the engine's address.
+	Address string
+	// Conn tells the entry hosts of the engine.
+	Conn net.PacketConn
 	// Engine makes the calls.
 	Engine Engine
 	// Carrier holds the chunks. Its Peers and Origin are set by Run.
@@ -69,6 +73,7 @@
 	mu    sync.Mutex
 	dir   *directory.Directory
 	seeds []enroller.Entry
+	gate  gate
 }
 
 // Run serves until ctx ends.
@@ -88,6 +93,7 @@
 	tasks.Go(func() error { return h.Carrier.Run(ctx) })
 	tasks.Go(func() error { return h.serveMetrics(ctx, promhttp.HandlerFor(registry, promhttp.HandlerOpts{})) })
 	tasks.Go(func() error { return h.run(ctx) })
+	tasks.Go(func() error { return h.keepTelling(ctx) })
 	h.Logger.WithFields(log.Fields{"host": h.IP, "pool": string(h.Pool)}).Info("process started")
 	err := tasks.Wait()
 	h.Logger.Info("process stopped")
