--- a/cmd/gatewayd/main.go
+++ b/cmd/gatewayd/main.go
@@ -45,6 +45,9 @@
 		close(written)
 	}()
 	logger := &log.Logger{Handler: journal, Level: log.InfoLevel}
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go settings.Watch(ctx, hup, os.Getenv(settings.Variable), cfg, logger)
 	calls := (&connector.Connector{}).Client()
 	store := &storeclient.Client{Address: cfg.Store, HTTP: calls}
 	origin := &engineclient.Client{HTTP: calls}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -16,14 +16,16 @@
 )
 
 const (
-	// operatorWait and operatorPause: a change is known at once, and those that follow within the pause share a call. The
-	// pause is a tenth of the time within which a change has to be in force.
-	operatorWait  = 20 * time.Second
+	// DefaultWait is how long a call waits for a change of the operator: a connection that died in silence is noticed
+	// within this time and that of a call, which is within the time for a change to be in force.
+	DefaultWait = 1200 * time.Millisecond
+	// operatorPause: changes that follow within it share a call. It is a tenth of the time for a change to be in force.
 	operatorPause = 200 * time.Millisecond
-	// endpointPause: heartbeats come all the time, so the list is asked for now and then, within half of the time in
-	// which an endpoint that leaves must be known.
-	endpointPause = 900 * time.Millisecond
-	// peerPause: the list of entry hosts changes when hosts start.
+	// DefaultPause: heartbeats come all the time, so the list is asked for now and then, within half of the time in which
+	// an endpoint that leaves must be known.
+	DefaultPause = 900 * time.Millisecond
+	// peerWait and peerPause: the list of entry hosts changes when hosts start.
+	peerWait  = 10 * time.Second
 	peerPause = 2 * time.Second
 )
 
@@ -48,6 +50,9 @@
 	// Newest and Changes read the store.
 	Newest  func(ctx context.Context, topic string) (watcher.Image, error)
 	Changes func(ctx context.Context, topic string, from int64, wait time.Duration) (watcher.Batch, error)
+	// Wait is how long a call waits for a change of the operator, and Pause the time between two calls for the endpoints;
+	// zero means the defaults.
+	Wait, Pause time.Duration
 	// Surveyor takes endpoints and releases.
 	Surveyor *surveyor.Surveyor
 	// OnDirectory, OnEndpoints, OnRelease and OnPeers are told of changes; each may be nil.
@@ -63,21 +68,27 @@
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
+	if f.Wait == 0 {
+		f.Wait = DefaultWait
+	}
+	if f.Pause == 0 {
+		f.Pause = DefaultPause
+	}
 	var tasks errgroup.Group
 	operator := f.watcher(f.Topics.Operator)
-	operator.Wait, operator.Pause = operatorWait, operatorPause
+	operator.Wait, operator.Pause = f.Wait, operatorPause
 	operator.Reset = func(values map[string][]byte) { f.operate(values, true) }
 	operator.Apply = func(changes []watcher.Change) { f.operate(newest(changes), false) }
 	tasks.Go(func() error { return operator.Run(ctx) })
 	endpoints := f.watcher(f.Topics.Endpoints)
-	endpoints.Pause = endpointPause
+	endpoints.Pause = f.Pause
 	endpoints.Heard = f.Surveyor.Heard
 	endpoints.Reset = f.resetEndpoints
 	endpoints.Apply = f.applyEndpoints
 	tasks.Go(func() error { return endpoints.Run(ctx) })
 	if f.OnPeers != nil {
 		peers := f.watcher(f.Topics.Status)
-		peers.Wait, peers.Pause = operatorWait, peerPause
+		peers.Wait, peers.Pause = peerWait, peerPause
 		peers.Reset = func(values map[string][]byte) {
 			f.peers = values
 			f.OnPeers(maps.Clone(values))
--- a/internal/fronthost/fronthost.go
+++ b/internal/fronthost/fronthost.go
@@ -154,8 +154,11 @@
 	begun := time.Now()
 	last := begun.Add(max(quietTime, h.Grace-endMargin))
 	for time.Now().Before(last) && ctx.Err() == nil {
-		if h.gateway.Running() == 0 && time.Since(begun) >= quietTime {
-			return
+		if time.Since(begun) >= quietTime {
+			h.gateway.Close()
+			if h.gateway.Running() == 0 {
+				return
+			}
 		}
 		const step = 20 * time.Millisecond
 		time.Sleep(step)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,8 @@
 	// patienceSpread is the part by which the deadlines of first attempts differ. A caller that has less time left than
 	// that was here before.
 	patienceSpread = 0.16
+	// leaveAfter is when a caller may come back that a leaving host refuses: at once, to another host.
+	leaveAfter = 10 * time.Millisecond
 	// fallbackTimeout bounds a request whose route and caller state no time.
 	fallbackTimeout = 30 * time.Second
 )
@@ -55,6 +57,7 @@
 
 	dir     atomic.Pointer[directory.Directory]
 	leaving atomic.Bool
+	closed  atomic.Bool
 	running atomic.Int64
 	mu      sync.Mutex
 	// whole is, for each route, the longest time that a caller gave an attempt: that of first attempts.
@@ -84,6 +87,11 @@
 	g.leaving.Store(true)
 }
 
+// Close makes every further request be refused as not run, so that none is cut by the end of the process.
+func (g *Gateway) Close() {
+	g.closed.Store(true)
+}
+
 // Running returns the number of requests in progress.
 func (g *Gateway) Running() int {
 	return int(g.running.Load())
@@ -143,6 +151,9 @@
 
 // admit finds the route and the organisation of a request.
 func (g *Gateway) admit(q *request) *rejection {
+	if g.closed.Load() {
+		return &rejection{status: http.StatusServiceUnavailable, reason: "leaving", after: leaveAfter}
+	}
 	if q.dir == nil {
 		return &rejection{status: http.StatusServiceUnavailable, reason: "no-configuration", after: startAfter}
 	}
--- a/internal/stocker/stocker.go
+++ b/internal/stocker/stocker.go
@@ -30,6 +30,10 @@
 const (
 	// reportEvery is how often the engine is asked: its reports are a few hundred milliseconds old anyway.
 	reportEvery = 250 * time.Millisecond
+	// operatorWait and endpointPause are longer than those of entry hosts: a release has several seconds to be served,
+	// and the list of endpoints names the hosts to read chunks from.
+	operatorWait  = 2 * time.Second
+	endpointPause = 3 * time.Second
 	// callTime bounds one call to the engine beside the host.
 	callTime = 2 * time.Second
 	// retryTime is the pause after a failed step.
@@ -81,6 +85,7 @@
 	h.news = make(chan struct{}, 1)
 	h.survey = &surveyor.Surveyor{ReleaseBound: h.ReleaseBound}
 	h.Fleet.Surveyor = h.survey
+	h.Fleet.Wait, h.Fleet.Pause = operatorWait, endpointPause
 	h.Fleet.OnDirectory = h.setDirectory
 	h.Fleet.OnRelease = func(directory.Serving) { h.notify() }
 	h.Fleet.OnPeers = h.setSeeds
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// callTime bounds one call beside the time that it waits for a change.
-	callTime = 1500 * time.Millisecond
+	// callTime bounds one call beside the time that it waits for a change. A store that falls silent leaves its
+	// connections open, so nothing but this bound shows it.
+	callTime = 800 * time.Millisecond
 	// firstRetry and longestRetry are the pauses after failed calls. The longest is a tenth of the time within which a
 	// change has to be in force.
 	firstRetry   = 100 * time.Millisecond
@@ -96,7 +97,12 @@
 }
 
 func (w *Watcher) step(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, w.Wait+callTime)
+	wait := w.Wait
+	if w.lost {
+		// A store that comes back is noticed at once.
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+callTime)
 	defer cancel()
 	if !w.known {
 		img, err := w.Newest(ctx, w.Topic)
@@ -107,7 +113,7 @@
 		w.Reset(img.Values)
 		return nil
 	}
-	b, err := w.Changes(ctx, w.Topic, w.next, w.Wait)
+	b, err := w.Changes(ctx, w.Topic, w.next, wait)
 	var gap *GapError
 	if errors.As(err, &gap) {
 		w.Logger.WithFields(log.Fields{"topic": w.Topic, "offset": w.next}).Warn("changes are no longer held; reading all values")
