Seeds fetch at once after a restart of the fleet

Cause: entry hosts waited 4 s at each start for the engines' hosts to find chunks beside their engines; after a loss of power nothing lies there.

--- a/cmd/gatewayd/main.go
+++ b/cmd/gatewayd/main.go
@@ -55,7 +55,7 @@
 		Name: cfg.Host, Zone: cfg.Zone, IP: cfg.IP, Callers: cfg.Callers, Readiness: cfg.Readiness,
 		Metrics: net.JoinHostPort(cfg.IP, strconv.Itoa(cfg.Ports[0])), Exchange: cfg.Ports[0],
 		Grace: cfg.Grace, RetryRatio: cfg.RetryRatio, RetrySlack: cfg.RetrySlack, RetryWindow: cfg.RetryWindow,
-		ReleaseBound: cfg.ReleaseBound, Regions: cfg.Regions,
+		ReleaseBound: cfg.ReleaseBound, Regions: cfg.Regions, First: cfg.First,
 		Carrier: &carrier.Carrier{
 			Name: ident.Host(cfg.IP), Zone: cfg.Zone, Region: cfg.Region, IP: cfg.IP, Seed: true, Control: cfg.Ports[0] + 1, Data: cfg.Ports[0] + 3,
 			Manifest: origin.Manifest, Chunk: origin.Chunk, Dial: (&connector.Connector{}).DialContext, HTTP: calls, Logger: logger,
--- a/internal/fronthost/carry.go
+++ b/internal/fronthost/carry.go
@@ -18,7 +18,7 @@
 	carryEvery = 100 * time.Millisecond
 	// carryRetry is the pause after a fetch that failed.
 	carryRetry = 500 * time.Millisecond
-	// firstCarry is the time from the start until the first fetch. Meanwhile the engines' hosts find the chunks that lie
+	// firstCarry is the time from the first start of the fleet until the first fetch. Meanwhile the engines' hosts find the chunks that lie
 	// beside their engines, so that the origin need not send them again.
 	firstCarry = 4 * time.Second
 )
@@ -66,7 +66,10 @@
 // carry fetches each new release, so that the engines' hosts of the zone can read it from here.
 func (h *Host) carry(ctx context.Context) error {
 	var held directory.Serving
-	pause := firstCarry
+	pause := carryEvery
+	if h.First {
+		pause = firstCarry
+	}
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/fronthost/fronthost.go
+++ b/internal/fronthost/fronthost.go
@@ -67,6 +67,8 @@
 	Dialect dialect.Dialect
 	// Fleet follows the store.
 	Fleet *fleet.Follower
+	// First says that the whole fleet starts for the first time.
+	First bool
 	// Regions maps each zone to its region.
 	Regions map[ident.Zone]ident.Region
 	// Carrier holds the chunks of the weights for the engines' hosts. Its Peers and Origin are set by Run.
