Connections to the origin are not kept; manifests come from the zone's seeds; short pauses after a failed source

Cause: after a loss of power 35 hosts asked the origin for a manifest and kept their connections for 10 s; the origin takes 48 and resets the rest, so that reads of chunks failed and paused up to 8 s.

--- a/cmd/gatewayd/main.go
+++ b/cmd/gatewayd/main.go
@@ -56,7 +56,7 @@
 	go settings.Watch(ctx, hup, os.Getenv(settings.Variable), cfg, logger)
 	calls := (&connector.Connector{}).Client()
 	store := &storeclient.Client{Address: cfg.Store, HTTP: calls}
-	origin := &engineclient.Client{HTTP: calls}
+	origin := &engineclient.Client{Origin: (&connector.Connector{}).FreshClient()}
 	h := &fronthost.Host{
 		Name: cfg.Host, Zone: cfg.Zone, IP: cfg.IP, Callers: cfg.Callers, Readiness: cfg.Readiness,
 		Metrics: net.JoinHostPort(cfg.IP, strconv.Itoa(cfg.Ports[0])), Exchange: cfg.Ports[0],
--- a/cmd/stockd/main.go
+++ b/cmd/stockd/main.go
@@ -55,7 +55,7 @@
 	go settings.Watch(ctx, hup, os.Getenv(settings.Variable), cfg, logger)
 	calls := (&connector.Connector{}).Client()
 	store := &storeclient.Client{Address: cfg.Store, HTTP: calls}
-	engine := &engineclient.Client{HTTP: calls, Engine: cfg.Engine}
+	engine := &engineclient.Client{HTTP: calls, Origin: (&connector.Connector{}).FreshClient(), Engine: cfg.Engine}
 	conn, err := net.ListenPacket("udp4", net.JoinHostPort(cfg.IP, strconv.Itoa(cfg.Ports[0])))
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "stockd: %v\n", err)
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -36,11 +37,12 @@
 	callTime = 2 * time.Second
 	// chunkTime bounds the read of one chunk from the origin.
 	chunkTime = 5 * time.Second
-	// settleTime, sourceTime, busyTime and newsRate suit weights of a few megabytes, which take two seconds on a link of
+	// settleTime, sourceTime, busyTime, retryTime and newsRate suit weights of a few megabytes, which take two seconds on a link of
 	// the engines' hosts: a chunk takes 35 ms.
 	settleTime = 100 * time.Millisecond
 	sourceTime = 1500 * time.Millisecond
 	busyTime   = 50 * time.Millisecond
+	retryTime  = 60 * time.Millisecond
 	newsRate   = 20
 	// hostFetches is the number of chunks that a host reads at a time: with two the link stays busy, and a request on the
 	// same link waits for no more than the two.
@@ -48,6 +50,9 @@
 	// seedFetches and seedUploads are those of a seed, whose link is wide.
 	seedFetches = 8
 	seedUploads = 64
+	// seedRounds and seedPause bound the time for a seed to read a manifest from the origin.
+	seedRounds = 4
+	seedPause  = 60 * time.Millisecond
 	// manifestPeers is the number of other hosts that are asked for a manifest when the origin does not give it.
 	manifestPeers = 3
 	// kept is the number of releases that are held: the one served, and the one that comes.
@@ -101,12 +106,17 @@
 	c.fetcher = &fetcher.Fetcher{
 		Self:    c.peer(planner.Peer{Host: c.Name, Zone: c.Zone, Region: c.Region, Seed: c.Seed}),
 		Sources: []string{""}, Holder: c.holder, Peers: c.peers, Artifact: weights.Artifact, Logger: c.Logger,
-		Tempo: fetcher.Tempo{Settle: settleTime, Deadline: sourceTime, Busy: busyTime, News: newsRate, Fetches: fetches},
+		Tempo: fetcher.Tempo{Settle: settleTime, Deadline: sourceTime, Busy: busyTime, Retry: retryTime, News: newsRate, Fetches: fetches},
 		Chunk: func(ctx context.Context, base string, k manifest.Chunk, zone ident.Zone, p weightclient.Progress) ([]byte, error) {
 			if base == "" {
 				return c.fromOrigin(ctx, k, p)
 			}
-			return weights.Chunk(ctx, base, k, zone, p)
+			data, err := weights.Chunk(ctx, base, k, zone, p)
+			var refused *weightclient.Error
+			if err != nil && ctx.Err() == nil && !errors.As(err, &refused) {
+				c.Logger.WithError(err).WithField("chunk", string(k.Digest[:12])).Warn("host did not give a chunk")
+			}
+			return data, err
 		},
 		Have: func(ctx context.Context, p fetcher.Peer, q messages.HaveQuery) (messages.HaveAnswer, error) {
 			return rpc.Call[messages.HaveAnswer](ctx, c.controls.Client(p.Control), messages.HaveMethod, q)
@@ -189,8 +199,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, chunkTime)
 	defer cancel()
+	begun := time.Now()
 	data, err := c.Chunk(ctx, origin, s, number)
 	if err != nil {
+		if ctx.Err() != nil || !errors.Is(err, context.Canceled) {
+			c.Logger.WithError(err).WithFields(log.Fields{"chunk": number, "took": time.Since(begun).Milliseconds()}).Warn("origin did not give a chunk")
+		}
 		return nil, err
 	}
 	return data, p(ctx, len(data))
@@ -232,12 +246,9 @@
 			return a, d, nil
 		}
 	}
-	a, err := c.askOrigin(ctx, s)
+	a, err := c.find(ctx, s)
 	if err != nil {
-		var perr error
-		if a, perr = c.askPeers(ctx, s); perr != nil {
-			return a, "", errors.Join(err, perr)
-		}
+		return a, "", err
 	}
 	data, err := a.Encode()
 	if err != nil {
@@ -254,6 +265,33 @@
 	return a, d, nil
 }
 
+// find asks for a manifest. All hosts want a new one at the same moment, and the origin takes few connections, so that a
+// host that is no seed asks the seeds of its zone first.
+func (c *Carrier) find(ctx context.Context, s directory.Serving) (manifest.Artifact, error) {
+	if !c.Seed {
+		for range seedRounds {
+			a, err := c.askPeers(ctx, s, func(p planner.Peer) bool { return p.Seed && p.Zone == c.Zone })
+			if err == nil {
+				return a, nil
+			}
+			select {
+			case <-ctx.Done():
+				return a, ctx.Err()
+			case <-time.After(seedPause):
+			}
+		}
+	}
+	a, err := c.askOrigin(ctx, s)
+	if err == nil {
+		return a, nil
+	}
+	a, perr := c.askPeers(ctx, s, func(planner.Peer) bool { return true })
+	if perr != nil {
+		return a, errors.Join(err, perr)
+	}
+	return a, nil
+}
+
 func (c *Carrier) askOrigin(ctx context.Context, s directory.Serving) (manifest.Artifact, error) {
 	origin, _ := c.Origin()
 	if origin == "" {
@@ -265,8 +303,8 @@
 }
 
 // askPeers asks a few other hosts for a manifest.
-func (c *Carrier) askPeers(ctx context.Context, s directory.Serving) (manifest.Artifact, error) {
-	peers := c.Peers()
+func (c *Carrier) askPeers(ctx context.Context, s directory.Serving, filter func(p planner.Peer) bool) (manifest.Artifact, error) {
+	peers := slices.DeleteFunc(c.Peers(), func(p planner.Peer) bool { return !filter(p) })
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	err := errors.New("no other host is known")
 	for _, p := range peers[:min(manifestPeers, len(peers))] {
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -61,6 +61,11 @@
 	return conn, nil
 }
 
+// FreshClient returns an HTTP client that keeps no idle connections, for a peer that takes few of them.
+func (c *Connector) FreshClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: c.DialContext, DisableKeepAlives: true, DisableCompression: true}}
+}
+
 // Client returns an HTTP client for calls that may be repeated. It keeps few idle connections.
 func (c *Connector) Client() *http.Client {
 	return &http.Client{Transport: &http.Transport{
--- a/internal/core/planner/nodes.go
+++ b/internal/core/planner/nodes.go
@@ -13,9 +13,9 @@
 	maxStrikes  = 3
 	strikeShare = 8
 	banTime     = time.Minute
-	firstWait   = 500 * time.Millisecond
-	longestWait = 8 * time.Second
-	metTime     = 10 * time.Second
+	// longestFactor times the first pause after a failure is the longest.
+	longestFactor = 16
+	metTime       = 10 * time.Second
 )
 
 // health is what is known of a source's behaviour.
@@ -31,21 +31,21 @@
 }
 
 // judge counts the outcome of a fetch for or against its source.
-func (h *health) judge(o Outcome, now time.Time, busy time.Duration) {
+func (h *health) judge(o Outcome, now time.Time, busy, retry time.Duration) {
 	switch o {
 	case Stored:
 		h.good++
 		h.fails = 0
 	case Corrupt:
 		h.strikes++
-		h.retry = now.Add(firstWait)
+		h.retry = now.Add(retry)
 		if h.strikes >= maxStrikes && h.strikes*strikeShare > h.good {
 			h.retry = now.Add(banTime)
 		}
 	case Busy:
 		h.retry = now.Add(busy)
 	case Failed:
-		h.retry = now.Add(min(firstWait<<h.fails, longestWait))
+		h.retry = now.Add(min(retry<<h.fails, longestFactor*retry))
 		h.fails = min(h.fails+1, 5)
 	}
 }
@@ -65,11 +65,11 @@
 func (p *Planner) judge(f *Fetch, o Outcome) {
 	now := time.Now()
 	if f.Source.Host == "" {
-		p.sources[f.Source.Outside].judge(o, now, p.Busy)
+		p.sources[f.Source.Outside].judge(o, now, p.Busy, p.Retry)
 		return
 	}
 	if n := p.nodes[f.Source.Host]; n != nil {
-		n.judge(o, now, p.Busy)
+		n.judge(o, now, p.Busy, p.Retry)
 	}
 }
 
--- a/internal/core/planner/planner.go
+++ b/internal/core/planner/planner.go
@@ -27,6 +27,7 @@
 	DefaultDeadline  = 4 * time.Second
 	DefaultSettle    = time.Second
 	DefaultBusy      = 400 * time.Millisecond
+	DefaultRetry     = 500 * time.Millisecond
 )
 
 // Peer is a host that wants the same weight set.
@@ -106,6 +107,8 @@
 	Settle time.Duration
 	// Busy is how long a source without a free upload slot is not asked again; zero means the default.
 	Busy time.Duration
+	// Retry is how long a source that failed is not asked again; it doubles with each failure. Zero means the default.
+	Retry time.Duration
 	// Choice picks chunks and holders.
 	Choice Choice
 
@@ -199,6 +202,9 @@
 	if p.Busy == 0 {
 		p.Busy = DefaultBusy
 	}
+	if p.Retry == 0 {
+		p.Retry = DefaultRetry
+	}
 	if p.met == nil {
 		p.met = make(map[ident.Host]met)
 		p.peers = make(map[ident.Host]Peer)
--- a/internal/core/planner/reader.go
+++ b/internal/core/planner/reader.go
@@ -150,7 +150,7 @@
 }
 
 func (p *Planner) canAsk(n *node, now time.Time) bool {
-	return n.retry.Sub(now) < longestWait && now.Sub(later(n.watched, n.heard)) <= p.Deadline
+	return n.retry.Sub(now) < longestFactor*p.Retry && now.Sub(later(n.watched, n.heard)) <= p.Deadline
 }
 
 // outsideHolder returns the cheapest usable holder of the chunk in another zone. While the reader before this zone is
--- a/internal/fetcher/fetcher.go
+++ b/internal/fetcher/fetcher.go
@@ -68,8 +68,8 @@
 
 // Tempo holds the waits of a burst; zero fields mean the defaults.
 type Tempo struct {
-	// Settle, Deadline and Busy are those of the planner.
-	Settle, Deadline, Busy time.Duration
+	// Settle, Deadline, Busy and Retry are those of the planner.
+	Settle, Deadline, Busy, Retry time.Duration
 	// Fetches is the number of chunks to read at a time.
 	Fetches int
 	// News is the number of answers a second to each host that follows this one's holdings.
@@ -130,7 +130,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.planner = &planner.Planner{Self: f.Self.Peer, Home: f.Home, Outside: len(f.Sources), Bias: bias,
-		Settle: f.Tempo.Settle, Deadline: f.Tempo.Deadline, Busy: f.Tempo.Busy, Fetches: f.Tempo.Fetches}
+		Settle: f.Tempo.Settle, Deadline: f.Tempo.Deadline, Busy: f.Tempo.Busy, Retry: f.Tempo.Retry, Fetches: f.Tempo.Fetches}
 	f.setPeers(peers)
 	f.planner.SetGoal(goals, func(d ident.Digest) bool {
 		_, ok := f.Holder.Chunk(d)
