Tests of what speaks to the platform; an outage of the store is told by failed calls

Cause: the first test of entries that lapsed showed that calls 3 s apart, as those of the engines' hosts, counted as an outage, so that entries that were removed were held two seconds longer.

--- /dev/null
+++ b/internal/core/stager/stager_test.go
@@ -0,0 +1,53 @@
+package stager_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/directory"
+	"github.com/nutmegdock/nutmegdock/internal/core/stager"
+)
+
+// At no time may more than about a quarter of the engines change over, and those on the oldest release go first.
+func TestTurnsSplitAPoolIntoGroups(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(4, 60).Draw(rt, "engines")
+		var all []stager.Member
+		for i := range n {
+			r := directory.Release(rapid.IntRange(0, 3).Draw(rt, "release"))
+			all = append(all, stager.Member{Host: fmt.Sprint("h", i), Release: r})
+		}
+		count := make(map[float64]int)
+		serving := 0
+		for _, a := range all {
+			if a.Release == 0 {
+				continue
+			}
+			serving++
+			turn := stager.Turn(a.Host, all)
+			count[turn]++
+			if turn < 0 || turn >= 1 {
+				rt.Fatalf("turn of %s is %v of the bound", a.Host, turn)
+			}
+			for _, b := range all {
+				if b.Release > a.Release && stager.Turn(b.Host, all) < turn {
+					rt.Fatalf("%s on release %d goes before %s on %d", b.Host, b.Release, a.Host, a.Release)
+				}
+			}
+		}
+		for turn, k := range count {
+			if serving >= 4 && k > serving/4+1 {
+				rt.Fatalf("%d of %d engines change over at %v of the bound", k, serving, turn)
+			}
+		}
+	})
+}
+
+func TestSmallPoolChangesAtOnce(t *testing.T) {
+	is := is.New(t)
+	all := []stager.Member{{Host: "a", Release: 1}, {Host: "b", Release: 1}}
+	is.Equal(stager.Turn("a", all), stager.Turn("b", all))
+}
--- a/internal/core/surveyor/surveyor.go
+++ b/internal/core/surveyor/surveyor.go
@@ -12,8 +12,8 @@
 const (
 	// returnTime is how long endpoints whose entries lapsed while the store was away have to write them again.
 	returnTime = 2 * time.Second
-	// awayTime is the shortest time without an answer that counts as an outage of the store.
-	awayTime = time.Second
+	// awayTime is the shortest time without an answer after which entries may have lapsed: two heartbeats of an endpoint.
+	awayTime = 2400 * time.Millisecond
 	// releaseMargin is how long before the bound requests stop to begin on an older release: it covers a request's wait
 	// in the engine's own queue.
 	releaseMargin = time.Second
@@ -41,31 +41,23 @@
 	releases map[directory.Model][]release
 	heard    time.Time
 	returned time.Time
+	failed   bool
 	known    bool
 }
 
-// Heard notes that the store answered, or did not.
+// Heard notes that the store answered, or did not. It is called before what an answer holds is taken.
 func (s *Surveyor) Heard(ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	if !ok {
+		s.failed = true
 		return
 	}
-	if !s.heard.IsZero() && now.Sub(s.heard) > awayTime {
-		s.returned = now
-	}
-	s.heard = now
-}
-
-// Away notes the outage before changes that were read after it are taken.
-func (s *Surveyor) Away() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	if !s.heard.IsZero() && now.Sub(s.heard) > awayTime {
+	if s.failed && !s.heard.IsZero() && now.Sub(s.heard) > awayTime {
 		s.returned = now
 	}
+	s.heard, s.failed = now, false
 }
 
 // Reset takes a whole image of the endpoints.
--- /dev/null
+++ b/internal/exchanger/exchanger_test.go
@@ -0,0 +1,64 @@
+package exchanger_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/exchanger"
+)
+
+type heard struct {
+	host  ident.Host
+	loads map[string]assigner.Load
+}
+
+func TestHostsHearOfChangesAndGates(t *testing.T) {
+	is := is.New(t)
+	listen := func() (net.PacketConn, netip.AddrPort) {
+		c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		is.NoErr(err)
+		return c, c.LocalAddr().(*net.UDPAddr).AddrPort()
+	}
+	ca, aa := listen()
+	cb, ab := listen()
+	changes := make(chan struct{}, 1)
+	got, gates := make(chan heard, 100), make(chan assigner.Gate, 100)
+	list := func(a ...netip.AddrPort) func() []netip.AddrPort { return func() []netip.AddrPort { return a } }
+	quiet := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
+	loads := map[string]assigner.Load{"e": {Requests: 2, Unread: 1290}}
+	ctx, cancel := context.WithCancel(context.Background())
+	a := &exchanger.Exchanger{
+		Host: "a", Conn: ca, Every: time.Hour, Spacing: time.Millisecond, Near: list(ab, aa), Far: list(), Changes: changes,
+		Own: func() map[string]assigner.Load { return loads }, Logger: quiet,
+		Heard: func(ident.Host, map[string]assigner.Load) { t.Error("a host heard itself") }, Gated: func(assigner.Gate) {},
+	}
+	b := &exchanger.Exchanger{
+		Host: "b", Conn: cb, Every: time.Hour, Near: list(), Far: list(), Own: func() map[string]assigner.Load { return nil }, Logger: quiet,
+		Heard: func(h ident.Host, l map[string]assigner.Load) { got <- heard{h, l} }, Gated: func(g assigner.Gate) { gates <- g },
+	}
+	done := make(chan error, 2)
+	go func() { done <- a.Run(ctx) }()
+	go func() { done <- b.Run(ctx) }()
+	changes <- struct{}{}
+	is.Equal(<-got, heard{"a", loads})
+	_, err := ca.WriteTo([]byte("garbage"), net.UDPAddrFromAddrPort(ab)) // must not stop it
+	is.NoErr(err)
+	g := assigner.Gate{Address: "10.1.0.4:80", Born: 7, Closed: true}
+	data, err := exchanger.Encode(exchanger.Message{Gate: &g})
+	is.NoErr(err)
+	_, err = ca.WriteTo(data, net.UDPAddrFromAddrPort(ab))
+	is.NoErr(err)
+	is.Equal(<-gates, g)
+	cancel()
+	is.NoErr(<-done)
+	is.NoErr(<-done)
+}
--- a/internal/fetcher/fetcher.go
+++ b/internal/fetcher/fetcher.go
@@ -129,8 +129,10 @@
 	peers, bias := f.Peers(artifacts)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.planner = &planner.Planner{Self: f.Self.Peer, Home: f.Home, Outside: len(f.Sources), Bias: bias,
-		Settle: f.Tempo.Settle, Deadline: f.Tempo.Deadline, Busy: f.Tempo.Busy, Retry: f.Tempo.Retry, Fetches: f.Tempo.Fetches}
+	f.planner = &planner.Planner{
+		Self: f.Self.Peer, Home: f.Home, Outside: len(f.Sources), Bias: bias,
+		Settle: f.Tempo.Settle, Deadline: f.Tempo.Deadline, Busy: f.Tempo.Busy, Retry: f.Tempo.Retry, Fetches: f.Tempo.Fetches,
+	}
 	f.setPeers(peers)
 	f.planner.SetGoal(goals, func(d ident.Digest) bool {
 		_, ok := f.Holder.Chunk(d)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,7 +21,8 @@
 	DefaultWait = 1200 * time.Millisecond
 	// operatorPause: changes that follow within it share a call. It is a tenth of the time for a change to be in force.
 	operatorPause = 200 * time.Millisecond
-	// DefaultPause: heartbeats come all the time, so the list is asked for now and then, within half of the time in which
+	// DefaultPause is the time between two calls for the endpoints. Heartbeats come all the time, so the list is asked for
+	// now and then, within half of the time in which
 	// an endpoint that leaves must be known.
 	DefaultPause = 900 * time.Millisecond
 	// peerWait and peerPause: the list of entry hosts changes when hosts start.
@@ -145,7 +146,6 @@
 }
 
 func (f *Follower) resetEndpoints(values map[string][]byte) {
-	f.Surveyor.Away()
 	var all []directory.Endpoint
 	for id, v := range values {
 		if e, ok := f.endpoint(id, v); ok {
@@ -157,7 +157,6 @@
 }
 
 func (f *Follower) applyEndpoints(changes []watcher.Change) {
-	f.Surveyor.Away()
 	for _, c := range changes {
 		if len(c.Value) == 0 {
 			f.Logger.WithField("endpoint", c.Key).Info("endpoint's entry was removed")
--- /dev/null
+++ b/internal/journaler/journaler_test.go
@@ -0,0 +1,93 @@
+package journaler_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/matryer/is"
+
+	"github.com/nutmegdock/nutmegdock/internal/journaler"
+)
+
+// stuck is a reader that does not read until it is released.
+type stuck struct {
+	release chan struct{}
+	bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return s.Buffer.Write(p)
+}
+
+func lines(is *is.I, data []byte) []map[string]any {
+	var out []map[string]any
+	for line := range bytes.Lines(data) {
+		var m map[string]any
+		is.NoErr(json.Unmarshal(line, &m))
+		out = append(out, m)
+	}
+	return out
+}
+
+func TestReaderThatDoesNotReadHoldsUpNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := &stuck{release: make(chan struct{})}
+		j := &journaler.Journaler{Writer: w, Rate: 1e6}
+		l := &log.Logger{Handler: j, Level: log.InfoLevel}
+		done, ended := make(chan struct{}), make(chan struct{})
+		go func() {
+			j.Run(done)
+			close(ended)
+		}()
+		begun := time.Now()
+		for range 5000 {
+			l.WithError(errors.New("x")).Warn("one of many")
+		}
+		is.Equal(time.Since(begun), time.Duration(0))
+		close(w.release)
+		close(done)
+		<-ended
+		got := lines(is, w.Bytes())
+		last := got[len(got)-1]
+		is.Equal(last["text"], "log lines dropped")
+		is.Equal(int(last["lines"].(float64))+len(got)-1, 5000) // none is lost without a trace
+		is.Equal(got[0]["error"], "x")
+	})
+}
+
+func TestRateIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var w bytes.Buffer
+		j := &journaler.Journaler{Writer: &w}
+		l := &log.Logger{Handler: j, Level: log.InfoLevel}
+		done, ended := make(chan struct{}), make(chan struct{})
+		go func() {
+			j.Run(done)
+			close(ended)
+		}()
+		const seconds = 60
+		for range seconds * 1000 {
+			l.Info("flood")
+			time.Sleep(time.Millisecond)
+		}
+		l.Warn("seen all the same")
+		time.Sleep(time.Second)
+		close(done)
+		<-ended
+		got := lines(is, w.Bytes())
+		is.True(len(got) < seconds*(journaler.DefaultRate+1)+500)
+		seen := false
+		for _, m := range got {
+			seen = seen || m["text"] == "seen all the same"
+		}
+		is.True(seen)
+	})
+}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -64,7 +64,7 @@
 	// Reset takes a whole image, and Apply changes in their order. They are called by one goroutine.
 	Reset func(values map[string][]byte)
 	Apply func(changes []Change)
-	// Heard is told of each call: whether it was answered. It may be nil.
+	// Heard is told of each call whether it was answered, before what the answer holds is taken. It may be nil.
 	Heard func(ok bool)
 	// Logger receives the losses and returns of the store.
 	Logger log.Interface
@@ -109,6 +109,7 @@
 		if err != nil {
 			return err
 		}
+		w.hear(true)
 		w.known, w.next = true, img.Next
 		w.Reset(img.Values)
 		return nil
@@ -123,6 +124,7 @@
 	if err != nil {
 		return err
 	}
+	w.hear(true)
 	w.next = b.Next
 	if len(b.Changes) > 0 {
 		w.Apply(b.Changes)
@@ -130,9 +132,15 @@
 	return nil
 }
 
-func (w *Watcher) note(err error) {
+func (w *Watcher) hear(ok bool) {
 	if w.Heard != nil {
-		w.Heard(err == nil)
+		w.Heard(ok)
+	}
+}
+
+func (w *Watcher) note(err error) {
+	if err != nil {
+		w.hear(false)
 	}
 	l := w.Logger.WithField("topic", w.Topic)
 	switch {
