--- /dev/null
+++ b/internal/carrier/carrier_test.go
@@ -0,0 +1,191 @@
+package carrier_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/nutmegdock/nutmegdock/internal/carrier"
+	"github.com/nutmegdock/nutmegdock/internal/connector"
+	"github.com/nutmegdock/nutmegdock/internal/core/directory"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/manifest"
+	"github.com/nutmegdock/nutmegdock/internal/core/planner"
+)
+
+const (
+	chunks     = 24
+	chunkBytes = 4 << 10
+)
+
+func content(s directory.Serving, i int) []byte {
+	out := make([]byte, chunkBytes)
+	copy(out, fmt.Sprint(s, i))
+	return out
+}
+
+// origin gives chunks, with faults.
+type origin struct {
+	reads, manifests atomic.Int64
+	isDown           atomic.Bool
+	corrupt          atomic.Int64
+}
+
+var errDown = errors.New("origin is down")
+
+func (o *origin) manifest(_ context.Context, _ string, s directory.Serving) (manifest.Artifact, error) {
+	o.manifests.Add(1)
+	if o.isDown.Load() {
+		return manifest.Artifact{}, errDown
+	}
+	a := manifest.Artifact{Name: string(s.Model), Version: fmt.Sprint(s.Release)}
+	for i := range chunks {
+		a.Chunks = append(a.Chunks, manifest.Chunk{Digest: manifest.Sum(content(s, i)), Size: chunkBytes})
+		a.Size += chunkBytes
+	}
+	return a, nil
+}
+
+func (o *origin) chunk(_ context.Context, _ string, s directory.Serving, i int) ([]byte, error) {
+	if o.isDown.Load() {
+		return nil, errDown
+	}
+	o.reads.Add(1)
+	if o.corrupt.Add(-1) >= 0 {
+		return make([]byte, chunkBytes), nil
+	}
+	return content(s, i), nil
+}
+
+// hosts starts one carrier an address; the first ones are seeds. Hosts are told apart by their loopback addresses.
+func hosts(t *testing.T, o *origin, seeds, others int) []*carrier.Carrier {
+	is := is.New(t)
+	ports := [2]int{}
+	for i := range ports {
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		is.NoErr(err)
+		ports[i] = ln.Addr().(*net.TCPAddr).Port
+		is.NoErr(ln.Close())
+	}
+	var all []planner.Peer
+	var out []*carrier.Carrier
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for i := range seeds + others {
+		p := planner.Peer{Host: ident.Host(fmt.Sprintf("127.0.0.%d", i+1)), Zone: "z", Region: "r", Seed: i < seeds}
+		all = append(all, p)
+		out = append(out, &carrier.Carrier{
+			Name: p.Host, Zone: p.Zone, Region: p.Region, IP: string(p.Host), Seed: p.Seed, Control: ports[0], Data: ports[1],
+			Origin: func() (string, ident.Region) { return "origin", "r" }, Manifest: o.manifest, Chunk: o.chunk,
+			Dial: (&connector.Connector{}).DialContext, HTTP: (&connector.Connector{}).Client(),
+			Logger: &log.Logger{Handler: discard.New(), Level: log.InfoLevel},
+		})
+	}
+	for _, c := range out {
+		c.Peers = func() []planner.Peer { return append([]planner.Peer(nil), all...) }
+		c.Build(prometheus.NewRegistry())
+		running.Go(func() {
+			if err := c.Run(ctx); err != nil {
+				t.Errorf("carrier %s: %v", c.Name, err)
+			}
+		})
+	}
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return out
+}
+
+func fetch(t *testing.T, s directory.Serving, all ...*carrier.Carrier) {
+	var wait sync.WaitGroup
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	for _, c := range all {
+		wait.Go(func() {
+			if _, err := c.Fetch(ctx, s, func() bool { return false }); err != nil {
+				t.Errorf("host %s: %v", c.Name, err)
+			}
+		})
+	}
+	wait.Wait()
+}
+
+// The hosts of a zone read from its seeds, which read one copy from the origin.
+func TestSeedsReadOneCopyForTheirZone(t *testing.T) {
+	is := is.New(t)
+	o := &origin{}
+	all := hosts(t, o, 2, 4)
+	s := directory.Serving{Model: "m", Release: 2}
+	fetch(t, s, all...)
+	is.Equal(o.reads.Load(), int64(chunks))
+	is.Equal(o.manifests.Load(), int64(2)) // by the seeds alone
+}
+
+func TestHostsWithoutSeedsFetchAllTheSame(t *testing.T) {
+	is := is.New(t)
+	o := &origin{}
+	all := hosts(t, o, 2, 3)
+	s := directory.Serving{Model: "m", Release: 2}
+	fetch(t, s, all[2:]...) // the seeds are there, but hold nothing
+	is.True(o.reads.Load() >= chunks)
+	is.True(o.reads.Load() <= 2*chunks)
+}
+
+func TestCorruptChunksOfTheOriginAreReadAgain(t *testing.T) {
+	is := is.New(t)
+	o := &origin{}
+	o.corrupt.Store(2)
+	all := hosts(t, o, 1, 1)
+	fetch(t, directory.Serving{Model: "m", Release: 2}, all...)
+	is.Equal(o.reads.Load(), int64(chunks+2))
+}
+
+func TestManifestAndChunksComeFromHostsWhileTheOriginIsDown(t *testing.T) {
+	is := is.New(t)
+	o := &origin{}
+	all := hosts(t, o, 1, 2)
+	s := directory.Serving{Model: "m", Release: 1}
+	fetch(t, s, all[0])
+	o.isDown.Store(true)
+	fetch(t, s, all[1:]...)
+	is.True(all[2].Knows(s))
+	data, ok := all[2].Get(manifest.Sum(content(s, 3)))
+	is.True(ok)
+	is.Equal(data, content(s, 3))
+}
+
+func TestNewerReleaseEndsAFetch(t *testing.T) {
+	is := is.New(t)
+	o := &origin{}
+	all := hosts(t, o, 1, 0)
+	s := directory.Serving{Model: "m", Release: 2}
+	_, _, err := all[0].Artifact(context.Background(), s)
+	is.NoErr(err)
+	o.isDown.Store(true)
+	_, err = all[0].Fetch(context.Background(), s, func() bool { return true })
+	is.True(errors.Is(err, context.Canceled))
+}
+
+func TestTwoReleasesAreHeld(t *testing.T) {
+	is := is.New(t)
+	all := hosts(t, &origin{}, 1, 0)
+	for r := directory.Release(1); r <= 4; r++ {
+		fetch(t, directory.Serving{Model: "m", Release: r}, all[0])
+	}
+	is.True(!all[0].Knows(directory.Serving{Model: "m", Release: 2}))
+	is.True(all[0].Knows(directory.Serving{Model: "m", Release: 3}))
+	is.True(all[0].Knows(directory.Serving{Model: "m", Release: 4}))
+	_, ok := all[0].Get(manifest.Sum(content(directory.Serving{Model: "m", Release: 1}, 0)))
+	is.True(!ok)
+}
--- /dev/null
+++ b/internal/stocker/stocker_test.go
@@ -0,0 +1,276 @@
+package stocker_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+
+	"github.com/nutmegdock/nutmegdock/internal/carrier"
+	"github.com/nutmegdock/nutmegdock/internal/connector"
+	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
+	"github.com/nutmegdock/nutmegdock/internal/core/directory"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/manifest"
+	"github.com/nutmegdock/nutmegdock/internal/core/stager"
+	"github.com/nutmegdock/nutmegdock/internal/enroller"
+	"github.com/nutmegdock/nutmegdock/internal/exchanger"
+	"github.com/nutmegdock/nutmegdock/internal/fleet"
+	"github.com/nutmegdock/nutmegdock/internal/stocker"
+	"github.com/nutmegdock/nutmegdock/internal/watcher"
+)
+
+const (
+	chunks     = 8
+	chunkBytes = 64
+	bound      = 2 * time.Second
+)
+
+var quiet = &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
+
+func content(s directory.Serving, i int) []byte {
+	out := make([]byte, chunkBytes)
+	copy(out, fmt.Sprint(s, i))
+	return out
+}
+
+// engine loads what is staged at the moment of an order, whole or not.
+type engine struct {
+	mu      sync.Mutex
+	staged  map[int][]byte
+	release directory.Release
+	loading time.Time
+	next    directory.Release
+	orders  int64
+	born    int64
+	// spoils is the number of staged chunks that turn bad after they were put.
+	spoils int
+	// bad counts loads of chunks that were not those of the release.
+	bad int
+	// lost is the number of orders that are carried out and not answered.
+	lost int
+}
+
+func (e *engine) report(context.Context) (stager.Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.loading.IsZero() && time.Now().After(e.loading) {
+		e.release, e.loading = e.next, time.Time{}
+	}
+	r := stager.Report{Loading: !e.loading.IsZero(), Orders: e.orders, Born: e.born}
+	if e.release > 0 {
+		r.Serves = []directory.Serving{{Model: "m", Release: e.release}}
+	}
+	return r, nil
+}
+
+func (e *engine) stage(_ context.Context, _ directory.Model, i int, data []byte) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.spoils > 0 {
+		e.spoils--
+		data = make([]byte, chunkBytes)
+	}
+	e.staged[i] = data
+	return nil
+}
+
+func (e *engine) get(_ context.Context, _ directory.Model, i int) ([]byte, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.staged[i] == nil {
+		return nil, errors.New("not staged")
+	}
+	return e.staged[i], nil
+}
+
+func (e *engine) load(_ context.Context, s directory.Serving, orders int64) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if orders != e.orders {
+		return errors.New("another order came first")
+	}
+	for i := range chunks {
+		if string(e.staged[i]) != string(content(s, i)) {
+			e.bad++
+		}
+	}
+	e.orders++
+	e.next, e.loading = s.Release, time.Now().Add(50*time.Millisecond)
+	if e.lost > 0 {
+		e.lost--
+		return errors.New("no answer")
+	}
+	return nil
+}
+
+func nobody() []netip.AddrPort { return nil }
+
+// bed is one host beside an engine, before a store that names releases.
+type bed struct {
+	*engine
+	mu      sync.Mutex
+	release directory.Release
+	gates   chan assigner.Gate
+}
+
+func start(t *testing.T, e *engine) *bed {
+	is := is.New(t)
+	b := &bed{engine: e, gates: make(chan assigner.Gate, 1000)}
+	ear, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	is.NoErr(err)
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	is.NoErr(err)
+	var ports [3]int
+	for i := range ports {
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		is.NoErr(err)
+		ports[i] = ln.Addr().(*net.TCPAddr).Port
+		is.NoErr(ln.Close())
+	}
+	seed := enroller.Entry{Zone: "far", Address: ear.LocalAddr().(*net.UDPAddr).AddrPort()}
+	h := &stocker.Host{
+		IP: "127.0.0.1", Address: "127.0.0.1:80", Pool: "p", Conn: conn, Metrics: ports[2], ReleaseBound: bound, Logger: quiet,
+		Engine: stocker.Engine{Report: e.report, Stage: e.stage, Staged: e.get, Load: e.load},
+		Carrier: &carrier.Carrier{
+			Name: "127.0.0.1", Zone: "z", IP: "127.0.0.1", Control: ports[0], Data: ports[1], Dial: (&connector.Connector{}).DialContext,
+			HTTP: (&connector.Connector{}).Client(), Logger: quiet,
+			Manifest: func(_ context.Context, _ string, s directory.Serving) (manifest.Artifact, error) {
+				a := manifest.Artifact{Name: "m", Version: fmt.Sprint(s.Release), Size: chunks * chunkBytes}
+				for i := range chunks {
+					a.Chunks = append(a.Chunks, manifest.Chunk{Digest: manifest.Sum(content(s, i)), Size: chunkBytes})
+				}
+				return a, nil
+			},
+			Chunk: func(_ context.Context, _ string, s directory.Serving, i int) ([]byte, error) { return content(s, i), nil },
+		},
+		Fleet: &fleet.Follower{
+			Topics: fleet.Topics{Operator: "op", Endpoints: "eps", Status: "status", Directory: "config", Release: "version/"},
+			Decode: fleet.Decoder{
+				Directory: func([]byte) (*directory.Directory, error) {
+					return &directory.Directory{Revision: 1, Pools: map[ident.Pool]*directory.Pool{
+						"p": {Name: "p", Engine: &directory.Engine{Models: []directory.Model{"m"}}}, "o": {Name: "o", Origin: "origin"},
+					}}, nil
+				},
+				Release: func(data []byte) (directory.Serving, error) {
+					return directory.Serving{Model: "m", Release: directory.Release(data[0])}, nil
+				},
+			},
+			Newest: func(_ context.Context, topic string) (watcher.Image, error) {
+				img := watcher.Image{Values: map[string][]byte{}}
+				if topic == "op" {
+					img.Values["config"] = []byte("{}")
+				}
+				if topic == "status" {
+					img.Values["entry/x"] = fmt.Appendf(nil, `{"zone":"far","address":%q}`, seed.Address)
+				}
+				return img, nil
+			},
+			Changes: func(_ context.Context, topic string, _ int64, _ time.Duration) (watcher.Batch, error) {
+				time.Sleep(20 * time.Millisecond)
+				b.mu.Lock()
+				defer b.mu.Unlock()
+				if topic != "op" || b.release == 0 {
+					return watcher.Batch{}, nil
+				}
+				return watcher.Batch{Changes: []watcher.Change{{Key: "version/m", Value: []byte{byte(b.release)}}}}, nil
+			},
+			Logger: quiet,
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { is.NoErr(h.Run(ctx)) })
+	running.Go(func() {
+		_ = (&exchanger.Exchanger{
+			Host: "x", Conn: ear, Every: time.Hour, Near: nobody, Far: nobody, Own: func() map[string]assigner.Load { return nil }, Logger: quiet,
+			Gated: func(g assigner.Gate) { b.gates <- g },
+		}).Run(ctx)
+	})
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return b
+}
+
+func (b *bed) name(r directory.Release) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.release = r
+}
+
+// await returns when the engine serves a release.
+func (b *bed) await(t *testing.T, r directory.Release) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if rep, _ := b.report(context.Background()); rep.Release("m") == r {
+			return
+		}
+	}
+	t.Fatalf("engine does not serve release %d", r)
+}
+
+func TestEmptyEngineIsLoaded(t *testing.T) {
+	is := is.New(t)
+	b := start(t, &engine{staged: make(map[int][]byte), born: 1})
+	b.await(t, 1)
+	is.Equal(b.bad, 0)
+	is.Equal(b.orders, int64(1))
+}
+
+func TestSpoiltChunksAreStagedAgainBeforeTheOrder(t *testing.T) {
+	is := is.New(t)
+	b := start(t, &engine{staged: make(map[int][]byte), born: 1, spoils: 3})
+	b.await(t, 1)
+	is.Equal(b.bad, 0)
+}
+
+// The entry hosts hear that an engine takes no requests before it is ordered, and what it serves afterwards.
+func TestReleaseIsLoadedBehindAClosedGate(t *testing.T) {
+	is := is.New(t)
+	b := start(t, &engine{staged: make(map[int][]byte), born: 1})
+	b.await(t, 1)
+	b.name(2)
+	b.await(t, 2)
+	is.Equal(b.bad, 0)
+	is.Equal(b.orders, int64(2))
+	var seen []assigner.Gate
+	for len(seen) == 0 || seen[len(seen)-1].Release != 2 {
+		g := <-b.gates
+		if len(seen) == 0 || seen[len(seen)-1] != g {
+			seen = append(seen, g)
+		}
+	}
+	is.Equal(seen[len(seen)-1], assigner.Gate{Address: "127.0.0.1:80", Born: 1, Model: "m", Release: 2})
+	is.True(seen[len(seen)-2].Closed)
+}
+
+// An order whose answer was lost is not given again: the report shows it.
+func TestOrderWithoutAnswerIsNotGivenTwice(t *testing.T) {
+	is := is.New(t)
+	b := start(t, &engine{staged: make(map[int][]byte), born: 1, lost: 1})
+	b.await(t, 1)
+	time.Sleep(500 * time.Millisecond)
+	is.Equal(b.orders, int64(1))
+}
+
+func TestEngineThatStartsAgainIsLoadedAgain(t *testing.T) {
+	is := is.New(t)
+	e := &engine{staged: make(map[int][]byte), born: 1}
+	b := start(t, e)
+	b.await(t, 1)
+	e.mu.Lock()
+	e.born, e.release, e.orders, e.staged = 2, 0, 0, make(map[int][]byte)
+	e.mu.Unlock()
+	b.await(t, 1)
+	is.Equal(b.bad, 0)
+}
