--- a/cmd/stockd/main.go
+++ b/cmd/stockd/main.go
@@ -16,6 +16,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/carrier"
 	"github.com/nutmegdock/nutmegdock/internal/connector"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/fleet"
 	"github.com/nutmegdock/nutmegdock/internal/journaler"
 	"github.com/nutmegdock/nutmegdock/internal/stocker"
@@ -79,7 +80,7 @@
 	}
 	err = h.Run(ctx)
 	if err != nil {
-		logger.WithError(err).Error("process failed")
+		event.ProcessFailed.Log(logger.WithError(err), nil)
 	}
 	close(done)
 	<-written
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -26,6 +26,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/manifest"
 	"github.com/nutmegdock/nutmegdock/internal/core/planner"
 	"github.com/nutmegdock/nutmegdock/internal/core/uploader"
+	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/fetcher"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
 	"github.com/nutmegdock/nutmegdock/internal/rpc"
@@ -114,7 +115,7 @@
 			data, err := weights.Chunk(ctx, base, k, zone, p)
 			var refused *weightclient.Error
 			if err != nil && ctx.Err() == nil && !errors.As(err, &refused) {
-				c.Logger.WithError(err).WithField("chunk", string(k.Digest[:12])).Warn("host did not give a chunk")
+				event.HostFailed.Log(c.Logger.WithError(err).WithField("chunk", string(k.Digest[:12])), nil)
 			}
 			return data, err
 		},
@@ -203,7 +204,7 @@
 	data, err := c.Chunk(ctx, origin, s, number)
 	if err != nil {
 		if ctx.Err() != nil || !errors.Is(err, context.Canceled) {
-			c.Logger.WithError(err).WithFields(log.Fields{"chunk": number, "took": time.Since(begun).Milliseconds()}).Warn("origin did not give a chunk")
+			event.OriginFailed.Log(c.Logger.WithError(err).WithFields(log.Fields{"chunk": number, "took": time.Since(begun).Milliseconds()}), nil)
 		}
 		return nil, err
 	}
@@ -370,9 +371,9 @@
 	if err := c.fetcher.Fetch(ctx, []ident.Digest{d}); err != nil {
 		return a, fmt.Errorf("fetch release %d of %s: %w", s.Release, s.Model, err)
 	}
-	c.Logger.WithFields(log.Fields{
+	event.ChunksFetched.Log(c.Logger.WithFields(log.Fields{
 		"model": string(s.Model), "release": int64(s.Release), "took": time.Since(begun).Milliseconds(),
-	}).Info("chunks fetched and verified")
+	}), nil)
 	return a, nil
 }
 
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/event"
 )
 
 const (
@@ -41,7 +42,7 @@
 		}
 		var e Entry
 		if err := json.Unmarshal(v, &e); err != nil {
-			l.WithError(err).WithField("key", k).Warn("entry host's record does not parse")
+			event.EntryInvalid.Log(l.WithError(err).WithField("key", k), nil)
 			continue
 		}
 		out = append(out, e)
@@ -70,7 +71,7 @@
 		if err == nil {
 			return nil
 		}
-		e.Logger.WithError(err).Warn("host is not enrolled yet")
+		event.HostNotEnrolled.Log(e.Logger.WithError(err), nil)
 		select {
 		case <-ctx.Done():
 		case <-time.After(retryTime):
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -16,6 +16,7 @@
 
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/event"
 )
 
 const (
@@ -131,7 +132,7 @@
 		}
 		var m Message
 		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
-			x.Logger.WithError(err).Warn("load message does not parse")
+			event.LoadInvalid.Log(x.Logger.WithError(err), nil)
 			continue
 		}
 		if m.Gate != nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -12,6 +12,7 @@
 
 	"github.com/nutmegdock/nutmegdock/internal/core/directory"
 	"github.com/nutmegdock/nutmegdock/internal/core/surveyor"
+	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/watcher"
 )
 
@@ -122,7 +123,7 @@
 		case key == f.Topics.Directory:
 			d, err := f.Decode.Directory(v)
 			if err != nil {
-				f.Logger.WithError(err).Error("configuration does not parse")
+				event.DirectoryInvalid.Log(f.Logger.WithError(err), nil)
 				continue
 			}
 			if f.OnDirectory != nil {
@@ -131,13 +132,13 @@
 		case strings.HasPrefix(key, f.Topics.Release):
 			s, err := f.Decode.Release(v)
 			if err != nil {
-				f.Logger.WithError(err).WithField("key", key).Warn("release does not parse")
+				event.ReleaseInvalid.Log(f.Logger.WithError(err).WithField("key", key), nil)
 				continue
 			}
 			if !f.Surveyor.SetRelease(s.Model, s.Release, isFirst) {
 				continue
 			}
-			f.Logger.WithFields(log.Fields{"model": string(s.Model), "release": int64(s.Release), "first": isFirst}).Info("release known")
+			event.ReleaseKnown.Log(f.Logger.WithFields(log.Fields{"model": string(s.Model), "release": int64(s.Release), "first": isFirst}), nil)
 			if f.OnRelease != nil {
 				f.OnRelease(s)
 			}
@@ -159,7 +160,7 @@
 func (f *Follower) applyEndpoints(changes []watcher.Change) {
 	for _, c := range changes {
 		if len(c.Value) == 0 {
-			f.Logger.WithField("endpoint", c.Key).Info("endpoint's entry was removed")
+			event.EntryRemoved.Log(f.Logger.WithField("endpoint", c.Key), nil)
 			f.Surveyor.Drop(c.Key)
 			continue
 		}
--- a/internal/fronthost/carry.go
+++ b/internal/fronthost/carry.go
@@ -10,6 +10,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/planner"
 	"github.com/nutmegdock/nutmegdock/internal/enroller"
+	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/stocker"
 )
 
@@ -86,7 +87,7 @@
 			return ok && g.Release > goal.Release
 		})
 		if err != nil {
-			h.Logger.WithError(err).Warn("release is not carried yet")
+			event.ReleaseNotCarried.Log(h.Logger.WithError(err), nil)
 			pause = carryRetry
 			continue
 		}
--- a/internal/fronthost/fronthost.go
+++ b/internal/fronthost/fronthost.go
@@ -26,6 +26,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/surveyor"
 	"github.com/nutmegdock/nutmegdock/internal/dialect"
 	"github.com/nutmegdock/nutmegdock/internal/enroller"
+	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/exchanger"
 	"github.com/nutmegdock/nutmegdock/internal/fleet"
 	"github.com/nutmegdock/nutmegdock/internal/gateway"
@@ -137,7 +138,7 @@
 	tasks.Go(func() error { return h.serve(life, h.Metrics, mux) })
 	tasks.Go(func() error { return h.serve(life, h.Readiness, http.HandlerFunc(h.answerReady)) })
 	tasks.Go(func() error { return h.serve(life, h.Callers, h.gateway) })
-	h.Logger.WithFields(log.Fields{"host": string(h.Name), "callers": h.Callers, "metrics": h.Metrics}).Info("process started")
+	event.Started.Log(h.Logger, log.Fields{"host": string(h.Name), "callers": h.Callers, "metrics": h.Metrics})
 	select {
 	case <-ctx.Done():
 		h.leave(life)
@@ -145,14 +146,14 @@
 	}
 	end()
 	err = tasks.Wait()
-	h.Logger.Info("process stopped")
+	event.Stopped.Log(h.Logger, nil)
 	return err
 }
 
 func (h *Host) leave(ctx context.Context) {
 	h.leaving.Store(true)
 	h.gateway.Leave()
-	h.Logger.WithField("running", h.gateway.Running()).Info("graceful shutdown began")
+	event.Stopping.Log(h.Logger, log.Fields{"running": h.gateway.Running()})
 	begun := time.Now()
 	last := begun.Add(max(quietTime, h.Grace-endMargin))
 	for time.Now().Before(last) && ctx.Err() == nil {
@@ -190,7 +191,7 @@
 		return
 	}
 	if !h.ready.Swap(true) {
-		h.Logger.Info("host is ready")
+		event.HostReady.Log(h.Logger, nil)
 	}
 	w.WriteHeader(http.StatusOK)
 }
@@ -200,7 +201,7 @@
 		return
 	}
 	h.assigner.SetPools(d.Pools)
-	h.Logger.WithFields(log.Fields{"revision": int64(d.Revision), "pools": len(d.Pools), "keys": len(d.Keys)}).Info("configuration in force")
+	event.DirectoryInForce.Log(h.Logger.WithFields(log.Fields{"revision": int64(d.Revision), "pools": len(d.Pools), "keys": len(d.Keys)}), nil)
 }
 
 // setPeers takes the list of entry hosts.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/directory"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/dialect"
+	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/sender"
 )
 
@@ -133,7 +134,7 @@
 			return
 		}
 		// The caller broke off.
-		g.note(q, "left", "body", err)
+		g.note(q, event.RequestLeft, "body", err)
 		panic(http.ErrAbortHandler)
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.final)
@@ -232,16 +233,16 @@
 	}
 	q.w.WriteHeader(why.status)
 	if _, err := q.w.Write(body); err != nil {
-		g.note(q, "refusal-lost", why.reason, err)
+		g.note(q, event.RequestLeft, why.reason, err)
 		return
 	}
 	g.Meter.Refused(why.status, why.reason)
 	f := g.fields(q)
 	f["status"], f["reason"], f["after"] = why.status, why.reason, why.after.Seconds()
 	if why.text != "" {
-		f["text2"] = why.text
+		f["cause"] = why.text
 	}
-	g.Logger.WithFields(f).Info("request refused")
+	event.RequestRefused.Log(g.Logger.WithFields(f), nil)
 }
 
 func (g *Gateway) fields(q *request) log.Fields {
@@ -258,11 +259,12 @@
 	return f
 }
 
-func (g *Gateway) note(q *request, outcome, reason string, err error) {
+// note logs the end of a request that got no whole answer.
+func (g *Gateway) note(q *request, e event.Event, reason string, err error) {
 	f := g.fields(q)
 	f["reason"] = reason
 	if err != nil {
 		f["cause"] = err.Error()
 	}
-	g.Logger.WithFields(f).Info("request " + outcome)
+	e.Log(g.Logger, f)
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -15,6 +15,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
 	"github.com/nutmegdock/nutmegdock/internal/core/sequencer"
 	"github.com/nutmegdock/nutmegdock/internal/dialect"
+	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/sender"
 )
 
@@ -82,7 +83,7 @@
 		if a.last != nil {
 			f := g.fields(q)
 			f["endpoint"], f["cause"], f["load"], f["sent"] = choice.Endpoint.ID, a.last.Error(), choice.Load.Requests, a.sent
-			g.Logger.WithFields(f).Info("attempt failed")
+			event.AttemptFailed.Log(g.Logger.WithFields(f), nil)
 		}
 		if !g.again(ctx, q, a) {
 			g.giveUp(ctx, q, a, "failed")
@@ -123,12 +124,12 @@
 // giveUp ends a request for which nothing more is tried.
 func (g *Gateway) giveUp(ctx context.Context, q *request, a *attempts, reason string) {
 	if q.r.Context().Err() != nil {
-		g.note(q, "left", "caller", a.last)
+		g.note(q, event.RequestLeft, "caller", a.last)
 		panic(http.ErrAbortHandler)
 	}
 	switch {
 	case a.started:
-		g.note(q, "cut", reason, a.last)
+		g.note(q, event.RequestCut, reason, a.last)
 		g.Meter.Cut(reason)
 		panic(http.ErrAbortHandler)
 	case a.held != nil:
@@ -249,7 +250,7 @@
 			return assigner.Served, true
 		}
 	}
-	g.note(q, "cut", "body", nil)
+	g.note(q, event.RequestCut, "body", nil)
 	panic(http.ErrAbortHandler)
 }
 
@@ -277,7 +278,7 @@
 func (g *Gateway) deliver(q *request, status int, h http.Header, body []byte) {
 	g.writeHead(q, status, h, int64(len(body)))
 	if _, err := q.w.Write(body); err != nil {
-		g.note(q, "left", "answer", err)
+		g.note(q, event.RequestLeft, "answer", err)
 		return
 	}
 	g.served(q, nil, status)
@@ -298,7 +299,7 @@
 			f["first"], f["gap"], f["load"], f["predicted"] = a.first.Milliseconds(), a.gap.Milliseconds(), a.load.Requests, a.predicted.Milliseconds()
 			f["unread"] = a.load.Unread
 		}
-		g.Logger.WithFields(f).Info("request answered")
+		event.RequestAnswered.Log(g.Logger.WithFields(f), nil)
 	}
 }
 
--- a/internal/stocker/run.go
+++ b/internal/stocker/run.go
@@ -13,6 +13,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/directory"
 	"github.com/nutmegdock/nutmegdock/internal/core/manifest"
 	"github.com/nutmegdock/nutmegdock/internal/core/stager"
+	"github.com/nutmegdock/nutmegdock/internal/event"
 )
 
 // errSuperseded ends a step for a release that is no longer the newest.
@@ -23,7 +24,7 @@
 	for ctx.Err() == nil {
 		pause := reportEvery
 		if err := h.step(ctx); err != nil && ctx.Err() == nil {
-			h.Logger.WithError(err).Warn("weights are not served yet")
+			event.WeightsNotServed.Log(h.Logger.WithError(err), nil)
 			pause = retryTime
 		}
 		select {
@@ -57,7 +58,7 @@
 	have := r.Release(goal.Model)
 	if have > 0 {
 		if err := h.adopt(ctx, directory.Serving{Model: goal.Model, Release: have}); err != nil {
-			h.Logger.WithError(err).Warn("staged chunks are not taken over")
+			event.StagedNotTaken.Log(h.Logger.WithError(err), nil)
 		}
 	}
 	if have >= goal.Release || r.Loading {
@@ -104,7 +105,7 @@
 			taken++
 		}
 	}
-	h.Logger.WithFields(log.Fields{"model": string(s.Model), "release": int64(s.Release), "chunks": taken}).Info("staged chunks taken over")
+	event.StagedTaken.Log(h.Logger.WithFields(log.Fields{"model": string(s.Model), "release": int64(s.Release), "chunks": taken}), nil)
 	return nil
 }
 
@@ -180,7 +181,7 @@
 		if err == nil && manifest.Sum(data) == c.Digest {
 			continue
 		}
-		h.Logger.WithField("chunk", strconv.Itoa(i)).Warn("staged chunk is spoilt or missing; staging it again")
+		event.StagedSpoilt.Log(h.Logger.WithField("chunk", strconv.Itoa(i)), nil)
 		if err := h.put(ctx, s.Model, i, c); err != nil {
 			return err
 		}
@@ -208,7 +209,7 @@
 	if err := h.order(ctx, s, r.Orders); err != nil {
 		return fmt.Errorf("order release %d of %s: %w", s.Release, s.Model, err)
 	}
-	h.Logger.WithFields(f).Info("engine was ordered to load")
+	event.LoadOrdered.Log(h.Logger.WithFields(f), nil)
 	return h.confirm(ctx, s, r.Born)
 }
 
@@ -234,9 +235,9 @@
 		}
 		if r.Release(s.Model) >= s.Release {
 			h.setGate(gate{Born: born, Model: s.Model, Release: r.Release(s.Model)})
-			h.Logger.WithFields(log.Fields{
+			event.ReleaseServed.Log(h.Logger.WithFields(log.Fields{
 				"model": string(s.Model), "release": int64(s.Release), "took": time.Since(begun).Milliseconds(),
-			}).Info("engine serves the release")
+			}), nil)
 			return nil
 		}
 	}
--- a/internal/stocker/stocker.go
+++ b/internal/stocker/stocker.go
@@ -24,6 +24,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/stager"
 	"github.com/nutmegdock/nutmegdock/internal/core/surveyor"
 	"github.com/nutmegdock/nutmegdock/internal/enroller"
+	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/fleet"
 )
 
@@ -99,9 +100,9 @@
 	tasks.Go(func() error { return h.serveMetrics(ctx, promhttp.HandlerFor(registry, promhttp.HandlerOpts{})) })
 	tasks.Go(func() error { return h.run(ctx) })
 	tasks.Go(func() error { return h.keepTelling(ctx) })
-	h.Logger.WithFields(log.Fields{"host": h.IP, "pool": string(h.Pool)}).Info("process started")
+	event.Started.Log(h.Logger, log.Fields{"host": h.IP, "pool": string(h.Pool)})
 	err := tasks.Wait()
-	h.Logger.Info("process stopped")
+	event.Stopped.Log(h.Logger, nil)
 	if ctx.Err() != nil && errors.Is(err, ctx.Err()) {
 		return nil
 	}
--- a/internal/stocker/stocker_test.go
+++ b/internal/stocker/stocker_test.go
@@ -150,7 +150,9 @@
 				}
 				return a, nil
 			},
-			Chunk: func(_ context.Context, _ string, s directory.Serving, i int) ([]byte, error) { return content(s, i), nil },
+			Chunk: func(_ context.Context, _ string, s directory.Serving, i int) ([]byte, error) {
+				return content(s, i), nil
+			},
 		},
 		Fleet: &fleet.Follower{
 			Topics: fleet.Topics{Operator: "op", Endpoints: "eps", Status: "status", Directory: "config", Release: "version/"},
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/apex/log"
+
+	"github.com/nutmegdock/nutmegdock/internal/event"
 )
 
 const (
@@ -117,7 +119,7 @@
 	b, err := w.Changes(ctx, w.Topic, w.next, wait)
 	var gap *GapError
 	if errors.As(err, &gap) {
-		w.Logger.WithFields(log.Fields{"topic": w.Topic, "offset": w.next}).Warn("changes are no longer held; reading all values")
+		event.ChangesGone.Log(w.Logger.WithFields(log.Fields{"topic": w.Topic, "offset": w.next}), nil)
 		w.known = false
 		return nil
 	}
@@ -146,10 +148,10 @@
 	switch {
 	case err != nil && !w.lost:
 		w.lost, w.since = true, time.Now()
-		l.WithError(err).Warn("store lost")
+		event.StoreLost.Log(l.WithError(err), nil)
 	case err == nil && w.lost:
 		w.lost = false
-		l.WithField("away", time.Since(w.since).String()).Info("store regained")
+		event.StoreRegained.Log(l.WithField("away", time.Since(w.since).String()), nil)
 	}
 	w.failed++
 	if err == nil {
