Endpoints that cannot be reached are probed; callers that came back wait for engines that load

Cause: in a zone that was cut off, each request spent up to four connection timeouts of a second on endpoints behind the cut, and streams there hung until their deadline; after a loss of power, callers that came back two seconds later were refused for good although engines served a second later.

--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -81,6 +81,10 @@
 	// First is the predicted time to the first event.
 	First time.Duration
 
+	// Lost is called when the endpoint turns out to be unreachable while the request is there. It is set by the caller of
+	// Assign at once, for requests that may go on elsewhere, and must not call the assigner.
+	Lost func()
+
 	prompt int
 	sent   time.Time
 	begun  bool
@@ -115,10 +119,14 @@
 	own     Load
 	breaker breaker.Breaker
 	pending map[*Choice]bool
-	gate    Gate
-	gated   time.Time
-	pace    float64
-	paced   time.Time
+	running map[*Choice]bool
+	// down says that the endpoint cannot be reached; alive is when it last gave a sign.
+	down  bool
+	alive time.Time
+	gate  Gate
+	gated time.Time
+	pace  float64
+	paced time.Time
 }
 
 type peer struct {
@@ -158,7 +166,7 @@
 	for _, e := range all {
 		s := old[e.ID]
 		if s == nil || s.Born != e.Born || s.Address != e.Address {
-			s = &state{pending: make(map[*Choice]bool), pace: 1}
+			s = &state{pending: make(map[*Choice]bool), running: make(map[*Choice]bool), pace: 1, alive: time.Now()}
 		}
 		s.Endpoint = e
 		a.endpoints[e.ID] = s
@@ -215,7 +223,7 @@
 			continue
 		}
 		refusal = Full
-		if !s.breaker.Allows(s.own.Requests) {
+		if s.down || !s.breaker.Allows(s.own.Requests) {
 			continue
 		}
 		load := a.load(s)
@@ -239,6 +247,7 @@
 	best.own.Requests++
 	best.own.Unread += choice.prompt
 	best.pending[choice] = true
+	best.running[choice] = true
 	a.changed()
 	return choice, ""
 }
@@ -365,7 +374,7 @@
 	return rand.Float64()
 }
 
-// Begin notes that the first event of a request has come.
+// Begin notes that an event of a request has come.
 func (a *Assigner) Begin(c *Choice) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -374,7 +383,11 @@
 
 func (a *Assigner) begin(c *Choice) {
 	s := a.endpoints[c.Endpoint.ID]
-	if c.begun || s == nil || s.Born != c.Endpoint.Born {
+	if s == nil || s.Born != c.Endpoint.Born {
+		return
+	}
+	s.alive = time.Now()
+	if c.begun {
 		return
 	}
 	c.begun = true
@@ -396,8 +409,10 @@
 const (
 	// Served means that the endpoint gave an answer of its own.
 	Served End = iota
-	// Failed means that the endpoint could not be reached or broke off.
+	// Failed means that the endpoint broke off.
 	Failed
+	// Unreached means that no connection was made.
+	Unreached
 	// Shed means that the endpoint refused the request as not run.
 	Shed
 	// Withdrawn means that the caller left, which says nothing of the endpoint.
@@ -417,10 +432,14 @@
 		delete(s.pending, c)
 	}
 	s.own.Requests = max(0, s.own.Requests-1)
+	delete(s.running, c)
 	switch end {
+	case Unreached:
+		a.suspect(s)
 	case Failed:
 		s.breaker.Fail()
 	case Served:
+		s.alive = time.Now()
 		s.breaker.Succeed()
 		a.learn(c.Endpoint.Pool, time.Since(c.sent))
 	case Shed, Withdrawn:
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -34,6 +34,10 @@
 	EntryInvalid = Event{1721, log.WarnLevel, "entry host's record does not parse"}
 	// LoadInvalid is event 1722.
 	LoadInvalid = Event{1722, log.WarnLevel, "load message does not parse"}
+	// EndpointLost is event 1723.
+	EndpointLost = Event{1723, log.WarnLevel, "endpoint cannot be reached"}
+	// EndpointRegained is event 1724.
+	EndpointRegained = Event{1724, log.InfoLevel, "endpoint can be reached again"}
 	// ReleaseNotCarried is event 1731.
 	ReleaseNotCarried = Event{1731, log.WarnLevel, "release is not carried yet"}
 	// OriginFailed is event 1732.
--- a/internal/fronthost/fronthost.go
+++ b/internal/fronthost/fronthost.go
@@ -42,6 +42,11 @@
 	quietTime = 2500 * time.Millisecond
 	// endMargin is kept free of the time until SIGKILL.
 	endMargin = 500 * time.Millisecond
+	// reachTime bounds the making of a connection to an endpoint: many round trips between the farthest regions, and a
+	// fraction of what callers are promised.
+	reachTime = 250 * time.Millisecond
+	// probeEvery is the time between two probes of an endpoint that cannot be reached.
+	probeEvery = 250 * time.Millisecond
 	// refreshEvery is how often entries that lapsed are looked at.
 	refreshEvery = 250 * time.Millisecond
 	// returnShare is the part of a caller's time left after which it may come back: the most that callers honour.
@@ -102,7 +107,7 @@
 	}}
 	survey := &surveyor.Surveyor{ReleaseBound: h.ReleaseBound}
 	h.gateway = &gateway.Gateway{
-		Dialect: h.Dialect, Assigner: h.assigner, Sender: &sender.Sender{Dial: (&connector.Connector{}).DialContext},
+		Dialect: h.Dialect, Assigner: h.assigner, Sender: &sender.Sender{Dial: (&connector.Connector{Timeout: reachTime}).DialContext},
 		Budget:  &budgeter.Budgeter{Ratio: h.RetryRatio / 2, Burst: h.RetrySlack / 8},
 		Release: survey.Oldest, Logger: h.Logger, Meter: gateway.NewMeter(registry),
 		Return: func(left time.Duration) time.Duration { return max(0, left/returnShare) },
@@ -126,6 +131,7 @@
 	tasks.Go(func() error { return h.enroll(life) })
 	tasks.Go(func() error { return h.Carrier.Run(life) })
 	tasks.Go(func() error { return h.carry(life) })
+	tasks.Go(func() error { return h.probe(life) })
 	tasks.Go(func() error { return h.refresh(life) })
 	tasks.Go(func() error {
 		return (&exchanger.Exchanger{
--- /dev/null
+++ b/internal/fronthost/probe.go
@@ -0,0 +1,51 @@
+package fronthost
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/nutmegdock/nutmegdock/internal/connector"
+	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
+	"github.com/nutmegdock/nutmegdock/internal/event"
+)
+
+// probe connects to the endpoints that are out of use or silent, so that no request has to find out whether they can be
+// reached.
+func (h *Host) probe(ctx context.Context) error {
+	dial := &connector.Connector{Timeout: reachTime}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(probeEvery):
+		}
+		var wait sync.WaitGroup
+		for _, p := range h.assigner.Probes() {
+			wait.Go(func() { h.probeOne(ctx, dial, p) })
+		}
+		wait.Wait()
+	}
+}
+
+func (h *Host) probeOne(ctx context.Context, dial *connector.Connector, p assigner.Probe) {
+	conn, err := dial.DialContext(ctx, "tcp", p.Address)
+	if ctx.Err() != nil {
+		return
+	}
+	if err == nil {
+		_ = conn.Close()
+	}
+	if !h.assigner.Probed(p, err == nil) {
+		return
+	}
+	f := log.Fields{"endpoint": p.ID, "address": p.Address}
+	if err != nil {
+		f["cause"] = err.Error()
+		event.EndpointLost.Log(h.Logger, f)
+		return
+	}
+	event.EndpointRegained.Log(h.Logger, f)
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -25,6 +25,11 @@
 	maxPlainBytes = 1 << 20
 	// refusals is the number of endpoints that may refuse one request as not run before the caller hears of it.
 	refusals = 3
+	// answerTime is about the longest time of an answer at a busy engine.
+	answerTime = 2500 * time.Millisecond
+	// longestWait and waitStep bound the wait for endpoints to come back: half the time that a caller has left then.
+	longestWait = 2 * time.Second
+	waitStep    = 25 * time.Millisecond
 	// unreachables is the number of endpoints that one request may fail to reach.
 	unreachables = 4
 )
@@ -64,6 +69,9 @@
 	a.seq.Last, a.seq.Known = q.After, q.Resumes
 	for {
 		choice, why := g.Assigner.Assign(g.query(q, a))
+		if why == assigner.None && g.mayWait(ctx, q, a) {
+			continue
+		}
 		if why != "" {
 			g.giveUp(ctx, q, a, string(why))
 			return
@@ -71,11 +79,16 @@
 		a.tried[choice.Endpoint.ID] = true
 		a.load, a.predicted = choice.Load, choice.First
 		a.begin = func() { g.Assigner.Begin(choice) }
+		actx, lost := context.WithCancel(ctx)
+		if q.route.MayRepeat() {
+			choice.Lost = lost
+		}
 		g.Logger.WithFields(g.fields(q)).WithFields(log.Fields{
 			"endpoint": choice.Endpoint.ID, "load": choice.Load.Requests, "unread": choice.Load.Unread,
 			"first": choice.First.Milliseconds(), "attempt": len(a.tried),
 		}).Debug("request sent")
-		end, done := g.try(ctx, q, a, choice)
+		end, done := g.try(actx, q, a, choice)
+		lost()
 		g.Assigner.Release(choice, end)
 		if done {
 			return
@@ -92,6 +105,21 @@
 	}
 }
 
+// mayWait waits a moment for endpoints that are about to serve again, such as engines that load after a loss of power. It
+// does so for callers alone that came back after a refusal, as they do not come a third time, and only as long as there
+// is time for an answer then.
+func (g *Gateway) mayWait(ctx context.Context, q *request, a *attempts) bool {
+	if q.spent == 0 || len(a.tried) > 0 || time.Until(q.final) < answerTime || time.Since(q.arrived) > longestWait {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(waitStep):
+		return true
+	}
+}
+
 func (g *Gateway) query(q *request, a *attempts) assigner.Query {
 	out := assigner.Query{
 		Pool: q.pool, Model: q.Model, Prompt: q.Prompt, Tried: a.tried,
@@ -196,7 +224,8 @@
 func (a *attempts) fail(ctx context.Context, q *request, err error) assigner.End {
 	a.last = err
 	var o *outcome.Error
-	if errors.As(err, &o) && o.Kind == outcome.NotRun {
+	isUnreached := errors.As(err, &o) && o.Kind == outcome.NotRun
+	if isUnreached {
 		a.unreached++
 	} else {
 		a.sent++
@@ -204,6 +233,9 @@
 	if q.r.Context().Err() != nil || ctx.Err() != nil {
 		return assigner.Withdrawn
 	}
+	if isUnreached {
+		return assigner.Unreached
+	}
 	return assigner.Failed
 }
 
