--- a/cmd/stockd/main.go
+++ b/cmd/stockd/main.go
@@ -63,7 +63,7 @@
 		return 1
 	}
 	h := &stocker.Host{
-		IP: cfg.IP, Address: cfg.Engine, Conn: conn, Pool: cfg.Pool, Regions: cfg.Regions, Metrics: cfg.Ports[0] + 2, ReleaseBound: cfg.ReleaseBound, Logger: logger,
+		IP: cfg.IP, Zone: cfg.Zone, Address: cfg.Engine, Conn: conn, Pool: cfg.Pool, Regions: cfg.Regions, Metrics: cfg.Ports[0] + 2, ReleaseBound: cfg.ReleaseBound, Logger: logger,
 		Engine: stocker.Engine{Report: engine.Report, Stage: engine.Stage, Staged: engine.Staged, Load: engine.Load},
 		Carrier: &carrier.Carrier{
 			Name: ident.Host(cfg.IP), Zone: cfg.Zone, Region: cfg.Region, IP: cfg.IP, Control: cfg.Ports[0] + 1, Data: cfg.Ports[0] + 3,
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -70,6 +71,8 @@
 	Seed bool
 	// Control and Data are the ports for other hosts; all hosts have the same ones.
 	Control, Data int
+	// Methods are further methods of the control server.
+	Methods map[string]rpc.Handler
 	// Peers returns the other hosts that carry chunks.
 	Peers func() []planner.Peer
 	// Origin returns the address of the origin and its region; empty if none is known.
@@ -144,6 +147,11 @@
 	return out, catalog.Bias("")
 }
 
+// Client returns the client for the control server of another host.
+func (c *Carrier) Client(h ident.Host) *rpc.Client {
+	return c.controls.Client(net.JoinHostPort(string(h), strconv.Itoa(c.Control)))
+}
+
 // Run serves the other hosts until ctx ends.
 func (c *Carrier) Run(ctx context.Context) error {
 	slots := &uploader.Uploader{}
@@ -171,10 +179,12 @@
 	if err != nil {
 		return err
 	}
-	return (&rpc.Server{Methods: map[string]rpc.Handler{
+	methods := map[string]rpc.Handler{
 		messages.HaveMethod:     rpc.Handle(c.fetcher.Answer),
 		messages.ManifestMethod: rpc.Handle(c.answerManifest),
-	}}).Serve(ctx, ln)
+	}
+	maps.Copy(methods, c.Methods)
+	return (&rpc.Server{Methods: methods}).Serve(ctx, ln)
 }
 
 func (c *Carrier) serveData(ctx context.Context, handler http.Handler) error {
--- a/internal/core/directory/directory.go
+++ b/internal/core/directory/directory.go
@@ -198,6 +198,12 @@
 	Cold time.Duration
 }
 
+// Host returns the name of the host that the endpoint runs on, which is its IP address.
+func (e *Endpoint) Host() ident.Host {
+	ip, _, _ := strings.Cut(e.Address, ":")
+	return ident.Host(ip)
+}
+
 // Release returns the release of a model that the endpoint serves.
 func (e *Endpoint) Release(m Model) (Release, bool) {
 	for _, s := range e.Serves {
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -58,6 +58,8 @@
 	LoadOrdered = Event{1739, log.InfoLevel, "engine was ordered to load"}
 	// ReleaseServed is event 1740.
 	ReleaseServed = Event{1740, log.InfoLevel, "engine serves the release"}
+	// FleetUnknown is event 1741.
+	FleetUnknown = Event{1741, log.WarnLevel, "fleet is not known"}
 	// SettingsRead is event 1751.
 	SettingsRead = Event{1751, log.InfoLevel, "settings read again"}
 	// SettingsRefused is event 1752.
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -60,6 +60,8 @@
 	Own func() map[string]assigner.Load
 	// Heard takes what another host tells.
 	Heard func(h ident.Host, loads map[string]assigner.Load)
+	// From is told of each message of another host; it may be nil.
+	From func(a netip.Addr)
 	// Gated takes what the host beside an engine tells.
 	Gated func(g assigner.Gate)
 	// Logger receives messages that cannot be decoded.
@@ -120,7 +122,7 @@
 func (x *Exchanger) hear(ctx context.Context) error {
 	buf := make([]byte, maxBytes)
 	for {
-		n, _, err := x.Conn.ReadFrom(buf)
+		n, from, err := x.Conn.ReadFrom(buf)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -141,6 +143,9 @@
 		}
 		if m.Host != x.Host {
 			x.Heard(m.Host, m.Loads)
+			if a, ok := from.(*net.UDPAddr); ok && x.From != nil {
+				x.From(a.AddrPort().Addr().Unmap())
+			}
 		}
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -19,13 +19,13 @@
 const (
 	// DefaultWait is how long a call waits for a change of the operator: a connection that died in silence is noticed
 	// within this time and that of a call, which is within the time for a change to be in force.
-	DefaultWait = 1200 * time.Millisecond
-	// operatorPause: changes that follow within it share a call. It is a tenth of the time for a change to be in force.
-	operatorPause = 200 * time.Millisecond
+	DefaultWait = 700 * time.Millisecond
+	// operatorPause: changes that follow within it share a call. It is a twentieth of the time for a change to be in force.
+	operatorPause = 100 * time.Millisecond
 	// DefaultPause is the time between two calls for the endpoints. Heartbeats come all the time, so the list is asked for
 	// now and then, within half of the time in which
 	// an endpoint that leaves must be known.
-	DefaultPause = 900 * time.Millisecond
+	DefaultPause = 600 * time.Millisecond
 	// peerWait and peerPause: the list of entry hosts changes when hosts start.
 	peerWait  = 10 * time.Second
 	peerPause = 2 * time.Second
--- /dev/null
+++ b/internal/fleet/snapshot.go
@@ -0,0 +1,61 @@
+package fleet
+
+import (
+	"context"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/directory"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/surveyor"
+	"github.com/nutmegdock/nutmegdock/internal/messages"
+)
+
+// Snapshot reads the fleet from the store once, and tells of one pool.
+func (f *Follower) Snapshot(ctx context.Context, pool ident.Pool, regions map[ident.Zone]ident.Region) (messages.FleetAnswer, error) {
+	operator, err := f.Newest(ctx, f.Topics.Operator)
+	if err != nil {
+		return messages.FleetAnswer{}, err
+	}
+	endpoints, err := f.Newest(ctx, f.Topics.Endpoints)
+	if err != nil {
+		return messages.FleetAnswer{}, err
+	}
+	var dir *directory.Directory
+	g := &Follower{
+		Topics: f.Topics, Decode: f.Decode, Surveyor: &surveyor.Surveyor{}, Logger: f.Logger,
+		OnDirectory: func(d *directory.Directory) { dir = d },
+	}
+	g.operate(operator.Values, true)
+	g.resetEndpoints(endpoints.Values)
+	return Tell(pool, dir, g.Surveyor, regions), nil
+}
+
+// Tell returns what the hosts beside the engines of a pool need to know.
+func Tell(pool ident.Pool, d *directory.Directory, s *surveyor.Surveyor, regions map[ident.Zone]ident.Region) messages.FleetAnswer {
+	if d == nil || !s.Known() || d.Pools[pool] == nil || d.Pools[pool].Engine == nil || len(d.Pools[pool].Engine.Models) == 0 {
+		return messages.FleetAnswer{}
+	}
+	m := d.Pools[pool].Engine.Models[0]
+	a := messages.FleetAnswer{Known: true, Model: string(m), Release: int64(max(1, s.Newest(m)))}
+	a.Origin, a.Home = Origin(d, regions)
+	for _, e := range s.Endpoints() {
+		if e.Pool != pool {
+			continue
+		}
+		n, _ := e.Release(m)
+		a.Engines = append(a.Engines, messages.EngineEntry{Host: e.Host(), Zone: e.Zone, Release: int64(n)})
+	}
+	return a
+}
+
+// Origin returns the address of the origin of weights and its region.
+func Origin(d *directory.Directory, regions map[ident.Zone]ident.Region) (string, ident.Region) {
+	if d == nil {
+		return "", ""
+	}
+	for _, p := range d.Pools {
+		if p.Origin != "" {
+			return p.Origin, regions[p.Zone]
+		}
+	}
+	return "", ""
+}
--- a/internal/fronthost/carry.go
+++ b/internal/fronthost/carry.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/directory"
@@ -11,12 +13,16 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/planner"
 	"github.com/nutmegdock/nutmegdock/internal/enroller"
 	"github.com/nutmegdock/nutmegdock/internal/event"
+	"github.com/nutmegdock/nutmegdock/internal/fleet"
+	"github.com/nutmegdock/nutmegdock/internal/messages"
 	"github.com/nutmegdock/nutmegdock/internal/stocker"
 )
 
 const (
 	// carryEvery is how often a release is looked for that the host does not hold yet.
 	carryEvery = 100 * time.Millisecond
+	// heardTime is how long ago another entry host must have been heard to be taken for the reader: some of its messages.
+	heardTime = 500 * time.Millisecond
 	// carryRetry is the pause after a fetch that failed.
 	carryRetry = 500 * time.Millisecond
 	// firstCarry is the time from the first start of the fleet until the first fetch. Meanwhile the engines' hosts find the chunks that lie
@@ -50,7 +56,7 @@
 }
 
 func (h *Host) origin() (string, ident.Region) {
-	return stocker.Origin(h.gateway.Directory(), h.Regions)
+	return fleet.Origin(h.gateway.Directory(), h.Regions)
 }
 
 func (h *Host) carriers() []planner.Peer {
@@ -58,10 +64,44 @@
 	if p == nil {
 		return nil
 	}
+	a := h.tell(p.Name)
+	return stocker.Peers(a.Engines, a.Seeds, h.Regions)
+}
+
+func (h *Host) tell(p ident.Pool) messages.FleetAnswer {
+	a := fleet.Tell(p, h.gateway.Directory(), h.Fleet.Surveyor, h.Regions)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a.Seeds = h.seeds
+	return a
+}
+
+// answerFleet tells the hosts beside engines what this one knows.
+func (h *Host) answerFleet(_ context.Context, q messages.FleetQuery) (messages.FleetAnswer, error) {
+	return h.tell(q.Pool), nil
+}
+
+// reader returns the address of the host of the zone that reads the store, or nothing if that is this one: the first by
+// address of those that were heard just now.
+func (h *Host) reader(banned func(address string) bool) string {
 	h.mu.Lock()
-	seeds := h.seeds
+	near := h.near
 	h.mu.Unlock()
-	return stocker.Peers(p.Name, h.Fleet.Surveyor.Endpoints(), seeds, h.Regions)
+	best := netip.MustParseAddr(h.IP)
+	address := ""
+	for _, n := range near {
+		control := net.JoinHostPort(n.Addr().String(), strconv.Itoa(h.Carrier.Control))
+		if n.Addr().Less(best) && h.isHeard(n.Addr()) && !banned(control) {
+			best, address = n.Addr(), control
+		}
+	}
+	return address
+}
+
+func (h *Host) isHeard(a netip.Addr) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return time.Since(h.heard[a]) < heardTime
 }
 
 // carry fetches each new release, so that the engines' hosts of the zone can read it from here.
--- a/internal/fronthost/fronthost.go
+++ b/internal/fronthost/fronthost.go
@@ -25,11 +25,14 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/surveyor"
 	"github.com/nutmegdock/nutmegdock/internal/dialect"
+	"github.com/nutmegdock/nutmegdock/internal/distributor"
 	"github.com/nutmegdock/nutmegdock/internal/enroller"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/exchanger"
 	"github.com/nutmegdock/nutmegdock/internal/fleet"
 	"github.com/nutmegdock/nutmegdock/internal/gateway"
+	"github.com/nutmegdock/nutmegdock/internal/messages"
+	"github.com/nutmegdock/nutmegdock/internal/rpc"
 	"github.com/nutmegdock/nutmegdock/internal/sender"
 )
 
@@ -88,9 +91,11 @@
 	assigner *assigner.Assigner
 	ready    atomic.Bool
 	leaving  atomic.Bool
+	readers  rpc.Pool
 
 	mu    sync.Mutex
 	seeds []enroller.Entry
+	heard map[netip.Addr]time.Time
 	near  []netip.AddrPort
 	far   []netip.AddrPort
 }
@@ -115,6 +120,18 @@
 	h.Fleet.Surveyor = survey
 	h.Carrier.Peers = h.carriers
 	h.Carrier.Origin = h.origin
+	h.heard = make(map[netip.Addr]time.Time)
+	store := &distributor.Distributor{
+		Reader: h.reader, Store: h.Fleet.Changes,
+		Ask: func(ctx context.Context, address string, q messages.RecordsQuery) (messages.RecordsAnswer, error) {
+			return rpc.Call[messages.RecordsAnswer](ctx, h.readers.Client(address), messages.RecordsMethod, q)
+		},
+	}
+	h.Fleet.Changes = store.Changes
+	h.Carrier.Methods = map[string]rpc.Handler{
+		messages.RecordsMethod: rpc.Handle(store.Answer),
+		messages.FleetMethod:   rpc.Handle(h.answerFleet),
+	}
 	h.Carrier.Build(registry)
 	h.Fleet.OnDirectory = h.setDirectory
 	h.Fleet.OnEndpoints = func() { h.assigner.SetEndpoints(survey.Endpoints()) }
@@ -136,7 +153,7 @@
 	tasks.Go(func() error {
 		return (&exchanger.Exchanger{
 			Host: h.Name, Conn: conn, Near: h.neighbors, Far: h.others, Changes: changes, Own: h.assigner.Own,
-			Heard: h.assigner.SetPeer, Gated: h.assigner.SetGate, Logger: h.Logger,
+			Heard: h.assigner.SetPeer, From: h.hear, Gated: h.assigner.SetGate, Logger: h.Logger,
 		}).Run(life)
 	})
 	mux := http.NewServeMux()
@@ -210,6 +227,13 @@
 	event.DirectoryInForce.Log(h.Logger.WithFields(log.Fields{"revision": int64(d.Revision), "pools": len(d.Pools), "keys": len(d.Keys)}), nil)
 }
 
+// hear notes that another entry host is alive.
+func (h *Host) hear(a netip.Addr) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.heard[a] = time.Now()
+}
+
 // setPeers takes the list of entry hosts.
 func (h *Host) setPeers(values map[string][]byte) {
 	all := enroller.Parse(values, h.Logger)
--- a/internal/stocker/run.go
+++ b/internal/stocker/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"strconv"
 	"time"
 
@@ -38,12 +37,9 @@
 
 // goal returns the release to serve.
 func (h *Host) goal() (directory.Serving, bool) {
-	e := h.engine()
-	if e == nil || len(e.Models) == 0 {
-		return directory.Serving{}, false
-	}
-	n := h.survey.Newest(e.Models[0])
-	return directory.Serving{Model: e.Models[0], Release: max(1, n)}, true
+	f := h.known()
+	m := directory.Model(f.Model)
+	return directory.Serving{Model: m, Release: max(1, h.survey.Newest(m))}, f.Known
 }
 
 func (h *Host) step(ctx context.Context) error {
@@ -144,7 +140,7 @@
 // await waits for this engine's turn to change over from the release have.
 func (h *Host) await(ctx context.Context, s directory.Serving, have directory.Release) error {
 	for {
-		share := stager.Turn(h.IP, h.members(s.Model, have))
+		share := stager.Turn(h.IP, h.members(have))
 		turn := h.survey.Named(s.Model, have).Add(time.Duration(share * float64(h.ReleaseBound)))
 		if !time.Now().Before(turn) {
 			return nil
@@ -161,15 +157,12 @@
 }
 
 // members returns the engines of the pool with the releases that they serve.
-func (h *Host) members(m directory.Model, have directory.Release) []stager.Member {
+func (h *Host) members(have directory.Release) []stager.Member {
 	out := []stager.Member{{Host: h.IP, Release: have}}
-	for _, e := range h.survey.Endpoints() {
-		ip, _, err := net.SplitHostPort(e.Address)
-		if err != nil || e.Pool != h.Pool || ip == h.IP {
-			continue
+	for _, e := range h.known().Engines {
+		if string(e.Host) != h.IP {
+			out = append(out, stager.Member{Host: string(e.Host), Release: directory.Release(e.Release)})
 		}
-		n, _ := e.Release(m)
-		out = append(out, stager.Member{Host: ip, Release: n})
 	}
 	return out
 }
--- a/internal/stocker/stocker.go
+++ b/internal/stocker/stocker.go
@@ -26,15 +26,12 @@
 	"github.com/nutmegdock/nutmegdock/internal/enroller"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/fleet"
+	"github.com/nutmegdock/nutmegdock/internal/messages"
 )
 
 const (
 	// reportEvery is how often the engine is asked: its reports are a few hundred milliseconds old anyway.
 	reportEvery = 250 * time.Millisecond
-	// operatorWait and endpointPause are longer than those of entry hosts: a release has several seconds to be served,
-	// and the list of endpoints names the hosts to read chunks from.
-	operatorWait  = 2 * time.Second
-	endpointPause = 3 * time.Second
 	// callTime bounds one call to the engine beside the host.
 	callTime = 2 * time.Second
 	// retryTime is the pause after a failed step.
@@ -61,13 +58,15 @@
 	Conn net.PacketConn
 	// Engine makes the calls.
 	Engine Engine
+	// Zone is that of the host.
+	Zone ident.Zone
 	// Carrier holds the chunks. Its Peers and Origin are set by Run.
 	Carrier *carrier.Carrier
 	// Metrics is the port of the metrics page.
 	Metrics int
 	// ReleaseBound is the time within which the engine must serve a new release.
 	ReleaseBound time.Duration
-	// Fleet follows the store.
+	// Fleet reads the store while no entry host answers.
 	Fleet *fleet.Follower
 	// Logger receives the events.
 	Logger log.Interface
@@ -76,7 +75,7 @@
 	news   chan struct{}
 
 	mu    sync.Mutex
-	dir   *directory.Directory
+	fleet messages.FleetAnswer
 	seeds []enroller.Entry
 	gate  gate
 }
@@ -85,17 +84,15 @@
 func (h *Host) Run(ctx context.Context) error {
 	h.news = make(chan struct{}, 1)
 	h.survey = &surveyor.Surveyor{ReleaseBound: h.ReleaseBound}
-	h.Fleet.Surveyor = h.survey
-	h.Fleet.Wait, h.Fleet.Pause = operatorWait, endpointPause
-	h.Fleet.OnDirectory = h.setDirectory
-	h.Fleet.OnRelease = func(directory.Serving) { h.notify() }
-	h.Fleet.OnPeers = h.setSeeds
 	registry := prometheus.NewRegistry()
 	h.Carrier.Peers = h.peers
-	h.Carrier.Origin = func() (string, ident.Region) { return Origin(h.directory(), h.Regions) }
+	h.Carrier.Origin = func() (string, ident.Region) {
+		f := h.known()
+		return f.Origin, f.Home
+	}
 	h.Carrier.Build(registry)
 	tasks, ctx := errgroup.WithContext(ctx)
-	tasks.Go(func() error { return h.Fleet.Run(ctx) })
+	tasks.Go(func() error { return h.scout(ctx) })
 	tasks.Go(func() error { return h.Carrier.Run(ctx) })
 	tasks.Go(func() error { return h.serveMetrics(ctx, promhttp.HandlerFor(registry, promhttp.HandlerOpts{})) })
 	tasks.Go(func() error { return h.run(ctx) })
@@ -116,65 +113,26 @@
 	}
 }
 
-func (h *Host) setDirectory(d *directory.Directory) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.dir == nil || d.Revision > h.dir.Revision {
-		h.dir = d
-		h.notify()
-	}
-}
-
-func (h *Host) setSeeds(values map[string][]byte) {
-	seeds := enroller.Parse(values, h.Logger)
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.seeds = seeds
-}
-
-func (h *Host) directory() *directory.Directory {
+// known returns what is known of the fleet.
+func (h *Host) known() messages.FleetAnswer {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.dir
-}
-
-// Origin returns the address of the origin of weights and its region.
-func Origin(d *directory.Directory, regions map[ident.Zone]ident.Region) (string, ident.Region) {
-	if d == nil {
-		return "", ""
-	}
-	for _, p := range d.Pools {
-		if p.Origin != "" {
-			return p.Origin, regions[p.Zone]
-		}
-	}
-	return "", ""
-}
-
-// engine returns the figures of the host's pool, or nil.
-func (h *Host) engine() *directory.Engine {
-	d := h.directory()
-	if d == nil || d.Pools[h.Pool] == nil {
-		return nil
-	}
-	return d.Pools[h.Pool].Engine
+	return h.fleet
 }
 
 // peers returns the entry hosts and the hosts beside the engines of the pool.
 func (h *Host) peers() []planner.Peer {
 	h.mu.Lock()
-	seeds := h.seeds
+	seeds, engines := h.seeds, h.fleet.Engines
 	h.mu.Unlock()
-	return Peers(h.Pool, h.survey.Endpoints(), seeds, h.Regions)
+	return Peers(engines, seeds, h.Regions)
 }
 
 // Peers returns the hosts that carry the weights of a pool: those beside its engines, and the entry hosts.
-func Peers(pool ident.Pool, endpoints []directory.Endpoint, seeds []enroller.Entry, regions map[ident.Zone]ident.Region) []planner.Peer {
+func Peers(engines []messages.EngineEntry, seeds []enroller.Entry, regions map[ident.Zone]ident.Region) []planner.Peer {
 	var out []planner.Peer
-	for _, e := range endpoints {
-		if ip, _, err := net.SplitHostPort(e.Address); err == nil && e.Pool == pool {
-			out = append(out, planner.Peer{Host: ident.Host(ip), Zone: e.Zone, Region: regions[e.Zone]})
-		}
+	for _, e := range engines {
+		out = append(out, planner.Peer{Host: e.Host, Zone: e.Zone, Region: regions[e.Zone]})
 	}
 	for _, s := range seeds {
 		out = append(out, planner.Peer{Host: s.Host(), Zone: s.Zone, Region: regions[s.Zone], Seed: true})
--- a/internal/stocker/stocker_test.go
+++ b/internal/stocker/stocker_test.go
@@ -114,7 +114,7 @@
 
 func nobody() []netip.AddrPort { return nil }
 
-// bed is one host beside an engine, before a store that names releases.
+// bed is one host beside an engine. No entry host answers it, so that it reads the store itself.
 type bed struct {
 	*engine
 	mu      sync.Mutex
@@ -168,23 +168,19 @@
 			},
 			Newest: func(_ context.Context, topic string) (watcher.Image, error) {
 				img := watcher.Image{Values: map[string][]byte{}}
+				b.mu.Lock()
+				defer b.mu.Unlock()
 				if topic == "op" {
 					img.Values["config"] = []byte("{}")
+					if b.release > 0 {
+						img.Values["version/m"] = []byte{byte(b.release)}
+					}
 				}
 				if topic == "status" {
 					img.Values["entry/x"] = fmt.Appendf(nil, `{"zone":"far","address":%q}`, seed.Address)
 				}
 				return img, nil
 			},
-			Changes: func(_ context.Context, topic string, _ int64, _ time.Duration) (watcher.Batch, error) {
-				time.Sleep(20 * time.Millisecond)
-				b.mu.Lock()
-				defer b.mu.Unlock()
-				if topic != "op" || b.release == 0 {
-					return watcher.Batch{}, nil
-				}
-				return watcher.Batch{Changes: []watcher.Change{{Key: "version/m", Value: []byte{byte(b.release)}}}}, nil
-			},
 			Logger: quiet,
 		},
 	}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -15,7 +15,7 @@
 const (
 	// callTime bounds one call beside the time that it waits for a change. A store that falls silent leaves its
 	// connections open, so nothing but this bound shows it.
-	callTime = 800 * time.Millisecond
+	callTime = 1100 * time.Millisecond
 	// firstRetry and longestRetry are the pauses after failed calls. The longest is a tenth of the time within which a
 	// change has to be in force.
 	firstRetry   = 100 * time.Millisecond
