--- a/internal/distributor/distributor_test.go
+++ b/internal/distributor/distributor_test.go
@@ -135,12 +135,14 @@
 	is := is.New(t)
 	zone(t, func(s *store, have map[string]*atomic.Int64, _ map[string]bool) {
 		s.set(func() { clear(s.calls) })
-		for range 10 {
+		for i := range 10 {
 			s.put()
 			time.Sleep(time.Second)
-			is.Equal(have["b"].Load(), int64(len(s.changes)))
-			is.Equal(have["c"].Load(), int64(len(s.changes)))
+			is.Equal(have["b"].Load(), int64(i+1))
+			is.Equal(have["c"].Load(), int64(i+1))
 		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
 		is.True(s.calls["a"] > 10)
 		is.Equal(s.calls["b"]+s.calls["c"], 0)
 	})
