--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -123,6 +123,8 @@
 	// down says that the endpoint cannot be reached; alive is when it last gave a sign.
 	down  bool
 	alive time.Time
+	// moved says that another endpoint has its address, so that it is gone, whatever its entry says.
+	moved bool
 	gate  Gate
 	gated time.Time
 	pace  float64
@@ -223,7 +225,7 @@
 			continue
 		}
 		refusal = Full
-		if s.down || !s.breaker.Allows(s.own.Requests) {
+		if s.down || s.moved || !s.breaker.Allows(s.own.Requests) {
 			continue
 		}
 		load := a.load(s)
@@ -413,6 +415,8 @@
 	Failed
 	// Unreached means that no connection was made.
 	Unreached
+	// Moved means that another endpoint answers at the address.
+	Moved
 	// Shed means that the endpoint refused the request as not run.
 	Shed
 	// Withdrawn means that the caller left, which says nothing of the endpoint.
@@ -436,6 +440,8 @@
 	switch end {
 	case Unreached:
 		a.suspect(s)
+	case Moved:
+		s.moved = true
 	case Failed:
 		s.breaker.Fail()
 	case Served:
--- a/internal/core/assigner/probe.go
+++ b/internal/core/assigner/probe.go
@@ -39,6 +39,9 @@
 	now := time.Now()
 	var out []Probe
 	for id, s := range a.endpoints {
+		if s.moved {
+			continue
+		}
 		if s.down || s.own.Requests > 0 && now.Sub(s.alive) > silence {
 			out = append(out, Probe{ID: id, Address: s.Address})
 		}
--- a/internal/core/assigner/replay_test.go
+++ b/internal/core/assigner/replay_test.go
@@ -223,3 +223,94 @@
 	is.True(now.inTime > former.inTime)
 	is.True(now.inTime > 0.9)
 }
+
+func assign(a *assigner.Assigner, tried ...string) (*assigner.Choice, assigner.Refusal) {
+	q := assigner.Query{Pool: "p", Model: "m", Release: 1, Prompt: 500, Left: objective, Tried: make(map[string]bool)}
+	for _, id := range tried {
+		q.Tried[id] = true
+	}
+	return a.Assign(q)
+}
+
+// Load pattern: a zone is cut off. The first failed connection takes its endpoints out of use, so that no request waits
+// for each of them in turn, and the requests that are there go on elsewhere.
+func TestZoneThatIsCutOffIsLeftAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := &assigner.Assigner{Zone: "near", Draw: func() float64 { return 0 }}
+		a.SetPools(map[ident.Pool]*directory.Pool{"p": {Name: "p", Engine: figures}})
+		var all []directory.Endpoint
+		for i, zone := range []ident.Zone{"near", "far", "far", "far"} {
+			all = append(all, directory.Endpoint{ID: fmt.Sprint(i), Pool: "p", Zone: zone, Address: fmt.Sprint("10.0.0.", i, ":80"), Serves: []directory.Serving{{Model: "m", Release: 1}}})
+		}
+		a.SetEndpoints(all)
+		there, why := assign(a, "0", "2", "3")
+		is.Equal(why, assigner.Refusal(""))
+		lost := false
+		there.Lost = func() { lost = true }
+		time.Sleep(time.Second)
+		failed, _ := assign(a, "0", "1")
+		a.Release(failed, assigner.Unreached)
+		is.Equal(len(a.Probes()), 3)
+		c, _ := assign(a)
+		is.Equal(c.Endpoint.ID, "0")
+		_, why = assign(a, "0")
+		is.True(why != "")
+		for _, p := range a.Probes() {
+			// The one nearby is probed too, as a request is there and it gave no sign.
+			is.Equal(a.Probed(p, p.ID == "3" || p.ID == "0"), p.ID == "3")
+		}
+		is.True(lost)
+		c, why = assign(a, "0")
+		is.Equal(why, assigner.Refusal(""))
+		is.Equal(c.Endpoint.ID, "3")
+	})
+}
+
+// Load pattern: all hosts lost power and came back under the same addresses. The old entries stand until they lapse, and
+// each costs one refusal at most.
+func TestEndpointWhoseAddressAnotherHasIsNotAskedAgain(t *testing.T) {
+	is := is.New(t)
+	a := &assigner.Assigner{Zone: "z"}
+	a.SetPools(map[ident.Pool]*directory.Pool{"p": {Name: "p", Engine: figures}})
+	old := directory.Endpoint{ID: "old", Pool: "p", Born: 1, Address: "10.0.0.1:80", Serves: []directory.Serving{{Model: "m", Release: 1}}}
+	a.SetEndpoints([]directory.Endpoint{old})
+	c, _ := assign(a)
+	a.Release(c, assigner.Moved)
+	_, why := assign(a)
+	is.Equal(why, assigner.Full)
+	a.SetEndpoints([]directory.Endpoint{old})
+	_, why = assign(a)
+	is.Equal(why, assigner.Full)
+	again := old
+	again.Born = 2
+	a.SetEndpoints([]directory.Endpoint{again})
+	_, why = assign(a)
+	is.Equal(why, assigner.Refusal(""))
+}
+
+// What the host beside an engine says goes before the engine's entry.
+func TestGates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := &assigner.Assigner{Zone: "z"}
+		a.SetPools(map[ident.Pool]*directory.Pool{"p": {Name: "p", Engine: figures}})
+		a.SetEndpoints([]directory.Endpoint{{ID: "e", Pool: "p", Born: 1, Address: "10.0.0.1:80"}})
+		_, why := assign(a)
+		is.Equal(why, assigner.None) // it serves nothing yet
+		a.SetGate(assigner.Gate{Address: "10.0.0.1:80", Born: 1, Model: "m", Release: 1})
+		c, why := assign(a)
+		is.Equal(why, assigner.Refusal(""))
+		a.Release(c, assigner.Served)
+		a.SetGate(assigner.Gate{Address: "10.0.0.1:80", Born: 1, Closed: true})
+		_, why = assign(a)
+		is.Equal(why, assigner.None)
+		a.SetGate(assigner.Gate{Address: "10.0.0.1:80", Born: 2, Model: "m", Release: 1}) // of another incarnation
+		_, why = assign(a)
+		is.Equal(why, assigner.None)
+		time.Sleep(1100 * time.Millisecond) // the host beside it fell silent: the entry holds again
+		a.SetEndpoints([]directory.Endpoint{{ID: "e", Pool: "p", Born: 1, Address: "10.0.0.1:80", Serves: []directory.Serving{{Model: "m", Release: 1}}}})
+		_, why = assign(a)
+		is.Equal(why, assigner.Refusal(""))
+	})
+}
--- a/internal/core/surveyor/surveyor.go
+++ b/internal/core/surveyor/surveyor.go
@@ -16,7 +16,7 @@
 	awayTime = 2400 * time.Millisecond
 	// releaseMargin is how long before the bound requests stop to begin on an older release: it covers a request's wait
 	// in the engine's own queue.
-	releaseMargin = time.Second
+	releaseMargin = 700 * time.Millisecond
 )
 
 type release struct {
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -42,6 +42,8 @@
 type Verdict struct {
 	// NotRun says that the endpoint did not run the request, and never will.
 	NotRun bool
+	// Moved says that another endpoint than the one named answered.
+	Moved bool
 	// Signed says that the answer bears the endpoint's signature.
 	Signed bool
 	// Release is that of the weights which answer; zero if unknown.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -212,6 +212,9 @@
 	case v.NotRun:
 		a.refused++
 		a.last = &outcome.Error{Kind: outcome.NotRun, Reason: outcome.Refused, Text: "status " + strconv.Itoa(ans.Status)}
+		if v.Moved {
+			return assigner.Moved, false
+		}
 		return assigner.Shed, false
 	case ans.Status == http.StatusOK && q.route.Kind == directory.Stream:
 		return g.stream(ctx, q, a, ans, v)
