--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -39,10 +39,11 @@
 	callTime = 2 * time.Second
 	// chunkTime bounds the read of one chunk from the origin.
 	chunkTime = 5 * time.Second
-	// settleTime, sourceTime, busyTime, retryTime and newsRate suit weights of a few megabytes, which take two seconds on a link of
+	// settleTime, sourceTime, heartbeat, busyTime, retryTime and newsRate suit weights of a few megabytes, which take two seconds on a link of
 	// the engines' hosts: a chunk takes 35 ms.
 	settleTime = 100 * time.Millisecond
-	sourceTime = 1500 * time.Millisecond
+	sourceTime = 600 * time.Millisecond
+	heartbeat  = 150 * time.Millisecond
 	busyTime   = 50 * time.Millisecond
 	retryTime  = 60 * time.Millisecond
 	newsRate   = 20
@@ -79,7 +80,7 @@
 	Origin func() (string, ident.Region)
 	// Manifest and Chunk read from the origin.
 	Manifest func(ctx context.Context, origin string, s directory.Serving) (manifest.Artifact, error)
-	Chunk    func(ctx context.Context, origin string, s directory.Serving, number int) ([]byte, error)
+	Chunk    func(ctx context.Context, origin string, s directory.Serving, number int, p weightclient.Progress) ([]byte, error)
 	// Dial makes connections to other hosts, and HTTP reads chunks from them.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	HTTP *http.Client
@@ -110,7 +111,7 @@
 	c.fetcher = &fetcher.Fetcher{
 		Self:    c.peer(planner.Peer{Host: c.Name, Zone: c.Zone, Region: c.Region, Seed: c.Seed}),
 		Sources: []string{""}, Holder: c.holder, Peers: c.peers, Artifact: weights.Artifact, Logger: c.Logger,
-		Tempo: fetcher.Tempo{Settle: settleTime, Deadline: sourceTime, Busy: busyTime, Retry: retryTime, News: newsRate, Fetches: fetches},
+		Tempo: fetcher.Tempo{Settle: settleTime, Deadline: sourceTime, Busy: busyTime, Retry: retryTime, News: newsRate, Heartbeat: heartbeat, Fetches: fetches},
 		Chunk: func(ctx context.Context, base string, k manifest.Chunk, zone ident.Zone, p weightclient.Progress) ([]byte, error) {
 			if base == "" {
 				return c.fromOrigin(ctx, k, p)
@@ -211,14 +212,14 @@
 	ctx, cancel := context.WithTimeout(ctx, chunkTime)
 	defer cancel()
 	begun := time.Now()
-	data, err := c.Chunk(ctx, origin, s, number)
+	data, err := c.Chunk(ctx, origin, s, number, p)
 	if err != nil {
 		if ctx.Err() != nil || !errors.Is(err, context.Canceled) {
 			event.OriginFailed.Log(c.Logger.WithError(err).WithFields(log.Fields{"chunk": number, "took": time.Since(begun).Milliseconds()}), nil)
 		}
 		return nil, err
 	}
-	return data, p(ctx, len(data))
+	return data, nil
 }
 
 // place returns the release and the number by which the origin knows a chunk.
--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -21,6 +21,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/manifest"
 	"github.com/nutmegdock/nutmegdock/internal/core/planner"
+	"github.com/nutmegdock/nutmegdock/internal/weightclient"
 )
 
 const (
@@ -56,7 +57,7 @@
 	return a, nil
 }
 
-func (o *origin) chunk(_ context.Context, _ string, s directory.Serving, i int) ([]byte, error) {
+func (o *origin) chunk(_ context.Context, _ string, s directory.Serving, i int, _ weightclient.Progress) ([]byte, error) {
 	if o.isDown.Load() {
 		return nil, errDown
 	}
--- a/internal/fetcher/fetcher.go
+++ b/internal/fetcher/fetcher.go
@@ -70,6 +70,8 @@
 type Tempo struct {
 	// Settle, Deadline, Busy and Retry are those of the planner.
 	Settle, Deadline, Busy, Retry time.Duration
+	// Heartbeat is the longest time until an answer about holdings, news or not. It must be well below Deadline.
+	Heartbeat time.Duration
 	// Fetches is the number of chunks to read at a time.
 	Fetches int
 	// News is the number of answers a second to each host that follows this one's holdings.
--- a/internal/fetcher/follow.go
+++ b/internal/fetcher/follow.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	// heartbeat is the longest time until an answer, news or not.
-	heartbeat = 2 * time.Second
-	askTime   = heartbeat + time.Second
+	// defaultHeartbeat is the longest time until an answer, news or not.
+	defaultHeartbeat = 2 * time.Second
+	// askTime bounds a question beyond the heartbeat.
+	askTime = time.Second
 	// Answers a second to a host of the same zone and of another zone, and how many may come at once.
 	zoneRate  = 1
 	otherRate = 5
@@ -93,7 +94,7 @@
 }
 
 func (b *burst) askOnce(ctx context.Context, p Peer, q messages.HaveQuery) (messages.HaveAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, askTime)
+	ctx, cancel := context.WithTimeout(ctx, b.heartbeat()+askTime)
 	defer cancel()
 	return b.Have(ctx, p, q)
 }
@@ -106,13 +107,20 @@
 	seen      time.Time
 }
 
+func (f *Fetcher) heartbeat() time.Duration {
+	if f.Tempo.Heartbeat > 0 {
+		return f.Tempo.Heartbeat
+	}
+	return defaultHeartbeat
+}
+
 // Answer waits for news that the asker does not know, for two seconds at most.
 func (f *Fetcher) Answer(ctx context.Context, q messages.HaveQuery) (messages.HaveAnswer, error) {
 	from, ok := f.know(q)
 	if !ok {
 		return messages.HaveAnswer{Unknown: true}, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, heartbeat)
+	ctx, cancel := context.WithTimeout(ctx, f.heartbeat())
 	defer cancel()
 	if len(q.Artifacts) == 0 {
 		wait(ctx, from.limiter)
--- a/internal/stocker/stocker_test.go
+++ b/internal/stocker/stocker_test.go
@@ -26,6 +26,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/fleet"
 	"github.com/nutmegdock/nutmegdock/internal/stocker"
 	"github.com/nutmegdock/nutmegdock/internal/watcher"
+	"github.com/nutmegdock/nutmegdock/internal/weightclient"
 )
 
 const (
@@ -150,7 +151,7 @@
 				}
 				return a, nil
 			},
-			Chunk: func(_ context.Context, _ string, s directory.Serving, i int) ([]byte, error) {
+			Chunk: func(_ context.Context, _ string, s directory.Serving, i int, _ weightclient.Progress) ([]byte, error) {
 				return content(s, i), nil
 			},
 		},
