A seed that brings nothing is not waited for

Cause, found by TestHostsWithoutSeedsFetchAllTheSame once heartbeats came in time: hosts of a zone read from its seeds alone while those answered, even if they had no chunks and made no progress, so that each host had its own stripes only and none ended. A seed now counts while it has what the host lacks, or for two deadlines after its last sign of progress.

--- a/internal/core/planner/exchange.go
+++ b/internal/core/planner/exchange.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"time"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/ranker"
@@ -9,6 +10,8 @@
 const (
 	// perNeighbor is the number of chunks to read from one neighbour at a time.
 	perNeighbor = 2
+	// seedPatience times the deadline is the time without progress after which a seed without chunks is not waited for.
+	seedPatience = 2
 	// endgameAfter is the age of a fetch from which a second holder is asked for the same chunk.
 	endgameAfter = 2 * time.Second
 )
@@ -41,13 +44,25 @@
 		return false
 	}
 	for _, n := range p.watched {
-		if n.Seed && n.Zone == p.Self.Zone && !n.heard.IsZero() && p.canAsk(n, now) {
+		if n.Seed && n.Zone == p.Self.Zone && !n.heard.IsZero() && p.canAsk(n, now) && p.helps(n, now) {
 			return true
 		}
 	}
 	return false
 }
 
+// helps tells whether a seed has what this host lacks, or makes progress itself.
+func (p *Planner) helps(n *node, now time.Time) bool {
+	last := n.watched
+	for _, sign := range n.signs {
+		last = later(last, sign)
+	}
+	if now.Sub(last) < seedPatience*p.Deadline {
+		return true
+	}
+	return slices.ContainsFunc(p.order, func(i int) bool { return !p.held.Test(uint(i)) && n.have.Test(uint(i)) })
+}
+
 // pick returns the chunk to ask for and its holder.
 func (p *Planner) pick(usable []*node) (int, *node) {
 	best, holder := -1, (*node)(nil)
--- a/internal/core/planner/planner_test.go
+++ b/internal/core/planner/planner_test.go
@@ -176,3 +176,28 @@
 		is.Equal(p.Left(), 0)
 	})
 }
+
+// A host whose seed is alive but brings nothing exchanges with the other hosts of its zone.
+func TestSeedWithoutProgressIsNotWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := &Planner{Self: Peer{Host: "self", Zone: "z", Region: "r"}, Deadline: time.Second}
+		p.SetPeers([]Peer{p.Self, {Host: "seed", Zone: "z", Region: "r", Seed: true}, {Host: "b", Zone: "z", Region: "r"}})
+		p.SetGoal([]Goal{goal(Stripes)}, none)
+		beat := func() []Fetch {
+			p.Heard("seed", p.Cursor("seed"), holder.Delta{Next: holder.Cursor{Epoch: 1}}, nil)
+			p.Heard("b", p.Cursor("b"), holder.Delta{Next: holder.Cursor{Epoch: 1, Count: 1}, Full: true, Added: [][]int{{3}}}, nil)
+			start, _ := p.Next()
+			return start
+		}
+		is.Equal(len(beat()), 0) // the seed may still bring it
+		for range 4 {
+			time.Sleep(400 * time.Millisecond)
+			is.Equal(len(beat()), 0)
+		}
+		time.Sleep(500 * time.Millisecond)
+		start := beat()
+		is.Equal(len(start), 1)
+		is.Equal(start[0].Source.Host, ident.Host("b"))
+	})
+}
