--- /dev/null
+++ b/internal/core/gate/gate_test.go
@@ -0,0 +1,47 @@
+package gate
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// A request that is pinned to one weight set must not be let in while another is served.
+func TestRequestOfAnotherSetIsNotLetIn(t *testing.T) {
+	is := is.New(t)
+	var g Gate
+	g.Open("a")
+	is.NoErr(g.Enter("a"))
+	var refused *Error
+	is.True(errors.As(g.Enter("b"), &refused))
+	is.Equal(refused.Reason, Other)
+	is.Equal(refused.Have, g.Status().Set)
+	is.Equal(g.Status().Running, 1)
+	g.Exit()
+	g.Open("b")
+	is.True(errors.As(g.Enter("a"), &refused))
+	is.NoErr(g.Enter("b"))
+}
+
+func TestClosedAndLeavingGatesLetNobodyIn(t *testing.T) {
+	is := is.New(t)
+	var g Gate
+	var refused *Error
+	is.True(errors.As(g.Enter("a"), &refused))
+	is.Equal(refused.Reason, Closed)
+	g.Open("a")
+	is.NoErr(g.Enter("a"))
+	idle := g.Close()
+	is.True(errors.As(g.Enter("a"), &refused))
+	select {
+	case <-idle:
+		t.Fatal("the gate was idle with a request in progress")
+	default:
+	}
+	g.Exit()
+	<-idle
+	g.Leave()
+	is.True(errors.As(g.Enter("a"), &refused))
+	is.Equal(refused.Reason, Leaving)
+}
