Callers that came back wait up to 0.8 s for room

Cause: a caller that is refused a second time does not come again, and was refused at once although room comes with the next answers that end.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -59,7 +59,8 @@
 // fleet is a gateway before endpoints that the test scripts.
 type fleet struct {
 	*httptest.Server
-	gateway *gateway.Gateway
+	gateway   *gateway.Gateway
+	endpoints []directory.Endpoint
 
 	mu     sync.Mutex
 	seen   []*http.Request
@@ -113,9 +114,10 @@
 	}
 	a := &assigner.Assigner{Zone: "z", Draw: func() float64 { return 0 }}
 	a.SetEndpoints(endpoints)
+	f.endpoints = endpoints
 	f.gateway = &gateway.Gateway{
 		Dialect: wire, Assigner: a, Sender: &sender.Sender{Dial: (&connector.Connector{}).DialContext}, Budget: &budgeter.Budgeter{},
-		Release: func(directory.Model) directory.Release { return 1 }, Return: func(left time.Duration) time.Duration { return left / 3 },
+		Release: func(directory.Model) directory.Release { return 1 }, Return: func(left time.Duration) time.Duration { return (left / 3).Round(time.Second) },
 		Logger: &log.Logger{Handler: discard.New(), Level: log.InfoLevel}, Meter: gateway.NewMeter(prometheus.NewRegistry()),
 	}
 	f.Server = httptest.NewServer(f.gateway)
@@ -361,3 +363,29 @@
 	is.Equal(status, 503)
 	is.Equal(len(f.requests()), 1)
 }
+
+// Load pattern: all engines lost power and load again. A newcomer is refused at once with a time to come back; a caller
+// that came back has no further try, so it waits for engines that serve soon.
+func TestCallerThatCameBackWaitsForEndpoints(t *testing.T) {
+	is := is.New(t)
+	f := start(t, []step{whole(200, "ok")})
+	f.configure(1)
+	serving := f.endpoints
+	f.gateway.Assigner.SetEndpoints(nil)
+	begun := time.Now()
+	status, _, h, err := f.do("/once/", func(r *http.Request) { r.Header.Set("Left", "6000") })
+	is.NoErr(err)
+	is.Equal(status, 503)
+	is.Equal(h.Get("Retry-After"), "2s")
+	is.True(time.Since(begun) < 200*time.Millisecond)
+	time.AfterFunc(300*time.Millisecond, func() { f.gateway.Assigner.SetEndpoints(serving) })
+	status, _, _, err = f.do("/once/", func(r *http.Request) { r.Header.Set("Left", "4000") })
+	is.NoErr(err)
+	is.Equal(status, 200)
+	f.gateway.Assigner.SetEndpoints(nil)
+	begun = time.Now()
+	status, _, _, err = f.do("/once/", func(r *http.Request) { r.Header.Set("Left", "2000") })
+	is.NoErr(err)
+	is.Equal(status, 503) // there is no time left for an answer
+	is.True(time.Since(begun) < 200*time.Millisecond)
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -27,9 +27,11 @@
 	refusals = 3
 	// answerTime is about the longest time of an answer at a busy engine.
 	answerTime = 2500 * time.Millisecond
-	// longestWait and waitStep bound the wait for endpoints to come back: half the time that a caller has left then.
-	longestWait = 2 * time.Second
-	waitStep    = 25 * time.Millisecond
+	// loadWait bounds the wait for endpoints to come back: half the time that a caller has left then. roomWait bounds that
+	// for room, which comes or does not come with the next answers that end.
+	loadWait = 2 * time.Second
+	roomWait = 800 * time.Millisecond
+	waitStep = 25 * time.Millisecond
 	// unreachables is the number of endpoints that one request may fail to reach.
 	unreachables = 4
 )
@@ -69,7 +71,7 @@
 	a.seq.Last, a.seq.Known = q.After, q.Resumes
 	for {
 		choice, why := g.Assigner.Assign(g.query(q, a))
-		if why == assigner.None && g.mayWait(ctx, q, a) {
+		if why != "" && g.mayWait(ctx, q, a, why) {
 			continue
 		}
 		if why != "" {
@@ -105,11 +107,15 @@
 	}
 }
 
-// mayWait waits a moment for endpoints that are about to serve again, such as engines that load after a loss of power. It
-// does so for callers alone that came back after a refusal, as they do not come a third time, and only as long as there
-// is time for an answer then.
-func (g *Gateway) mayWait(ctx context.Context, q *request, a *attempts) bool {
-	if q.spent == 0 || len(a.tried) > 0 || time.Until(q.final) < answerTime || time.Since(q.arrived) > longestWait {
+// mayWait waits a moment for room, or for endpoints that are about to serve again, such as engines that load after a loss
+// of power. It does so for callers alone that came back after a refusal, as they do not come a third time, and only as
+// long as there is time for an answer then.
+func (g *Gateway) mayWait(ctx context.Context, q *request, a *attempts, why assigner.Refusal) bool {
+	longest := loadWait
+	if why == assigner.Full {
+		longest = roomWait
+	}
+	if q.spent == 0 || len(a.tried) > 0 || time.Until(q.final) < answerTime || time.Since(q.arrived) > longest {
 		return false
 	}
 	select {
