--- a/internal/core/budgeter/budgeter.go
+++ b/internal/core/budgeter/budgeter.go
@@ -45,6 +45,14 @@
 	}
 }
 
+// SetBurst changes the most tokens that are kept, as the share of one host changes with the number of hosts.
+func (b *Budgeter) SetBurst(n float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Burst = n
+	b.tokens = min(n, b.tokens)
+}
+
 // Spend takes one token for a retry. It returns false if there is none, and then the retry must not be made.
 func (b *Budgeter) Spend() bool {
 	b.mu.Lock()
--- a/internal/core/budgeter/budgeter_test.go
+++ b/internal/core/budgeter/budgeter_test.go
@@ -27,3 +27,18 @@
 		}
 	})
 }
+
+// The hosts of a fleet share one slack, however many they become.
+func TestShareOfAGrowingFleet(t *testing.T) {
+	is := is.New(t)
+	b := &budgeter.Budgeter{Ratio: 1, Burst: 28}
+	for range 100 {
+		b.Earn()
+	}
+	b.SetBurst(6)
+	n := 0
+	for b.Spend() {
+		n++
+	}
+	is.Equal(n, 6)
+}
--- a/internal/fronthost/fronthost.go
+++ b/internal/fronthost/fronthost.go
@@ -52,6 +52,10 @@
 	probeEvery = 250 * time.Millisecond
 	// refreshEvery is how often entries that lapsed are looked at.
 	refreshEvery = 250 * time.Millisecond
+	// budgetShare is the part of the fleet's budget for repeats that its hosts use together, and fewestHosts the number of
+	// hosts that share it at least, before the others are known.
+	budgetShare = 0.5
+	fewestHosts = 4
 	// returnShare is the part of a caller's time left after which it may come back: the most that callers honour.
 	returnShare = 3
 )
@@ -113,7 +117,7 @@
 	survey := &surveyor.Surveyor{ReleaseBound: h.ReleaseBound}
 	h.gateway = &gateway.Gateway{
 		Dialect: h.Dialect, Assigner: h.assigner, Sender: &sender.Sender{Dial: (&connector.Connector{Timeout: reachTime}).DialContext},
-		Budget:  &budgeter.Budgeter{Ratio: h.RetryRatio / 2, Burst: h.RetrySlack / 8},
+		Budget:  &budgeter.Budgeter{Ratio: h.RetryRatio * budgetShare, Burst: h.RetrySlack * budgetShare / fewestHosts},
 		Release: survey.Oldest, Logger: h.Logger, Meter: gateway.NewMeter(registry),
 		Return: func(left time.Duration) time.Duration { return max(0, left/returnShare) },
 	}
@@ -247,6 +251,7 @@
 			far = append(far, e.Address)
 		}
 	}
+	h.gateway.Budget.SetBurst(h.RetrySlack * budgetShare / float64(max(fewestHosts, len(all))))
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.seeds, h.near, h.far = all, near, far
