--- a/internal/core/budgeter/budgeter_test.go
+++ b/internal/core/budgeter/budgeter_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"github.com/matryer/is"
+
 	"pgregory.net/rapid"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/budgeter"
