Requests that are late already go where little is unread

Cause, from the logs of inc-187a: the first engines back after a loss of power got 31 waiting callers each within milliseconds, as every host saw them free; 91 callers left before an answer.

--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -38,6 +38,9 @@
 	plainQueue = 2
 	// spare is the share of the slots up to which an engine takes requests that are late already.
 	spare = 0.9
+	// lateWait is the longest wait for others' work at an engine that takes a request which is late already: about one
+	// request for each entry host of a zone, until the hosts have heard of each other.
+	lateWait = 120 * time.Millisecond
 	// paceWeight is the weight of one observation in an endpoint's pace, and paceMemory the time after which an unobserved
 	// pace has halved its distance from one.
 	paceWeight = 0.25
@@ -344,7 +347,7 @@
 	wait := reading(e, float64(load.Unread)) + time.Duration(max(0, load.Requests+1-n))*leaving(e, n)
 	wait = max(time.Duration(pace*float64(wait)), s.overdue(now)-own)
 	if q.Left <= 0 {
-		return own + wait, float64(load.Requests) < spare*float64(n)
+		return own + wait, float64(load.Requests) < spare*float64(n) && wait <= lateWait
 	}
 	return own + wait, own+time.Duration(caution*float64(wait)) <= q.Left-margin
 }
--- a/internal/core/assigner/replay_test.go
+++ b/internal/core/assigner/replay_test.go
@@ -314,3 +314,23 @@
 		is.Equal(why, assigner.Refusal(""))
 	})
 }
+
+// Load pattern: the first engine is back after a loss of power, and every host has callers waiting that came back. They must
+// not all go there at once.
+func TestCallersThatCameBackDoNotFloodTheFirstEngine(t *testing.T) {
+	is := is.New(t)
+	const hosts, waiting = 8, 20
+	placed := 0
+	for range hosts {
+		a := &assigner.Assigner{Zone: "z"}
+		a.SetPools(map[ident.Pool]*directory.Pool{"p": {Name: "p", Engine: figures}})
+		a.SetEndpoints([]directory.Endpoint{{ID: "e", Pool: "p", Serves: []directory.Serving{{Model: "m", Release: 1}}}})
+		for range waiting {
+			if _, why := a.Assign(assigner.Query{Pool: "p", Model: "m", Release: 1, Prompt: figures.Prompt, Left: -time.Second}); why == "" {
+				placed++
+			}
+		}
+	}
+	is.True(placed >= hosts)           // each host may send some
+	is.True(placed <= 2*figures.Slots) // all of them begin within two turns of the batch
+}
