--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -20,10 +20,17 @@
 )
 
 const (
-	// DefaultEvery is how often all hosts are told: about one arrival at an endpoint falls between two messages.
+	// DefaultEvery is how often all hosts are told, where there are few: about one arrival at an endpoint falls between two
+	// messages.
 	DefaultEvery = 100 * time.Millisecond
-	// DefaultSpacing is the shortest time between two messages to the hosts of the same zone, which hear of each change.
+	// DefaultSpacing is the shortest time between two messages to the hosts of the same zone, which hear of each change,
+	// where there are few.
 	DefaultSpacing = 10 * time.Millisecond
+	// fewNear and fewFar are the numbers of hosts up to which the times hold. With more of them the times grow in
+	// proportion, so that a host sends 300 messages a second in its zone and 60 to others at most, whatever their number.
+	fewNear, fewFar = 3, 6
+	// rarest bounds the time between two messages, as hosts that are not heard of for a second are forgotten.
+	rarest = 400 * time.Millisecond
 	maxBytes       = 16 << 10
 )
 
@@ -87,16 +94,20 @@
 func (x *Exchanger) tell(ctx context.Context) error {
 	tick := time.NewTicker(x.Every)
 	defer tick.Stop()
-	var near time.Time
+	var near, far time.Time
 	for {
 		isFar := false
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
-			isFar = true
+			// The list of hosts grows and shrinks meanwhile. Half a tick more or less does not matter.
+			isFar = time.Since(far) > min(rarest, scaled(x.Every, len(x.Far()), fewFar))-x.Every/2
+			if !isFar && time.Since(near) < x.Every {
+				continue
+			}
 		case <-x.Changes:
-			if wait := x.Spacing - time.Since(near); wait > 0 {
+			if wait := min(rarest, scaled(x.Spacing, len(x.Near()), fewNear)) - time.Since(near); wait > 0 {
 				time.Sleep(wait)
 			}
 		}
@@ -107,11 +118,17 @@
 		near = time.Now()
 		x.send(data, x.Near())
 		if isFar {
+			far = near
 			x.send(data, x.Far())
 		}
 	}
 }
 
+// scaled returns a time that grows with the number of hosts beyond few.
+func scaled(d time.Duration, hosts, few int) time.Duration {
+	return d * time.Duration(max(few, hosts)) / time.Duration(few)
+}
+
 func (x *Exchanger) send(data []byte, to []netip.AddrPort) {
 	for _, p := range to {
 		// A message that cannot be sent is as good as a lost one.
