--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -30,8 +30,8 @@
 	// proportion, so that a host sends 300 messages a second in its zone and 60 to others at most, whatever their number.
 	fewNear, fewFar = 3, 6
 	// rarest bounds the time between two messages, as hosts that are not heard of for a second are forgotten.
-	rarest = 400 * time.Millisecond
-	maxBytes       = 16 << 10
+	rarest   = 400 * time.Millisecond
+	maxBytes = 16 << 10
 )
 
 // Message is what one entry host tells.
