--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -44,9 +44,11 @@
 	settleTime = 100 * time.Millisecond
 	sourceTime = 600 * time.Millisecond
 	heartbeat  = 150 * time.Millisecond
-	busyTime   = 50 * time.Millisecond
-	retryTime  = 60 * time.Millisecond
-	newsRate   = 20
+	// patience is longer than the outages of the origin that were seen, 6 s.
+	patience  = 8 * time.Second
+	busyTime  = 50 * time.Millisecond
+	retryTime = 60 * time.Millisecond
+	newsRate  = 20
 	// hostFetches is the number of chunks that a host reads at a time: with two the link stays busy, and a request on the
 	// same link waits for no more than the two.
 	hostFetches = 2
@@ -111,7 +113,7 @@
 	c.fetcher = &fetcher.Fetcher{
 		Self:    c.peer(planner.Peer{Host: c.Name, Zone: c.Zone, Region: c.Region, Seed: c.Seed}),
 		Sources: []string{""}, Holder: c.holder, Peers: c.peers, Artifact: weights.Artifact, Logger: c.Logger,
-		Tempo: fetcher.Tempo{Settle: settleTime, Deadline: sourceTime, Busy: busyTime, Retry: retryTime, News: newsRate, Heartbeat: heartbeat, Fetches: fetches},
+		Tempo: fetcher.Tempo{Settle: settleTime, Deadline: sourceTime, Busy: busyTime, Retry: retryTime, News: newsRate, Heartbeat: heartbeat, Patience: patience, Fetches: fetches},
 		Chunk: func(ctx context.Context, base string, k manifest.Chunk, zone ident.Zone, p weightclient.Progress) ([]byte, error) {
 			if base == "" {
 				return c.fromOrigin(ctx, k, p)
--- a/internal/core/planner/planner.go
+++ b/internal/core/planner/planner.go
@@ -109,6 +109,10 @@
 	Busy time.Duration
 	// Retry is how long a source that failed is not asked again; it doubles with each failure. Zero means the default.
 	Retry time.Duration
+	// Patience is the time without progress after which a live reader is passed over; zero means some deadlines. Where the
+	// source outside may be away for a while, it must be longer than that: otherwise every zone reads a copy of its own as
+	// soon as the source is back.
+	Patience time.Duration
 	// Choice picks chunks and holders.
 	Choice Choice
 
--- a/internal/core/planner/planner_test.go
+++ b/internal/core/planner/planner_test.go
@@ -201,3 +201,27 @@
 		is.Equal(start[0].Source.Host, ident.Host("b"))
 	})
 }
+
+// A source outside that is away stops the readers of all zones alike. They must not take each other for failed, or every
+// zone reads a copy of its own once it is back.
+func TestReaderWithoutProgressIsNotPassedOverWithinThePatience(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := &Planner{Self: Peer{Host: "self", Zone: "z", Region: "r"}, Home: "home", Outside: 1, Deadline: time.Second, Patience: 8 * time.Second}
+		p.SetPeers([]Peer{p.Self, {Host: "up", Zone: "h", Region: "home"}})
+		p.SetGoal([]Goal{goal(Stripes)}, none)
+		ages := make([]int, Stripes)
+		for k := range ages {
+			ages[k] = -1 // no sign of progress
+		}
+		for range 70 {
+			time.Sleep(100 * time.Millisecond)
+			p.Heard("up", p.Cursor("up"), holder.Delta{Next: holder.Cursor{Epoch: 1}}, ages)
+			start, _ := p.Next()
+			is.Equal(len(start), 0)
+		}
+		time.Sleep(3 * time.Second) // now it is silent
+		start, _ := p.Next()
+		is.True(len(start) > 0)
+	})
+}
--- a/internal/core/planner/reader.go
+++ b/internal/core/planner/reader.go
@@ -11,6 +11,9 @@
 // patience is the time without a sign of progress after which a live reader is passed over.
 // It doubles with the stripe's deadline: a host whose own reads stall has no better way than those before it.
 func (p *Planner) patience(s *stripe) time.Duration {
+	if p.Patience > 0 {
+		return p.Patience
+	}
 	if p.Bias == catalog.BiasTime {
 		return timePatienceFactor * p.Deadline << s.slow
 	}
--- a/internal/core/surveyor/surveyor.go
+++ b/internal/core/surveyor/surveyor.go
@@ -14,6 +14,9 @@
 	returnTime = 2 * time.Second
 	// awayTime is the shortest time without an answer after which entries may have lapsed: two heartbeats of an endpoint.
 	awayTime = 2400 * time.Millisecond
+	// firstGrace is the time from the start of a host until a release that it found there is in force. Hosts that have just
+	// started are not held to the bound for three seconds.
+	firstGrace = 2500 * time.Millisecond
 	// releaseMargin is how long before the bound requests stop to begin on an older release: it covers a request's wait
 	// in the engine's own queue.
 	releaseMargin = 700 * time.Millisecond
@@ -147,8 +150,8 @@
 	now := time.Now()
 	at := now.Add(s.ReleaseBound - releaseMargin)
 	if first {
-		// The release may have been named up to the whole bound ago; engines get a part of it to say what they serve.
-		at = now.Add(s.ReleaseBound / 2)
+		// The release may have been named long ago.
+		at = now.Add(firstGrace)
 	}
 	s.releases[m] = append(s.releases[m], release{number: n, enforce: at, seen: now})
 	return true
--- a/internal/fetcher/fetcher.go
+++ b/internal/fetcher/fetcher.go
@@ -68,8 +68,8 @@
 
 // Tempo holds the waits of a burst; zero fields mean the defaults.
 type Tempo struct {
-	// Settle, Deadline, Busy and Retry are those of the planner.
-	Settle, Deadline, Busy, Retry time.Duration
+	// Settle, Deadline, Busy, Retry and Patience are those of the planner.
+	Settle, Deadline, Busy, Retry, Patience time.Duration
 	// Heartbeat is the longest time until an answer about holdings, news or not. It must be well below Deadline.
 	Heartbeat time.Duration
 	// Fetches is the number of chunks to read at a time.
@@ -133,7 +133,7 @@
 	defer f.mu.Unlock()
 	f.planner = &planner.Planner{
 		Self: f.Self.Peer, Home: f.Home, Outside: len(f.Sources), Bias: bias,
-		Settle: f.Tempo.Settle, Deadline: f.Tempo.Deadline, Busy: f.Tempo.Busy, Retry: f.Tempo.Retry, Fetches: f.Tempo.Fetches,
+		Settle: f.Tempo.Settle, Deadline: f.Tempo.Deadline, Busy: f.Tempo.Busy, Retry: f.Tempo.Retry, Patience: f.Tempo.Patience, Fetches: f.Tempo.Fetches,
 	}
 	f.setPeers(peers)
 	f.planner.SetGoal(goals, func(d ident.Digest) bool {
