An attempt is taken from its endpoint's count however it ends; what ends a lost one is given with the query

Cause, found by reading: an answer too long to hold that broke off left its request in the endpoint's count, and the function that ends a lost attempt was set after other goroutines could read it.

--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -67,6 +67,9 @@
 	Left time.Duration
 	// Tried are endpoints that must not be chosen again, by id.
 	Tried map[string]bool
+	// Lost is called if the endpoint turns out to be unreachable while the request is there; nil if it cannot go on
+	// elsewhere. It must not call the assigner.
+	Lost func()
 }
 
 // Load is what one entry host has at an endpoint.
@@ -84,10 +87,7 @@
 	// First is the predicted time to the first event.
 	First time.Duration
 
-	// Lost is called when the endpoint turns out to be unreachable while the request is there. It is set by the caller of
-	// Assign at once, for requests that may go on elsewhere, and must not call the assigner.
-	Lost func()
-
+	lost   func()
 	prompt int
 	sent   time.Time
 	begun  bool
@@ -242,7 +242,7 @@
 		}
 		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
-			choice = &Choice{Endpoint: s.Endpoint, Load: load, First: first, prompt: int(q.Prompt), sent: now}
+			choice = &Choice{Endpoint: s.Endpoint, Load: load, First: first, prompt: int(q.Prompt), sent: now, lost: q.Lost}
 		}
 	}
 	if best == nil {
--- a/internal/core/assigner/probe.go
+++ b/internal/core/assigner/probe.go
@@ -64,8 +64,8 @@
 		return changed
 	}
 	for c := range s.running {
-		if c.Lost != nil {
-			c.Lost()
+		if c.lost != nil {
+			c.lost()
 		}
 	}
 	return changed
--- a/internal/core/assigner/replay_test.go
+++ b/internal/core/assigner/replay_test.go
@@ -244,10 +244,12 @@
 			all = append(all, directory.Endpoint{ID: fmt.Sprint(i), Pool: "p", Zone: zone, Address: fmt.Sprint("10.0.0.", i, ":80"), Serves: []directory.Serving{{Model: "m", Release: 1}}})
 		}
 		a.SetEndpoints(all)
-		there, why := assign(a, "0", "2", "3")
-		is.Equal(why, assigner.Refusal(""))
 		lost := false
-		there.Lost = func() { lost = true }
+		_, why := a.Assign(assigner.Query{
+			Pool: "p", Model: "m", Release: 1, Left: objective, Tried: map[string]bool{"0": true, "2": true, "3": true},
+			Lost: func() { lost = true },
+		})
+		is.Equal(why, assigner.Refusal(""))
 		time.Sleep(time.Second)
 		failed, _ := assign(a, "0", "1")
 		a.Release(failed, assigner.Unreached)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -44,7 +44,7 @@
 	sent, refused, unreached int
 	// last is how the latest attempt failed.
 	last error
-	// answer is a failure that an endpoint gave, held back while the request is tried elsewhere.
+	// held is a failure that an endpoint gave, held back while the request is tried elsewhere.
 	held *heldAnswer
 	// seq follows the events of a stream once its head has been sent.
 	seq     sequencer.Sequencer
@@ -70,29 +70,26 @@
 	a := &attempts{tried: make(map[string]bool)}
 	a.seq.Last, a.seq.Known = q.After, q.Resumes
 	for {
-		choice, why := g.Assigner.Assign(g.query(q, a))
-		if why != "" && g.mayWait(ctx, q, a, why) {
-			continue
-		}
+		actx, lost := context.WithCancel(ctx)
+		choice, why := g.Assigner.Assign(g.query(q, a, lost))
 		if why != "" {
+			lost()
+			if g.mayWait(ctx, q, a, why) {
+				continue
+			}
 			g.giveUp(ctx, q, a, string(why))
 			return
 		}
 		a.tried[choice.Endpoint.ID] = true
 		a.load, a.predicted = choice.Load, choice.First
 		a.begin = func() { g.Assigner.Begin(choice) }
-		actx, lost := context.WithCancel(ctx)
-		if q.route.MayRepeat() {
-			choice.Lost = lost
-		}
 		g.Logger.WithFields(g.fields(q)).WithFields(log.Fields{
 			"endpoint": choice.Endpoint.ID, "load": choice.Load.Requests, "unread": choice.Load.Unread,
 			"first": choice.First.Milliseconds(), "attempt": len(a.tried),
 		}).Debug("request sent")
-		end, done := g.try(actx, q, a, choice)
+		isDone := g.attempt(actx, q, a, choice)
 		lost()
-		g.Assigner.Release(choice, end)
-		if done {
+		if isDone {
 			return
 		}
 		if a.last != nil {
@@ -107,6 +104,15 @@
 	}
 }
 
+// attempt makes one attempt and takes it from the endpoint's count however it ends, also if it breaks the caller's
+// connection off. It tells whether the caller has got the whole answer.
+func (g *Gateway) attempt(ctx context.Context, q *request, a *attempts, c *assigner.Choice) (isDone bool) {
+	end := assigner.Withdrawn
+	defer func() { g.Assigner.Release(c, end) }()
+	end, isDone = g.try(ctx, q, a, c)
+	return isDone
+}
+
 // mayWait waits a moment for room, or for endpoints that are about to serve again, such as engines that load after a loss
 // of power. It does so for callers alone that came back after a refusal, as they do not come a third time, and only as
 // long as there is time for an answer then.
@@ -126,11 +132,14 @@
 	}
 }
 
-func (g *Gateway) query(q *request, a *attempts) assigner.Query {
+func (g *Gateway) query(q *request, a *attempts, lost func()) assigner.Query {
 	out := assigner.Query{
 		Pool: q.pool, Model: q.Model, Prompt: q.Prompt, Tried: a.tried,
 		Left: q.route.Objective - q.spent - time.Since(q.arrived),
 	}
+	if q.route.MayRepeat() {
+		out.Lost = lost
+	}
 	if q.Model != "" {
 		out.Release = g.Release(q.Model)
 	}
