--- a/internal/core/assigner/replay_test.go
+++ b/internal/core/assigner/replay_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,16 +32,14 @@
 
 // engine works in passes: it reads what is unread, then writes one stride of tokens for each request of the batch.
 type engine struct {
+	mu           sync.Mutex
 	queue, batch []*job
 	slow         float64
 }
 
 func (e *engine) run(until time.Time) {
 	for time.Now().Before(until) {
-		for len(e.batch) < figures.Slots && len(e.queue) > 0 {
-			e.batch = append(e.batch, e.queue[0])
-			e.queue = e.queue[1:]
-		}
+		e.admit()
 		if len(e.batch) == 0 {
 			time.Sleep(time.Millisecond)
 			continue
@@ -68,6 +67,21 @@
 	}
 }
 
+func (e *engine) admit() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for len(e.batch) < figures.Slots && len(e.queue) > 0 {
+		e.batch = append(e.batch, e.queue[0])
+		e.queue = e.queue[1:]
+	}
+}
+
+func (e *engine) add(j *job) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.queue = append(e.queue, j)
+}
+
 // replay sends requests at the load, as a multiple of what the engines can do, through several entry hosts that hear of
 // each other after lag, and returns the shares that began in time, late, and were refused.
 type replay struct {
@@ -83,6 +97,7 @@
 
 func (r replay) run(t *testing.T) shares {
 	var out shares
+	var mu sync.Mutex // guards out, seen and told
 	synctest.Test(t, func(*testing.T) {
 		const seconds = 20
 		draw := rand.New(rand.NewPCG(1, 2))
@@ -118,7 +133,9 @@
 							other.SetPeer(ident.Host(fmt.Sprint(i)), own)
 						}
 					}
+					mu.Lock()
 					copy(told[i], seen[i])
+					mu.Unlock()
 				}
 				time.Sleep(r.lag)
 			}
@@ -131,11 +148,15 @@
 			host := draw.IntN(r.hosts)
 			prompt := int(figures.Prompt * min(3, draw.ExpFloat64()))
 			sent := time.Now()
+			mu.Lock()
 			out.other++
+			mu.Unlock()
 			var at int
 			var choice *assigner.Choice
 			if r.choose != nil {
+				mu.Lock()
 				at = r.choose(seen[host], told, host)
+				mu.Unlock()
 			} else {
 				var why assigner.Refusal
 				choice, why = hosts[host].Assign(assigner.Query{Pool: "p", Model: "m", Release: 1, Prompt: float64(prompt), Left: objective})
@@ -145,13 +166,19 @@
 				}
 			}
 			if at < 0 {
+				mu.Lock()
 				out.refused++
+				mu.Unlock()
 				continue
 			}
+			mu.Lock()
 			seen[host][at]++
-			engines[at].queue = append(engines[at].queue, &job{
+			mu.Unlock()
+			engines[at].add(&job{
 				prompt: prompt, answer: int(figures.Answer * min(2.5, draw.ExpFloat64())),
 				first: func() {
+					mu.Lock()
+					defer mu.Unlock()
 					if time.Since(sent) <= objective {
 						out.inTime++
 					} else {
@@ -162,6 +189,8 @@
 					}
 				},
 				end: func() {
+					mu.Lock()
+					defer mu.Unlock()
 					seen[host][at]--
 					if choice != nil {
 						hosts[host].Release(choice, assigner.Served)
@@ -171,6 +200,8 @@
 		}
 		time.Sleep(11 * time.Second)
 	})
+	mu.Lock()
+	defer mu.Unlock()
 	out.inTime, out.late, out.refused = out.inTime/out.other, out.late/out.other, out.refused/out.other
 	return out
 }
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,6 +19,7 @@
 
 // store is a log that may be down or silent.
 type store struct {
+	mu      sync.Mutex
 	changes []watcher.Change
 	first   int64
 	down    bool
@@ -27,13 +29,27 @@
 
 var errDown = errors.New("down")
 
+func (s *store) state() (changes []watcher.Change, first int64, down, silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changes, s.first, s.down, s.silent
+}
+
+// set changes the state of the store.
+func (s *store) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
 func (s *store) reach(ctx context.Context) error {
-	s.calls++
-	if s.silent {
+	s.set(func() { s.calls++ })
+	_, _, down, silent := s.state()
+	if silent {
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	if s.down {
+	if down {
 		return errDown
 	}
 	return nil
@@ -43,8 +59,9 @@
 	if err := s.reach(ctx); err != nil {
 		return watcher.Image{}, err
 	}
-	img := watcher.Image{Values: make(map[string][]byte), Next: int64(len(s.changes))}
-	for _, c := range s.changes {
+	changes, _, _, _ := s.state()
+	img := watcher.Image{Values: make(map[string][]byte), Next: int64(len(changes))}
+	for _, c := range changes {
 		img.Values[c.Key] = c.Value
 	}
 	return img, nil
@@ -54,42 +71,64 @@
 	if err := s.reach(ctx); err != nil {
 		return watcher.Batch{}, err
 	}
-	if from < s.first {
-		return watcher.Batch{}, &watcher.GapError{Topic: topic, From: from}
-	}
-	for end := time.Now().Add(wait); from == int64(len(s.changes)) && time.Now().Before(end); {
-		time.Sleep(10 * time.Millisecond)
-		if s.silent {
+	end := time.Now().Add(wait)
+	for {
+		changes, first, _, silent := s.state()
+		switch {
+		case silent:
 			<-ctx.Done()
 			return watcher.Batch{}, ctx.Err()
+		case from < first:
+			return watcher.Batch{}, &watcher.GapError{Topic: topic, From: from}
+		case from < int64(len(changes)) || !time.Now().Before(end):
+			return watcher.Batch{Changes: changes[from:], Next: int64(len(changes))}, nil
 		}
+		time.Sleep(10 * time.Millisecond)
 	}
-	return watcher.Batch{Changes: s.changes[from:], Next: int64(len(s.changes))}, nil
 }
 
 func (s *store) put(key, value string) {
-	s.changes = append(s.changes, watcher.Change{Key: key, Value: []byte(value)})
+	s.set(func() { s.changes = append(s.changes, watcher.Change{Key: key, Value: []byte(value)}) })
+}
+
+// picture is what a watcher was told.
+type picture struct {
+	mu     sync.Mutex
+	values map[string]string
+	resets int
+}
+
+func (p *picture) get(key string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.values[key]
+}
+
+func (p *picture) reset(values map[string][]byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.resets++
+	clear(p.values)
+	for k, v := range values {
+		p.values[k] = string(v)
+	}
+}
+
+func (p *picture) apply(changes []watcher.Change) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range changes {
+		p.values[c.Key] = string(c.Value)
+	}
 }
 
 // follow runs a watcher on the store in virtual time and returns what it holds.
-func follow(t *testing.T, s *store, wait time.Duration, body func(held map[string]string, resets *int)) {
+func follow(t *testing.T, s *store, wait time.Duration, body func(held *picture)) {
 	synctest.Test(t, func(*testing.T) {
-		held := make(map[string]string)
-		resets := 0
+		held := &picture{values: make(map[string]string)}
 		w := &watcher.Watcher{
 			Topic: "t", Wait: wait, Pause: 200 * time.Millisecond, Newest: s.newest, Changes: s.read, Logger: quiet,
-			Reset: func(values map[string][]byte) {
-				resets++
-				clear(held)
-				for k, v := range values {
-					held[k] = string(v)
-				}
-			},
-			Apply: func(changes []watcher.Change) {
-				for _, c := range changes {
-					held[c.Key] = string(c.Value)
-				}
-			},
+			Reset: held.reset, Apply: held.apply,
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
@@ -98,7 +137,7 @@
 			close(done)
 		}()
 		time.Sleep(50 * time.Millisecond)
-		body(held, &resets)
+		body(held)
 		cancel()
 		<-done
 	})
@@ -108,20 +147,22 @@
 	is := is.New(t)
 	s := &store{}
 	s.put("a", "1")
-	follow(t, s, time.Second, func(held map[string]string, _ *int) {
-		is.Equal(held["a"], "1")
+	follow(t, s, time.Second, func(held *picture) {
+		is.Equal(held.get("a"), "1")
 		time.Sleep(300 * time.Millisecond)
 		s.put("a", "2")
 		time.Sleep(20 * time.Millisecond)
-		is.Equal(held["a"], "2") // a waiting call hears of it at once
+		is.Equal(held.get("a"), "2") // a waiting call hears of it at once
 		for range 20 {
 			s.put("a", "3")
 			time.Sleep(10 * time.Millisecond)
 		}
-		calls := s.calls
+		var calls, later int
+		s.set(func() { calls = s.calls })
 		time.Sleep(200 * time.Millisecond)
-		is.True(s.calls-calls <= 2) // a storm shares calls
-		is.Equal(held["a"], "3")
+		s.set(func() { later = s.calls })
+		is.True(later-calls <= 2) // a storm shares calls
+		is.Equal(held.get("a"), "3")
 	})
 }
 
@@ -129,12 +170,17 @@
 	is := is.New(t)
 	s := &store{}
 	s.put("a", "1")
-	follow(t, s, 0, func(held map[string]string, resets *int) {
-		s.changes = append(s.changes, watcher.Change{Key: "b", Value: []byte("1")}, watcher.Change{Key: "c", Value: []byte("1")})
-		s.first = 2
+	follow(t, s, 0, func(held *picture) {
+		s.put("b", "1")
+		s.set(func() {
+			s.changes = append(s.changes, watcher.Change{Key: "c", Value: []byte("1")})
+			s.first = 2
+		})
 		time.Sleep(time.Second)
-		is.Equal(held["c"], "1")
-		is.Equal(*resets, 2)
+		is.Equal(held.get("c"), "1")
+		held.mu.Lock()
+		defer held.mu.Unlock()
+		is.Equal(held.resets, 2)
 	})
 }
 
@@ -143,13 +189,13 @@
 	is := is.New(t)
 	s := &store{}
 	s.put("a", "1")
-	follow(t, s, 1200*time.Millisecond, func(held map[string]string, _ *int) {
-		s.silent = true
+	follow(t, s, 1200*time.Millisecond, func(held *picture) {
+		s.set(func() { s.silent = true })
 		time.Sleep(10 * time.Second)
-		s.silent = false
+		s.set(func() { s.silent = false })
 		s.put("a", "2")
 		time.Sleep(1300 * time.Millisecond)
-		is.Equal(held["a"], "2")
+		is.Equal(held.get("a"), "2")
 	})
 }
 
@@ -157,13 +203,13 @@
 	is := is.New(t)
 	s := &store{}
 	s.put("a", "1")
-	follow(t, s, time.Second, func(held map[string]string, _ *int) {
-		s.down = true
+	follow(t, s, time.Second, func(held *picture) {
+		s.set(func() { s.down = true })
 		time.Sleep(time.Minute)
-		is.Equal(held["a"], "1")
-		s.down = false
+		is.Equal(held.get("a"), "1")
+		s.set(func() { s.down = false })
 		s.put("a", "2")
 		time.Sleep(500 * time.Millisecond)
-		is.Equal(held["a"], "2")
+		is.Equal(held.get("a"), "2")
 	})
 }
