--- a/internal/distributor/distributor.go
+++ b/internal/distributor/distributor.go
@@ -45,7 +45,12 @@
 
 	mu     sync.Mutex
 	topics map[string]*tail
-	bans   map[string]time.Time
+	bans   map[ban]time.Time
+}
+
+// ban is a reader that does not speak for the store in one topic.
+type ban struct {
+	address, topic string
 }
 
 // tail is the end of a topic, as far as it is kept.
@@ -61,7 +66,7 @@
 func (d *Distributor) tail(topic string) *tail {
 	if d.topics == nil {
 		d.topics = make(map[string]*tail)
-		d.bans = make(map[string]time.Time)
+		d.bans = make(map[ban]time.Time)
 	}
 	t := d.topics[topic]
 	if t == nil {
@@ -71,15 +76,17 @@
 	return t
 }
 
-func (d *Distributor) banned(address string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return time.Since(d.bans[address]) < banTime
+func (d *Distributor) banned(topic string) func(address string) bool {
+	return func(address string) bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return time.Since(d.bans[ban{address, topic}]) < banTime
+	}
 }
 
 // Changes returns the records of a topic from an offset on, from the reader or the store.
 func (d *Distributor) Changes(ctx context.Context, topic string, from int64, wait time.Duration) (watcher.Batch, error) {
-	if reader := d.Reader(d.banned); reader != "" {
+	if reader := d.Reader(d.banned(topic)); reader != "" {
 		b, err := d.ask(ctx, reader, topic, from, min(wait, longestWait))
 		if err == nil {
 			d.keep(topic, from, b)
@@ -87,7 +94,7 @@
 		}
 		d.mu.Lock()
 		d.tail(topic)
-		d.bans[reader] = time.Now()
+		d.bans[ban{reader, topic}] = time.Now()
 		d.mu.Unlock()
 		wait = 0
 	}
--- a/internal/distributor/distributor_test.go
+++ b/internal/distributor/distributor_test.go
@@ -203,3 +203,31 @@
 		is.True(unknown.Unknown)
 	})
 }
+
+// A reader that does not know one topic still reads the others for its zone.
+func TestReaderIsPassedOverInOneTopicAlone(t *testing.T) {
+	is := is.New(t)
+	direct := make(map[string]int)
+	d := &distributor.Distributor{
+		Reader: func(banned func(string) bool) string {
+			if banned("r") {
+				return ""
+			}
+			return "r"
+		},
+		Ask: func(_ context.Context, _ string, q messages.RecordsQuery) (messages.RecordsAnswer, error) {
+			return messages.RecordsAnswer{Unknown: q.Topic == "unknown", Next: q.From}, nil
+		},
+		Store: func(_ context.Context, topic string, from int64, _ time.Duration) (watcher.Batch, error) {
+			direct[topic]++
+			return watcher.Batch{Next: from}, nil
+		},
+	}
+	for range 3 {
+		for _, topic := range []string{"unknown", "known"} {
+			_, err := d.Changes(context.Background(), topic, 0, 0)
+			is.NoErr(err)
+		}
+	}
+	is.Equal(direct, map[string]int{"unknown": 3})
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -26,9 +26,10 @@
 	// now and then, within half of the time in which
 	// an endpoint that leaves must be known.
 	DefaultPause = 600 * time.Millisecond
-	// peerWait and peerPause: the list of entry hosts changes when hosts start.
+	// peerWait and peerPause: the list of entry hosts changes when hosts start. The pause is shorter than the time for which
+	// a reader speaks for the store without a call to it.
 	peerWait  = 10 * time.Second
-	peerPause = 2 * time.Second
+	peerPause = 900 * time.Millisecond
 )
 
 // Topics names the topics of the store.
