--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -389,3 +389,23 @@
 	is.Equal(status, 503) // there is no time left for an answer
 	is.True(time.Since(begun) < 200*time.Millisecond)
 }
+
+// Load pattern: overload that lasts. A caller that came back is refused as fast as a newcomer, since waiting for room only
+// takes it from those that can still be in time.
+func TestCallerThatCameBackDoesNotWaitForRoom(t *testing.T) {
+	is := is.New(t)
+	f := start(t, []step{hang, hang, hang, hang, hang, hang})
+	f.configure(1)
+	for range 6 { // two slots and twice as many that wait
+		go func() { _, _, _, _ = f.do("/once/", func(r *http.Request) { r.Header.Set("Left", "6000") }) }()
+	}
+	for end := time.Now().Add(5 * time.Second); f.gateway.Running() < 6 && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond)
+	begun := time.Now()
+	status, _, _, err := f.do("/once/", func(r *http.Request) { r.Header.Set("Left", "4000") })
+	is.NoErr(err)
+	is.Equal(status, 503)
+	is.True(time.Since(begun) < 300*time.Millisecond)
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -27,10 +27,8 @@
 	refusals = 3
 	// answerTime is about the longest time of an answer at a busy engine.
 	answerTime = 2500 * time.Millisecond
-	// loadWait bounds the wait for endpoints to come back: half the time that a caller has left then. roomWait bounds that
-	// for room, which comes or does not come with the next answers that end.
+	// loadWait and waitStep bound the wait for endpoints to come back: half the time that a caller has left then.
 	loadWait = 2 * time.Second
-	roomWait = 800 * time.Millisecond
 	waitStep = 25 * time.Millisecond
 	// unreachables is the number of endpoints that one request may fail to reach.
 	unreachables = 4
@@ -74,7 +72,7 @@
 		choice, why := g.Assigner.Assign(g.query(q, a, lost))
 		if why != "" {
 			lost()
-			if g.mayWait(ctx, q, a, why) {
+			if why == assigner.None && g.mayWait(ctx, q, a) {
 				continue
 			}
 			g.giveUp(ctx, q, a, string(why))
@@ -113,15 +111,11 @@
 	return isDone
 }
 
-// mayWait waits a moment for room, or for endpoints that are about to serve again, such as engines that load after a loss
-// of power. It does so for callers alone that came back after a refusal, as they do not come a third time, and only as
-// long as there is time for an answer then.
-func (g *Gateway) mayWait(ctx context.Context, q *request, a *attempts, why assigner.Refusal) bool {
-	longest := loadWait
-	if why == assigner.Full {
-		longest = roomWait
-	}
-	if q.spent == 0 || len(a.tried) > 0 || time.Until(q.final) < answerTime || time.Since(q.arrived) > longest {
+// mayWait waits a moment for endpoints that are about to serve again, such as engines that load after a loss of power. It
+// does so for callers alone that came back after a refusal, as they do not come a third time, and only as long as there
+// is time for an answer then.
+func (g *Gateway) mayWait(ctx context.Context, q *request, a *attempts) bool {
+	if q.spent == 0 || len(a.tried) > 0 || time.Until(q.final) < answerTime || time.Since(q.arrived) > loadWait {
 		return false
 	}
 	select {
