A refusal status without the endpoint's word is no promise to the caller

Cause: gateway.plain passed an endpoint's own 408, 421, 429 and 503 through, also where the endpoint had not said that it did not run the request. Callers take these for 'not run' and send the request again. Ruled out: the translator's judgement (only Not-Executed and 421 count); giveUp, which answers 502 once something was sent. Such a request ends as 502 of our own without the endpoint's signature; a repeatable one goes on elsewhere.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -53,7 +53,11 @@
 	Judge: func(status int, h http.Header) dialect.Verdict {
 		return dialect.Verdict{NotRun: status == http.StatusServiceUnavailable && h.Get("Not-Run") != ""}
 	},
-	Refuse: func(h http.Header, after time.Duration) { h.Set("Retry-After", after.String()) },
+	Refuse: func(h http.Header, after time.Duration) {
+		if after > 0 {
+			h.Set("Retry-After", after.String())
+		}
+	},
 }
 
 // fleet is a gateway before endpoints that the test scripts.
@@ -230,6 +234,11 @@
 		{"no more attempts than allowed", "/open/", [][]step{{notRun}, {whole(200, "ok")}}, 503, "", 1},
 		{"all refuse", "/once/", [][]step{{notRun}, {notRun}}, 503, "", 2},
 		{"no endpoint", "/empty/", nil, 503, "", 0},
+		{"a 503 without the word that it has not run is no promise", "/once/", [][]step{{whole(503, "no")}, {whole(200, "ok")}}, 502, "", 1},
+		{"nor is a 429", "/once/", [][]step{{whole(429, "no")}}, 502, "", 1},
+		{"nor is a 408", "/once/", [][]step{{whole(408, "no")}}, 502, "", 1},
+		{"a repeatable one goes on after a 429", "/read/", [][]step{{whole(429, "no")}, {whole(200, "ok")}}, 200, "ok", 2},
+		{"a repeatable one that may have run ends without a promise", "/read/", [][]step{{whole(503, "no")}, {notRun}}, 502, "", 2},
 		{"deadline of the route", "/brief/", [][]step{{hang}}, 504, "", 1},
 		{"no route", "/other/", nil, 404, "", 0},
 	} {
@@ -250,6 +259,10 @@
 			if status == http.StatusServiceUnavailable {
 				is.True(h.Get("Retry-After") != "")
 			}
+			if status == http.StatusBadGateway {
+				is.Equal(h.Get("Signed"), "") // our own failure does not bear the endpoint's signature
+				is.Equal(h.Get("Retry-After"), "")
+			}
 		})
 	}
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -225,6 +225,11 @@
 			return assigner.Moved, false
 		}
 		return assigner.Shed, false
+	case promises(ans.Status):
+		// Without the endpoint's word the request may have run, and these statuses would tell the caller that it has not.
+		a.sent++
+		a.last = &outcome.Error{Kind: outcome.Unknown, Reason: outcome.Lost, Text: "status " + strconv.Itoa(ans.Status)}
+		return assigner.Served, false
 	case ans.Status == http.StatusOK && q.route.Kind == directory.Stream:
 		return g.stream(ctx, q, a, ans, v)
 	default:
@@ -232,6 +237,16 @@
 	}
 }
 
+// promises tells whether callers take a status to say that the request has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // fail counts an attempt that brought no answer.
 func (a *attempts) fail(ctx context.Context, q *request, err error) assigner.End {
 	a.last = err
