--- a/pkg/cmd/explain/explain.go
+++ b/pkg/cmd/explain/explain.go
@@ -14,7 +14,8 @@
 
 // Args are the command's arguments.
 type Args struct {
-	Name string `arg:"positional,required" help:"ORGANISATION/DEPLOYMENT"`
+	Name string   `arg:"positional,required" help:"ORGANISATION/DEPLOYMENT, or with --logs the id of a request"`
+	Logs []string `arg:"--logs,separate" help:"file with log lines; may be given more than once"`
 }
 
 // Example shows a use of the command.
@@ -38,7 +39,11 @@
 
 // Command returns the command, ready to run.
 func Command(f *factory.Factory, a Args) func(ctx context.Context) error {
-	opts := &Options{Args: a, Status: f.Client().Status, Print: f.Print}
+	opts := &Options{Args: a, Print: f.Print}
+	if len(a.Logs) > 0 {
+		return func(context.Context) error { return logsRun(opts) }
+	}
+	opts.Status = f.Client().Status
 	return func(ctx context.Context) error { return explainRun(ctx, opts) }
 }
 
