Releases are kept in the platform's store

Cause: after a loss of power of the whole fleet the weights came from the origin again, one copy at 5.9 to 9.9 Mbit/s, 1.7 to 2.8 s, though what must last belongs on the platform. Entry hosts now write each release to topics of the store, a partition a stripe of the exchange, and read it there when they hold nothing. Ruled out: reading it on the engines' hosts themselves, whose links are the narrower ones; reading it for later releases, which the store does not have yet.

--- a/cmd/gatewayd/main.go
+++ b/cmd/gatewayd/main.go
@@ -37,7 +37,8 @@
 		Carrier: &carrier.Carrier{
 			Name: ident.Host(cfg.IP), Zone: cfg.Zone, Region: cfg.Region, IP: cfg.IP, Seed: true,
 			Control: cfg.Ports[0] + 1, Data: cfg.Ports[0] + 3, Manifest: origin.Manifest, Chunk: origin.Chunk,
-			Dial: (&connector.Connector{}).DialContext, HTTP: calls, Logger: l,
+			Keeper: starter.Keeper(store, cfg.Partitions),
+			Dial:   (&connector.Connector{}).DialContext, HTTP: calls, Logger: l,
 		},
 		Fleet: starter.Fleet(store, l),
 		Put: func(ctx context.Context, key string, value []byte) error {
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -29,6 +29,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/uploader"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/fetcher"
+	"github.com/nutmegdock/nutmegdock/internal/keeper"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
 	"github.com/nutmegdock/nutmegdock/internal/rpc"
 	"github.com/nutmegdock/nutmegdock/internal/weightclient"
@@ -83,6 +84,8 @@
 	// Manifest and Chunk read from the origin.
 	Manifest func(ctx context.Context, origin string, s directory.Serving) (manifest.Artifact, error)
 	Chunk    func(ctx context.Context, origin string, s directory.Serving, number int, p weightclient.Progress) ([]byte, error)
+	// Keeper keeps the newest release in the store; nil if this host does not read it there.
+	Keeper *keeper.Keeper
 	// Dial makes connections to other hosts, and HTTP reads chunks from them.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	HTTP *http.Client
@@ -97,6 +100,8 @@
 	serving map[ident.Digest]directory.Serving
 	digest  map[directory.Serving]ident.Digest
 	order   []directory.Serving
+	// kept is the release that the store holds, as far as this host has found.
+	kept directory.Serving
 }
 
 // Build makes the parts and registers their metrics.
@@ -116,7 +121,7 @@
 		Tempo: fetcher.Tempo{Settle: settleTime, Deadline: sourceTime, Busy: busyTime, Retry: retryTime, News: newsRate, Heartbeat: heartbeat, Patience: patience, Fetches: fetches},
 		Chunk: func(ctx context.Context, base string, k manifest.Chunk, zone ident.Zone, p weightclient.Progress) ([]byte, error) {
 			if base == "" {
-				return c.fromOrigin(ctx, k, p)
+				return c.fromOutside(ctx, k, p)
 			}
 			data, err := weights.Chunk(ctx, base, k, zone, p)
 			var refused *weightclient.Error
@@ -295,6 +300,9 @@
 			}
 		}
 	}
+	if a, err := c.askKeeper(ctx, s); err == nil {
+		return a, nil
+	}
 	a, err := c.askOrigin(ctx, s)
 	if err == nil {
 		return a, nil
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -60,6 +60,12 @@
 	ReleaseServed = Event{1740, log.InfoLevel, "engine serves the release"}
 	// FleetUnknown is event 1741.
 	FleetUnknown = Event{1741, log.WarnLevel, "fleet is not known"}
+	// Kept is event 1742.
+	Kept = Event{1742, log.InfoLevel, "release is kept in the store"}
+	// NotKept is event 1743.
+	NotKept = Event{1743, log.WarnLevel, "release is not kept in the store yet"}
+	// KeptNotRead is event 1744.
+	KeptNotRead = Event{1744, log.InfoLevel, "release cannot be read from the store; reading it from the origin"}
 	// SettingsRead is event 1751.
 	SettingsRead = Event{1751, log.InfoLevel, "settings read again"}
 	// SettingsRefused is event 1752.
--- a/internal/fronthost/carry.go
+++ b/internal/fronthost/carry.go
@@ -11,6 +11,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/directory"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/planner"
+	"github.com/nutmegdock/nutmegdock/internal/core/ranker"
 	"github.com/nutmegdock/nutmegdock/internal/enroller"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/fleet"
@@ -122,17 +123,34 @@
 		if !ok || goal == held {
 			continue
 		}
-		_, err := h.Carrier.Fetch(ctx, goal, func() bool {
+		superseded := func() bool {
 			g, ok := h.goal()
 			return ok && g.Release > goal.Release
-		})
+		}
+		_, err := h.Carrier.Fetch(ctx, goal, superseded)
 		if err != nil {
 			event.ReleaseNotCarried.Log(h.Logger.WithError(err), nil)
 			pause = carryRetry
 			continue
 		}
 		held = goal
+		go h.Carrier.Keep(ctx, goal, h.owns, superseded)
+	}
+}
+
+// owns tells whether this host writes a partition of the kept weights: the first in rendezvous order of the entry hosts
+// that were heard just now.
+func (h *Host) owns(partition int) bool {
+	h.mu.Lock()
+	seeds := h.seeds
+	h.mu.Unlock()
+	hosts := []string{h.IP}
+	for _, s := range seeds {
+		if string(s.Host()) != h.IP && h.isHeard(s.Address.Addr()) {
+			hosts = append(hosts, string(s.Host()))
+		}
 	}
+	return ranker.Rank(fmt.Sprintf("keep/%d", partition), hosts)[0] == h.IP
 }
 
 func (h *Host) goal() (directory.Serving, bool) {
--- /dev/null
+++ b/internal/keeper/keeper.go
@@ -0,0 +1,144 @@
+// Package keeper keeps the newest release of each model in the platform's store, so that a fleet that has lost power does
+// not have to wait for the origin of weights, whose link is narrow.
+//
+// The chunks are spread over the partitions of a topic. Each partition is read and written by one call, and holds the
+// chunks of one stripe of the exchange between hosts, so that the reader of a stripe makes one call.
+package keeper
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/directory"
+	"github.com/nutmegdock/nutmegdock/internal/core/manifest"
+)
+
+// manifestKey ends the key of a manifest.
+const manifestKey = "/manifest"
+
+// Keeper reads and writes the releases. Set its fields before use.
+type Keeper struct {
+	// Partitions is the number of partitions that hold chunks, at least one.
+	Partitions int
+	// Read returns the newest value of each key of a partition of the chunks' topic, and tells progress how many bytes have
+	// come so far.
+	Read func(ctx context.Context, partition int, progress func(bytes int)) (map[string][]byte, error)
+	// Write writes the newest values of keys of one partition.
+	Write func(ctx context.Context, partition int, values map[string][]byte) error
+	// ReadManifests and WriteManifest do the same in the topic of manifests.
+	ReadManifests func(ctx context.Context) (map[string][]byte, error)
+	WriteManifest func(ctx context.Context, key string, value []byte) error
+}
+
+// chunkRecord is the value of a chunk's key. A key names a model and a place, so that a newer release takes its room.
+type chunkRecord struct {
+	_       struct{} `cbor:",toarray"`
+	Release directory.Release
+	Data    []byte
+}
+
+type manifestRecord struct {
+	Release  directory.Release `cbor:"release"`
+	Manifest manifest.Artifact `cbor:"manifest"`
+}
+
+// MissingError says that the store does not hold what was asked for.
+type MissingError struct {
+	Serving directory.Serving
+}
+
+// Error names the release.
+func (e *MissingError) Error() string {
+	return fmt.Sprintf("store does not hold release %d of %s", e.Serving.Release, e.Serving.Model)
+}
+
+func chunkKey(m directory.Model, number int) string {
+	return fmt.Sprintf("%s/%d", m, number)
+}
+
+// Manifest returns the list of chunks of a release, or a MissingError.
+func (k *Keeper) Manifest(ctx context.Context, s directory.Serving) (manifest.Artifact, error) {
+	values, err := k.ReadManifests(ctx)
+	if err != nil {
+		return manifest.Artifact{}, fmt.Errorf("read kept manifests: %w", err)
+	}
+	data, ok := values[string(s.Model)+manifestKey]
+	if !ok {
+		return manifest.Artifact{}, &MissingError{Serving: s}
+	}
+	var rec manifestRecord
+	if err := cbor.Unmarshal(data, &rec); err != nil {
+		return manifest.Artifact{}, fmt.Errorf("decode kept manifest of %s: %w", s.Model, err)
+	}
+	if rec.Release != s.Release {
+		return manifest.Artifact{}, &MissingError{Serving: s}
+	}
+	return rec.Manifest, rec.Manifest.Check()
+}
+
+// Partition returns the partition of a chunk.
+func (k *Keeper) Partition(number int) int {
+	return number % k.Partitions
+}
+
+// Chunks returns the chunks of a release in one partition, by their numbers. They are not verified.
+func (k *Keeper) Chunks(ctx context.Context, s directory.Serving, partition int, progress func(bytes int)) (map[int][]byte, error) {
+	values, err := k.Read(ctx, partition, progress)
+	if err != nil {
+		return nil, fmt.Errorf("read kept chunks: %w", err)
+	}
+	out := make(map[int][]byte)
+	for key, data := range values {
+		rest, ok := strings.CutPrefix(key, string(s.Model)+"/")
+		var number int
+		if _, err := fmt.Sscanf(rest, "%d", &number); !ok || err != nil {
+			continue
+		}
+		var rec chunkRecord
+		if err := cbor.Unmarshal(data, &rec); err != nil {
+			return nil, fmt.Errorf("decode kept chunk %q: %w", key, err)
+		}
+		if rec.Release == s.Release {
+			out[number] = rec.Data
+		}
+	}
+	if len(out) == 0 {
+		return nil, &MissingError{Serving: s}
+	}
+	return out, nil
+}
+
+// Save writes the chunks of one partition, and with the first partition the manifest. get returns a chunk by its number.
+func (k *Keeper) Save(ctx context.Context, s directory.Serving, a manifest.Artifact, partition int, get func(number int) ([]byte, bool)) error {
+	values := make(map[string][]byte)
+	for i := partition; i < len(a.Chunks); i += k.Partitions {
+		data, ok := get(i)
+		if !ok {
+			return fmt.Errorf("keep release %d of %s: chunk %d is not held", s.Release, s.Model, i)
+		}
+		rec, err := cbor.Marshal(chunkRecord{Release: s.Release, Data: data})
+		if err != nil {
+			return fmt.Errorf("encode chunk %d of %s: %w", i, s.Model, err)
+		}
+		values[chunkKey(s.Model, i)] = rec
+	}
+	if len(values) > 0 {
+		if err := k.Write(ctx, partition, values); err != nil {
+			return fmt.Errorf("keep chunks of release %d of %s: %w", s.Release, s.Model, err)
+		}
+	}
+	if partition > 0 {
+		return nil
+	}
+	rec, err := cbor.Marshal(manifestRecord{Release: s.Release, Manifest: a})
+	if err != nil {
+		return fmt.Errorf("encode manifest of %s: %w", s.Model, err)
+	}
+	if err := k.WriteManifest(ctx, string(s.Model)+manifestKey, rec); err != nil {
+		return fmt.Errorf("keep manifest of release %d of %s: %w", s.Release, s.Model, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/keeper/keeper_test.go
@@ -0,0 +1,97 @@
+package keeper_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/directory"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/manifest"
+	"github.com/nutmegdock/nutmegdock/internal/keeper"
+)
+
+const chunks = 10
+
+func content(s directory.Serving, i int) []byte {
+	return fmt.Appendf(nil, "%s %d %d", s.Model, s.Release, i)
+}
+
+func artifact(s directory.Serving) manifest.Artifact {
+	a := manifest.Artifact{Name: string(s.Model), Version: fmt.Sprint(s.Release)}
+	for i := range chunks {
+		data := content(s, i)
+		a.Chunks = append(a.Chunks, manifest.Chunk{Digest: manifest.Sum(data), Size: ident.Bytes(len(data))})
+		a.Size += ident.Bytes(len(data))
+	}
+	return a
+}
+
+func start() (*keeper.Keeper, map[int]map[string][]byte) {
+	topics := make(map[int]map[string][]byte)
+	write := func(_ context.Context, partition int, values map[string][]byte) error {
+		if topics[partition] == nil {
+			topics[partition] = make(map[string][]byte)
+		}
+		maps.Copy(topics[partition], values)
+		return nil
+	}
+	const manifests = -1
+	return &keeper.Keeper{
+		Partitions: 4, Write: write,
+		Read: func(_ context.Context, partition int, _ func(int)) (map[string][]byte, error) {
+			return topics[partition], nil
+		},
+		ReadManifests: func(context.Context) (map[string][]byte, error) { return topics[manifests], nil },
+		WriteManifest: func(ctx context.Context, key string, value []byte) error {
+			return write(ctx, manifests, map[string][]byte{key: value})
+		},
+	}, topics
+}
+
+func TestReleaseIsReadAsItWasKept(t *testing.T) {
+	is := is.New(t)
+	k, _ := start()
+	ctx := context.Background()
+	for release := directory.Release(1); release <= 2; release++ {
+		s := directory.Serving{Model: "m", Release: release}
+		_, err := k.Manifest(ctx, s)
+		var missing *keeper.MissingError
+		is.True(errors.As(err, &missing))
+		for p := range k.Partitions {
+			is.NoErr(k.Save(ctx, s, artifact(s), p, func(i int) ([]byte, bool) { return content(s, i), true }))
+		}
+		a, err := k.Manifest(ctx, s)
+		is.NoErr(err)
+		is.Equal(a, artifact(s))
+		for i := range chunks {
+			got, err := k.Chunks(ctx, s, k.Partition(i), nil)
+			is.NoErr(err)
+			is.Equal(got[i], content(s, i))
+		}
+	}
+	// The newer release took the room of the older one.
+	_, err := k.Chunks(ctx, directory.Serving{Model: "m", Release: 1}, 0, nil)
+	var missing *keeper.MissingError
+	is.True(errors.As(err, &missing))
+}
+
+func TestForeignAndBrokenRecords(t *testing.T) {
+	is := is.New(t)
+	k, topics := start()
+	ctx := context.Background()
+	s := directory.Serving{Model: "m", Release: 1}
+	is.NoErr(k.Save(ctx, s, artifact(s), 1, func(i int) ([]byte, bool) { return content(s, i), true }))
+	topics[1]["other/1"], topics[1]["m/manifest"], topics[1]["odd"] = []byte("x"), []byte("x"), nil
+	got, err := k.Chunks(ctx, s, 1, nil)
+	is.NoErr(err)
+	is.Equal(len(got), 3)
+	topics[1]["m/5"] = []byte("\xff")
+	_, err = k.Chunks(ctx, s, 1, nil)
+	is.True(err != nil)
+	is.True(k.Save(ctx, s, artifact(s), 0, func(int) ([]byte, bool) { return nil, false }) != nil)
+}
