Empty engines load their first layers while the rest of the chunks is on the way

Cause: after a loss of power an engine's host fetched all chunks (2.2 s on its link), staged them (0.06 s) and had them loaded (0.3 s), one after the other; and hosts that asked an entry host that was still down lost 0.4 to 0.7 s more at the start. Now the first half and the first three quarters of the layers are ordered as soon as their chunks are there, chunks are read in that order, and until its first answer a host asks another entry host every 50 ms. An engine that holds some of the layers takes no requests: its entry lists the model all the same, which the decoder now tells apart. Ruled out by a trial: two engines of a zone that hold a half each and serve together over a path.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -377,6 +377,11 @@
 	return c.holder.Chunk(d)
 }
 
+// SetRank orders the chunks, by number, for the next fetch: lower ranks are read first. Nil ranks them alike.
+func (c *Carrier) SetRank(f func(number int) int) {
+	c.fetcher.Rank = f
+}
+
 // Fetch brings all chunks of a release here. It ends early when superseded returns true.
 func (c *Carrier) Fetch(ctx context.Context, s directory.Serving, superseded func() bool) (manifest.Artifact, error) {
 	a, d, err := c.Artifact(ctx, s)
--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -224,7 +224,7 @@
 	var bestCost time.Duration
 	refusal := None
 	for id, s := range a.endpoints {
-		if !s.serves(q, now) || q.Tried[id] {
+		if !s.serves(q, pool, now) || q.Tried[id] {
 			continue
 		}
 		refusal = Full
@@ -263,7 +263,7 @@
 	}
 }
 
-func (s *state) serves(q Query, now time.Time) bool {
+func (s *state) serves(q Query, pool *directory.Pool, now time.Time) bool {
 	if s.Pool != q.Pool || s.Leaving || s.gate.Closed && now.Sub(s.gated) < gateTime {
 		return false
 	}
@@ -271,6 +271,9 @@
 		return true
 	}
 	have, ok := s.Endpoint.Release(q.Model)
+	if pool != nil && pool.Engine != nil && !s.Layers.IsWhole(pool.Engine.Layers) {
+		have, ok = 0, false
+	}
 	if !s.gate.Closed && s.gate.Model == q.Model {
 		// The engine's entry may be older.
 		have, ok = max(have, s.gate.Release), true
--- a/internal/core/assigner/replay_test.go
+++ b/internal/core/assigner/replay_test.go
@@ -322,6 +322,28 @@
 	is.Equal(why, assigner.Refusal(""))
 }
 
+// An engine that holds some of the layers serves nothing by itself, whatever models it lists.
+func TestEngineWithSomeLayersTakesNoRequests(t *testing.T) {
+	is := is.New(t)
+	whole := *figures
+	whole.Layers = 16
+	a := &assigner.Assigner{Zone: "z"}
+	a.SetPools(map[ident.Pool]*directory.Pool{"p": {Name: "p", Engine: &whole}})
+	e := directory.Endpoint{ID: "e", Pool: "p", Serves: []directory.Serving{{Model: "m", Release: 1}}}
+	for _, c := range []struct {
+		layers directory.Span
+		want   assigner.Refusal
+	}{
+		{directory.Span{To: 8}, assigner.None}, {directory.Span{From: 8, To: 16}, assigner.None},
+		{directory.Span{To: 16}, ""}, {directory.Span{}, ""},
+	} {
+		e.Layers = c.layers
+		a.SetEndpoints([]directory.Endpoint{e})
+		_, why := assign(a)
+		is.Equal(why, c.want)
+	}
+}
+
 // What the host beside an engine says goes before the engine's entry.
 func TestGates(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/core/directory/directory.go
+++ b/internal/core/directory/directory.go
@@ -180,6 +180,25 @@
 	Release Release
 }
 
+// Span is a run of a model's layers: From up to, and not including, To. The zero value stands for all layers.
+type Span struct {
+	_        struct{} `cbor:",toarray"`
+	From, To int
+}
+
+// IsWhole tells whether the span holds all layers of a model.
+func (s Span) IsWhole(layers int) bool {
+	return s == Span{} || s.From == 0 && s.To >= layers
+}
+
+// Chunks returns the run of chunks that the span needs, of a model with so many layers and chunks.
+func (s Span) Chunks(layers, chunks int) (from, to int) {
+	if s.IsWhole(layers) || layers <= 0 {
+		return 0, chunks
+	}
+	return s.From * chunks / layers, (s.To*chunks + layers - 1) / layers
+}
+
 // Endpoint is what an endpoint says of itself.
 type Endpoint struct {
 	ID      string
@@ -192,8 +211,10 @@
 	// Born tells the incarnations of one id apart. It is the time of day of a start by another host's clock, so it must
 	// not be compared with the clock here.
 	Born int64
-	// Serves lists the models that are loaded whole; empty for a plain service.
+	// Serves lists the models that are loaded, whole or in part; empty for a plain service.
 	Serves []Serving
+	// Layers is the part that is loaded.
+	Layers Span
 	// Cold is how much longer the endpoint is slow after its start.
 	Cold time.Duration
 }
@@ -204,7 +225,7 @@
 	return ident.Host(ip)
 }
 
-// Release returns the release of a model that the endpoint serves.
+// Release returns the release of a model that is loaded, whole or in part.
 func (e *Endpoint) Release(m Model) (Release, bool) {
 	for _, s := range e.Serves {
 		if s.Model == m {
--- a/internal/core/planner/exchange.go
+++ b/internal/core/planner/exchange.go
@@ -72,7 +72,7 @@
 			continue
 		}
 		kept = append(kept, i)
-		if p.flight[i] > 0 || p.counts[i] == 0 || (best >= 0 && (p.Choice == RoundRobin || p.counts[i] >= p.counts[best])) {
+		if p.flight[i] > 0 || p.counts[i] == 0 || best >= 0 && !p.isBefore(i, best) {
 			continue
 		}
 		if n := p.holder(usable, i); n != nil {
@@ -83,6 +83,14 @@
 	return best, holder
 }
 
+// isBefore tells whether chunk i is to be read before chunk k, which comes first in the order.
+func (p *Planner) isBefore(i, k int) bool {
+	if p.Rank != nil && p.Rank(i) != p.Rank(k) {
+		return p.Rank(i) < p.Rank(k)
+	}
+	return p.Choice != RoundRobin && p.counts[i] < p.counts[k]
+}
+
 func (p *Planner) holder(usable []*node, i int) *node {
 	if p.Choice != RarestFirst {
 		return p.holderInTurn(usable, i)
--- a/internal/core/planner/planner.go
+++ b/internal/core/planner/planner.go
@@ -115,6 +115,9 @@
 	Patience time.Duration
 	// Choice picks chunks and holders.
 	Choice Choice
+	// Rank orders the chunks of an artifact, by number: those of a lower rank are read before all others. Nil ranks them
+	// alike.
+	Rank func(number int) int
 
 	artifacts []ident.Digest
 	offsets   []int
--- a/internal/core/planner/planner_test.go
+++ b/internal/core/planner/planner_test.go
@@ -225,3 +225,26 @@
 		is.True(len(start) > 0)
 	})
 }
+
+// Chunks of a lower rank are read first, also if others are rarer.
+func TestLowerRanksAreReadFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const chunks = 8
+		p := &Planner{Self: Peer{Host: "a", Zone: "z", Region: "r"}, Outside: 2, Fetches: 1, Rank: func(number int) int { return number / 4 }}
+		p.SetPeers([]Peer{p.Self, {Host: "b", Zone: "z", Region: "r"}, {Host: "c", Zone: "z", Region: "r"}})
+		p.SetGoal([]Goal{goal(chunks)}, none)
+		p.Heard("b", holder.Cursor{}, holder.Delta{Full: true, Added: all(chunks)}, nil)
+		p.Heard("c", holder.Cursor{}, holder.Delta{Full: true, Added: [][]int{{0, 1, 2, 3}}}, nil)
+		seen := make(map[ident.Digest]int)
+		for i := range chunks {
+			start, _ := p.Next()
+			is.Equal(len(start), 1)
+			seen[start[0].Chunk.Digest] = i
+			p.Finish(start[0].ID, Stored)
+		}
+		for i, c := range p.chunks {
+			is.Equal(seen[c.Digest] >= chunks/2, i >= chunks/2)
+		}
+	})
+}
--- a/internal/core/stager/stager.go
+++ b/internal/core/stager/stager.go
@@ -20,6 +20,8 @@
 // Report is an engine's own word of its state.
 type Report struct {
 	Serves []directory.Serving
+	// Layers is the part that is loaded.
+	Layers directory.Span
 	// Loading says that an order is in progress.
 	Loading bool
 	// Orders is the number of orders that the engine accepted since its start.
@@ -32,7 +34,7 @@
 	Born int64
 }
 
-// Release returns the release of a model that the engine serves; zero if it serves none.
+// Release returns the release of a model that is loaded, whole or in part; zero if none is.
 func (r Report) Release(m directory.Model) directory.Release {
 	for _, s := range r.Serves {
 		if s.Model == m {
@@ -42,6 +44,30 @@
 	return 0
 }
 
+// Whole returns the release of a model that the engine serves by itself; zero if it serves none.
+func (r Report) Whole(m directory.Model, layers int) directory.Release {
+	if !r.Layers.IsWhole(layers) {
+		return 0
+	}
+	return r.Release(m)
+}
+
+// earlyParts are the shares of the layers that an empty engine loads before it has all chunks.
+var earlyParts = []float64{0.5, 0.75}
+
+// Early returns the spans that an empty engine loads one after the other while the rest of its chunks is still on the way.
+// The load pattern that it answers is the loss of power of all engines, whose hosts take seconds to fetch the chunks:
+// loading then ends soon after the last chunk has come.
+func Early(layers int) []directory.Span {
+	var out []directory.Span
+	for _, share := range earlyParts {
+		if to := int(share * float64(layers)); to > 0 {
+			out = append(out, directory.Span{To: to})
+		}
+	}
+	return out
+}
+
 // Member is one engine of the pool.
 type Member struct {
 	// Host is the address of the host beside it.
--- a/internal/core/stager/stager_test.go
+++ b/internal/core/stager/stager_test.go
@@ -51,3 +51,17 @@
 	all := []stager.Member{{Host: "a", Release: 1}, {Host: "b", Release: 1}}
 	is.Equal(stager.Turn("a", all), stager.Turn("b", all))
 }
+
+// The spans that are loaded early grow from the first layer and never reach the last, as the whole is loaded last.
+func TestEarlySpansGrow(t *testing.T) {
+	is := is.New(t)
+	is.Equal(stager.Early(16), []directory.Span{{To: 8}, {To: 12}})
+	is.Equal(len(stager.Early(0)), 0)
+	for layers := range 40 {
+		last := 0
+		for _, s := range stager.Early(layers) {
+			is.True(s.From == 0 && s.To >= last && s.To < layers)
+			last = s.To
+		}
+	}
+}
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -66,6 +66,8 @@
 	NotKept = Event{1743, log.WarnLevel, "release is not kept in the store yet"}
 	// KeptNotRead is event 1744.
 	KeptNotRead = Event{1744, log.InfoLevel, "release cannot be read from the store; reading it from the origin"}
+	// PartNotLoaded is event 1745.
+	PartNotLoaded = Event{1745, log.WarnLevel, "engine did not load its first layers; it waits for all chunks"}
 	// SettingsRead is event 1751.
 	SettingsRead = Event{1751, log.InfoLevel, "settings read again"}
 	// SettingsRefused is event 1752.
--- a/internal/fetcher/fetcher.go
+++ b/internal/fetcher/fetcher.go
@@ -52,6 +52,9 @@
 	Artifact func(ctx context.Context, base string, d ident.Digest) (manifest.Artifact, error)
 	// Chunk reads a chunk from a base address.
 	Chunk func(ctx context.Context, base string, c manifest.Chunk, zone ident.Zone, p weightclient.Progress) ([]byte, error)
+	// Rank orders the chunks, by number, where a weight set is one artifact: lower ranks are read first. Nil ranks them
+	// alike.
+	Rank func(number int) int
 	// Tempo suits the waits to the size of the weights; the zero value is for those that take minutes.
 	Tempo Tempo
 	// Logger receives the events.
@@ -132,7 +135,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.planner = &planner.Planner{
-		Self: f.Self.Peer, Home: f.Home, Outside: len(f.Sources), Bias: bias,
+		Self: f.Self.Peer, Home: f.Home, Outside: len(f.Sources), Bias: bias, Rank: f.Rank,
 		Settle: f.Tempo.Settle, Deadline: f.Tempo.Deadline, Busy: f.Tempo.Busy, Retry: f.Tempo.Retry, Patience: f.Tempo.Patience, Fetches: f.Tempo.Fetches,
 	}
 	f.setPeers(peers)
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -35,13 +35,17 @@
 		return messages.FleetAnswer{}
 	}
 	m := d.Pools[pool].Engine.Models[0]
-	a := messages.FleetAnswer{Known: true, Model: string(m), Release: int64(max(1, s.Newest(m)))}
+	layers := d.Pools[pool].Engine.Layers
+	a := messages.FleetAnswer{Known: true, Model: string(m), Release: int64(max(1, s.Newest(m))), Layers: layers}
 	a.Origin, a.Home = Origin(d, regions)
 	for _, e := range s.Endpoints() {
 		if e.Pool != pool {
 			continue
 		}
 		n, _ := e.Release(m)
+		if !e.Layers.IsWhole(layers) {
+			n = 0
+		}
 		a.Engines = append(a.Engines, messages.EngineEntry{Host: e.Host(), Zone: e.Zone, Release: int64(n)})
 	}
 	return a
--- a/internal/messages/records.go
+++ b/internal/messages/records.go
@@ -43,6 +43,8 @@
 	// start.
 	Release int64 `json:"release,omitempty"`
 	Named   int64 `json:"named,omitempty"`
+	// Layers is the number of layers of the model.
+	Layers int `json:"layers,omitempty"`
 	// Seeds are the entry hosts.
 	Seeds []enroller.Entry `json:"seeds,omitempty"`
 	// Engines are those of the pool.
@@ -51,7 +53,8 @@
 
 // EngineEntry is one engine by the address of its host.
 type EngineEntry struct {
-	Host    ident.Host `json:"host"`
-	Zone    ident.Zone `json:"zone"`
-	Release int64      `json:"release,omitempty"`
+	Host ident.Host `json:"host"`
+	Zone ident.Zone `json:"zone"`
+	// Release is the one that the engine holds whole.
+	Release int64 `json:"release,omitempty"`
 }
--- a/internal/stocker/run.go
+++ b/internal/stocker/run.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -47,11 +49,12 @@
 	if !ok {
 		return nil
 	}
+	layers := h.known().Layers
 	r, err := h.report(ctx)
 	if err != nil {
 		return err
 	}
-	have := r.Release(goal.Model)
+	have := r.Whole(goal.Model, layers)
 	if have > 0 {
 		if err := h.adopt(ctx, directory.Serving{Model: goal.Model, Release: have}); err != nil {
 			event.StagedNotTaken.Log(h.Logger.WithError(err), nil)
@@ -60,11 +63,11 @@
 	if have >= goal.Release || r.Loading {
 		return nil
 	}
-	a, err := h.Carrier.Fetch(ctx, goal, func() bool { return h.isSuperseded(goal) })
+	a, err := h.fetch(ctx, goal, r)
 	if err != nil {
 		return err
 	}
-	if err := h.stage(ctx, goal, a); err != nil {
+	if err := h.stage(ctx, goal, a, directory.Span{}); err != nil {
 		return err
 	}
 	if have > 0 {
@@ -72,7 +75,68 @@
 			return err
 		}
 	}
-	return h.load(ctx, goal, a, r.Born)
+	return h.load(ctx, goal, a, directory.Span{}, r.Born)
+}
+
+// fetch brings all chunks here. An empty engine loads its first layers meanwhile.
+func (h *Host) fetch(ctx context.Context, goal directory.Serving, r stager.Report) (manifest.Artifact, error) {
+	superseded := func() bool { return h.isSuperseded(goal) }
+	a, _, err := h.Carrier.Artifact(ctx, goal)
+	if err != nil {
+		return a, err
+	}
+	layers := h.known().Layers
+	spans := stager.Early(layers)
+	if r.Release(goal.Model) > 0 || len(spans) == 0 {
+		h.Carrier.SetRank(nil)
+		return h.Carrier.Fetch(ctx, goal, superseded)
+	}
+	h.Carrier.SetRank(func(number int) int {
+		return slices.IndexFunc(append(spans, directory.Span{To: layers}), func(s directory.Span) bool {
+			_, to := s.Chunks(layers, len(a.Chunks))
+			return number < to
+		})
+	})
+	earlyCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	var early sync.WaitGroup
+	early.Go(func() {
+		for _, s := range spans {
+			if err := h.loadEarly(earlyCtx, goal, a, s, r.Born); err != nil {
+				if earlyCtx.Err() == nil {
+					event.PartNotLoaded.Log(h.Logger.WithError(err), nil)
+				}
+				return
+			}
+		}
+	})
+	_, err = h.Carrier.Fetch(ctx, goal, superseded)
+	if err != nil {
+		stop()
+	}
+	early.Wait()
+	return a, err
+}
+
+// loadEarly waits for the chunks of the first layers, and lets the engine load these.
+func (h *Host) loadEarly(ctx context.Context, s directory.Serving, a manifest.Artifact, layers directory.Span, born int64) error {
+	from, to := layers.Chunks(h.known().Layers, len(a.Chunks))
+	for i := from; i < to; i++ {
+		for {
+			if _, ok := h.Carrier.Get(a.Chunks[i].Digest); ok {
+				break
+			}
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(chunkEvery):
+			}
+		}
+	}
+	if err := h.stage(ctx, s, a, layers); err != nil {
+		return err
+	}
+	return h.load(ctx, s, a, layers, born)
 }
 
 func (h *Host) report(ctx context.Context) (stager.Report, error) {
@@ -117,10 +181,11 @@
 	return ok && g.Release > s.Release
 }
 
-// stage puts all chunks beside the engine.
-func (h *Host) stage(ctx context.Context, s directory.Serving, a manifest.Artifact) error {
-	for i, c := range a.Chunks {
-		if err := h.put(ctx, s.Model, i, c); err != nil {
+// stage puts the chunks of some layers beside the engine.
+func (h *Host) stage(ctx context.Context, s directory.Serving, a manifest.Artifact, layers directory.Span) error {
+	from, to := layers.Chunks(h.known().Layers, len(a.Chunks))
+	for i := from; i < to; i++ {
+		if err := h.put(ctx, s.Model, i, a.Chunks[i]); err != nil {
 			return err
 		}
 	}
@@ -167,9 +232,12 @@
 	return out
 }
 
-// load reads the staged chunks back, since they may have turned bad there, and orders the engine to load them.
-func (h *Host) load(ctx context.Context, s directory.Serving, a manifest.Artifact, born int64) error {
-	for i, c := range a.Chunks {
+// load reads the staged chunks of some layers back, since they may have turned bad there, and orders the engine to load
+// them.
+func (h *Host) load(ctx context.Context, s directory.Serving, a manifest.Artifact, layers directory.Span, born int64) error {
+	from, to := layers.Chunks(h.known().Layers, len(a.Chunks))
+	for i := from; i < to; i++ {
+		c := a.Chunks[i]
 		data, err := h.staged(ctx, s.Model, i)
 		if err == nil && manifest.Sum(data) == c.Digest {
 			continue
@@ -186,34 +254,56 @@
 	if r.Born != born {
 		return errors.New("engine started again meanwhile")
 	}
-	if r.Loading || r.Release(s.Model) >= s.Release {
+	if r.Loading || r.Whole(s.Model, h.known().Layers) >= s.Release {
 		return nil
 	}
-	h.setGate(gate{Closed: true, Born: r.Born})
-	if r.Release(s.Model) > 0 {
-		// The entry hosts hear of it before the engine stops to take requests.
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(closeTime):
+	if layers == (directory.Span{}) && r.Release(s.Model) == s.Release {
+		// The rest of the layers is loaded beside those that are held.
+		layers = directory.Span{To: h.known().Layers}
+	}
+	if r.Release(s.Model) != s.Release {
+		if err := h.close(ctx, r.Born, r.Release(s.Model) > 0); err != nil {
+			return err
 		}
 	}
 	f := log.Fields{"model": string(s.Model), "release": int64(s.Release), "orders": r.Orders, "running": r.Running}
-	if err := h.order(ctx, s, r.Orders); err != nil {
+	if layers != (directory.Span{}) {
+		f["from"], f["to"] = layers.From, layers.To
+	}
+	if err := h.order(ctx, s, layers, r.Orders); err != nil {
 		return fmt.Errorf("order release %d of %s: %w", s.Release, s.Model, err)
 	}
 	event.LoadOrdered.Log(h.Logger.WithFields(f), nil)
-	return h.confirm(ctx, s, r.Born)
+	return h.confirm(ctx, s, layers, r.Born)
+}
+
+// close tells the entry hosts that the engine takes no requests, and gives them the time to hear of it if it took some.
+func (h *Host) close(ctx context.Context, born int64, isServing bool) error {
+	h.setGate(gate{Closed: true, Born: born})
+	if !isServing {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(closeTime):
+		return nil
+	}
 }
 
-func (h *Host) order(ctx context.Context, s directory.Serving, orders int64) error {
+// holds tells whether the engine holds the layers; the zero span stands for all.
+func (h *Host) holds(r stager.Report, layers directory.Span) bool {
+	return r.Layers.IsWhole(h.known().Layers) || layers != directory.Span{} && r.Layers == layers
+}
+
+func (h *Host) order(ctx context.Context, s directory.Serving, layers directory.Span, orders int64) error {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	return h.Engine.Load(ctx, s, orders)
+	return h.Engine.Load(ctx, s, layers, orders)
 }
 
-// confirm waits until the engine serves the release, and tells the entry hosts.
-func (h *Host) confirm(ctx context.Context, s directory.Serving, born int64) error {
+// confirm waits until the engine holds the layers of the release, and tells the entry hosts.
+func (h *Host) confirm(ctx context.Context, s directory.Serving, layers directory.Span, born int64) error {
 	begun := time.Now()
 	for time.Since(begun) < loadTime {
 		select {
@@ -226,13 +316,18 @@
 			h.setGate(gate{})
 			return errors.Join(errors.New("engine ended while it loaded"), err)
 		}
-		if r.Release(s.Model) >= s.Release {
+		if r.Release(s.Model) < s.Release || !h.holds(r, layers) {
+			continue
+		}
+		if layers.IsWhole(h.known().Layers) {
 			h.setGate(gate{Born: born, Model: s.Model, Release: r.Release(s.Model)})
-			event.ReleaseServed.Log(h.Logger.WithFields(log.Fields{
-				"model": string(s.Model), "release": int64(s.Release), "took": time.Since(begun).Milliseconds(),
-			}), nil)
-			return nil
 		}
+		f := log.Fields{"model": string(s.Model), "release": int64(s.Release), "took": time.Since(begun).Milliseconds()}
+		if layers != (directory.Span{}) {
+			f["from"], f["to"] = layers.From, layers.To
+		}
+		event.ReleaseServed.Log(h.Logger.WithFields(f), nil)
+		return nil
 	}
 	h.setGate(gate{})
 	return fmt.Errorf("engine does not serve release %d of %s %s after the order", s.Release, s.Model, loadTime)
--- a/internal/stocker/scout.go
+++ b/internal/stocker/scout.go
@@ -18,6 +18,10 @@
 	// lookEvery is how often an entry host is asked for the fleet, and lookTime bounds one question.
 	lookEvery = 300 * time.Millisecond
 	lookTime  = 500 * time.Millisecond
+	// firstEvery and firstTime are those until the first answer: after a loss of power an entry host that is still down
+	// does not answer at all, and the next one may be up.
+	firstEvery = 50 * time.Millisecond
+	firstTime  = 100 * time.Millisecond
 	// firstStore and laterStore are the times without an answer of an entry host after which the store is asked: at the
 	// start, when all hosts may start together, and later.
 	firstStore = 700 * time.Millisecond
@@ -39,7 +43,11 @@
 			h.list(ctx)
 			listed = time.Now()
 		}
-		a, err := h.look(ctx)
+		limit := lookTime
+		if answered.IsZero() {
+			limit = firstTime
+		}
+		a, err := h.look(ctx, limit)
 		patience, since := laterStore, answered
 		if answered.IsZero() {
 			patience, since = firstStore, begun
@@ -55,10 +63,14 @@
 			h.take(a, answered.IsZero())
 			answered = time.Now()
 		}
+		pause := lookEvery
+		if answered.IsZero() {
+			pause = firstEvery
+		}
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(lookEvery):
+		case <-time.After(pause):
 		}
 	}
 }
@@ -78,8 +90,8 @@
 	h.seeds = seeds
 }
 
-// look asks one entry host, of this zone if there is one.
-func (h *Host) look(ctx context.Context) (messages.FleetAnswer, error) {
+// look asks one entry host, of this zone if there is one, and waits for limit.
+func (h *Host) look(ctx context.Context, limit time.Duration) (messages.FleetAnswer, error) {
 	h.mu.Lock()
 	seeds := slices.Clone(h.seeds)
 	h.mu.Unlock()
@@ -90,7 +102,7 @@
 	if len(seeds) == 0 {
 		return messages.FleetAnswer{}, errNoSeed
 	}
-	ctx, cancel := context.WithTimeout(ctx, lookTime)
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	client := h.Carrier.Client(seeds[rand.IntN(len(seeds))].Host())
 	a, err := rpc.Call[messages.FleetAnswer](ctx, client, messages.FleetMethod, messages.FleetQuery{Pool: h.Pool})
--- a/internal/stocker/stocker.go
+++ b/internal/stocker/stocker.go
@@ -43,7 +43,8 @@
 	Report func(ctx context.Context) (stager.Report, error)
 	Stage  func(ctx context.Context, m directory.Model, number int, data []byte) error
 	Staged func(ctx context.Context, m directory.Model, number int) ([]byte, error)
-	Load   func(ctx context.Context, s directory.Serving, orders int64) error
+	// Load orders the engine to hold the layers of a release, whose chunks are staged.
+	Load func(ctx context.Context, s directory.Serving, layers directory.Span, orders int64) error
 }
 
 // Host is the host beside one engine. Set its fields before Run.
--- a/internal/stocker/stocker_test.go
+++ b/internal/stocker/stocker_test.go
@@ -58,6 +58,12 @@
 	bad int
 	// lost is the number of orders that are carried out and not answered.
 	lost int
+	// total is the number of layers of the model, held those that are loaded, and spans those of each order.
+	total int
+	// slow is the time of one chunk from the origin.
+	slow  time.Duration
+	held  directory.Span
+	spans []directory.Span
 }
 
 func (e *engine) report(context.Context) (stager.Report, error) {
@@ -69,6 +75,7 @@
 	r := stager.Report{Loading: !e.loading.IsZero(), Orders: e.orders, Born: e.born}
 	if e.release > 0 {
 		r.Serves = []directory.Serving{{Model: "m", Release: e.release}}
+		r.Layers = e.held
 	}
 	return r, nil
 }
@@ -93,17 +100,19 @@
 	return e.staged[i], nil
 }
 
-func (e *engine) load(_ context.Context, s directory.Serving, orders int64) error {
+func (e *engine) load(_ context.Context, s directory.Serving, layers directory.Span, orders int64) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if orders != e.orders {
 		return errors.New("another order came first")
 	}
-	for i := range chunks {
+	from, to := layers.Chunks(e.total, chunks)
+	for i := from; i < to; i++ {
 		if string(e.staged[i]) != string(content(s, i)) {
 			e.bad++
 		}
 	}
+	e.held, e.spans = layers, append(e.spans, layers)
 	e.orders++
 	e.next, e.loading = s.Release, time.Now().Add(50*time.Millisecond)
 	if e.lost > 0 {
@@ -152,6 +161,7 @@
 				return a, nil
 			},
 			Chunk: func(_ context.Context, _ string, s directory.Serving, i int, _ weightclient.Progress) ([]byte, error) {
+				time.Sleep(e.slow)
 				return content(s, i), nil
 			},
 		},
@@ -160,7 +170,7 @@
 			Decode: fleet.Decoder{
 				Directory: func([]byte) (*directory.Directory, error) {
 					return &directory.Directory{Revision: 1, Pools: map[ident.Pool]*directory.Pool{
-						"p": {Name: "p", Engine: &directory.Engine{Models: []directory.Model{"m"}}}, "o": {Name: "o", Origin: "origin"},
+						"p": {Name: "p", Engine: &directory.Engine{Models: []directory.Model{"m"}, Layers: e.total}}, "o": {Name: "o", Origin: "origin"},
 					}}, nil
 				},
 				Release: func(data []byte) (directory.Serving, error) {
@@ -273,3 +283,40 @@
 	b.await(t, 1)
 	is.Equal(b.bad, 0)
 }
+
+// An empty engine loads its first layers while the chunks of the others are still on the way, and no entry host hears
+// that it serves before it holds all.
+func TestEmptyEngineLoadsItsFirstLayersEarly(t *testing.T) {
+	is := is.New(t)
+	b := start(t, &engine{staged: make(map[int][]byte), born: 1, total: 4, slow: 60 * time.Millisecond})
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if r, _ := b.report(context.Background()); r.Whole("m", 4) == 1 {
+			break
+		}
+	}
+	is.Equal(b.bad, 0)
+	is.Equal(b.spans, []directory.Span{{To: 2}, {To: 3}, {To: 4}})
+	for g := range b.gates {
+		if !g.Closed {
+			is.Equal(g.Release, directory.Release(1))
+			r, err := b.report(context.Background())
+			is.NoErr(err)
+			is.Equal(r.Layers, directory.Span{To: 4})
+			break
+		}
+	}
+}
+
+// A host that is started again beside an engine that holds some layers has it load the others.
+func TestEngineWithSomeLayersLoadsTheOthers(t *testing.T) {
+	is := is.New(t)
+	e := &engine{staged: make(map[int][]byte), born: 1, total: 4, release: 1, held: directory.Span{To: 2}}
+	b := start(t, e)
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if r, _ := b.report(context.Background()); r.Whole("m", 4) == 1 {
+			break
+		}
+	}
+	is.Equal(b.bad, 0)
+	is.Equal(b.spans, []directory.Span{{To: 4}})
+}
--- a/internal/stocker/tell.go
+++ b/internal/stocker/tell.go
@@ -17,8 +17,10 @@
 	tellAfter = 3 * time.Second
 	// closeTime is the time for the entry hosts to hear that the engine takes no more requests: several one-way delays.
 	closeTime = 20 * time.Millisecond
+	// chunkEvery is how often a missing chunk is looked for: less than one takes on the link.
+	chunkEvery = 20 * time.Millisecond
 	// confirmEvery is how often the engine is asked while it loads.
-	confirmEvery = 50 * time.Millisecond
+	confirmEvery = 30 * time.Millisecond
 	// loadTime bounds the time from an order until the engine serves: the longest answer in progress, and the loading.
 	loadTime = 6 * time.Second
 )
