--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -145,6 +145,10 @@
 	Zone ident.Zone
 	// Draw returns a number from 0 up to 1; nil means a random one.
 	Draw func() float64
+	// Spare is the share of an engine's slots up to which it takes requests that are late already, and LateWait the longest
+	// wait for others' work there; zero means the defaults.
+	Spare    float64
+	LateWait time.Duration
 	// Changed is told when this host's loads changed; it may be nil.
 	Changed func()
 
@@ -228,7 +232,7 @@
 			continue
 		}
 		refusal = Full
-		if s.down || s.moved || !s.breaker.Allows(s.own.Requests) {
+		if !s.isUsable() {
 			continue
 		}
 		load := a.load(s)
@@ -350,7 +354,7 @@
 	wait := reading(e, float64(load.Unread)) + time.Duration(max(0, load.Requests+1-n))*leaving(e, n)
 	wait = max(time.Duration(pace*float64(wait)), s.overdue(now)-own)
 	if q.Left <= 0 {
-		return own + wait, float64(load.Requests) < spare*float64(n) && wait <= lateWait
+		return own + wait, float64(load.Requests) < a.spare()*float64(n) && wait <= a.lateWait()
 	}
 	return own + wait, own+time.Duration(caution*float64(wait)) <= q.Left-margin
 }
@@ -375,6 +379,20 @@
 	return 1 + (s.pace-1)/(1+halvings)
 }
 
+func (a *Assigner) spare() float64 {
+	if a.Spare > 0 {
+		return a.Spare
+	}
+	return spare
+}
+
+func (a *Assigner) lateWait() time.Duration {
+	if a.LateWait > 0 {
+		return a.LateWait
+	}
+	return lateWait
+}
+
 func (a *Assigner) draw() float64 {
 	if a.Draw != nil {
 		return a.Draw()
--- a/internal/core/assigner/replay_test.go
+++ b/internal/core/assigner/replay_test.go
@@ -89,6 +89,11 @@
 	load           float64
 	lag            time.Duration
 	slow           int
+	// after is when a caller that was refused comes back, once; zero means that it does not.
+	after time.Duration
+	// spare and lateWait are those of the assigner.
+	spare    float64
+	lateWait time.Duration
 	// choose replaces the assigner's choice by a former decision; it returns the engine, or -1 for a refusal.
 	choose func(own []int, loads [][]int, host int) int
 }
@@ -115,7 +120,7 @@
 		hosts := make([]*assigner.Assigner, r.hosts)
 		seen := make([][]int, r.hosts) // what each host has at each engine
 		for i := range hosts {
-			hosts[i] = &assigner.Assigner{Zone: "z", Draw: draw.Float64}
+			hosts[i] = &assigner.Assigner{Zone: "z", Draw: draw.Float64, Spare: r.spare, LateWait: r.lateWait}
 			hosts[i].SetPools(map[ident.Pool]*directory.Pool{"p": {Name: "p", Engine: figures}})
 			hosts[i].SetEndpoints(endpoints)
 			seen[i] = make([]int, r.engines)
@@ -143,14 +148,8 @@
 		// One request costs its reading and its part of the steps of a full batch.
 		cost := figures.Prompt/figures.ReadRate + figures.Answer/float64(figures.Slots)*figures.Step.Seconds()
 		every := time.Duration(cost / r.load / float64(r.engines) * float64(time.Second))
-		for time.Now().Before(end) {
-			time.Sleep(time.Duration(draw.ExpFloat64() * float64(every)))
-			host := draw.IntN(r.hosts)
-			prompt := int(figures.Prompt * min(3, draw.ExpFloat64()))
-			sent := time.Now()
-			mu.Lock()
-			out.other++
-			mu.Unlock()
+		// submit places a request and tells whether it was taken. One that is late already came back after a refusal.
+		submit := func(host, prompt, answer int, sent time.Time) bool {
 			var at int
 			var choice *assigner.Choice
 			if r.choose != nil {
@@ -159,23 +158,22 @@
 				mu.Unlock()
 			} else {
 				var why assigner.Refusal
-				choice, why = hosts[host].Assign(assigner.Query{Pool: "p", Model: "m", Release: 1, Prompt: float64(prompt), Left: objective})
+				choice, why = hosts[host].Assign(assigner.Query{
+					Pool: "p", Model: "m", Release: 1, Prompt: float64(prompt), Left: objective - time.Since(sent),
+				})
 				at = -1
 				if why == "" {
 					_, _ = fmt.Sscan(choice.Endpoint.ID, &at)
 				}
 			}
 			if at < 0 {
-				mu.Lock()
-				out.refused++
-				mu.Unlock()
-				continue
+				return false
 			}
 			mu.Lock()
 			seen[host][at]++
 			mu.Unlock()
 			engines[at].add(&job{
-				prompt: prompt, answer: int(figures.Answer * min(2.5, draw.ExpFloat64())),
+				prompt: prompt, answer: answer,
 				first: func() {
 					mu.Lock()
 					defer mu.Unlock()
@@ -197,6 +195,34 @@
 					}
 				},
 			})
+			return true
+		}
+		refuse := func() {
+			mu.Lock()
+			defer mu.Unlock()
+			out.refused++
+		}
+		for time.Now().Before(end) {
+			time.Sleep(time.Duration(draw.ExpFloat64() * float64(every)))
+			host, again := draw.IntN(r.hosts), draw.IntN(r.hosts)
+			prompt := int(figures.Prompt * min(3, draw.ExpFloat64()))
+			answer := int(figures.Answer * min(2.5, draw.ExpFloat64()))
+			sent := time.Now()
+			mu.Lock()
+			out.other++
+			mu.Unlock()
+			if submit(host, prompt, answer, sent) {
+				continue
+			}
+			if r.after == 0 {
+				refuse()
+				continue
+			}
+			time.AfterFunc(r.after, func() {
+				if !submit(again, prompt, answer, sent) {
+					refuse()
+				}
+			})
 		}
 		time.Sleep(11 * time.Second)
 	})
@@ -255,6 +281,18 @@
 	is.True(now.inTime > 0.9)
 }
 
+func TestTrialLate(t *testing.T) {
+	for _, load := range []float64{1.05, 1.2, 1.5} {
+		for _, v := range []struct {
+			s float64
+			w time.Duration
+		}{{0.9, 120}, {0.75, 120}, {0.75, 20}, {0.5, 120}, {0.5, 40}, {0.5, 1}, {0.3, 1}, {0.05, 1}} {
+			x := replay{hosts: 8, engines: 16, load: load, lag: 20 * time.Millisecond, after: 1900 * time.Millisecond, spare: v.s, lateWait: v.w * time.Millisecond}.run(t)
+			t.Logf("load %v spare %v wait %v: in time %.3f late %.3f refused %.3f worth %.3f net %.3f", load, v.s, v.w, x.inTime, x.late, x.refused, x.inTime+0.25*x.late, x.inTime+0.25*x.late-0.3*x.refused)
+		}
+	}
+}
+
 func assign(a *assigner.Assigner, tried ...string) (*assigner.Choice, assigner.Refusal) {
 	q := assigner.Query{Pool: "p", Model: "m", Release: 1, Prompt: 500, Left: objective, Tried: make(map[string]bool)}
 	for _, id := range tried {
--- a/internal/fronthost/fronthost.go
+++ b/internal/fronthost/fronthost.go
@@ -164,7 +164,7 @@
 	tasks.Go(func() error { return h.serve(life, h.Metrics, mux) })
 	tasks.Go(func() error { return h.serve(life, h.Readiness, http.HandlerFunc(h.answerReady)) })
 	tasks.Go(func() error { return h.serve(life, h.Callers, h.gateway) })
-	event.Started.Log(h.Logger, log.Fields{"host": string(h.Name), "callers": h.Callers, "metrics": h.Metrics})
+	event.Started.Log(h.Logger, log.Fields{"ip": h.IP, "callers": h.Callers, "metrics": h.Metrics})
 	select {
 	case <-ctx.Done():
 		h.leave(life)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -148,6 +148,8 @@
 	reason string
 	after  time.Duration
 	text   string
+	// seen is what decided it, for the logs.
+	seen log.Fields
 }
 
 // admit finds the route and the organisation of a request.
@@ -242,7 +244,7 @@
 	if why.text != "" {
 		f["cause"] = why.text
 	}
-	event.RequestRefused.Log(g.Logger.WithFields(f), nil)
+	event.RequestRefused.Log(g.Logger.WithFields(f), why.seen)
 }
 
 func (g *Gateway) fields(q *request) log.Fields {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -52,6 +52,8 @@
 	first, gap time.Duration
 	event      time.Time
 	load       assigner.Load
+	// seen is what this host believed of the endpoints when it found none.
+	seen log.Fields
 	// begin tells the assigner of the first event at the present endpoint.
 	begin     func()
 	predicted time.Duration
@@ -69,12 +71,14 @@
 	a.seq.Last, a.seq.Known = q.After, q.Resumes
 	for {
 		actx, lost := context.WithCancel(ctx)
-		choice, why := g.Assigner.Assign(g.query(q, a, lost))
+		query := g.query(q, a, lost)
+		choice, why := g.Assigner.Assign(query)
 		if why != "" {
 			lost()
 			if why == assigner.None && g.mayWait(ctx, q, a) {
 				continue
 			}
+			a.seen = pictureFields(g.Assigner.Picture(query), query.Left)
 			g.giveUp(ctx, q, a, string(why))
 			return
 		}
@@ -177,7 +181,15 @@
 		g.refuse(q, rejection{status: http.StatusBadGateway, reason: "lost", text: text(a.last)})
 	default:
 		left := q.Remaining - time.Since(q.arrived)
-		g.refuse(q, rejection{status: http.StatusServiceUnavailable, reason: reason, after: g.Return(left), text: text(a.last)})
+		g.refuse(q, rejection{status: http.StatusServiceUnavailable, reason: reason, after: g.Return(left), text: text(a.last), seen: a.seen})
+	}
+}
+
+// pictureFields returns what decided a refusal, in milliseconds where it is a time.
+func pictureFields(p assigner.Picture, left time.Duration) log.Fields {
+	return log.Fields{
+		"left": left.Milliseconds(), "serving": p.Serving, "unusable": p.Unusable, "soonest": p.Soonest.Milliseconds(),
+		"peers": p.Peers, "oldest": p.Oldest.Milliseconds(),
 	}
 }
 
--- a/internal/stocker/stocker.go
+++ b/internal/stocker/stocker.go
@@ -98,7 +98,7 @@
 	tasks.Go(func() error { return h.serveMetrics(ctx, promhttp.HandlerFor(registry, promhttp.HandlerOpts{})) })
 	tasks.Go(func() error { return h.run(ctx) })
 	tasks.Go(func() error { return h.keepTelling(ctx) })
-	event.Started.Log(h.Logger, log.Fields{"host": h.IP, "pool": string(h.Pool)})
+	event.Started.Log(h.Logger, log.Fields{"ip": h.IP, "pool": string(h.Pool)})
 	err := tasks.Wait()
 	event.Stopped.Log(h.Logger, nil)
 	if ctx.Err() != nil && errors.Is(err, ctx.Err()) {
