Readers of a stripe are ranked alike in all lists of hosts

Cause: the order in which the hosts of a zone read a stripe was turned by one place a stripe, modulo the length of the list. Hosts whose lists differ, as after restarts while the store is away, then waited for each other in a cycle until the patience of 8 s was over. Ruled out: the origin (no failed read in that time), the store, deadlines that had doubled (none had). Now hosts are ranked by rendezvous for each stripe. TestOrderOfTwoHostsIsTheSameInAllLists failed before.

--- a/internal/core/planner/planner_test.go
+++ b/internal/core/planner/planner_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/holder"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
@@ -248,3 +250,45 @@
 		}
 	})
 }
+
+// Lists of hosts that differ must not make two hosts wait for each other: the order of any two hosts is the same in all
+// lists. On 4 December three entry hosts of a zone, of which one had started while the store was away, waited for one
+// another for 8 s.
+func TestOrderOfTwoHostsIsTheSameInAllLists(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(2, 12).Draw(rt, "hosts")
+		var all []Peer
+		for i := range n {
+			all = append(all, Peer{Host: ident.Host(fmt.Sprintf("h%d", i)), Zone: "z", Seed: rapid.Bool().Draw(rt, "seed")})
+		}
+		orders := make([][]ident.Host, 2)
+		stripeID := rapid.IntRange(0, Stripes-1).Draw(rt, "stripe")
+		for i := range orders {
+			p := &Planner{Self: all[0]}
+			list := []Peer{all[0]}
+			for _, q := range all[1:] {
+				if rapid.Bool().Draw(rt, "listed") {
+					list = append(list, q)
+				}
+			}
+			p.SetPeers(list)
+			p.SetGoal([]Goal{goal(16)}, none)
+			var hosts []ident.Host
+			for _, q := range list {
+				hosts = append(hosts, q.Host)
+			}
+			orders[i] = p.hostOrder(p.stripes[stripeID], hosts)
+		}
+		for _, a := range orders[0] {
+			for _, b := range orders[0] {
+				i, k := slices.Index(orders[1], a), slices.Index(orders[1], b)
+				if i < 0 || k < 0 {
+					continue
+				}
+				if (slices.Index(orders[0], a) < slices.Index(orders[0], b)) != (i < k) {
+					rt.Fatalf("%s and %s change places: %v, %v", a, b, orders[0], orders[1])
+				}
+			}
+		}
+	})
+}
--- a/internal/core/planner/stripe.go
+++ b/internal/core/planner/stripe.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -133,18 +134,11 @@
 	}
 }
 
-// hostOrder puts the hosts of a zone in the order in which they read a stripe. Each stripe turns the order by one place,
-// so that no host of a small zone reads several stripes while others read none.
+// hostOrder puts the hosts of a zone in the order in which they read a stripe, the seeds first. The order of any two hosts
+// does not depend on the others, so that hosts whose lists differ never wait for each other in a cycle.
 func (p *Planner) hostOrder(s *stripe, hosts []ident.Host) []ident.Host {
-	ranked := ranker.Rank(string(p.artifacts[s.id/Stripes]), hosts)
-	n := 0
-	for _, h := range ranked {
-		if p.peers[h].Seed {
-			n++
-		}
-	}
-	ranked = p.seedsFirst(ranked)
-	return append(turn(ranked[:n], s.id), turn(ranked[n:], s.id)...)
+	key := fmt.Sprintf("%s/%d", p.artifacts[s.id/Stripes], s.id%Stripes)
+	return p.seedsFirst(ranker.Rank(key, hosts))
 }
 
 // seedsFirst puts the seeds before the other hosts and keeps the order among both.
