A host that does not know a release is not waited for

Cause: a host that is asked for its holdings of a release that it does not know, as one that is cut off from the store, answered with nothing held, which counted as a sign of life. The others left its stripes to it for the patience of 8 s. Ruled out: the deadline of 0.6 s for silent hosts, which does not apply to hosts that answer. Such a host now says that it is idle.

--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -190,3 +190,13 @@
 	_, ok := all[0].Get(manifest.Sum(content(directory.Serving{Model: "m", Release: 1}, 0)))
 	is.True(!ok)
 }
+
+// A host that does not know the release, such as one that is cut off from the store, answers all the same. Nobody waits
+// for it to read its part.
+func TestHostThatDoesNotKnowTheReleaseIsNotWaitedFor(t *testing.T) {
+	is := is.New(t)
+	all := hosts(t, &origin{}, 3, 0)
+	begun := time.Now()
+	fetch(t, directory.Serving{Model: "m", Release: 2}, all[1:]...)
+	is.True(time.Since(begun) < 3*time.Second) // the patience with hosts that fetch is 8 s
+}
--- a/internal/fetcher/follow.go
+++ b/internal/fetcher/follow.go
@@ -65,6 +65,11 @@
 			b.introduce(&q)
 			continue
 		}
+		if a.Idle {
+			b.introduce(&q)
+			pause(ctx)
+			continue
+		}
 		q = b.heard(p, q, a)
 		b.notify()
 	}
@@ -120,6 +125,9 @@
 	if !ok {
 		return messages.HaveAnswer{Unknown: true}, nil
 	}
+	if f.isIdle(from.artifacts) {
+		return messages.HaveAnswer{Idle: true}, nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, f.heartbeat())
 	defer cancel()
 	if len(q.Artifacts) == 0 {
@@ -139,6 +147,14 @@
 	}
 }
 
+// isIdle tells whether this host knows the manifest of none of the artifacts: it neither holds nor fetches them.
+func (f *Fetcher) isIdle(artifacts []ident.Digest) bool {
+	return !slices.ContainsFunc(artifacts, func(d ident.Digest) bool {
+		_, ok := f.Holder.Artifact(d)
+		return ok
+	})
+}
+
 // wait takes a token, or waits until ctx ends.
 func wait(ctx context.Context, l *rate.Limiter) {
 	r := l.Reserve()
--- a/internal/messages/weights.go
+++ b/internal/messages/weights.go
@@ -29,13 +29,15 @@
 // they replace what the asker knew. Ages holds the milliseconds since the last sign of progress of each stripe.
 // Unknown tells that the answerer has to be told the artifacts again.
 type HaveAnswer struct {
-	Epoch   int64        `json:"epoch"`
-	Count   int          `json:"count"`
-	Unknown bool         `json:"unknown,omitempty"`
-	Full    bool         `json:"full,omitempty"`
-	Added   [][]int      `json:"added,omitempty"`
-	Ages    []int        `json:"ages,omitempty"`
-	Offset  ident.Offset `json:"offset,omitempty"`
+	Epoch   int64 `json:"epoch"`
+	Count   int   `json:"count"`
+	Unknown bool  `json:"unknown,omitempty"`
+	// Idle says that the host has nothing to do with the artifacts, so that nobody must wait for it.
+	Idle   bool         `json:"idle,omitempty"`
+	Full   bool         `json:"full,omitempty"`
+	Added  [][]int      `json:"added,omitempty"`
+	Ages   []int        `json:"ages,omitempty"`
+	Offset ident.Offset `json:"offset,omitempty"`
 }
 
 // SourceBytes counts the chunk bytes that a host has received, by what they cost: from hosts of its zone, of its region,
