The widest entry hosts of a zone carry the weights

Cause: every entry host fetched each release and served the engines' hosts, which spread over all of them alike. Ruled out: links between regions (2.7 of 27 Mbit/s), the origin (one copy in 3.0 s), lost or refused reads (nine of 845). Now hosts with at least half of the widest link of their zone carry, four at most and two at least; an entry host that was not heard for 5 s does not count.

--- a/cmd/gatewayd/main.go
+++ b/cmd/gatewayd/main.go
@@ -32,6 +32,7 @@
 	return (&fronthost.Host{
 		Name: cfg.Host, Zone: cfg.Zone, IP: cfg.IP, Callers: cfg.Callers, Readiness: cfg.Readiness,
 		Metrics: net.JoinHostPort(cfg.IP, strconv.Itoa(cfg.Ports[0])), Exchange: cfg.Ports[0],
+		Link:  cfg.Link,
 		Grace: cfg.Grace, RetryRatio: cfg.RetryRatio, RetrySlack: cfg.RetrySlack,
 		ReleaseBound: cfg.ReleaseBound, Regions: cfg.Regions, First: cfg.First, Dialect: translator.New(), Logger: l,
 		Carrier: &carrier.Carrier{
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -26,6 +26,8 @@
 type Entry struct {
 	Zone    ident.Zone     `json:"zone"`
 	Address netip.AddrPort `json:"address"`
+	// Link is the bandwidth of the host's link in Mbit/s.
+	Link float64 `json:"link,omitempty"`
 }
 
 // Host returns the name by which the host carries chunks.
--- a/internal/fronthost/carry.go
+++ b/internal/fronthost/carry.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
+	"github.com/nutmegdock/nutmegdock/internal/carrier"
 	"github.com/nutmegdock/nutmegdock/internal/core/directory"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/planner"
@@ -16,7 +18,6 @@
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/fleet"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
-	"github.com/nutmegdock/nutmegdock/internal/stocker"
 )
 
 const (
@@ -24,6 +25,8 @@
 	carryEvery = 100 * time.Millisecond
 	// heardTime is how long ago another entry host must have been heard to be taken for the reader: some of its messages.
 	heardTime = 500 * time.Millisecond
+	// goneTime is the time without a message after which an entry host no longer counts: many of its messages.
+	goneTime = 5 * time.Second
 	// carryRetry is the pause after a fetch that failed.
 	carryRetry = 500 * time.Millisecond
 	// firstCarry is the time from the first start of the fleet until the first fetch. Meanwhile the engines' hosts find the chunks that lie
@@ -37,7 +40,8 @@
 		return fmt.Errorf("own address: %w", err)
 	}
 	e := &enroller.Enroller{
-		Self: enroller.Entry{Zone: h.Zone, Address: netip.AddrPortFrom(address, uint16(h.Exchange))}, Put: h.Put, Logger: h.Logger,
+		Self: enroller.Entry{Zone: h.Zone, Address: netip.AddrPortFrom(address, uint16(h.Exchange)), Link: h.Link},
+		Put:  h.Put, Logger: h.Logger,
 	}
 	return e.Run(ctx)
 }
@@ -66,15 +70,26 @@
 		return nil
 	}
 	a := h.tell(p.Name)
-	return stocker.Peers(a.Engines, a.Seeds, h.Regions)
+	return carrier.Peers(a.Engines, a.Seeds, h.Regions)
 }
 
 func (h *Host) tell(p ident.Pool) messages.FleetAnswer {
 	a := fleet.Tell(p, h.gateway.Directory(), h.Fleet.Surveyor, h.Regions)
+	a.Seeds = h.entries()
+	return a
+}
+
+// entries returns the entry hosts without those that were not heard for long: a host that is gone for good leaves its entry
+// in the list.
+func (h *Host) entries() []enroller.Entry {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	a.Seeds = h.seeds
-	return a
+	if time.Since(h.started) < goneTime {
+		return h.seeds
+	}
+	return slices.DeleteFunc(slices.Clone(h.seeds), func(e enroller.Entry) bool {
+		return string(e.Host()) != h.IP && time.Since(h.heard[e.Address.Addr()]) > goneTime
+	})
 }
 
 // answerFleet tells the hosts beside engines what this one knows.
@@ -120,7 +135,7 @@
 		}
 		pause = carryEvery
 		goal, ok := h.goal()
-		if !ok || goal == held {
+		if !ok || goal == held || !carrier.Seeds(h.entries())[ident.Host(h.IP)] {
 			continue
 		}
 		superseded := func() bool {
@@ -138,16 +153,15 @@
 	}
 }
 
-// owns tells whether this host writes a partition of the kept weights: the first in rendezvous order of the entry hosts
-// that were heard just now.
+// owns tells whether this host writes a partition of the kept weights: the first in rendezvous order of the seeds that
+// were heard just now.
 func (h *Host) owns(partition int) bool {
-	h.mu.Lock()
-	seeds := h.seeds
-	h.mu.Unlock()
+	entries := h.entries()
+	seeds := carrier.Seeds(entries)
 	hosts := []string{h.IP}
-	for _, s := range seeds {
-		if string(s.Host()) != h.IP && h.isHeard(s.Address.Addr()) {
-			hosts = append(hosts, string(s.Host()))
+	for _, e := range entries {
+		if string(e.Host()) != h.IP && seeds[e.Host()] && h.isHeard(e.Address.Addr()) {
+			hosts = append(hosts, string(e.Host()))
 		}
 	}
 	return ranker.Rank(fmt.Sprintf("keep/%d", partition), hosts)[0] == h.IP
--- a/internal/fronthost/fronthost.go
+++ b/internal/fronthost/fronthost.go
@@ -67,6 +67,8 @@
 	IP   string
 	// Callers, Readiness and Metrics are the addresses to listen on.
 	Callers, Readiness, Metrics string
+	// Link is the bandwidth of the host's link in Mbit/s.
+	Link float64
 	// Exchange is the port of the exchange between entry hosts.
 	Exchange int
 	// Grace is the time from the end of ctx until the process is killed.
@@ -96,6 +98,8 @@
 	leaving  atomic.Bool
 	readers  rpc.Pool
 
+	started time.Time
+
 	mu    sync.Mutex
 	seeds []enroller.Entry
 	heard map[netip.Addr]time.Time
@@ -105,6 +109,7 @@
 
 // Run serves until ctx ends, and then until the requests in progress have ended.
 func (h *Host) Run(ctx context.Context) error {
+	h.started = time.Now()
 	registry := prometheus.NewRegistry()
 	changes := make(chan struct{}, 1)
 	h.assigner = &assigner.Assigner{Zone: h.Zone, Changed: func() {
--- a/internal/stocker/stocker.go
+++ b/internal/stocker/stocker.go
@@ -126,19 +126,7 @@
 	h.mu.Lock()
 	seeds, engines := h.seeds, h.fleet.Engines
 	h.mu.Unlock()
-	return Peers(engines, seeds, h.Regions)
-}
-
-// Peers returns the hosts that carry the weights of a pool: those beside its engines, and the entry hosts.
-func Peers(engines []messages.EngineEntry, seeds []enroller.Entry, regions map[ident.Zone]ident.Region) []planner.Peer {
-	var out []planner.Peer
-	for _, e := range engines {
-		out = append(out, planner.Peer{Host: e.Host, Zone: e.Zone, Region: regions[e.Zone]})
-	}
-	for _, s := range seeds {
-		out = append(out, planner.Peer{Host: s.Host(), Zone: s.Zone, Region: regions[s.Zone], Seed: true})
-	}
-	return out
+	return carrier.Peers(engines, seeds, h.Regions)
 }
 
 func (h *Host) serveMetrics(ctx context.Context, handler http.Handler) error {
