A request that waits on an older release is taken back before the bound

The margin of 0.7 s for the wait was too small for the last engine that still took requests. Now an attempt whose first event has not come is taken back 0.3 s before the bound, and a cut stream does not go on on a release that may no longer begin requests.

--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -86,6 +86,8 @@
 	Load Load
 	// First is the predicted time to the first event.
 	First time.Duration
+	// Release is that of the weights there; zero at a plain service.
+	Release directory.Release
 
 	lost   func()
 	prompt int
@@ -228,7 +230,8 @@
 	var bestCost time.Duration
 	refusal := None
 	for id, s := range a.endpoints {
-		if !s.serves(q, pool, now) || q.Tried[id] {
+		release, ok := s.serves(q, pool, now)
+		if !ok || q.Tried[id] {
 			continue
 		}
 		refusal = Full
@@ -246,7 +249,7 @@
 		}
 		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
-			choice = &Choice{Endpoint: s.Endpoint, Load: load, First: first, prompt: int(q.Prompt), sent: now, lost: q.Lost}
+			choice = &Choice{Endpoint: s.Endpoint, Load: load, First: first, Release: release, prompt: int(q.Prompt), sent: now, lost: q.Lost}
 		}
 	}
 	if best == nil {
@@ -267,12 +270,13 @@
 	}
 }
 
-func (s *state) serves(q Query, pool *directory.Pool, now time.Time) bool {
+// serves tells whether the endpoint serves what a query asks for, and on which release.
+func (s *state) serves(q Query, pool *directory.Pool, now time.Time) (directory.Release, bool) {
 	if s.Pool != q.Pool || s.Leaving || s.gate.Closed && now.Sub(s.gated) < gateTime {
-		return false
+		return 0, false
 	}
 	if q.Model == "" {
-		return true
+		return 0, true
 	}
 	have, ok := s.Endpoint.Release(q.Model)
 	if pool != nil && pool.Engine != nil && !s.Layers.IsWhole(pool.Engine.Layers) {
@@ -282,10 +286,7 @@
 		// The engine's entry may be older.
 		have, ok = max(have, s.gate.Release), true
 	}
-	if !ok {
-		return false
-	}
-	return have == q.Release || !q.Exact && have > q.Release
+	return have, ok && (have == q.Release || !q.Exact && have > q.Release)
 }
 
 // forget drops the word of hosts that fell silent.
@@ -400,6 +401,13 @@
 	return rand.Float64()
 }
 
+// HasBegun tells whether an event of a request has come.
+func (a *Assigner) HasBegun(c *Choice) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return c.begun
+}
+
 // Begin notes that an event of a request has come.
 func (a *Assigner) Begin(c *Choice) {
 	a.mu.Lock()
--- a/internal/core/assigner/picture.go
+++ b/internal/core/assigner/picture.go
@@ -23,7 +23,7 @@
 	pool := a.pools[q.Pool]
 	var out Picture
 	for id, s := range a.endpoints {
-		if !s.serves(q, pool, now) || q.Tried[id] {
+		if _, ok := s.serves(q, pool, now); !ok || q.Tried[id] {
 			continue
 		}
 		out.Serving++
--- a/internal/core/surveyor/surveyor.go
+++ b/internal/core/surveyor/surveyor.go
@@ -20,6 +20,9 @@
 	// releaseMargin is how long before the bound requests stop to begin on an older release: it covers a request's wait
 	// in the engine's own queue.
 	releaseMargin = 700 * time.Millisecond
+	// beginMargin is how long before the bound requests are taken back that still wait in the queue of an engine on an
+	// older release: the way there, and the age of the word of a release.
+	beginMargin = 300 * time.Millisecond
 )
 
 type release struct {
@@ -171,6 +174,22 @@
 	return oldest
 }
 
+// Cutoff returns when a request that has not begun on a release must be taken back; zero if no newer one is named.
+func (s *Surveyor) Cutoff(m directory.Model, n directory.Release) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var first time.Time
+	for _, r := range s.releases[m] {
+		if r.number > n && (first.IsZero() || r.enforce.Before(first)) {
+			first = r.enforce
+		}
+	}
+	if first.IsZero() {
+		return first
+	}
+	return first.Add(releaseMargin - beginMargin)
+}
+
 // Newest returns the newest release of a model; zero if none was named.
 func (s *Surveyor) Newest(m directory.Model) directory.Release {
 	s.mu.Lock()
--- a/internal/core/surveyor/surveyor_test.go
+++ b/internal/core/surveyor/surveyor_test.go
@@ -89,6 +89,10 @@
 		is.Equal(time.Since(s.Named("m", 1)), 4*time.Second)
 		is.Equal(time.Since(s.Named("m", 2)), time.Duration(0))
 		is.True(s.Named("m", 3).IsZero())
+		// What waits on release 1 is taken back before the bound of release 2, and after new requests stop to begin on it.
+		is.Equal(time.Until(s.Cutoff("m", 1)), bound-4*time.Second-300*time.Millisecond)
+		is.Equal(time.Until(s.Cutoff("m", 2)), bound-300*time.Millisecond)
+		is.True(s.Cutoff("m", 3).IsZero())
 		time.Sleep(bound - 4*time.Second - time.Millisecond)
 		is.Equal(s.Oldest("m"), directory.Release(2)) // each release has a bound of its own
 		time.Sleep(4 * time.Second)
--- a/internal/fronthost/fronthost.go
+++ b/internal/fronthost/fronthost.go
@@ -122,7 +122,7 @@
 	h.gateway = &gateway.Gateway{
 		Dialect: h.Dialect, Assigner: h.assigner, Sender: &sender.Sender{Dial: (&connector.Connector{Timeout: reachTime}).DialContext},
 		Budget:  &budgeter.Budgeter{Ratio: h.RetryRatio * budgetShare, Burst: h.RetrySlack * budgetShare / fewestHosts},
-		Release: survey.Oldest, Logger: h.Logger, Meter: gateway.NewMeter(registry),
+		Release: survey.Oldest, Cutoff: survey.Cutoff, Logger: h.Logger, Meter: gateway.NewMeter(registry),
 		Return: func(left time.Duration) time.Duration { return max(0, left/returnShare) },
 	}
 	h.Fleet.Surveyor = survey
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,8 @@
 	Budget *budgeter.Budgeter
 	// Release returns the oldest release of a model on which a request may begin now.
 	Release func(m directory.Model) directory.Release
+	// Cutoff returns when a request that has not begun on a release is taken back; zero if it may stay.
+	Cutoff func(m directory.Model, n directory.Release) time.Time
 	// Return returns when a caller that is refused for overload should come back.
 	Return func(left time.Duration) time.Duration
 	// Logger receives a line for each decision.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -51,7 +52,10 @@
 	},
 	Matches: func(ident.Request, http.Header) bool { return true },
 	Judge: func(status int, h http.Header) dialect.Verdict {
-		return dialect.Verdict{NotRun: status == http.StatusServiceUnavailable && h.Get("Not-Run") != ""}
+		release, _ := strconv.Atoi(h.Get("Release"))
+		return dialect.Verdict{
+			NotRun: status == http.StatusServiceUnavailable && h.Get("Not-Run") != "", Release: directory.Release(release),
+		}
 	},
 	Refuse: func(h http.Header, after time.Duration) {
 		if after > 0 {
@@ -66,6 +70,10 @@
 	gateway   *gateway.Gateway
 	endpoints []directory.Endpoint
 
+	// oldest is the oldest release on which a request may begin, and cutoff when waiting ones are taken back.
+	oldest atomic.Int64
+	cutoff time.Time
+
 	mu     sync.Mutex
 	seen   []*http.Request
 	script []step
@@ -107,6 +115,7 @@
 
 func start(t *testing.T, scripts ...[]step) *fleet {
 	f := &fleet{}
+	f.oldest.Store(1)
 	var endpoints []directory.Endpoint
 	for i, script := range scripts {
 		f.script = append(f.script, script...)
@@ -121,7 +130,14 @@
 	f.endpoints = endpoints
 	f.gateway = &gateway.Gateway{
 		Dialect: wire, Assigner: a, Sender: &sender.Sender{Dial: (&connector.Connector{}).DialContext}, Budget: &budgeter.Budgeter{},
-		Release: func(directory.Model) directory.Release { return 1 }, Return: func(left time.Duration) time.Duration { return (left / 3).Round(time.Second) },
+		Release: func(directory.Model) directory.Release { return directory.Release(f.oldest.Load()) },
+		Cutoff: func(directory.Model, directory.Release) time.Time {
+			if time.Now().After(f.cutoff) {
+				return time.Time{}
+			}
+			return f.cutoff
+		},
+		Return: func(left time.Duration) time.Duration { return (left / 3).Round(time.Second) },
 		Logger: &log.Logger{Handler: discard.New(), Level: log.InfoLevel}, Meter: gateway.NewMeter(prometheus.NewRegistry()),
 	}
 	f.Server = httptest.NewServer(f.gateway)
@@ -422,3 +438,59 @@
 	is.Equal(status, 503)
 	is.True(time.Since(begun) < 300*time.Millisecond)
 }
+
+// model makes a request for a model that all endpoints serve on release 1.
+func (f *fleet) model(r *http.Request) { r.Header.Set("Model", "m") }
+
+func (f *fleet) serveModel() {
+	for i := range f.endpoints {
+		f.endpoints[i].Serves = []directory.Serving{{Model: "m", Release: 1}}
+	}
+	f.gateway.Assigner.SetEndpoints(f.endpoints)
+}
+
+// A request that waits in the queue of an engine on an older release is taken back before that may no longer begin it; one
+// that has begun goes on.
+func TestWaitingRequestIsTakenBackBeforeTheBound(t *testing.T) {
+	is := is.New(t)
+	f := start(t, []step{hang}, []step{events(1, 2, true)})
+	f.cutoff = time.Now().Add(200 * time.Millisecond)
+	f.configure(1)
+	f.serveModel()
+	status, body, _, err := f.do("/stream/", f.model)
+	is.NoErr(err)
+	is.Equal(status, 200)
+	is.Equal(body, stream(1, 2))
+	is.Equal(len(f.requests()), 2)
+
+	f = start(t, []step{func(c *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: x\n\n\n\r\n")
+		time.Sleep(300 * time.Millisecond)
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+	}})
+	f.cutoff = time.Now().Add(100 * time.Millisecond)
+	f.configure(1)
+	f.serveModel()
+	status, _, _, err = f.do("/stream/", f.model)
+	is.NoErr(err)
+	is.Equal(status, 200)
+	is.Equal(len(f.requests()), 1)
+}
+
+// A cut stream does not go on on a release that may no longer begin requests.
+func TestCutStreamDoesNotGoOnOnAReleaseThatIsOver(t *testing.T) {
+	is := is.New(t)
+	cut := func(c *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRelease: 1\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: x\n\n\r\n")
+		time.Sleep(50 * time.Millisecond)
+		_ = c.SetLinger(0)
+	}
+	f := start(t, []step{cut}, []step{events(2, 3, true)})
+	f.configure(1)
+	f.serveModel()
+	time.AfterFunc(20*time.Millisecond, func() { f.oldest.Store(2) })
+	_, body, _, err := f.do("/stream/", f.model)
+	is.True(err != nil)
+	is.Equal(body, stream(1, 1))
+	is.Equal(len(f.requests()), 1)
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -70,6 +70,11 @@
 	a := &attempts{tried: make(map[string]bool)}
 	a.seq.Last, a.seq.Known = q.After, q.Resumes
 	for {
+		if a.started && a.release > 0 && a.release < g.Release(q.Model) {
+			// A stream goes on on its own release alone, and that may no longer begin requests.
+			g.giveUp(ctx, q, a, "release-over")
+			return
+		}
 		actx, lost := context.WithCancel(ctx)
 		query := g.query(q, a, lost)
 		choice, why := g.Assigner.Assign(query)
@@ -89,7 +94,9 @@
 			"endpoint": choice.Endpoint.ID, "load": choice.Load.Requests, "unread": choice.Load.Unread,
 			"first": choice.First.Milliseconds(), "attempt": len(a.tried),
 		}).Debug("request sent")
+		stop := g.takeBack(q, choice, lost)
 		isDone := g.attempt(actx, q, a, choice)
+		stop()
 		lost()
 		if isDone {
 			return
@@ -106,6 +113,24 @@
 	}
 }
 
+// takeBack ends an attempt that still waits in the queue of an engine on an older release when that may no longer begin
+// requests.
+func (g *Gateway) takeBack(q *request, c *assigner.Choice, lost func()) (stop func()) {
+	if q.Model == "" {
+		return func() {}
+	}
+	at := g.Cutoff(q.Model, c.Release)
+	if at.IsZero() {
+		return func() {}
+	}
+	timer := time.AfterFunc(time.Until(at), func() {
+		if !g.Assigner.HasBegun(c) {
+			lost()
+		}
+	})
+	return func() { timer.Stop() }
+}
+
 // attempt makes one attempt and takes it from the endpoint's count however it ends, also if it breaks the caller's
 // connection off. It tells whether the caller has got the whole answer.
 func (g *Gateway) attempt(ctx context.Context, q *request, a *attempts, c *assigner.Choice) (isDone bool) {
