Entries of incarnations that are gone; callers that came back wait while no endpoint can be reached

Cause: after a loss of power the entries of the old engines stand for up to 3.6 s. Now the host beside an empty engine tells at once of the new incarnation, which takes the old entry out of use, endpoints that cannot be reached count as none, and such callers wait as they do while there is no endpoint. One expectation of TestEndpointWhoseAddressAnotherHasIsNotAskedAgain changes its word for the reason accordingly; it is as strict.

--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -101,7 +101,7 @@
 
 // Refusals.
 const (
-	// None means that no endpoint serves what is asked for.
+	// None means that no endpoint that can be reached serves what is asked for.
 	None Refusal = "no-endpoint"
 	// Full means that no endpoint could serve the request in time.
 	Full Refusal = "overload"
@@ -132,8 +132,10 @@
 	moved bool
 	gate  Gate
 	gated time.Time
-	pace  float64
-	paced time.Time
+	// replaced is when the host beside the engine last told of another incarnation at its address.
+	replaced time.Time
+	pace     float64
+	paced    time.Time
 }
 
 type peer struct {
@@ -147,10 +149,6 @@
 	Zone ident.Zone
 	// Draw returns a number from 0 up to 1; nil means a random one.
 	Draw func() float64
-	// Spare is the share of an engine's slots up to which it takes requests that are late already, and LateWait the longest
-	// wait for others' work there; zero means the defaults.
-	Spare    float64
-	LateWait time.Duration
 	// Changed is told when this host's loads changed; it may be nil.
 	Changed func()
 
@@ -199,8 +197,12 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, s := range a.endpoints {
-		if s.Address == g.Address && s.Born == g.Born {
+		switch {
+		case s.Address != g.Address:
+		case s.Born == g.Born:
 			s.gate, s.gated = g, time.Now()
+		default:
+			s.replaced = time.Now()
 		}
 	}
 }
@@ -234,10 +236,10 @@
 		if !ok || q.Tried[id] {
 			continue
 		}
-		refusal = Full
 		if !s.isUsable() {
 			continue
 		}
+		refusal = Full
 		load := a.load(s)
 		first, ok := a.predict(pool, s, load, q, now)
 		if !ok {
@@ -272,7 +274,7 @@
 
 // serves tells whether the endpoint serves what a query asks for, and on which release.
 func (s *state) serves(q Query, pool *directory.Pool, now time.Time) (directory.Release, bool) {
-	if s.Pool != q.Pool || s.Leaving || s.gate.Closed && now.Sub(s.gated) < gateTime {
+	if s.Pool != q.Pool || s.Leaving || s.gate.Closed && now.Sub(s.gated) < gateTime || now.Sub(s.replaced) < gateTime {
 		return 0, false
 	}
 	if q.Model == "" {
@@ -355,7 +357,7 @@
 	wait := reading(e, float64(load.Unread)) + time.Duration(max(0, load.Requests+1-n))*leaving(e, n)
 	wait = max(time.Duration(pace*float64(wait)), s.overdue(now)-own)
 	if q.Left <= 0 {
-		return own + wait, float64(load.Requests) < a.spare()*float64(n) && wait <= a.lateWait()
+		return own + wait, float64(load.Requests) < spare*float64(n) && wait <= lateWait
 	}
 	return own + wait, own+time.Duration(caution*float64(wait)) <= q.Left-margin
 }
@@ -380,20 +382,6 @@
 	return 1 + (s.pace-1)/(1+halvings)
 }
 
-func (a *Assigner) spare() float64 {
-	if a.Spare > 0 {
-		return a.Spare
-	}
-	return spare
-}
-
-func (a *Assigner) lateWait() time.Duration {
-	if a.LateWait > 0 {
-		return a.LateWait
-	}
-	return lateWait
-}
-
 func (a *Assigner) draw() float64 {
 	if a.Draw != nil {
 		return a.Draw()
--- a/internal/core/assigner/replay_test.go
+++ b/internal/core/assigner/replay_test.go
@@ -91,9 +91,6 @@
 	slow           int
 	// after is when a caller that was refused comes back, once; zero means that it does not.
 	after time.Duration
-	// spare and lateWait are those of the assigner.
-	spare    float64
-	lateWait time.Duration
 	// choose replaces the assigner's choice by a former decision; it returns the engine, or -1 for a refusal.
 	choose func(own []int, loads [][]int, host int) int
 }
@@ -120,7 +117,7 @@
 		hosts := make([]*assigner.Assigner, r.hosts)
 		seen := make([][]int, r.hosts) // what each host has at each engine
 		for i := range hosts {
-			hosts[i] = &assigner.Assigner{Zone: "z", Draw: draw.Float64, Spare: r.spare, LateWait: r.lateWait}
+			hosts[i] = &assigner.Assigner{Zone: "z", Draw: draw.Float64}
 			hosts[i].SetPools(map[ident.Pool]*directory.Pool{"p": {Name: "p", Engine: figures}})
 			hosts[i].SetEndpoints(endpoints)
 			seen[i] = make([]int, r.engines)
@@ -281,16 +278,16 @@
 	is.True(now.inTime > 0.9)
 }
 
-func TestTrialLate(t *testing.T) {
-	for _, load := range []float64{1.05, 1.2, 1.5} {
-		for _, v := range []struct {
-			s float64
-			w time.Duration
-		}{{0.9, 120}, {0.75, 120}, {0.75, 20}, {0.5, 120}, {0.5, 40}, {0.5, 1}, {0.3, 1}, {0.05, 1}} {
-			x := replay{hosts: 8, engines: 16, load: load, lag: 20 * time.Millisecond, after: 1900 * time.Millisecond, spare: v.s, lateWait: v.w * time.Millisecond}.run(t)
-			t.Logf("load %v spare %v wait %v: in time %.3f late %.3f refused %.3f worth %.3f net %.3f", load, v.s, v.w, x.inTime, x.late, x.refused, x.inTime+0.25*x.late, x.inTime+0.25*x.late-0.3*x.refused)
-		}
-	}
+// Load pattern: a fifth more work than the engines can do, for long, from callers that come back once after a refusal. Two
+// thirds of what can be in time at all must be, and hardly any caller is refused twice.
+func TestOverloadWithCallersThatComeBack(t *testing.T) {
+	is := is.New(t)
+	now := replay{hosts: 8, engines: 16, load: 1.2, lag: 20 * time.Millisecond, after: 1900 * time.Millisecond}.run(t)
+	former := replay{hosts: 8, engines: 16, load: 1.2, lag: 100 * time.Millisecond, after: 1900 * time.Millisecond, choose: fewest}.run(t)
+	t.Logf("now %+v, former %+v", now, former)
+	is.True(now.inTime > former.inTime)
+	is.True(now.inTime > 2.0/3/1.2)
+	is.True(now.refused < 0.2) // what is beyond the capacity
 }
 
 func assign(a *assigner.Assigner, tried ...string) (*assigner.Choice, assigner.Refusal) {
@@ -349,10 +346,10 @@
 	c, _ := assign(a)
 	a.Release(c, assigner.Moved)
 	_, why := assign(a)
-	is.Equal(why, assigner.Full)
+	is.Equal(why, assigner.None)
 	a.SetEndpoints([]directory.Endpoint{old})
 	_, why = assign(a)
-	is.Equal(why, assigner.Full)
+	is.Equal(why, assigner.None)
 	again := old
 	again.Born = 2
 	a.SetEndpoints([]directory.Endpoint{again})
@@ -360,6 +357,29 @@
 	is.Equal(why, assigner.Refusal(""))
 }
 
+// Load pattern: all engines lost power. The word of the host beside an engine shows that an entry is of an incarnation that
+// is gone, before a request finds out.
+func TestEntryOfAnIncarnationThatIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := &assigner.Assigner{Zone: "z"}
+		a.SetPools(map[ident.Pool]*directory.Pool{"p": {Name: "p", Engine: figures}})
+		a.SetEndpoints([]directory.Endpoint{
+			{ID: "e", Pool: "p", Born: 1, Address: "10.0.0.1:80", Serves: []directory.Serving{{Model: "m", Release: 1}}},
+		})
+		a.SetGate(assigner.Gate{Address: "10.0.0.2:80", Born: 2, Closed: true}) // of another host
+		c, why := assign(a)
+		is.Equal(why, assigner.Refusal(""))
+		a.Release(c, assigner.Served)
+		a.SetGate(assigner.Gate{Address: "10.0.0.1:80", Born: 2, Closed: true})
+		_, why = assign(a)
+		is.Equal(why, assigner.None)
+		time.Sleep(1100 * time.Millisecond) // the host beside it fell silent: the entry holds again
+		_, why = assign(a)
+		is.Equal(why, assigner.Refusal(""))
+	})
+}
+
 // An engine that holds some of the layers serves nothing by itself, whatever models it lists.
 func TestEngineWithSomeLayersTakesNoRequests(t *testing.T) {
 	is := is.New(t)
@@ -372,8 +392,10 @@
 		layers directory.Span
 		want   assigner.Refusal
 	}{
-		{directory.Span{To: 8}, assigner.None}, {directory.Span{From: 8, To: 16}, assigner.None},
-		{directory.Span{To: 16}, ""}, {directory.Span{}, ""},
+		{directory.Span{To: 8}, assigner.None},
+		{directory.Span{From: 8, To: 16}, assigner.None},
+		{directory.Span{To: 16}, ""},
+		{directory.Span{}, ""},
 	} {
 		e.Layers = c.layers
 		a.SetEndpoints([]directory.Endpoint{e})
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -419,6 +419,33 @@
 	is.True(time.Since(begun) < 200*time.Millisecond)
 }
 
+// Load pattern: all engines lost power, and their entries are still there. A caller that came back and found only such
+// waits for engines as well; one whose request may have run does not.
+func TestCallerThatCameBackWaitsAfterFailedConnections(t *testing.T) {
+	is := is.New(t)
+	f := start(t, []step{whole(200, "ok")})
+	f.configure(1)
+	serving := f.endpoints
+	gone := serving[0]
+	gone.ID, gone.Address = "gone", "127.0.0.1:1"
+	f.gateway.Assigner.SetEndpoints(nil)
+	_, _, _, err := f.do("/open/", func(r *http.Request) { r.Header.Set("Left", "6000") })
+	is.NoErr(err)
+	f.gateway.Assigner.SetEndpoints([]directory.Endpoint{gone})
+	time.AfterFunc(300*time.Millisecond, func() { f.gateway.Assigner.SetEndpoints(serving) })
+	status, _, _, err := f.do("/open/", func(r *http.Request) { r.Header.Set("Left", "4000") })
+	is.NoErr(err)
+	is.Equal(status, 200)
+	f = start(t, []step{broken})
+	f.configure(1)
+	_, _, _, err = f.do("/once/", func(r *http.Request) { r.Header.Set("Left", "6000") })
+	is.NoErr(err)
+	begun := time.Now()
+	status, _, _, err = f.do("/once/", func(r *http.Request) { r.Header.Set("Left", "4000") })
+	is.NoErr(err)
+	is.True(status >= 502 && time.Since(begun) < 300*time.Millisecond)
+}
+
 // Load pattern: overload that lasts. A caller that came back is refused as fast as a newcomer, since waiting for room only
 // takes it from those that can still be in time.
 func TestCallerThatCameBackDoesNotWaitForRoom(t *testing.T) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -106,7 +106,7 @@
 			f["endpoint"], f["cause"], f["load"], f["sent"] = choice.Endpoint.ID, a.last.Error(), choice.Load.Requests, a.sent
 			event.AttemptFailed.Log(g.Logger.WithFields(f), nil)
 		}
-		if !g.again(ctx, q, a) {
+		if !g.again(ctx, q, a) && !g.mayWait(ctx, q, a) {
 			g.giveUp(ctx, q, a, "failed")
 			return
 		}
@@ -141,10 +141,10 @@
 }
 
 // mayWait waits a moment for endpoints that are about to serve again, such as engines that load after a loss of power. It
-// does so for callers alone that came back after a refusal, as they do not come a third time, and only as long as there
-// is time for an answer then.
+// does so for callers alone that came back after a refusal, as they do not come a third time, and only as long as no
+// endpoint may have run the request and there is time for an answer then.
 func (g *Gateway) mayWait(ctx context.Context, q *request, a *attempts) bool {
-	if q.spent == 0 || len(a.tried) > 0 || time.Until(q.final) < answerTime || time.Since(q.arrived) > loadWait {
+	if q.spent == 0 || a.sent > 0 || time.Until(q.final) < answerTime || time.Since(q.arrived) > loadWait {
 		return false
 	}
 	select {
--- a/internal/stocker/run.go
+++ b/internal/stocker/run.go
@@ -63,6 +63,10 @@
 	if have >= goal.Release || r.Loading {
 		return nil
 	}
+	if have == 0 {
+		// The entry hosts may still have the entry of an incarnation that held a release.
+		h.setGate(gate{Closed: true, Born: r.Born})
+	}
 	a, err := h.fetch(ctx, goal, r)
 	if err != nil {
 		return err
