crashnotifier, endpointproxy: mend two known failures

A caller whose attempts other faults had used up repeated through the other entry host in the 1 ms that the notice took, so a third engine ran the request.

TestResponseOfAnotherSetHasUnknownOutcome: a back end may respond before it has read the request body; the first write of the response then closed the body of the incoming request, which broke the request to the back end and its response. Responses are written in full duplex.

--- a/internal/core/inflighttracker/inflighttracker.go
+++ b/internal/core/inflighttracker/inflighttracker.go
@@ -16,8 +16,6 @@
 	ID quarantiner.CrashID
 	// InFlight lists the distinct requests that were in flight.
 	InFlight []quarantiner.RequestDigest
-	// Suspect reports whether a suspect request was among them.
-	Suspect bool
 }
 
 // Request is one request in flight at the back end.
@@ -72,7 +70,7 @@
 func (t *Tracker) RecordCrash(r *Request) (Crash, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	crash := Crash{ID: quarantiner.CrashID(fmt.Sprintf("%s/%d", t.CrashIDPrefix, r.incarnation)), Suspect: t.inFlightSuspect != nil}
+	crash := Crash{ID: quarantiner.CrashID(fmt.Sprintf("%s/%d", t.CrashIDPrefix, r.incarnation))}
 	if r.incarnation != t.incarnation {
 		return crash, false
 	}
--- a/internal/crashnotifier/crashnotifier.go
+++ b/internal/crashnotifier/crashnotifier.go
@@ -1,9 +1,9 @@
 // Package crashnotifier notifies all entry hosts of the crashes of a back end. It retries until each has acknowledged
 // the notice or the notice is dropped.
 //
-// If a suspect request was in flight, the entry hosts are notified before the request's connection is closed, within a
-// short timeout. Otherwise its caller could retry at another entry host before that host knows that the request is to
-// be quarantined.
+// If requests were in flight, the entry hosts are notified before the requests' connections are closed, within a short
+// timeout. Otherwise a caller could retry at another entry host before that host knows of the crash. This holds for the
+// first crash of a request, too: a caller whose attempts have been used up by other faults repeats at once.
 package crashnotifier
 
 import (
@@ -21,8 +21,8 @@
 const (
 	retryInterval = 250 * time.Millisecond
 	callTimeout   = time.Second
-	// suspectAckTimeout bounds the wait for the acknowledgements of a crash with a suspect request in flight.
-	suspectAckTimeout = 50 * time.Millisecond
+	// ackTimeout bounds the wait for the acknowledgements of a crash with requests in flight.
+	ackTimeout = 50 * time.Millisecond
 	// maxNotices is the maximum number of queued notices. The oldest is dropped first.
 	maxNotices = 16
 )
@@ -64,8 +64,8 @@
 	return n.wake
 }
 
-// Notify queues a crash notice. If a suspect request was in flight, Notify returns when the first send to each entry
-// host has returned or suspectAckTimeout has passed; otherwise it returns immediately.
+// Notify queues a crash notice. If requests were in flight, Notify returns when the first send to each entry host has
+// returned or ackTimeout has passed; otherwise it returns immediately.
 func (n *Notifier) Notify(crash inflighttracker.Crash) {
 	wake := n.wakeChannel()
 	notice := &crashNotice{
@@ -82,12 +82,12 @@
 	case wake <- struct{}{}:
 	default:
 	}
-	if !crash.Suspect {
+	if len(crash.InFlight) == 0 {
 		return
 	}
 	select {
 	case <-notice.firstRoundDone:
-	case <-time.After(suspectAckTimeout):
+	case <-time.After(ackTimeout):
 	}
 }
 
--- a/internal/endpointproxy/endpointproxy.go
+++ b/internal/endpointproxy/endpointproxy.go
@@ -117,6 +117,12 @@
 	}
 	w.Header().Set(headers.Outcome, headers.Answered)
 	w.Header().Set(headers.RequestID, r.Header.Get(headers.RequestID))
+	// A back end may respond before it has read the request body. Without full duplex, the first write of the response
+	// closes that body, which interrupts the request to the back end and with it the response.
+	if err := http.NewResponseController(w).EnableFullDuplex(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		writeError(w, r, &outcome.Error{Kind: outcome.Unknown, Reason: outcome.ConnectionLost, Message: err.Error()})
+		return
+	}
 	if p.Unfenced {
 		w.Header().Set(headers.Unfenced, "1")
 	}
--- a/internal/endpointproxy/endpointproxy_test.go
+++ b/internal/endpointproxy/endpointproxy_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -21,21 +22,26 @@
 	"github.com/nutmegdock/nutmegdock/internal/headers"
 )
 
-// sendRequest sends one request for weight set "a" through a proxy to an engine that responds with backend. The check
-// of the engine's weights at the end of the response returns confirm.
-func sendRequest(t *testing.T, confirm error, backend http.HandlerFunc) (*http.Response, string, error) {
-	t.Helper()
-	engine := httptest.NewServer(backend)
-	defer engine.Close()
+// newProxy returns a proxy to a back end that serves weight set "a".
+func newProxy(backend string, confirm error) *Proxy {
 	p := &Proxy{
-		Gate: &gate.Gate{}, Backend: engine.URL, Forwarder: &forwarder.Forwarder{HTTP: forwarder.NewClient()},
+		Gate: &gate.Gate{}, Backend: backend, Forwarder: &forwarder.Forwarder{HTTP: forwarder.NewClient()},
 		Tracker: &inflighttracker.Tracker{}, BackendStartTime: func() int64 { return 1 }, HasCrashed: func(context.Context, int64) bool { return false },
 	}
 	p.WatchWeights = func(ident.WeightSet) ConfirmWeights {
 		return func(context.Context) error { return confirm }
 	}
 	p.Gate.Open("a")
-	server := httptest.NewServer(p)
+	return p
+}
+
+// sendRequest sends one request for weight set "a" through a proxy to an engine that responds with backend. The check
+// of the engine's weights at the end of the response returns confirm.
+func sendRequest(t *testing.T, confirm error, backend http.HandlerFunc) (*http.Response, string, error) {
+	t.Helper()
+	engine := httptest.NewServer(backend)
+	defer engine.Close()
+	server := httptest.NewServer(newProxy(engine.URL, confirm))
 	defer server.Close()
 	req, err := http.NewRequest(http.MethodPost, server.URL+RunPrefix+"/v1/completions", strings.NewReader("{}"))
 	if err != nil {
@@ -87,6 +93,53 @@
 	}
 }
 
+// A back end that responds before it has read the request body still receives all of it, and its response is complete.
+func TestBackendRespondsBeforeReadingBody(t *testing.T) {
+	is := is.New(t)
+	received := make(chan string, 1)
+	started := make(chan struct{})
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		rc := http.NewResponseController(w)
+		if err := rc.EnableFullDuplex(); err != nil {
+			t.Error(err)
+		}
+		w.Header().Set(headers.WeightSet, "a")
+		_, _ = io.WriteString(w, "first ")
+		_ = rc.Flush()
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			t.Error(err)
+		}
+		received <- string(body)
+		_, _ = io.WriteString(w, "second")
+	}))
+	defer engine.Close()
+	server := httptest.NewServer(newProxy(engine.URL, nil))
+	defer server.Close()
+	bodyReader, bodyWriter := io.Pipe()
+	go func() {
+		_, _ = io.WriteString(bodyWriter, "{")
+		<-started
+		_, _ = io.WriteString(bodyWriter, "}")
+		_ = bodyWriter.Close()
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = bodyWriter.CloseWithError(ctx.Err()) })
+	defer stop()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+RunPrefix+"/v1/completions", bodyReader)
+	is.NoErr(err)
+	req.Header.Set(headers.WeightSet, "a")
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	close(started)
+	body, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(string(body), "first second")
+	is.Equal(<-received, "{}")
+}
+
 func TestEndOfResponseIsWithheldUntilWeightsAreConfirmed(t *testing.T) {
 	errChanged := errors.New("weights changed")
 	for _, tt := range []struct {
