Endpoints that leave or ask for a pause get no further requests

An engine that leaves says so in each response, and one that refuses with 503 may ask for a pause. Neither was read. Both are kept by incarnation, apart from the endpoint's entry, so that an entry that disappears and returns, or an older one, does not lift them. Assign and the probes pass such endpoints over; while all that serve a query have asked for a pause, callers are refused at once, and told when the first pause ends if that is within their time.

TestLeavingEndpointGetsNoFurtherRequests and TestPausedEndpointGetsNoRequests fail with the two conditions in Assign taken out, and pass with them.

--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -112,6 +112,8 @@
 	NoEndpoint Refusal = "no-endpoint"
 	// Overload means that no endpoint could serve the request in time.
 	Overload Refusal = "overload"
+	// Paused means that all endpoints that serve the query have asked this host for a pause.
+	Paused Refusal = "paused"
 )
 
 // GateState says whether an engine accepts requests and what it serves, as reported by the host beside it. It arrives
@@ -164,6 +166,7 @@
 
 	mu           sync.Mutex
 	endpoints    map[string]*endpointState
+	holdoffs     map[incarnation]holdoff
 	peers        map[ident.Host]*peer
 	pools        map[ident.Pool]*fleetconfig.Pool
 	serviceTimes map[ident.Pool]time.Duration
@@ -244,10 +247,13 @@
 	refusal := NoEndpoint
 	for id, s := range a.endpoints {
 		release, ok := s.serves(q, pool, now)
-		if !ok || q.Excluded[id] {
+		if !ok || q.Excluded[id] || a.isLeaving(s) || !s.isUsable() {
 			continue
 		}
-		if !s.isUsable() {
+		if a.pauseRemaining(s, now) > 0 {
+			if refusal == NoEndpoint {
+				refusal = Paused
+			}
 			continue
 		}
 		refusal = Overload
--- a/internal/core/assigner/probe.go
+++ b/internal/core/assigner/probe.go
@@ -33,14 +33,14 @@
 }
 
 // DueProbes returns the endpoints that should be probed now: those out of use, and those with requests of this host
-// that have been silent for probeAfterSilence.
+// that have been silent for probeAfterSilence. An endpoint that is leaving or has asked for a pause is not probed.
 func (a *Assigner) DueProbes() []Probe {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
 	var out []Probe
 	for id, s := range a.endpoints {
-		if s.addressReused {
+		if s.addressReused || a.isLeaving(s) || a.pauseRemaining(s, now) > 0 {
 			continue
 		}
 		if s.down || s.localLoad.Requests > 0 && now.Sub(s.lastActive) > probeAfterSilence {
--- a/internal/core/assigner/snapshot.go
+++ b/internal/core/assigner/snapshot.go
@@ -9,6 +9,10 @@
 	// ServingEndpoints is the number of endpoints that serve what the query requires. UnusableEndpoints is the number of
 	// those that cannot be reached or are failing.
 	ServingEndpoints, UnusableEndpoints int
+	// LeavingEndpoints and PausedEndpoints are the numbers of those that have said that they leave or asked for a pause,
+	// and EarliestResume is the shortest rest of such a pause; zero if there is none.
+	LeavingEndpoints, PausedEndpoints int
+	EarliestResume                    time.Duration
 	// EarliestFirstEvent is the shortest predicted time to the first event at a usable endpoint; zero if there is none.
 	EarliestFirstEvent time.Duration
 	// Peers is the number of other entry hosts whose reported load is in use.
@@ -33,6 +37,17 @@
 			out.UnusableEndpoints++
 			continue
 		}
+		if a.isLeaving(s) {
+			out.LeavingEndpoints++
+			continue
+		}
+		if rest := a.pauseRemaining(s, now); rest > 0 {
+			out.PausedEndpoints++
+			if out.EarliestResume == 0 || rest < out.EarliestResume {
+				out.EarliestResume = rest
+			}
+			continue
+		}
 		predicted, _ := a.predict(pool, s, a.totalLoad(s), q, now)
 		if out.EarliestFirstEvent == 0 || predicted < out.EarliestFirstEvent {
 			out.EarliestFirstEvent = predicted
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -21,6 +21,9 @@
 	LoadMessageInvalid     = Event{1722, log.WarnLevel, "load message does not parse"}
 	EndpointUnreachable    = Event{1723, log.WarnLevel, "endpoint cannot be reached"}
 	EndpointReachable      = Event{1724, log.InfoLevel, "endpoint can be reached again"}
+	EndpointLeaving        = Event{1725, log.InfoLevel, "endpoint says that it is leaving; it gets no further requests"}
+	EndpointPaused         = Event{1726, log.WarnLevel, "endpoint asks for a pause; it gets no requests until then"}
+	EndpointPauseInvalid   = Event{1727, log.WarnLevel, "endpoint asks for a pause that does not parse; ignored"}
 	ReleaseFetchFailed     = Event{1731, log.WarnLevel, "release is not fetched completely yet; will be retried"}
 	OriginFetchFailed      = Event{1732, log.WarnLevel, "chunk could not be fetched from the origin"}
 	PeerFetchFailed        = Event{1733, log.WarnLevel, "chunk could not be fetched from another host"}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -53,8 +53,10 @@
 	IsResponseTo: func(ident.RequestID, http.Header) bool { return true },
 	ReadResponse: func(status int, h http.Header) headercodec.ResponseInfo {
 		release, _ := strconv.Atoi(h.Get("Release"))
+		pause, _ := time.ParseDuration(h.Get("Pause"))
 		return headercodec.ResponseInfo{
 			NotRun: status == http.StatusServiceUnavailable && h.Get("Not-Run") != "", Release: fleetconfig.Release(release),
+			IsLeaving: h.Get("Leaving") != "", Pause: pause,
 		}
 	},
 	SetRetryAfter: func(h http.Header, after time.Duration) {
@@ -526,3 +528,65 @@
 	is.Equal(body, streamBody(1, 1))
 	is.Equal(len(f.requests()), 1)
 }
+
+// An endpoint that says in a response that it is leaving gets no further request from this host, whatever its entry
+// says: not by a retry, not after its entry was missing or written again, and no probe. A new incarnation does.
+func TestLeavingEndpointGetsNoFurtherRequests(t *testing.T) {
+	leavingAnswer := rawResponse("HTTP/1.1 200 X\r\nLeaving: 1\r\nContent-Length: 2\r\n\r\nok")
+	leavingRefusal := rawResponse("HTTP/1.1 503 X\r\nNot-Run: 1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n")
+	for name, first := range map[string]struct {
+		step   step
+		status int
+	}{"answer": {leavingAnswer, 200}, "refusal": {leavingRefusal, 503}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := startFleet(t, []step{first.step, response(200, "ok"), response(200, "ok")})
+			f.configure(1)
+			status, _, _, err := f.send("/once/", nil)
+			is.NoErr(err)
+			is.Equal(status, first.status)
+			for range 2 {
+				status, _, _, err = f.send("/once/", nil)
+				is.NoErr(err)
+				is.Equal(status, 503)
+				f.gateway.Assigner.SetEndpoints(nil)
+				f.gateway.Assigner.SetEndpoints(f.endpoints)
+			}
+			is.Equal(len(f.requests()), 1)
+			is.Equal(len(f.gateway.Assigner.DueProbes()), 0)
+			f.endpoints[0].StartTime++
+			f.gateway.Assigner.SetEndpoints(f.endpoints)
+			status, _, _, err = f.send("/once/", nil)
+			is.NoErr(err)
+			is.Equal(status, 200)
+		})
+	}
+}
+
+// An endpoint asks for a pause. It gets neither requests nor probes until then. While all endpoints have asked for one,
+// callers are refused at once, with the time when the first pause ends.
+func TestPausedEndpointGetsNoRequests(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, []step{rawResponse("HTTP/1.1 503 X\r\nNot-Run: 1\r\nPause: 400ms\r\nContent-Length: 0\r\n\r\n"), response(200, "ok")})
+	f.configure(1)
+	status, _, _, err := f.send("/once/", nil)
+	is.NoErr(err)
+	is.Equal(status, 503)
+	for range 3 {
+		startedAt := time.Now()
+		status, body, h, err := f.send("/once/", nil)
+		is.NoErr(err)
+		is.Equal(status, 503)
+		is.True(strings.Contains(body, "paused"))
+		after, err := time.ParseDuration(h.Get("Retry-After"))
+		is.NoErr(err)
+		is.True(after > 0 && after <= 400*time.Millisecond)
+		is.True(time.Since(startedAt) < 200*time.Millisecond)
+	}
+	is.Equal(len(f.requests()), 1)
+	is.Equal(len(f.gateway.Assigner.DueProbes()), 0)
+	time.Sleep(400 * time.Millisecond)
+	status, _, _, err = f.send("/once/", nil)
+	is.NoErr(err)
+	is.Equal(status, 200)
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -58,6 +58,8 @@
 	lastEventAt              time.Time
 	// load is the load of the current endpoint when it was chosen.
 	load assigner.Load
+	// resumeIn is the time until the first endpoint takes requests again, if all have asked for a pause.
+	resumeIn time.Duration
 	// refusalDetails is this host's view of the endpoints when it found none for the request, for the log.
 	refusalDetails log.Fields
 	// onEvent notifies the assigner that the current endpoint has sent an event.
@@ -91,7 +93,11 @@
 			if refusal == assigner.NoEndpoint && g.waitForEndpoints(ctx, req, state) {
 				continue
 			}
-			state.refusalDetails = refusalFields(g.Assigner.Snapshot(query), query.TimeLeft)
+			snapshot := g.Assigner.Snapshot(query)
+			state.refusalDetails = refusalFields(snapshot, query.TimeLeft)
+			if refusal == assigner.Paused {
+				state.resumeIn = snapshot.EarliestResume
+			}
 			g.endUnserved(ctx, req, state, string(refusal))
 			return
 		}
@@ -216,7 +222,11 @@
 		g.refuse(req, rejection{status: http.StatusBadGateway, reason: "lost", cause: errorText(state.lastErr)})
 	default:
 		remaining := req.Remaining - time.Since(req.arrivedAt)
-		g.refuse(req, rejection{status: http.StatusServiceUnavailable, reason: reason, retryAfter: g.RetryAfter(remaining), cause: errorText(state.lastErr), details: state.refusalDetails})
+		retryAfter := g.RetryAfter(remaining)
+		if state.resumeIn > 0 && state.resumeIn < remaining {
+			retryAfter = state.resumeIn
+		}
+		g.refuse(req, rejection{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter, cause: errorText(state.lastErr), details: state.refusalDetails})
 	}
 }
 
@@ -224,6 +234,7 @@
 func refusalFields(snapshot assigner.Snapshot, timeLeft time.Duration) log.Fields {
 	return log.Fields{
 		"left": timeLeft.Milliseconds(), "serving": snapshot.ServingEndpoints, "unusable": snapshot.UnusableEndpoints, "soonest": snapshot.EarliestFirstEvent.Milliseconds(),
+		"leaving": snapshot.LeavingEndpoints, "paused": snapshot.PausedEndpoints,
 		"peers": snapshot.Peers, "oldest": snapshot.OldestReport.Milliseconds(),
 	}
 }
@@ -265,6 +276,9 @@
 	}
 	defer resp.Close()
 	info := g.Codec.ReadResponse(resp.Status, resp.Header)
+	if !info.IsOtherEndpoint {
+		g.recordHoldoff(req, choice.Endpoint, info)
+	}
 	switch {
 	case info.NotRun:
 		state.refused++
@@ -286,6 +300,20 @@
 	}
 }
 
+// recordHoldoff records what a response says about further requests to its endpoint.
+func (g *Gateway) recordHoldoff(req *request, e fleetconfig.Endpoint, info headercodec.ResponseInfo) {
+	if info.IsLeaving && g.Assigner.RecordLeaving(e) {
+		event.EndpointLeaving.Log(g.Logger.WithFields(g.logFields(req)), log.Fields{"endpoint": e.ID, "born": e.StartTime})
+	}
+	if info.InvalidPause != "" {
+		event.EndpointPauseInvalid.Log(g.Logger.WithFields(g.logFields(req)), log.Fields{"endpoint": e.ID, "pause": info.InvalidPause})
+	}
+	if info.Pause > 0 {
+		g.Assigner.Pause(e, info.Pause)
+		event.EndpointPaused.Log(g.Logger.WithFields(g.logFields(req)), log.Fields{"endpoint": e.ID, "pause": info.Pause.Seconds()})
+	}
+}
+
 // impliesNotRun reports whether callers conclude from the status that the request has not run.
 func impliesNotRun(status int) bool {
 	switch status {
--- a/internal/headercodec/headercodec.go
+++ b/internal/headercodec/headercodec.go
@@ -49,6 +49,12 @@
 	Signed bool
 	// Release is the release that served the request; zero if unknown.
 	Release fleetconfig.Release
+	// IsLeaving is set if the endpoint says that it is leaving.
+	IsLeaving bool
+	// Pause is the time for which the endpoint asks the sender for no further requests; zero if it does not ask.
+	Pause time.Duration
+	// InvalidPause is the text of such a demand that cannot be parsed.
+	InvalidPause string
 }
 
 // Codec holds the functions that read and write one set of headers.
