A store restored from an older copy: epochs, nothing goes back, writes are repeated

The platform's store may come back some seconds older. Offsets are then given out again, and each response states an epoch that has risen. Before this change a host took a reused offset for continuity and missed the records under it.

Now each offset belongs to an epoch.

Host entries and archived weights are written again, spread over one and two seconds.

--- a/internal/chunkreplicator/archive.go
+++ b/internal/chunkreplicator/archive.go
@@ -51,6 +51,11 @@
 	r.archived = s
 }
 
+// ForgetArchived makes this host take no release for archived, since the store may have lost it.
+func (r *Replicator) ForgetArchived() {
+	r.setArchived(fleetconfig.ServedModel{})
+}
+
 func (r *Replicator) isArchived(s fleetconfig.ServedModel) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/core/fleettracker/fleettracker.go
+++ b/internal/core/fleettracker/fleettracker.go
@@ -33,6 +33,24 @@
 	firstSeen    time.Time
 }
 
+// incarnation identifies one start of an endpoint.
+type incarnation struct {
+	id        string
+	startTime int64
+}
+
+// maxDepartures limits the incarnations that are remembered as draining or gone. It is several times the number of
+// endpoints of the largest fleet.
+const maxDepartures = 8192
+
+// departure is what was last known of an incarnation that leaves.
+type departure struct {
+	isDraining bool
+	// isGone says that its entry has been removed.
+	isGone bool
+	at     time.Time
+}
+
 type entry struct {
 	fleetconfig.Endpoint
 	// expiresAt is when an entry that expired during an outage is dropped; zero for an entry that exists in the store.
@@ -49,8 +67,12 @@
 	releases    map[fleetconfig.Model][]release
 	lastRead    time.Time
 	recoveredAt time.Time
-	readFailed  bool
-	loaded      bool
+	// departures holds the incarnations that are known to be draining or gone.
+	departures map[incarnation]departure
+	// isRestored says that the next snapshot is of a store that has been restored from an older copy.
+	isRestored bool
+	readFailed bool
+	loaded     bool
 }
 
 // RecordRead records whether the last read of the store succeeded. It must be called before the contents of a read are
@@ -69,6 +91,15 @@
 	t.lastRead, t.readFailed = now, false
 }
 
+// RecordRestore records that the store has been restored from an older copy. Endpoints that are missing in the next
+// snapshot have a limited time to write their entries again, as after an outage. Those that the snapshot lists although
+// they were gone are used only once they have written their entries again.
+func (t *Tracker) RecordRestore() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.isRestored, t.recoveredAt = true, time.Now()
+}
+
 // Replace replaces the endpoints with those of a snapshot. If the store has just recovered from an outage, endpoints
 // that are missing in the snapshot are kept for a limited time so that they can write their entries again.
 func (t *Tracker) Replace(all []fleetconfig.Endpoint) {
@@ -77,14 +108,17 @@
 	old := t.entries
 	t.entries = make(map[string]*entry, len(all))
 	for _, e := range all {
-		t.entries[e.ID] = &entry{Endpoint: e}
+		if t.isRestored && t.departures[incarnation{e.ID, e.StartTime}].isGone {
+			continue
+		}
+		t.put(e)
 	}
 	for id, e := range old {
-		if t.entries[id] == nil {
-			t.retainAfterOutage(id, e)
+		if t.entries[id] == nil && !t.retainAfterOutage(id, e) {
+			t.recordGone(e.Endpoint)
 		}
 	}
-	t.loaded = true
+	t.isRestored, t.loaded = false, true
 }
 
 // Put adds or replaces the entry of one endpoint.
@@ -94,9 +128,80 @@
 	if t.entries == nil {
 		t.entries = make(map[string]*entry)
 	}
+	t.put(e)
+}
+
+// put stores an entry. An incarnation that was draining remains so, whatever its entry says. The caller must hold t.mu.
+func (t *Tracker) put(e fleetconfig.Endpoint) {
+	key := incarnation{e.ID, e.StartTime}
+	d := t.departures[key]
+	// Without a start time, incarnations cannot be told apart.
+	e.Draining = e.Draining || d.isDraining && e.StartTime != 0
+	if e.Draining != d.isDraining || d.isGone {
+		t.setDeparture(key, departure{isDraining: e.Draining})
+	}
 	t.entries[e.ID] = &entry{Endpoint: e}
 }
 
+// recordGone remembers that the entry of an incarnation has been removed. The caller must hold t.mu.
+func (t *Tracker) recordGone(e fleetconfig.Endpoint) {
+	t.setDeparture(incarnation{e.ID, e.StartTime}, departure{isDraining: e.Draining, isGone: true})
+}
+
+// setDeparture stores a departure, and drops the oldest one if there are too many. The caller must hold t.mu.
+func (t *Tracker) setDeparture(key incarnation, d departure) {
+	if !d.isDraining && !d.isGone {
+		delete(t.departures, key)
+		return
+	}
+	if t.departures == nil {
+		t.departures = make(map[incarnation]departure)
+	}
+	d.at = time.Now()
+	t.departures[key] = d
+	if len(t.departures) <= maxDepartures {
+		return
+	}
+	var oldest incarnation
+	var oldestAt time.Time
+	for other, d := range t.departures {
+		if oldestAt.IsZero() || d.at.Before(oldestAt) {
+			oldest, oldestAt = other, d.at
+		}
+	}
+	delete(t.departures, oldest)
+}
+
+// Departure is an incarnation of an endpoint that is draining or gone.
+type Departure struct {
+	ID         string `json:"id"`
+	StartTime  int64  `json:"born"`
+	IsDraining bool   `json:"draining,omitempty"`
+	IsGone     bool   `json:"gone,omitempty"`
+}
+
+// Departures returns the incarnations that are known to be draining or gone.
+func (t *Tracker) Departures() []Departure {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Departure, 0, len(t.departures))
+	for key, d := range t.departures {
+		out = append(out, Departure{ID: key.id, StartTime: key.startTime, IsDraining: d.isDraining, IsGone: d.isGone})
+	}
+	return out
+}
+
+// AddDepartures adds incarnations that another host knows to be draining or gone. It must be called before the first
+// snapshot is applied. An entry in that snapshot of an incarnation that is gone is not used.
+func (t *Tracker) AddDepartures(all []Departure) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, d := range all {
+		t.setDeparture(incarnation{d.ID, d.StartTime}, departure{isDraining: d.IsDraining, isGone: d.IsGone})
+	}
+	t.isRestored = true
+}
+
 // Remove removes the entry of an endpoint. If the store has just recovered from an outage, the endpoint is kept for a
 // limited time so that it can write its entry again.
 func (t *Tracker) Remove(id string) {
@@ -107,18 +212,21 @@
 		return
 	}
 	delete(t.entries, id)
-	t.retainAfterOutage(id, e)
+	if !t.retainAfterOutage(id, e) {
+		t.recordGone(e.Endpoint)
+	}
 }
 
-// retainAfterOutage keeps a removed entry until the rejoin window ends, if the store has just recovered from an outage.
-// The entry of an endpoint that was leaving is not kept.
-func (t *Tracker) retainAfterOutage(id string, e *entry) {
+// retainAfterOutage keeps a removed entry until the rejoin window ends, if the store has just recovered from an outage,
+// and reports whether it did. The entry of an endpoint that was leaving is not kept.
+func (t *Tracker) retainAfterOutage(id string, e *entry) bool {
 	expiresAt := t.recoveredAt.Add(rejoinWindow)
 	if e.Draining || t.recoveredAt.IsZero() || !time.Now().Before(expiresAt) {
-		return
+		return false
 	}
 	e.expiresAt = expiresAt
 	t.entries[id] = e
+	return true
 }
 
 // Endpoints returns the endpoints that may be used.
@@ -130,6 +238,7 @@
 	for id, e := range t.entries {
 		if !e.expiresAt.IsZero() && now.After(e.expiresAt) {
 			delete(t.entries, id)
+			t.recordGone(e.Endpoint)
 			continue
 		}
 		out = append(out, e.Endpoint)
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -21,6 +21,7 @@
 	LoadMessageInvalid     = Event{1722, log.WarnLevel, "load message does not parse"}
 	EndpointUnreachable    = Event{1723, log.WarnLevel, "endpoint cannot be reached"}
 	EndpointReachable      = Event{1724, log.InfoLevel, "endpoint can be reached again"}
+	StoreRestored          = Event{1728, log.WarnLevel, "platform's store has been restored from an older copy; reading it again"}
 	EndpointLeaving        = Event{1725, log.InfoLevel, "endpoint says that it is leaving; it gets no further requests"}
 	EndpointPaused         = Event{1726, log.WarnLevel, "endpoint asks for a pause; it gets no requests until then"}
 	EndpointPauseInvalid   = Event{1727, log.WarnLevel, "endpoint asks for a pause that does not parse; ignored"}
--- a/internal/fleetwatcher/fleetwatcher.go
+++ b/internal/fleetwatcher/fleetwatcher.go
@@ -5,6 +5,7 @@
 	"context"
 	"maps"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -13,6 +14,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleettracker"
 	"github.com/nutmegdock/nutmegdock/internal/event"
+	"github.com/nutmegdock/nutmegdock/internal/messages"
 	"github.com/nutmegdock/nutmegdock/internal/watcher"
 )
 
@@ -55,21 +57,51 @@
 	Decoder Decoder
 	// ReadSnapshot reads a snapshot of a topic from the store, and ReadChanges the changes from an offset on.
 	ReadSnapshot func(ctx context.Context, topic string) (watcher.Snapshot, error)
-	ReadChanges  func(ctx context.Context, topic string, from int64, wait time.Duration) (watcher.Batch, error)
+	ReadChanges  func(ctx context.Context, topic string, epoch watcher.Epoch, from int64, wait time.Duration) (watcher.Batch, error)
 	// OperatorWait is how long a call waits for a change by the operator, and EndpointPause the time between two calls for
 	// the endpoints; zero selects the defaults.
 	OperatorWait, EndpointPause time.Duration
 	// Tracker receives endpoints and releases.
 	Tracker *fleettracker.Tracker
-	// OnConfig, OnEndpoints, OnRelease and OnPeers are called on changes; each may be nil.
-	OnConfig    func(config *fleetconfig.Config)
+	// OnConfig, OnEndpoints, OnRelease and OnPeers are called on changes; each may be nil. OnConfig
+	// reports whether the configuration is newer than the one in force.
+	OnConfig    func(config *fleetconfig.Config) (isNewer bool)
 	OnEndpoints func()
 	OnRelease   func(s fleetconfig.ServedModel)
 	OnPeers     func(values map[string][]byte)
+	// OnRestore is called when the store has been restored from an older copy, so that what this host wrote may be gone.
+	OnRestore func()
 	// Logger receives the log events of changes.
 	Logger log.Interface
 
 	peers map[string][]byte
+
+	mu sync.Mutex // guards newestOperatorValues
+	// newestOperatorValues holds the newest configuration and releases as they were read.
+	newestOperatorValues map[string][]byte
+}
+
+// Newest returns the newest state that this host has seen, for a host that starts.
+func (w *Watcher) Newest(context.Context, struct{}) (messages.NewestResponse, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return messages.NewestResponse{Values: maps.Clone(w.newestOperatorValues), Departures: w.Tracker.Departures()}, nil
+}
+
+// AddNewest applies the state that another host has seen. It must be called before Run: the store may have been
+// restored from an older copy a moment ago.
+func (w *Watcher) AddNewest(resp messages.NewestResponse) {
+	w.Tracker.AddDepartures(resp.Departures)
+	w.applyOperatorValues(resp.Values, true)
+}
+
+func (w *Watcher) setNewestOperatorValue(key string, value []byte) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.newestOperatorValues == nil {
+		w.newestOperatorValues = make(map[string][]byte)
+	}
+	w.newestOperatorValues[key] = value
 }
 
 // Run follows the topics until ctx ends.
@@ -89,12 +121,18 @@
 	endpoints := w.newWatcher(w.Topics.Endpoints)
 	endpoints.Pause = w.EndpointPause
 	endpoints.OnResult = w.Tracker.RecordRead
+	endpoints.OnNewEpoch = func(watcher.Epoch) { w.Tracker.RecordRestore() }
 	endpoints.ApplySnapshot = w.resetEndpoints
 	endpoints.ApplyChanges = w.applyEndpoints
 	tasks.Go(func() error { return endpoints.Run(ctx) })
 	if w.OnPeers != nil {
 		peers := w.newWatcher(w.Topics.Status)
 		peers.Wait, peers.Pause = peerWait, peerPause
+		peers.OnNewEpoch = func(watcher.Epoch) {
+			if w.OnRestore != nil {
+				w.OnRestore()
+			}
+		}
 		peers.ApplySnapshot = func(values map[string][]byte) {
 			w.peers = values
 			w.OnPeers(maps.Clone(values))
@@ -130,8 +168,8 @@
 				event.ConfigInvalid.Log(w.Logger.WithError(err), nil)
 				continue
 			}
-			if w.OnConfig != nil {
-				w.OnConfig(config)
+			if w.OnConfig != nil && w.OnConfig(config) {
+				w.setNewestOperatorValue(key, value)
 			}
 		case strings.HasPrefix(key, w.Topics.ReleaseKeyPrefix):
 			serving, err := w.Decoder.Release(value)
@@ -142,6 +180,7 @@
 			if !w.Tracker.AddRelease(serving.Model, serving.Release, isSnapshot) {
 				continue
 			}
+			w.setNewestOperatorValue(key, value)
 			event.ReleaseFound.Log(w.Logger.WithFields(log.Fields{"model": string(serving.Model), "release": int64(serving.Release), "first": isSnapshot}), nil)
 			if w.OnRelease != nil {
 				w.OnRelease(serving)
--- a/internal/fleetwatcher/snapshot.go
+++ b/internal/fleetwatcher/snapshot.go
@@ -23,7 +23,10 @@
 	var config *fleetconfig.Config
 	once := &Watcher{
 		Topics: w.Topics, Decoder: w.Decoder, Tracker: &fleettracker.Tracker{}, Logger: w.Logger,
-		OnConfig: func(c *fleetconfig.Config) { config = c },
+		OnConfig: func(c *fleetconfig.Config) bool {
+			config = c
+			return true
+		},
 	}
 	once.applyOperatorValues(operator.Values, true)
 	once.resetEndpoints(endpoints.Values)
--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -101,6 +101,10 @@
 	rpcPool  rpc.Pool
 
 	startTime time.Time
+	// restored signals that this host's entry may be gone from the store, and archiveAgain that the archived weights may
+	// be.
+	restored     chan struct{}
+	archiveAgain atomic.Bool
 
 	mu          sync.Mutex
 	entryHosts  []hostregistrar.Entry
@@ -141,11 +145,14 @@
 	h.Replicator.ControlMethods = map[string]rpc.Handler{
 		messages.RecordsMethod: rpc.TypedHandler(relayer.ServeRecords),
 		messages.FleetMethod:   rpc.TypedHandler(h.handleFleet),
+		messages.NewestMethod:  rpc.TypedHandler(h.FleetWatcher.Newest),
 	}
 	h.Replicator.Init(registry)
 	h.FleetWatcher.OnConfig = h.setConfig
 	h.FleetWatcher.OnEndpoints = func() { h.assigner.SetEndpoints(tracker.Endpoints()) }
 	h.FleetWatcher.OnPeers = h.setEntryHosts
+	h.restored = make(chan struct{}, 1)
+	h.FleetWatcher.OnRestore = h.handleRestore
 	conn, err := net.ListenPacket("udp4", net.JoinHostPort(h.IP, fmt.Sprint(h.ExchangePort)))
 	if err != nil {
 		return fmt.Errorf("listen for load messages: %w", err)
@@ -154,7 +161,10 @@
 	serveCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	tasks, serveCtx := errgroup.WithContext(serveCtx)
-	tasks.Go(func() error { return h.FleetWatcher.Run(serveCtx) })
+	tasks.Go(func() error {
+		h.learnNewest(serveCtx)
+		return h.FleetWatcher.Run(serveCtx)
+	})
 	tasks.Go(func() error { return h.register(serveCtx) })
 	tasks.Go(func() error { return h.Replicator.Run(serveCtx) })
 	tasks.Go(func() error { return h.replicate(serveCtx) })
@@ -231,12 +241,13 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-func (h *Server) setConfig(config *fleetconfig.Config) {
+func (h *Server) setConfig(config *fleetconfig.Config) (isNewer bool) {
 	if !h.gateway.SetConfig(config) {
-		return
+		return false
 	}
 	h.assigner.SetPools(config.Pools)
 	event.ConfigApplied.Log(h.Logger.WithFields(log.Fields{"revision": int64(config.Revision), "pools": len(config.Pools), "keys": len(config.Keys)}), nil)
+	return true
 }
 
 // markAlive records that another entry host is alive.
--- a/internal/gatewayserver/replicate.go
+++ b/internal/gatewayserver/replicate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -29,6 +30,8 @@
 	// memberTimeout is the time without a message after which an entry host is left out of the list: many of its messages.
 	memberTimeout         = 5 * time.Second
 	replicationRetryDelay = 500 * time.Millisecond
+	// maxArchiveDelay spreads the writes of the archive after the store has been restored.
+	maxArchiveDelay = 2 * time.Second
 	// firstReplicationDelay is the time from the first start of the fleet until the first fetch. Meanwhile the engines'
 	// hosts read the chunks that are staged beside their engines, so that the origin need not send them again.
 	firstReplicationDelay = 4 * time.Second
@@ -42,7 +45,7 @@
 	}
 	registrar := &hostregistrar.Registrar{
 		Entry: hostregistrar.Entry{Zone: h.Zone, Address: netip.AddrPortFrom(address, uint16(h.ExchangePort)), LinkMbps: h.LinkMbps},
-		Put:   h.PutEntry, Logger: h.Logger,
+		Put:   h.PutEntry, Restored: h.restored, Logger: h.Logger,
 	}
 	return registrar.Run(ctx)
 }
@@ -138,6 +141,9 @@
 		}
 		pause = replicationInterval
 		target, ok := h.targetRelease()
+		if ok && target == held && h.archiveAgain.CompareAndSwap(true, false) {
+			go h.archiveAfterRestore(ctx, held)
+		}
 		if !ok || target == held || !chunkreplicator.SelectSeeds(h.liveEntryHosts())[ident.Host(h.IP)] {
 			continue
 		}
@@ -156,6 +162,21 @@
 	}
 }
 
+// archiveAfterRestore writes the archived weights again, because the store has been restored from an older copy, which
+// may lack chunks that were acknowledged. The writes of the hosts are spread over time.
+func (h *Server) archiveAfterRestore(ctx context.Context, held fleetconfig.ServedModel) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(rand.N(maxArchiveDelay)):
+	}
+	h.Replicator.ForgetArchived()
+	h.Replicator.Archive(ctx, held, h.ownsPartition, func() bool {
+		newest, ok := h.targetRelease()
+		return ok && newest.Release > held.Release
+	})
+}
+
 // ownsPartition reports whether this host writes a partition of the archived weights. The owner is the first live seed
 // host in rendezvous hashing.
 func (h *Server) ownsPartition(partition int) bool {
--- a/internal/hostregistrar/hostregistrar.go
+++ b/internal/hostregistrar/hostregistrar.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"strings"
 	"time"
@@ -20,6 +21,8 @@
 	// retryDelay is the pause after a failed write.
 	retryDelay   = 500 * time.Millisecond
 	writeTimeout = 2 * time.Second
+	// maxRewriteDelay spreads the writes of all hosts after the store has been restored.
+	maxRewriteDelay = time.Second
 )
 
 // Entry is the record of one entry host. Address receives the load messages of the other hosts; its IP address names
@@ -59,30 +62,44 @@
 	Entry Entry
 	// Put writes a value to the store.
 	Put func(ctx context.Context, key string, value []byte) error
+	// Restored signals that the store has been restored from an older copy, which may lack the entry. Nil means never.
+	Restored <-chan struct{}
 	// Logger receives the log events of failed writes.
 	Logger log.Interface
 }
 
-// Run writes the entry, with retries, until the write is acknowledged or ctx ends. Writing it twice is harmless.
+// Run writes the entry, with retries, until the write is acknowledged, and again each time the store has been restored,
+// until ctx ends. Writing it twice is harmless.
 func (r *Registrar) Run(ctx context.Context) error {
 	value, err := json.Marshal(r.Entry)
 	if err != nil {
 		return fmt.Errorf("encode entry of this host: %w", err)
 	}
 	for ctx.Err() == nil {
-		err := r.put(ctx, value)
-		if err == nil {
+		if err := r.put(ctx, value); err != nil {
+			event.HostRegistrationFailed.Log(r.Logger.WithError(err), nil)
+			sleep(ctx, retryDelay)
+			continue
+		}
+		if r.Restored == nil {
 			return nil
 		}
-		event.HostRegistrationFailed.Log(r.Logger.WithError(err), nil)
 		select {
 		case <-ctx.Done():
-		case <-time.After(retryDelay):
+		case <-r.Restored:
+			sleep(ctx, rand.N(maxRewriteDelay))
 		}
 	}
 	return nil
 }
 
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 func (r *Registrar) put(ctx context.Context, value []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
--- a/internal/hostregistrar/hostregistrar_test.go
+++ b/internal/hostregistrar/hostregistrar_test.go
@@ -49,3 +49,28 @@
 		is.Equal(got[0].Host(), ident.Host("10.1.0.4"))
 	})
 }
+
+// The store has been restored from an older copy, which lacks the entry although its write was acknowledged.
+func TestEntryIsWrittenAgainAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		restored, writes := make(chan struct{}), make(chan string, 10)
+		ctx, cancel := context.WithCancel(context.Background())
+		registrar := &hostregistrar.Registrar{
+			Entry: hostregistrar.Entry{Zone: "z", Address: netip.MustParseAddrPort("10.1.0.4:7700")}, Logger: discardLogger, Restored: restored,
+			Put: func(_ context.Context, key string, _ []byte) error {
+				writes <- key
+				return nil
+			},
+		}
+		done := make(chan error, 1)
+		go func() { done <- registrar.Run(ctx) }()
+		time.Sleep(time.Minute)
+		is.Equal(len(writes), 1)
+		restored <- struct{}{}
+		time.Sleep(time.Second)
+		is.Equal(len(writes), 2)
+		cancel()
+		is.NoErr(<-done)
+	})
+}
--- a/internal/messages/records.go
+++ b/internal/messages/records.go
@@ -1,6 +1,7 @@
 package messages
 
 import (
+	"github.com/nutmegdock/nutmegdock/internal/core/fleettracker"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/hostregistrar"
 )
@@ -13,18 +14,33 @@
 type RecordsQuery struct {
 	Topic      string `json:"topic"`
 	FromOffset int64  `json:"from"`
-	WaitMs     int64  `json:"wait,omitempty"`
+	// Epoch is the epoch of the store that the offset belongs to.
+	Epoch  int64 `json:"epoch,omitempty"`
+	WaitMs int64 `json:"wait,omitempty"`
 }
 
 // RecordsResponse contains the records up to the offset NextOffset. Unknown is set if the host does not hold them, or
 // has had no response from the store for some time. Data is a JSON list, compressed if Compressed is set.
 type RecordsResponse struct {
-	NextOffset int64  `json:"next"`
+	NextOffset int64 `json:"next"`
+	// Epoch is the epoch of the store that the records belong to. If it is later than that of the query, there are none.
+	Epoch      int64  `json:"epoch,omitempty"`
 	Unknown    bool   `json:"unknown,omitempty"`
 	Compressed bool   `json:"packed,omitempty"`
 	Data       []byte `json:"data,omitempty"`
 }
 
+// NewestMethod requests the newest state that an entry host has seen, for a host that starts.
+const NewestMethod = "newest"
+
+// NewestResponse is the newest state that an entry host has seen.
+type NewestResponse struct {
+	// Values holds the newest configuration and releases, as the operator wrote them.
+	Values map[string][]byte `json:"values,omitempty"`
+	// Departures lists the endpoints that are draining or gone.
+	Departures []fleettracker.Departure `json:"gone,omitempty"`
+}
+
 // FleetMethod requests the fleet state that the hosts beside engines need from an entry host.
 const FleetMethod = "fleet"
 
--- a/internal/storerelayer/storerelayer.go
+++ b/internal/storerelayer/storerelayer.go
@@ -40,7 +40,7 @@
 	// ReaderAddress returns the control address of the zone's reader, or "" if this host reads the store itself.
 	ReaderAddress func(banned func(address string) bool) string
 	// ReadStore reads the store.
-	ReadStore func(ctx context.Context, topic string, from int64, wait time.Duration) (watcher.Batch, error)
+	ReadStore func(ctx context.Context, topic string, epoch watcher.Epoch, from int64, wait time.Duration) (watcher.Batch, error)
 	// QueryReader queries the reader.
 	QueryReader func(ctx context.Context, address string, q messages.RecordsQuery) (messages.RecordsResponse, error)
 
@@ -56,6 +56,8 @@
 
 // topicCache holds the latest records of a topic.
 type topicCache struct {
+	// epoch is the epoch of the store that the offsets belong to.
+	epoch                   watcher.Epoch
 	firstOffset, nextOffset int64
 	records                 []watcher.Change
 	bytes                   int
@@ -85,10 +87,11 @@
 	}
 }
 
-// ReadChanges returns the records of a topic from an offset on, from the reader or the store.
-func (r *Relayer) ReadChanges(ctx context.Context, topic string, from int64, wait time.Duration) (watcher.Batch, error) {
+// ReadChanges returns the records of a topic from an offset of an epoch on, from the reader or the store. A reader in an
+// older epoch is not used. If the reader is in a later one, its response has no records but that epoch.
+func (r *Relayer) ReadChanges(ctx context.Context, topic string, epoch watcher.Epoch, from int64, wait time.Duration) (watcher.Batch, error) {
 	if reader := r.ReaderAddress(r.isBanned(topic)); reader != "" {
-		b, err := r.readFromReader(ctx, reader, topic, from, min(wait, maxReaderWait))
+		b, err := r.readFromReader(ctx, reader, topic, epoch, from, min(wait, maxReaderWait))
 		if err == nil {
 			r.addToCache(topic, from, b)
 			return b, nil
@@ -100,7 +103,7 @@
 		wait = 0
 	}
 	r.extendValidity(topic, wait)
-	b, err := r.ReadStore(ctx, topic, from, wait)
+	b, err := r.ReadStore(ctx, topic, epoch, from, wait)
 	r.updateValidity(topic, err == nil)
 	if err == nil {
 		r.addToCache(topic, from, b)
@@ -132,18 +135,18 @@
 	cache.changed = make(chan struct{})
 }
 
-func (r *Relayer) readFromReader(ctx context.Context, reader, topic string, from int64, wait time.Duration) (watcher.Batch, error) {
+func (r *Relayer) readFromReader(ctx context.Context, reader, topic string, epoch watcher.Epoch, from int64, wait time.Duration) (watcher.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+readerTimeoutMargin)
 	defer cancel()
-	resp, err := r.QueryReader(ctx, reader, messages.RecordsQuery{Topic: topic, FromOffset: from, WaitMs: wait.Milliseconds()})
+	resp, err := r.QueryReader(ctx, reader, messages.RecordsQuery{Topic: topic, FromOffset: from, Epoch: int64(epoch), WaitMs: wait.Milliseconds()})
 	if err != nil {
 		return watcher.Batch{}, err
 	}
-	if resp.Unknown {
+	if resp.Unknown || watcher.Epoch(resp.Epoch) < epoch {
 		return watcher.Batch{}, fmt.Errorf("reader %s does not hold records of %s from offset %d", reader, topic, from)
 	}
 	records, err := decodeRecords(resp)
-	return watcher.Batch{Changes: records, NextOffset: resp.NextOffset}, err
+	return watcher.Batch{Changes: records, NextOffset: resp.NextOffset, Epoch: watcher.Epoch(resp.Epoch)}, err
 }
 
 // addToCache adds records to the cache of a topic.
@@ -151,6 +154,17 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	cache := r.cacheFor(topic)
+	if b.Epoch < cache.epoch {
+		return
+	}
+	if b.Epoch > cache.epoch {
+		// Offsets of the older epoch have been given out again. Waiting hosts are told the new epoch.
+		cache.epoch = b.Epoch
+		cache.firstOffset, cache.nextOffset, cache.records, cache.bytes = b.NextOffset, b.NextOffset, nil, 0
+		close(cache.changed)
+		cache.changed = make(chan struct{})
+		return
+	}
 	if len(cache.records) == 0 || cache.nextOffset != from {
 		cache.firstOffset, cache.nextOffset, cache.records, cache.bytes = from, from, nil, 0
 	}
@@ -176,13 +190,19 @@
 }
 
 // ServeRecords serves another host's query from the cache. Its response is Unknown if the store has not responded
-// recently or the offset is not cached.
+// recently, or the offset is not cached, or is of a later epoch.
 func (r *Relayer) ServeRecords(ctx context.Context, q messages.RecordsQuery) (messages.RecordsResponse, error) {
 	deadline := time.Now().Add(min(maxReaderWait, time.Duration(q.WaitMs)*time.Millisecond))
 	for {
 		r.mu.Lock()
 		cache := r.cacheFor(q.Topic)
-		isKnown := time.Now().Before(cache.validUntil) && q.FromOffset >= cache.firstOffset && q.FromOffset <= cache.nextOffset
+		isValid := time.Now().Before(cache.validUntil)
+		if isValid && cache.epoch > watcher.Epoch(q.Epoch) {
+			epoch := cache.epoch
+			r.mu.Unlock()
+			return messages.RecordsResponse{NextOffset: q.FromOffset, Epoch: int64(epoch)}, nil
+		}
+		isKnown := isValid && cache.epoch == watcher.Epoch(q.Epoch) && q.FromOffset >= cache.firstOffset && q.FromOffset <= cache.nextOffset
 		var records []watcher.Change
 		if isKnown {
 			records = cache.records[q.FromOffset-cache.firstOffset:]
@@ -194,7 +214,7 @@
 		}
 		remaining := time.Until(deadline)
 		if len(records) > 0 || remaining <= 0 {
-			return encodeRecords(records, next)
+			return encodeRecords(records, q.Epoch, next)
 		}
 		select {
 		case <-ctx.Done():
@@ -205,8 +225,8 @@
 	}
 }
 
-func encodeRecords(records []watcher.Change, next int64) (messages.RecordsResponse, error) {
-	resp := messages.RecordsResponse{NextOffset: next}
+func encodeRecords(records []watcher.Change, epoch, next int64) (messages.RecordsResponse, error) {
+	resp := messages.RecordsResponse{NextOffset: next, Epoch: epoch}
 	if len(records) == 0 {
 		return resp, nil
 	}
--- a/internal/storerelayer/storerelayer_test.go
+++ b/internal/storerelayer/storerelayer_test.go
@@ -29,8 +29,8 @@
 	silent  map[string]bool
 }
 
-func (s *store) read(host string) func(ctx context.Context, topic string, from int64, wait time.Duration) (watcher.Batch, error) {
-	return func(ctx context.Context, _ string, from int64, wait time.Duration) (watcher.Batch, error) {
+func (s *store) read(host string) func(ctx context.Context, topic string, epoch watcher.Epoch, from int64, wait time.Duration) (watcher.Batch, error) {
+	return func(ctx context.Context, _ string, _ watcher.Epoch, from int64, wait time.Duration) (watcher.Batch, error) {
 		s.count(host)
 		for end := time.Now().Add(wait); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 			if changes, silent, refuses := s.state(host); from < int64(len(changes)) || silent || refuses {
@@ -107,7 +107,7 @@
 			go func() {
 				for ctx.Err() == nil {
 					call, stop := context.WithTimeout(ctx, 1800*time.Millisecond)
-					b, err := hosts[name].ReadChanges(call, "t", offsets[name].Load(), 700*time.Millisecond)
+					b, err := hosts[name].ReadChanges(call, "t", 0, offsets[name].Load(), 700*time.Millisecond)
 					stop()
 					if err == nil {
 						offsets[name].Store(b.NextOffset)
@@ -178,12 +178,12 @@
 		big := watcher.Change{Key: "config", Value: []byte(strings.Repeat("route ", 20000))}
 		relayer := &storerelayer.Relayer{
 			ReaderAddress: func(func(string) bool) string { return "" },
-			ReadStore: func(context.Context, string, int64, time.Duration) (watcher.Batch, error) {
+			ReadStore: func(context.Context, string, watcher.Epoch, int64, time.Duration) (watcher.Batch, error) {
 				return watcher.Batch{Changes: []watcher.Change{big}, NextOffset: 1}, nil
 			},
 		}
 		ctx := context.Background()
-		_, err := relayer.ReadChanges(ctx, "t", 0, 0)
+		_, err := relayer.ReadChanges(ctx, "t", 0, 0, 0)
 		is.NoErr(err)
 		resp, err := relayer.ServeRecords(ctx, messages.RecordsQuery{Topic: "t", FromOffset: 0})
 		is.NoErr(err)
@@ -195,7 +195,7 @@
 				return relayer.ServeRecords(ctx, q)
 			},
 		}
-		b, err := other.ReadChanges(ctx, "t", 0, 0)
+		b, err := other.ReadChanges(ctx, "t", 0, 0, 0)
 		is.NoErr(err)
 		is.Equal(b.NextOffset, int64(1))
 		is.Equal(b.Changes, []watcher.Change{big})
@@ -219,16 +219,52 @@
 		QueryReader: func(_ context.Context, _ string, q messages.RecordsQuery) (messages.RecordsResponse, error) {
 			return messages.RecordsResponse{Unknown: q.Topic == "unknown", NextOffset: q.FromOffset}, nil
 		},
-		ReadStore: func(_ context.Context, topic string, from int64, _ time.Duration) (watcher.Batch, error) {
+		ReadStore: func(_ context.Context, topic string, _ watcher.Epoch, from int64, _ time.Duration) (watcher.Batch, error) {
 			storeReads[topic]++
 			return watcher.Batch{NextOffset: from}, nil
 		},
 	}
 	for range 3 {
 		for _, topic := range []string{"unknown", "known"} {
-			_, err := relayer.ReadChanges(context.Background(), topic, 0, 0)
+			_, err := relayer.ReadChanges(context.Background(), topic, 0, 0, 0)
 			is.NoErr(err)
 		}
 	}
 	is.Equal(storeReads, map[string]int{"unknown": 3})
 }
+
+// The store has been restored: its offsets have been given out again. A reader in an older epoch feeds no host in a
+// later one, and one in a later epoch passes none of its records to a host in an older one, but tells it the epoch.
+func TestRecordsOfAnotherEpochAreNotRelayed(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	batch := watcher.Batch{Changes: []watcher.Change{{Key: "k", Value: []byte("old")}}, NextOffset: 1, Epoch: 1}
+	reader := &storerelayer.Relayer{
+		ReaderAddress: func(func(string) bool) string { return "" },
+		ReadStore: func(context.Context, string, watcher.Epoch, int64, time.Duration) (watcher.Batch, error) {
+			return batch, nil
+		},
+	}
+	query := func(epoch int64) messages.RecordsResponse {
+		resp, err := reader.ServeRecords(ctx, messages.RecordsQuery{Topic: "t", Epoch: epoch})
+		is.NoErr(err)
+		return resp
+	}
+	read := func(epoch watcher.Epoch) {
+		_, err := reader.ReadChanges(ctx, "t", epoch, 0, 0)
+		is.NoErr(err)
+	}
+	read(0) // the first read states the epoch
+	read(1)
+	is.True(len(query(1).Data) > 0)
+	is.True(query(2).Unknown)
+	batch = watcher.Batch{NextOffset: 0, Epoch: 2}
+	read(1)
+	is.Equal(query(1), messages.RecordsResponse{Epoch: 2}) // the same offset exists, but the query is of the older epoch
+	batch = watcher.Batch{Changes: []watcher.Change{{Key: "k", Value: []byte("late")}}, NextOffset: 1, Epoch: 1}
+	read(2)
+	is.Equal(len(query(2).Data), 0) // a late response of the older epoch is not cached
+	batch = watcher.Batch{Changes: []watcher.Change{{Key: "k", Value: []byte("new")}}, NextOffset: 1, Epoch: 2}
+	read(2)
+	is.True(len(query(2).Data) > 0)
+}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -22,10 +22,15 @@
 	maxRetryDelay = 400 * time.Millisecond
 )
 
+// Epoch counts how often the store has been restored from an older copy. Offsets of different epochs cannot be compared.
+// A store that states no epoch has epoch zero.
+type Epoch int64
+
 // Snapshot is a snapshot of all values. NextOffset is the offset of the first change after it.
 type Snapshot struct {
 	Values     map[string][]byte
 	NextOffset int64
+	Epoch      Epoch
 }
 
 // Change is a new value of a key. A nil or empty value deletes the key.
@@ -38,6 +43,19 @@
 type Batch struct {
 	Changes    []Change
 	NextOffset int64
+	Epoch      Epoch
+}
+
+// EpochError reports that a response is of an older epoch than one that this host has seen, so that it says nothing
+// about the store's state now.
+type EpochError struct {
+	Topic       string
+	Epoch, Seen Epoch
+}
+
+// Error names the topic and both epochs.
+func (e *EpochError) Error() string {
+	return fmt.Sprintf("response for topic %s is of epoch %d of the store, epoch %d was seen before", e.Topic, e.Epoch, e.Seen)
 }
 
 // GapError reports that the changes are no longer held, so that a snapshot has to be read.
@@ -61,8 +79,12 @@
 	Pause time.Duration
 	// ReadSnapshot reads a snapshot of all values.
 	ReadSnapshot func(ctx context.Context, topic string) (Snapshot, error)
-	// ReadChanges reads the changes from an offset on.
-	ReadChanges func(ctx context.Context, topic string, from int64, wait time.Duration) (Batch, error)
+	// ReadChanges reads the changes from an offset of an epoch on. If the result is of a later epoch, its changes are not
+	// applied and a snapshot is read.
+	ReadChanges func(ctx context.Context, topic string, epoch Epoch, from int64, wait time.Duration) (Batch, error)
+	// OnNewEpoch is called when the store has been restored from an older copy, before the snapshot of the new epoch is
+	// applied. It may be nil.
+	OnNewEpoch func(epoch Epoch)
 	// ApplySnapshot replaces all values, and ApplyChanges applies changes in their order. Both are called from one
 	// goroutine.
 	ApplySnapshot func(values map[string][]byte)
@@ -74,6 +96,8 @@
 	Logger log.Interface
 
 	nextOffset  int64
+	epoch       Epoch
+	isInEpoch   bool
 	hasSnapshot bool
 	storeDown   bool
 	downSince   time.Time
@@ -113,12 +137,16 @@
 		if err != nil {
 			return err
 		}
+		if snapshot.Epoch < w.epoch {
+			return &EpochError{Topic: w.Topic, Epoch: snapshot.Epoch, Seen: w.epoch}
+		}
 		w.notifyResult(true)
+		w.enterEpoch(snapshot.Epoch)
 		w.hasSnapshot, w.nextOffset = true, snapshot.NextOffset
 		w.ApplySnapshot(snapshot.Values)
 		return nil
 	}
-	batch, err := w.ReadChanges(ctx, w.Topic, w.nextOffset, wait)
+	batch, err := w.ReadChanges(ctx, w.Topic, w.epoch, w.nextOffset, wait)
 	var gap *GapError
 	if errors.As(err, &gap) {
 		event.ChangesExpired.Log(w.Logger.WithFields(log.Fields{"topic": w.Topic, "offset": w.nextOffset}), nil)
@@ -128,6 +156,13 @@
 	if err != nil {
 		return err
 	}
+	if batch.Epoch < w.epoch {
+		return &EpochError{Topic: w.Topic, Epoch: batch.Epoch, Seen: w.epoch}
+	}
+	if batch.Epoch > w.epoch {
+		w.hasSnapshot = false
+		return nil
+	}
 	w.notifyResult(true)
 	w.nextOffset = batch.NextOffset
 	if len(batch.Changes) > 0 {
@@ -136,6 +171,21 @@
 	return nil
 }
 
+// enterEpoch records the epoch of a snapshot. The first snapshot only states it.
+func (w *Watcher) enterEpoch(epoch Epoch) {
+	isRestored := w.isInEpoch && epoch != w.epoch
+	w.isInEpoch = true
+	old := w.epoch
+	w.epoch = epoch
+	if !isRestored {
+		return
+	}
+	event.StoreRestored.Log(w.Logger.WithFields(log.Fields{"topic": w.Topic, "epoch": int64(epoch), "before": int64(old), "offset": w.nextOffset}), nil)
+	if w.OnNewEpoch != nil {
+		w.OnNewEpoch(epoch)
+	}
+}
+
 func (w *Watcher) notifyResult(isSuccess bool) {
 	if w.OnResult != nil {
 		w.OnResult(isSuccess)
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -67,7 +67,7 @@
 	return snapshot, nil
 }
 
-func (s *store) read(ctx context.Context, topic string, from int64, wait time.Duration) (watcher.Batch, error) {
+func (s *store) read(ctx context.Context, topic string, _ watcher.Epoch, from int64, wait time.Duration) (watcher.Batch, error) {
 	if err := s.call(ctx); err != nil {
 		return watcher.Batch{}, err
 	}
