One host reads the store for the fleet; a failed reader is passed over

Each zone had a reader, and when the reader was cut off from the store, each host tried it again each second and then called the store itself.

Now the host with the lowest address of each zone reads from that of the zone with the lowest, which alone reads the store. Hosts read only from lower addresses, so that they cannot feed each other. A reader that fails is excluded for 1 to 8 s, and the next one is tried before the store is called. Calls to other hosts wait for changes, so that three hosts in a row are not later than two were. The time between two calls follows the bounds in the settings, which grow with the fleet.

--- a/cmd/gatewayd/main.go
+++ b/cmd/gatewayd/main.go
@@ -41,7 +41,7 @@
 			Archiver: starter.NewArchiver(store, cfg.Partitions),
 			Dial:     (&dialer.Dialer{}).DialContext, HTTPClient: httpClient, Logger: l,
 		},
-		FleetWatcher: starter.NewFleetWatcher(store, l),
+		FleetWatcher: starter.NewFleetWatcher(store, cfg, l),
 		PutEntry: func(ctx context.Context, key string, value []byte) error {
 			return store.Put(ctx, wirenames.TopicStatus, key, value)
 		},
--- a/cmd/stockd/main.go
+++ b/cmd/stockd/main.go
@@ -42,6 +42,6 @@
 			ControlPort: cfg.PortRange[0] + 1, DataPort: cfg.PortRange[0] + 3, ReadManifest: engine.FetchManifest, ReadChunk: engine.FetchChunk,
 			Dial: (&dialer.Dialer{}).DialContext, HTTPClient: httpClient, Logger: l,
 		},
-		FleetWatcher: starter.NewFleetWatcher(store, l),
+		FleetWatcher: starter.NewFleetWatcher(store, cfg, l),
 	}).Run(ctx)
 }
--- a/internal/core/presencetracker/presencetracker.go
+++ b/internal/core/presencetracker/presencetracker.go
@@ -21,6 +21,8 @@
 	leaderCount    = 2
 	// aliveTimeout is the time without a beat after which a host is not relied on: several beats of a leader.
 	aliveTimeout = 500 * time.Millisecond
+	// remoteAliveTimeout is the same for a host of another zone: two of its rare beats.
+	remoteAliveTimeout = 1100 * time.Millisecond
 	// listTimeout is how long a host counts as live after the last beat that another host has received from it or has
 	// heard of: several of the rare beats.
 	listTimeout = 1500 * time.Millisecond
@@ -194,12 +196,16 @@
 	return min(now.Sub(t.heardAt[a]), now.Sub(t.reportedAt[a]), now.Sub(t.relayedAt[a]))
 }
 
-// IsResponsive reports whether a beat of the host was received a moment ago. Of the hosts of its zone, a host that is
-// not a leader receives beats of the leaders alone.
+// IsResponsive reports whether a beat of the host was received a moment ago. A host that is not a leader receives beats
+// of the leaders of its zone alone, and leaders also those of the leaders of other zones, which are rare.
 func (t *Tracker) IsResponsive(a netip.Addr) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return time.Since(t.heardAt[a]) <= aliveTimeout
+	timeout := aliveTimeout
+	if t.zones[a] != t.Zone {
+		timeout = remoteAliveTimeout
+	}
+	return time.Since(t.heardAt[a]) <= timeout
 }
 
 // IsAlive reports whether the host is live as far as the leaders know.
--- a/internal/fleetwatcher/fleetwatcher.go
+++ b/internal/fleetwatcher/fleetwatcher.go
@@ -30,6 +30,8 @@
 	// so it is polled instead. The pause is at most half of the time within which the departure of an endpoint must be
 	// known.
 	DefaultEndpointPause = 600 * time.Millisecond
+	// relayedEndpointPause is the time between two calls for the endpoints to another host, which wait for changes.
+	relayedEndpointPause = 150 * time.Millisecond
 	// peerWait and peerPause are the wait of a call for the list of entry hosts, which changes when hosts start, and
 	// the pause between two calls. The pause is shorter than the time for which a reader may relay records without a
 	// call to the store.
@@ -119,7 +121,7 @@
 	operator.ApplyChanges = func(changes []watcher.Change) { w.applyOperatorValues(latestValues(changes), false) }
 	tasks.Go(func() error { return operator.Run(ctx) })
 	endpoints := w.newWatcher(w.Topics.Endpoints)
-	endpoints.Pause = w.EndpointPause
+	endpoints.Pause, endpoints.RelayedPause = w.EndpointPause, relayedEndpointPause
 	endpoints.OnResult = w.Tracker.RecordRead
 	endpoints.OnNewEpoch = func(watcher.Epoch) { w.Tracker.RecordRestore() }
 	endpoints.ApplySnapshot = w.resetEndpoints
--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -54,6 +54,8 @@
 	probeInterval = 250 * time.Millisecond
 	// refreshInterval is the time between two checks for expired endpoint entries.
 	refreshInterval = 250 * time.Millisecond
+	// callGapMargin is the time that a call to the store may take.
+	callGapMargin = 500 * time.Millisecond
 	// budgetShare is the part of the fleet's retry budget that its hosts use together. It is split among at least
 	// minBudgetHosts hosts, as the others are not known at first.
 	budgetShare    = 0.5
@@ -109,7 +111,6 @@
 
 	mu         sync.Mutex
 	entryHosts []hostregistrar.Entry
-	zonePeers  []netip.AddrPort
 	fleets     map[ident.Pool]fleetCacheEntry
 }
 
@@ -139,7 +140,7 @@
 	h.Replicator.Peers = h.chunkPeers
 	h.Replicator.Origin = h.origin
 	relayer := &storerelayer.Relayer{
-		ReaderAddress: h.storeReader, ReadStore: h.FleetWatcher.ReadChanges,
+		ReaderAddress: h.storeReader, CallGap: h.FleetWatcher.EndpointPause + callGapMargin, ReadStore: h.FleetWatcher.ReadChanges,
 		QueryReader: func(ctx context.Context, address string, q messages.RecordsQuery) (messages.RecordsResponse, error) {
 			return rpc.Call[messages.RecordsResponse](ctx, h.rpcPool.Client(address), messages.RecordsMethod, q)
 		},
@@ -253,18 +254,14 @@
 func (h *Server) setEntryHosts(values map[string][]byte) {
 	all := hostregistrar.ParseEntries(values, h.Logger)
 	hosts := make([]presencetracker.Host, 0, len(all))
-	var inZone []netip.AddrPort
 	for _, e := range all {
 		hosts = append(hosts, presencetracker.Host{Zone: e.Zone, Address: e.Address})
-		if string(e.Host()) != h.IP && e.Zone == h.Zone {
-			inZone = append(inZone, e.Address)
-		}
 	}
 	h.presence.SetHosts(hosts)
 	h.gateway.RetryBudget.SetBurst(h.RetryBurst * budgetShare / float64(max(minBudgetHosts, len(all))))
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.entryHosts, h.zonePeers = all, inZone
+	h.entryHosts = all
 }
 
 // refreshEndpoints periodically drops endpoints whose entries have expired and were not written again.
--- a/internal/storerelayer/storerelayer.go
+++ b/internal/storerelayer/storerelayer.go
@@ -1,5 +1,5 @@
-// Package storerelayer lets one entry host of a zone, the reader, read the platform's store and relay the records to
-// the other hosts of the zone. Any host can read the store itself, so a failed reader costs extra calls but no time.
+// Package storerelayer lets one entry host, the reader, read the platform's store and relay the records to the other
+// hosts of its zone and to one host of each other zone, which relays them in turn. Any host can read the store itself, so a failed reader costs extra calls but no time.
 // Hosts may disagree on which of them is the reader.
 package storerelayer
 
@@ -23,12 +23,17 @@
 	// store.
 	readerTimeoutMargin = 300 * time.Millisecond
 	maxReaderWait       = 400 * time.Millisecond
-	// responseGrace is how late a response of the store may be before the reader stops relaying, and maxCallGap is
+	// responseGrace is how late a response of the store may be before the reader stops relaying, and defaultCallGap is
 	// the longest time between two of its calls.
-	responseGrace = 400 * time.Millisecond
-	maxCallGap    = 1100 * time.Millisecond
-	// readerBanDuration is how long a failed reader is not queried.
-	readerBanDuration = time.Second
+	responseGrace  = 400 * time.Millisecond
+	defaultCallGap = 1100 * time.Millisecond
+	// minReaderBan and maxReaderBan limit the time for which a failed reader is not queried.
+	minReaderBan = time.Second
+	maxReaderBan = 8 * time.Second
+	// maxReaders is the number of readers that are tried before the store is read, and maxReaderSwitchTime the time after
+	// which no further one is tried.
+	maxReaders          = 3
+	maxReaderSwitchTime = 100 * time.Millisecond
 	// maxCachedBytes limits the cached records of a topic. It holds several configurations of a thousand routes.
 	maxCachedBytes = 2 << 20
 	// minCompressBytes is the size from which a response is compressed.
@@ -37,8 +42,11 @@
 
 // Relayer reads the store for one host, through the zone's reader if it can. Set its fields before use.
 type Relayer struct {
-	// ReaderAddress returns the control address of the zone's reader, or "" if this host reads the store itself.
+	// ReaderAddress returns the control address of the host to read from, or "" if this host reads the store itself. Hosts
+	// must be ordered so that no host reads from one that reads from it.
 	ReaderAddress func(banned func(address string) bool) string
+	// CallGap is the longest time between two calls for a topic if it is longer than usual.
+	CallGap time.Duration
 	// ReadStore reads the store.
 	ReadStore func(ctx context.Context, topic string, epoch watcher.Epoch, from int64, wait time.Duration) (watcher.Batch, error)
 	// QueryReader queries the reader.
@@ -46,7 +54,13 @@
 
 	mu     sync.Mutex
 	caches map[string]*topicCache
-	bans   map[topicReader]time.Time
+	bans   map[topicReader]ban
+}
+
+// ban excludes a reader that has failed. Its duration doubles with each failure until the next success.
+type ban struct {
+	until    time.Time
+	duration time.Duration
 }
 
 // topicReader is a reader and a topic that it failed to relay.
@@ -69,7 +83,7 @@
 func (r *Relayer) cacheFor(topic string) *topicCache {
 	if r.caches == nil {
 		r.caches = make(map[string]*topicCache)
-		r.bans = make(map[topicReader]time.Time)
+		r.bans = make(map[topicReader]ban)
 	}
 	cache := r.caches[topic]
 	if cache == nil {
@@ -83,24 +97,30 @@
 	return func(address string) bool {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		return time.Since(r.bans[topicReader{address, topic}]) < readerBanDuration
+		return time.Now().Before(r.bans[topicReader{address, topic}].until)
 	}
 }
 
 // ReadChanges returns the records of a topic from an offset of an epoch on, from the reader or the store. A reader in an
 // older epoch is not used. If the reader is in a later one, its response has no records but that epoch.
 func (r *Relayer) ReadChanges(ctx context.Context, topic string, epoch watcher.Epoch, from int64, wait time.Duration) (watcher.Batch, error) {
-	if reader := r.ReaderAddress(r.isBanned(topic)); reader != "" {
-		b, err := r.readFromReader(ctx, reader, topic, epoch, from, min(wait, maxReaderWait))
+	startedAt := time.Now()
+	for range maxReaders {
+		reader := r.ReaderAddress(r.isBanned(topic))
+		if reader == "" {
+			break
+		}
+		b, err := r.readFromReader(ctx, reader, topic, epoch, from, maxReaderWait)
+		r.recordReader(topicReader{reader, topic}, err == nil)
 		if err == nil {
+			r.updateValidity(topic, true)
 			r.addToCache(topic, from, b)
 			return b, nil
 		}
-		r.mu.Lock()
-		r.cacheFor(topic)
-		r.bans[topicReader{reader, topic}] = time.Now()
-		r.mu.Unlock()
 		wait = 0
+		if time.Since(startedAt) > maxReaderSwitchTime {
+			break
+		}
 	}
 	r.extendValidity(topic, wait)
 	b, err := r.ReadStore(ctx, topic, epoch, from, wait)
@@ -111,6 +131,19 @@
 	return b, err
 }
 
+// recordReader records whether a reader has answered a query.
+func (r *Relayer) recordReader(key topicReader, isSuccess bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cacheFor(key.topic)
+	if isSuccess {
+		delete(r.bans, key)
+		return
+	}
+	duration := min(maxReaderBan, max(minReaderBan, 2*r.bans[key].duration))
+	r.bans[key] = ban{until: time.Now().Add(duration), duration: duration}
+}
+
 // extendValidity keeps the cache valid during a call that waits, if the call before it was successful.
 func (r *Relayer) extendValidity(topic string, wait time.Duration) {
 	r.mu.Lock()
@@ -127,7 +160,7 @@
 	cache := r.cacheFor(topic)
 	cache.validUntil = time.Time{}
 	if isSuccess {
-		cache.validUntil = time.Now().Add(maxCallGap)
+		cache.validUntil = time.Now().Add(max(defaultCallGap, r.CallGap))
 		return
 	}
 	// Waiting hosts are notified that they have to read the store themselves.
@@ -146,7 +179,7 @@
 		return watcher.Batch{}, fmt.Errorf("reader %s does not hold records of %s from offset %d", reader, topic, from)
 	}
 	records, err := decodeRecords(resp)
-	return watcher.Batch{Changes: records, NextOffset: resp.NextOffset, Epoch: watcher.Epoch(resp.Epoch)}, err
+	return watcher.Batch{Changes: records, NextOffset: resp.NextOffset, Epoch: watcher.Epoch(resp.Epoch), IsRelayed: true}, err
 }
 
 // addToCache adds records to the cache of a topic.
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -44,6 +44,8 @@
 	Changes    []Change
 	NextOffset int64
 	Epoch      Epoch
+	// IsRelayed says that another host has passed the changes on.
+	IsRelayed bool
 }
 
 // EpochError reports that a response is of an older epoch than one that this host has seen, so that it says nothing
@@ -77,6 +79,9 @@
 	Wait time.Duration
 	// Pause is the time between the end of one call and the next. Changes within it are returned by a single call.
 	Pause time.Duration
+	// RelayedPause replaces Pause after a call that another host has answered, unless it is zero. Such calls wait for
+	// changes, and delays of several hosts add up.
+	RelayedPause time.Duration
 	// ReadSnapshot reads a snapshot of all values.
 	ReadSnapshot func(ctx context.Context, topic string) (Snapshot, error)
 	// ReadChanges reads the changes from an offset of an epoch on. If the result is of a later epoch, its changes are not
@@ -98,6 +103,7 @@
 	nextOffset  int64
 	epoch       Epoch
 	isInEpoch   bool
+	isRelayed   bool
 	hasSnapshot bool
 	storeDown   bool
 	downSince   time.Time
@@ -113,6 +119,9 @@
 		}
 		w.recordResult(err)
 		pause := w.Pause
+		if w.isRelayed && w.RelayedPause > 0 {
+			pause = w.RelayedPause
+		}
 		if err != nil {
 			pause = min(maxRetryDelay, minRetryDelay<<min(w.failures, 4))
 		}
@@ -164,7 +173,7 @@
 		return nil
 	}
 	w.notifyResult(true)
-	w.nextOffset = batch.NextOffset
+	w.nextOffset, w.isRelayed = batch.NextOffset, batch.IsRelayed
 	if len(batch.Changes) > 0 {
 		w.ApplyChanges(batch.Changes)
 	}
