--- a/internal/storerelayer/storerelayer_test.go
+++ b/internal/storerelayer/storerelayer_test.go
@@ -268,3 +268,72 @@
 	read(2)
 	is.True(len(query(2).Data) > 0)
 }
+
+// The reader is cut off from the store for some seconds, and says that it does not know the records. The other hosts of
+// a zone of thirty follow the next one; the calls to the store do not grow with the number of hosts.
+func TestReaderWithoutStoreDoesNotMakeAllHostsCallTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const hosts = 30
+		s := &store{calls: make(map[string]int), refuses: make(map[string]bool), silent: make(map[string]bool)}
+		relayers := make([]*storerelayer.Relayer, hosts)
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		for i := range relayers {
+			relayers[i] = &storerelayer.Relayer{
+				ReadStore: s.read(fmt.Sprint(i)),
+				ReaderAddress: func(banned func(string) bool) string {
+					for n := range i {
+						if !banned(fmt.Sprint(n)) {
+							return fmt.Sprint(n)
+						}
+					}
+					return ""
+				},
+				QueryReader: func(ctx context.Context, address string, q messages.RecordsQuery) (messages.RecordsResponse, error) {
+					var n int
+					_, err := fmt.Sscan(address, &n)
+					is.NoErr(err)
+					return relayers[n].ServeRecords(ctx, q)
+				},
+			}
+		}
+		var reached [hosts]atomic.Int64
+		for i := range relayers {
+			running.Go(func() {
+				var offset int64
+				for ctx.Err() == nil {
+					call, stop := context.WithTimeout(ctx, 1100*time.Millisecond)
+					b, err := relayers[i].ReadChanges(call, "t", 0, offset, 0)
+					stop()
+					if err == nil {
+						offset = b.NextOffset
+						reached[i].Store(offset)
+					}
+					time.Sleep(600 * time.Millisecond)
+				}
+			})
+		}
+		time.Sleep(5 * time.Second)
+		s.set(func() { s.refuses["0"], s.calls = true, make(map[string]int) })
+		const outage = 10
+		for range outage {
+			s.put()
+			time.Sleep(time.Second)
+		}
+		total := 0
+		s.set(func() {
+			for _, n := range s.calls {
+				total += n
+			}
+		})
+		t.Logf("%d calls in %d s of %d hosts", total, outage, hosts)
+		is.True(total <= 2*2*outage+2*hosts) // two hosts that call every 600 ms, and each host a few times at the change
+		time.Sleep(2 * time.Second)
+		for i := 1; i < hosts; i++ {
+			is.True(reached[i].Load() >= outage-1)
+		}
+		cancel()
+		running.Wait()
+	})
+}
