A host that ends answers the requests it has accepted; tests of slow streams

At the end of its drain an entry host closed all connections at once, so that a request read in that moment got no answer. The servers now shut down gracefully for up to 0.3 s.

TestSlowStreamContinuesAndStalledStreamEnds passes without a change.

--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -7,4 +7,6 @@
 	Started  = Event{1001, log.InfoLevel, "process started"}
 	Stopping = Event{1002, log.InfoLevel, "graceful shutdown began"}
 	Stopped  = Event{1003, log.InfoLevel, "process stopped"}
+	// ShutdownIncomplete is logged for each address with requests that were cut at the end.
+	ShutdownIncomplete = Event{1004, log.WarnLevel, "requests were still being answered at the end of the graceful shutdown"}
 )
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -590,3 +590,36 @@
 	is.NoErr(err)
 	is.Equal(status, 200)
 }
+
+// slowStream sends the events from..to with a pause before each, and one byte of a further event now and then until the
+// connection is closed.
+func slowStream(from, to int, pause time.Duration) step {
+	return func(c *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for i := from; i <= to; i++ {
+			time.Sleep(pause)
+			ev := fmt.Sprintf("id: %d\ndata: x\n\n", i)
+			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(ev), ev)
+		}
+		for {
+			time.Sleep(pause)
+			if _, err := io.WriteString(c, "1\r\nx\r\n"); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// A stream whose events are far apart is not cut, and one that sends only a byte now and then ends at its deadline.
+func TestSlowStreamContinuesAndStalledStreamEnds(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, []step{slowStream(1, 3, 700*time.Millisecond)})
+	f.configure(1)
+	startedAt := time.Now()
+	status, body, _, err := f.send("/fixed/", nil)
+	is.Equal(status, 200)
+	is.True(err != nil) // the stream is not complete
+	is.Equal(body, streamBody(1, 3))
+	took := time.Since(startedAt)
+	is.True(took > 2900*time.Millisecond && took < 3500*time.Millisecond) // the caller waits for three seconds
+}
--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -30,6 +31,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/gateway"
 	"github.com/nutmegdock/nutmegdock/internal/headercodec"
 	"github.com/nutmegdock/nutmegdock/internal/hostregistrar"
+	"github.com/nutmegdock/nutmegdock/internal/httpserver"
 	"github.com/nutmegdock/nutmegdock/internal/loadexchanger"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
 	"github.com/nutmegdock/nutmegdock/internal/rpc"
@@ -38,10 +40,9 @@
 )
 
 const (
-	headerTimeout = 10 * time.Second
-	// idleTimeout is longer than any idle timeout that callers are given, so that they close the connection first.
-	idleTimeout    = 2 * time.Minute
-	maxHeaderBytes = 64 << 10
+	// serverShutdownTimeout is how long requests that were accepted a moment before the end may take. They are refused
+	// without delay. It is a part of killMargin.
+	serverShutdownTimeout = 300 * time.Millisecond
 	// minDrainTime is how long a host still accepts requests during a graceful shutdown, so that the load balancer notices
 	// that it is not ready.
 	minDrainTime = 2500 * time.Millisecond
@@ -213,21 +214,18 @@
 	}
 }
 
+// serve serves until ctx ends. A request that has been accepted a moment before is still answered.
 func (h *Server) serve(ctx context.Context, address string, handler http.Handler) error {
 	ln, err := net.Listen("tcp4", address)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	srv := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		DisableGeneralOptionsHandler: true,
+	err = (&httpserver.Server{Listener: ln, Handler: handler, ShutdownTimeout: serverShutdownTimeout, PassOptions: true}).Run(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		event.ShutdownIncomplete.Log(h.Logger.WithField("address", address), nil)
+		return nil
 	}
-	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
-	defer stop()
-	if err := srv.Serve(ln); ctx.Err() == nil {
-		return fmt.Errorf("serve %s: %w", address, err)
-	}
-	return nil
+	return err
 }
 
 func (h *Server) handleReadiness(w http.ResponseWriter, _ *http.Request) {
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -24,6 +24,8 @@
 	Handler http.Handler
 	// ShutdownTimeout bounds the time for which Run waits for requests in flight after its context ends.
 	ShutdownTimeout time.Duration
+	// PassOptions passes "OPTIONS *" requests to the handler.
+	PassOptions bool
 }
 
 // Run serves until ctx ends, then stops listening and waits for the requests in flight.
@@ -33,6 +35,8 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+
+		DisableGeneralOptionsHandler: s.PassOptions,
 	}
 	shutdownErr := make(chan error, 1)
 	stop := context.AfterFunc(ctx, func() {
