dispatcher: a stream that resumes stays on its weight set

A refusal for another weight set refreshed the deployment and with it the allowed sets, also in a resume, and the response was compared with the set of the new assignment instead of the one that the stream had begun on. A request that has begun is now pinned. TestResumedStreamStaysOnItsWeightSet fails without.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -90,8 +90,10 @@
 type requestState struct {
 	request    Request
 	weightSets []ident.WeightSet
-	tried      map[ident.Host]bool
-	retrier    *retrier.Retrier
+	// isPinned says that the response has begun, so that only its weight set may continue it.
+	isPinned bool
+	tried    map[ident.Host]bool
+	retrier  *retrier.Retrier
 	// firstUnknownAt is the time of the first failure of an attempt that may have run.
 	firstUnknownAt time.Time
 }
@@ -240,7 +242,7 @@
 	if d.OnRefusal != nil {
 		d.OnRefusal(from, o.Reason)
 	}
-	if o.Reason != outcome.OtherWeightSet {
+	if o.Reason != outcome.OtherWeightSet || s.isPinned {
 		return
 	}
 	delete(s.tried, from)
--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -40,7 +40,7 @@
 	if s.request.Deployment.Spec.Kind != catalog.KindEngine {
 		return resp.Body
 	}
-	s.weightSets = []ident.WeightSet{set}
+	s.weightSets, s.isPinned = []ident.WeightSet{set}, true
 	r := &resumableBody{
 		ctx: ctx, dispatcher: d, state: s, body: resp.Body, resumer: &resumer.Resumer{ID: s.request.ID}, buf: make([]byte, readBufferBytes),
 	}
