Fewer wake-ups at rest: announcements, reports, fleet queries, reads from other hosts

Hosts beside engines wait for a gate state to announce instead of polling for one, read the report every 400 ms (250) and query the fleet state every 500 ms (300); entry hosts that are no seed check for releases every 400 ms (100); a call to another host for records waits up to 0.7 s where the bounds in the settings allow it.

--- a/internal/engineagent/announce.go
+++ b/internal/engineagent/announce.go
@@ -46,6 +46,10 @@
 	h.gateState = g
 	h.mu.Unlock()
 	h.announce()
+	select {
+	case h.gateChanged <- struct{}{}:
+	default:
+	}
 }
 
 // currentGate returns the gate state to state in replies, or nil if the engine's entry in the store shows it.
@@ -62,10 +66,10 @@
 // announce sends the gate state to the entry hosts of the zone, or to all if the zone has none.
 func (h *Agent) announce() {
 	h.mu.Lock()
-	g, entryHosts := h.gateState, h.entryHosts
+	entryHosts := h.entryHosts
 	h.mu.Unlock()
 	state := h.currentGate()
-	if state == nil || !g.Closed && time.Since(g.setAt) > announceDuration {
+	if state == nil || !h.isAnnouncing() {
 		return
 	}
 	data, err := loadexchanger.EncodeGate(*state)
@@ -79,13 +83,28 @@
 	}
 }
 
+// announcePeriodically repeats the announcements. While there is nothing to announce, it waits for the next state.
 func (h *Agent) announcePeriodically(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(announceInterval):
-			h.announce()
+		case <-h.gateChanged:
+		}
+		for h.isAnnouncing() && ctx.Err() == nil {
+			select {
+			case <-ctx.Done():
+			case <-time.After(announceInterval):
+				h.announce()
+			}
 		}
 	}
 }
+
+// isAnnouncing reports whether the gate state is announced.
+func (h *Agent) isAnnouncing() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	g := h.gateState
+	return g.StartTime != 0 && (g.Closed || time.Since(g.setAt) <= announceDuration)
+}
--- a/internal/engineagent/engineagent.go
+++ b/internal/engineagent/engineagent.go
@@ -34,7 +34,7 @@
 const (
 	// reportInterval is the time between two reads of the engine's report, whose contents are a few hundred milliseconds
 	// old anyway.
-	reportInterval = 250 * time.Millisecond
+	reportInterval = 400 * time.Millisecond
 	// callTimeout bounds one call to the local engine.
 	callTimeout = 2 * time.Second
 	retryDelay  = 300 * time.Millisecond
@@ -76,6 +76,8 @@
 
 	tracker *fleettracker.Tracker
 	updates chan struct{}
+	// gateChanged signals that the gate state has been set.
+	gateChanged chan struct{}
 
 	mu         sync.Mutex
 	fleet      messages.FleetResponse
@@ -85,7 +87,7 @@
 
 // Run serves until ctx ends.
 func (h *Agent) Run(ctx context.Context) error {
-	h.updates = make(chan struct{}, 1)
+	h.updates, h.gateChanged = make(chan struct{}, 1), make(chan struct{}, 1)
 	h.tracker = &fleettracker.Tracker{RolloutTimeout: h.RolloutTimeout}
 	registry := prometheus.NewRegistry()
 	h.Replicator.Peers = h.peers
--- a/internal/engineagent/fleet.go
+++ b/internal/engineagent/fleet.go
@@ -16,7 +16,7 @@
 
 const (
 	// queryInterval is the time between two fleet queries to entry hosts, and queryTimeout bounds one.
-	queryInterval = 300 * time.Millisecond
+	queryInterval = 500 * time.Millisecond
 	queryTimeout  = 500 * time.Millisecond
 	// firstQueryInterval and firstQueryTimeout apply until the first response. They are short since after a power failure
 	// an entry host that is still down does not respond at all, while the next one may be up.
--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -54,7 +54,7 @@
 	// probeInterval is the time between two probes of an unreachable endpoint.
 	probeInterval = 250 * time.Millisecond
 	// refreshInterval is the time between two checks for expired endpoint entries.
-	refreshInterval = 250 * time.Millisecond
+	refreshInterval = 500 * time.Millisecond
 	// callGapMargin is the time that a call to the store may take.
 	callGapMargin = 500 * time.Millisecond
 	// budgetShare is the part of the fleet's retry budget that its hosts use together. It is split among at least
@@ -141,7 +141,7 @@
 	h.Replicator.Peers = h.chunkPeers
 	h.Replicator.Origin = h.origin
 	relayer := &storerelayer.Relayer{
-		ReaderAddress: h.storeReader, CallGap: h.FleetWatcher.EndpointPause + callGapMargin, ReadStore: h.FleetWatcher.ReadChanges,
+		ReaderAddress: h.storeReader, CallGap: h.FleetWatcher.EndpointPause + callGapMargin, ReaderWait: h.FleetWatcher.OperatorWait / 2, ReadStore: h.FleetWatcher.ReadChanges,
 		QueryReader: func(ctx context.Context, address string, q messages.RecordsQuery) (messages.RecordsResponse, error) {
 			return rpc.Call[messages.RecordsResponse](ctx, h.rpcPool.Client(address), messages.RecordsMethod, q)
 		},
--- a/internal/gatewayserver/replicate.go
+++ b/internal/gatewayserver/replicate.go
@@ -21,9 +21,11 @@
 )
 
 const (
-	// replicationInterval is the time between two checks for a release that the host does not hold yet.
-	replicationInterval   = 100 * time.Millisecond
-	replicationRetryDelay = 500 * time.Millisecond
+	// replicationInterval is the time between two checks for a release that the host does not hold yet, and
+	// idleReplicationInterval that of a host that is no seed.
+	replicationInterval     = 100 * time.Millisecond
+	idleReplicationInterval = 400 * time.Millisecond
+	replicationRetryDelay   = 500 * time.Millisecond
 	// maxArchiveDelay spreads the writes of the archive after the store has been restored.
 	maxArchiveDelay = 2 * time.Second
 	// firstReplicationDelay is the time from the first start of the fleet until the first fetch. Meanwhile the engines'
@@ -132,7 +134,11 @@
 		if ok && target == held && h.archiveAgain.CompareAndSwap(true, false) {
 			go h.archiveAfterRestore(ctx, held)
 		}
-		if !ok || target == held || !chunkreplicator.SelectSeeds(h.liveEntryHosts())[ident.Host(h.IP)] {
+		if !ok || target == held {
+			continue
+		}
+		if !chunkreplicator.SelectSeeds(h.liveEntryHosts())[ident.Host(h.IP)] {
+			pause = idleReplicationInterval
 			continue
 		}
 		superseded := func() bool {
--- a/internal/storerelayer/storerelayer.go
+++ b/internal/storerelayer/storerelayer.go
@@ -22,7 +22,9 @@
 	// timeout. Together they leave half of the time within which a change must be in force for a fallback read of the
 	// store.
 	readerTimeoutMargin = 300 * time.Millisecond
-	maxReaderWait       = 400 * time.Millisecond
+	maxReaderWait       = 700 * time.Millisecond
+	// defaultReaderWait applies unless ReaderWait is set.
+	defaultReaderWait = 400 * time.Millisecond
 	// responseGrace is how late a response of the store may be before the reader stops relaying, and defaultCallGap is
 	// the longest time between two of its calls.
 	responseGrace  = 400 * time.Millisecond
@@ -47,6 +49,8 @@
 	ReaderAddress func(banned func(address string) bool) string
 	// CallGap is the longest time between two calls for a topic if it is longer than usual.
 	CallGap time.Duration
+	// ReaderWait is how long a call to a reader waits for records, maxReaderWait at most; zero selects the default.
+	ReaderWait time.Duration
 	// ReadStore reads the store.
 	ReadStore func(ctx context.Context, topic string, epoch watcher.Epoch, from int64, wait time.Duration) (watcher.Batch, error)
 	// QueryReader queries the reader.
@@ -110,7 +114,7 @@
 		if reader == "" {
 			break
 		}
-		b, err := r.readFromReader(ctx, reader, topic, epoch, from, maxReaderWait)
+		b, err := r.readFromReader(ctx, reader, topic, epoch, from, r.readerWait())
 		r.recordReader(topicReader{reader, topic}, err == nil)
 		if err == nil {
 			r.updateValidity(topic, true)
@@ -131,6 +135,13 @@
 	return b, err
 }
 
+func (r *Relayer) readerWait() time.Duration {
+	if r.ReaderWait == 0 {
+		return defaultReaderWait
+	}
+	return min(maxReaderWait, max(defaultReaderWait, r.ReaderWait))
+}
+
 // recordReader records whether a reader has answered a query.
 func (r *Relayer) recordReader(key topicReader, isSuccess bool) {
 	r.mu.Lock()
