--- a/internal/fleetwatcher/fleetwatcher.go
+++ b/internal/fleetwatcher/fleetwatcher.go
@@ -73,6 +73,8 @@
 	OnPeers     func(values map[string][]byte)
 	// OnRestore is called when the store has been restored from an older copy, so that what this host wrote may be gone.
 	OnRestore func()
+	// InitialStatus is a snapshot of the status topic that was read before Run, or nil.
+	InitialStatus *watcher.Snapshot
 	// Logger receives the log events of changes.
 	Logger log.Interface
 
@@ -130,6 +132,7 @@
 	if w.OnPeers != nil {
 		peers := w.newWatcher(w.Topics.Status)
 		peers.Wait, peers.Pause = peerWait, peerPause
+		peers.ReadSnapshot = w.readStatus
 		peers.OnNewEpoch = func(watcher.Epoch) {
 			if w.OnRestore != nil {
 				w.OnRestore()
@@ -148,6 +151,15 @@
 	return tasks.Wait()
 }
 
+// readStatus returns the snapshot that was read before Run, once, and then reads the store.
+func (w *Watcher) readStatus(ctx context.Context, topic string) (watcher.Snapshot, error) {
+	if initial := w.InitialStatus; initial != nil {
+		w.InitialStatus = nil
+		return *initial, nil
+	}
+	return w.ReadSnapshot(ctx, topic)
+}
+
 func (w *Watcher) newWatcher(topic string) *watcher.Watcher {
 	return &watcher.Watcher{Topic: topic, ReadSnapshot: w.ReadSnapshot, ReadChanges: w.ReadChanges, Logger: w.Logger}
 }
--- a/internal/gatewayserver/restore.go
+++ b/internal/gatewayserver/restore.go
@@ -41,6 +41,7 @@
 		event.StoreUnreachable.Log(h.Logger.WithError(err), nil)
 		return
 	}
+	h.FleetWatcher.InitialStatus = &snapshot
 	var zonePeers []string
 	for _, e := range hostregistrar.ParseEntries(snapshot.Values, h.Logger) {
 		if e.Zone == h.Zone && string(e.Host()) != h.IP {
