--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -37,6 +37,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/rpc"
 	"github.com/nutmegdock/nutmegdock/internal/sender"
 	"github.com/nutmegdock/nutmegdock/internal/storerelayer"
+	"github.com/nutmegdock/nutmegdock/internal/watcher"
 )
 
 const (
@@ -105,6 +106,8 @@
 	rpcPool  rpc.Pool
 
 	presence *presencetracker.Tracker
+	// readStoreSnapshot reads a snapshot from the store itself.
+	readStoreSnapshot func(ctx context.Context, topic string) (watcher.Snapshot, error)
 	// restored signals that this host's entry may be gone from the store, and archiveAgain that the archived weights may
 	// be.
 	restored     chan struct{}
@@ -146,11 +149,17 @@
 			return rpc.Call[messages.RecordsResponse](ctx, h.rpcPool.Client(address), messages.RecordsMethod, q)
 		},
 	}
-	h.FleetWatcher.ReadChanges = relayer.ReadChanges
+	h.readStoreSnapshot = h.FleetWatcher.ReadSnapshot
+	relayer.SnapshotReader, relayer.ReadStoreSnapshot = h.snapshotReader, h.FleetWatcher.ReadSnapshot
+	relayer.QuerySnapshot = func(ctx context.Context, address string, q messages.SnapshotQuery) (messages.RecordsResponse, error) {
+		return rpc.Call[messages.RecordsResponse](ctx, h.rpcPool.Client(address), messages.SnapshotMethod, q)
+	}
+	h.FleetWatcher.ReadChanges, h.FleetWatcher.ReadSnapshot = relayer.ReadChanges, relayer.ReadSnapshot
 	h.Replicator.ControlMethods = map[string]rpc.Handler{
-		messages.RecordsMethod: rpc.TypedHandler(relayer.ServeRecords),
-		messages.FleetMethod:   rpc.TypedHandler(h.handleFleet),
-		messages.NewestMethod:  rpc.TypedHandler(h.FleetWatcher.Newest),
+		messages.RecordsMethod:  rpc.TypedHandler(relayer.ServeRecords),
+		messages.FleetMethod:    rpc.TypedHandler(h.handleFleet),
+		messages.SnapshotMethod: rpc.TypedHandler(relayer.ServeSnapshot),
+		messages.NewestMethod:   rpc.TypedHandler(h.FleetWatcher.Newest),
 	}
 	h.Replicator.Init(registry)
 	h.FleetWatcher.OnConfig = h.setConfig
--- a/internal/gatewayserver/restore.go
+++ b/internal/gatewayserver/restore.go
@@ -4,9 +4,13 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
+	"github.com/nutmegdock/nutmegdock/internal/chunkreplicator"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/hostregistrar"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
@@ -18,6 +22,10 @@
 	// the time for all of them. It covers many round trips in a zone.
 	newestPeers   = 3
 	newestTimeout = 100 * time.Millisecond
+	// presenceWait is how long a host that starts waits for a beat of a host to read snapshots from: two beats of a
+	// leader. presencePollInterval is the time between two checks.
+	presenceWait         = 350 * time.Millisecond
+	presencePollInterval = 25 * time.Millisecond
 	// peerListTimeout bounds the read of the list of entry hosts from the store.
 	peerListTimeout = 300 * time.Millisecond
 )
@@ -36,12 +44,13 @@
 func (h *Server) learnNewest(ctx context.Context) {
 	listCtx, cancel := context.WithTimeout(ctx, peerListTimeout)
 	defer cancel()
-	snapshot, err := h.FleetWatcher.ReadSnapshot(listCtx, h.FleetWatcher.Topics.Status)
+	snapshot, err := h.readStoreSnapshot(listCtx, h.FleetWatcher.Topics.Status)
 	if err != nil {
 		event.StoreUnreachable.Log(h.Logger.WithError(err), nil)
 		return
 	}
 	h.FleetWatcher.InitialStatus = &snapshot
+	h.setEntryHosts(snapshot.Values)
 	var zonePeers []string
 	for _, e := range hostregistrar.ParseEntries(snapshot.Values, h.Logger) {
 		if e.Zone == h.Zone && string(e.Host()) != h.IP {
@@ -69,3 +78,30 @@
 		}
 	}
 }
+
+// snapshotReader returns the control address of the host to read snapshots from: the responsive host of the zone with
+// the lowest address. All hosts that start together would otherwise read the store at the same time, over links between
+// regions that take seconds for it. Seeds read the store themselves, since the recovery of the engines waits for them.
+func (h *Server) snapshotReader(ctx context.Context) string {
+	h.mu.Lock()
+	entryHosts := h.entryHosts
+	h.mu.Unlock()
+	if chunkreplicator.SelectSeeds(entryHosts)[ident.Host(h.IP)] {
+		return ""
+	}
+	self := netip.MustParseAddr(h.IP)
+	if !slices.ContainsFunc(entryHosts, func(e hostregistrar.Entry) bool { return e.Zone == h.Zone && e.Address.Addr().Less(self) }) {
+		return ""
+	}
+	notBanned := func(string) bool { return false }
+	for end := time.Now().Add(presenceWait); time.Now().Before(end) && ctx.Err() == nil; {
+		if reader := h.storeReader(notBanned); reader != "" {
+			return reader
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(presencePollInterval):
+		}
+	}
+	return ""
+}
--- a/internal/messages/records.go
+++ b/internal/messages/records.go
@@ -30,6 +30,14 @@
 	Data       []byte `json:"data,omitempty"`
 }
 
+// SnapshotMethod requests the newest value of each key of a topic from an entry host. Its result is a RecordsResponse.
+const SnapshotMethod = "snapshot"
+
+// SnapshotQuery requests a snapshot of a topic.
+type SnapshotQuery struct {
+	Topic string `json:"topic"`
+}
+
 // NewestMethod requests the newest state that an entry host has seen, for a host that starts.
 const NewestMethod = "newest"
 
--- a/internal/storerelayer/storerelayer.go
+++ b/internal/storerelayer/storerelayer.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"sync"
 	"time"
 
@@ -29,6 +30,8 @@
 	// the longest time between two of its calls.
 	responseGrace  = 400 * time.Millisecond
 	defaultCallGap = 1100 * time.Millisecond
+	// snapshotWait is how long a query for a snapshot waits for it.
+	snapshotWait = 500 * time.Millisecond
 	// minReaderBan and maxReaderBan limit the time for which a failed reader is not queried.
 	minReaderBan = time.Second
 	maxReaderBan = 8 * time.Second
@@ -53,6 +56,12 @@
 	ReaderWait time.Duration
 	// ReadStore reads the store.
 	ReadStore func(ctx context.Context, topic string, epoch watcher.Epoch, from int64, wait time.Duration) (watcher.Batch, error)
+	// SnapshotReader returns the control address of the host to read a snapshot from, or "" if this host reads it from the
+	// store. It may wait a moment for signs of life of other hosts. Nil means the store.
+	SnapshotReader func(ctx context.Context) string
+	// ReadStoreSnapshot reads a snapshot from the store, and QuerySnapshot queries another host for one.
+	ReadStoreSnapshot func(ctx context.Context, topic string) (watcher.Snapshot, error)
+	QuerySnapshot     func(ctx context.Context, address string, q messages.SnapshotQuery) (messages.RecordsResponse, error)
 	// QueryReader queries the reader.
 	QueryReader func(ctx context.Context, address string, q messages.RecordsQuery) (messages.RecordsResponse, error)
 
@@ -79,6 +88,8 @@
 	firstOffset, nextOffset int64
 	records                 []watcher.Change
 	bytes                   int
+	// values holds the newest value of each key up to nextOffset; nil if it is not known.
+	values map[string][]byte
 	// validUntil is the time until which the cache is current enough to be relayed to other hosts.
 	validUntil time.Time
 	changed    chan struct{}
@@ -203,12 +214,24 @@
 	}
 	if b.Epoch > cache.epoch {
 		// Offsets of the older epoch have been given out again. Waiting hosts are told the new epoch.
-		cache.epoch = b.Epoch
+		cache.epoch, cache.values = b.Epoch, nil
 		cache.firstOffset, cache.nextOffset, cache.records, cache.bytes = b.NextOffset, b.NextOffset, nil, 0
 		close(cache.changed)
 		cache.changed = make(chan struct{})
 		return
 	}
+	if cache.nextOffset != from {
+		cache.values = nil
+	}
+	if cache.values != nil {
+		for _, c := range b.Changes {
+			if len(c.Value) == 0 {
+				delete(cache.values, c.Key)
+				continue
+			}
+			cache.values[c.Key] = c.Value
+		}
+	}
 	if len(cache.records) == 0 || cache.nextOffset != from {
 		cache.firstOffset, cache.nextOffset, cache.records, cache.bytes = from, from, nil, 0
 	}
@@ -233,6 +256,89 @@
 	}
 }
 
+// ReadSnapshot returns a snapshot of a topic, from another host or the store.
+func (r *Relayer) ReadSnapshot(ctx context.Context, topic string) (watcher.Snapshot, error) {
+	if r.SnapshotReader != nil {
+		if reader := r.SnapshotReader(ctx); reader != "" {
+			if s, err := r.querySnapshot(ctx, reader, topic); err == nil {
+				r.setSnapshot(topic, s)
+				return s, nil
+			}
+		}
+	}
+	s, err := r.ReadStoreSnapshot(ctx, topic)
+	if err == nil {
+		r.setSnapshot(topic, s)
+	}
+	return s, err
+}
+
+func (r *Relayer) querySnapshot(ctx context.Context, reader, topic string) (watcher.Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, snapshotWait+readerTimeoutMargin)
+	defer cancel()
+	resp, err := r.QuerySnapshot(ctx, reader, messages.SnapshotQuery{Topic: topic})
+	if err != nil {
+		return watcher.Snapshot{}, err
+	}
+	if resp.Unknown {
+		return watcher.Snapshot{}, fmt.Errorf("reader %s does not hold a snapshot of %s", reader, topic)
+	}
+	records, err := decodeRecords(resp)
+	s := watcher.Snapshot{Values: make(map[string][]byte, len(records)), NextOffset: resp.NextOffset, Epoch: watcher.Epoch(resp.Epoch)}
+	for _, c := range records {
+		s.Values[c.Key] = c.Value
+	}
+	return s, err
+}
+
+// setSnapshot replaces the cached values of a topic, and notifies the hosts that wait for a snapshot.
+func (r *Relayer) setSnapshot(topic string, s watcher.Snapshot) {
+	r.updateValidity(topic, true)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	cache := r.cacheFor(topic)
+	if s.Epoch < cache.epoch {
+		return
+	}
+	cache.epoch, cache.values = s.Epoch, maps.Clone(s.Values)
+	cache.firstOffset, cache.nextOffset, cache.records, cache.bytes = s.NextOffset, s.NextOffset, nil, 0
+	close(cache.changed)
+	cache.changed = make(chan struct{})
+}
+
+// ServeSnapshot serves another host's query for a snapshot. It waits a moment for this host's own snapshot: hosts that
+// start together need it at the same time. Its response is Unknown if there is none, or if the store has not responded
+// recently.
+func (r *Relayer) ServeSnapshot(ctx context.Context, q messages.SnapshotQuery) (messages.RecordsResponse, error) {
+	deadline := time.Now().Add(snapshotWait)
+	for {
+		r.mu.Lock()
+		cache := r.cacheFor(q.Topic)
+		isKnown := cache.values != nil && time.Now().Before(cache.validUntil)
+		var records []watcher.Change
+		if isKnown {
+			for key, value := range cache.values {
+				records = append(records, watcher.Change{Key: key, Value: value})
+			}
+		}
+		epoch, next, changed := int64(cache.epoch), cache.nextOffset, cache.changed
+		r.mu.Unlock()
+		if isKnown {
+			return encodeRecords(records, epoch, next)
+		}
+		remaining := time.Until(deadline)
+		if remaining <= 0 {
+			return messages.RecordsResponse{Unknown: true}, nil
+		}
+		select {
+		case <-ctx.Done():
+			return messages.RecordsResponse{Unknown: true}, nil
+		case <-changed:
+		case <-time.After(remaining):
+		}
+	}
+}
+
 // ServeRecords serves another host's query from the cache. Its response is Unknown if the store has not responded
 // recently, or the offset is not cached, or is of a later epoch.
 func (r *Relayer) ServeRecords(ctx context.Context, q messages.RecordsQuery) (messages.RecordsResponse, error) {
--- a/internal/storerelayer/storerelayer_test.go
+++ b/internal/storerelayer/storerelayer_test.go
@@ -337,3 +337,51 @@
 		running.Wait()
 	})
 }
+
+// Thirty hosts start together, after a loss of power. One of them reads the store; the others read its snapshot, which
+// it does not hold yet when they ask, and go on from there.
+func TestHostsThatStartTogetherReadOneSnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const hosts = 30
+		values := map[string][]byte{"a": []byte("1"), "b": []byte("2"), "gone": []byte("3")}
+		var calls atomic.Int64
+		relayers := make([]*storerelayer.Relayer, hosts)
+		for i := range relayers {
+			relayers[i] = &storerelayer.Relayer{
+				ReaderAddress:  func(func(string) bool) string { return "" },
+				SnapshotReader: func(context.Context) string { return map[bool]string{true: "", false: "0"}[i == 0] },
+				ReadStoreSnapshot: func(context.Context, string) (watcher.Snapshot, error) {
+					calls.Add(1)
+					time.Sleep(100 * time.Millisecond)
+					return watcher.Snapshot{Values: values, NextOffset: 7, Epoch: 2}, nil
+				},
+				ReadStore: func(context.Context, string, watcher.Epoch, int64, time.Duration) (watcher.Batch, error) {
+					return watcher.Batch{Changes: []watcher.Change{{Key: "b", Value: []byte("4")}, {Key: "gone"}}, NextOffset: 9, Epoch: 2}, nil
+				},
+				QuerySnapshot: func(ctx context.Context, _ string, q messages.SnapshotQuery) (messages.RecordsResponse, error) {
+					return relayers[0].ServeSnapshot(ctx, q)
+				},
+			}
+		}
+		var running sync.WaitGroup
+		for _, r := range relayers {
+			running.Go(func() {
+				got, err := r.ReadSnapshot(context.Background(), "t")
+				is.NoErr(err)
+				is.Equal(got, watcher.Snapshot{Values: values, NextOffset: 7, Epoch: 2})
+			})
+		}
+		running.Wait()
+		is.Equal(calls.Load(), int64(1))
+		_, err := relayers[0].ReadChanges(context.Background(), "t", 2, 7, 0)
+		is.NoErr(err)
+		got, err := relayers[1].ReadSnapshot(context.Background(), "t") // a host that starts later
+		is.NoErr(err)
+		is.Equal(got, watcher.Snapshot{Values: map[string][]byte{"a": []byte("1"), "b": []byte("4")}, NextOffset: 9, Epoch: 2})
+		time.Sleep(2 * time.Second) // the reader has not heard from the store for long
+		_, err = relayers[1].ReadSnapshot(context.Background(), "t")
+		is.NoErr(err)
+		is.Equal(calls.Load(), int64(2))
+	})
+}
