gateway: a caller with a long deadline is forgotten; one type for incarnations

One caller that stated an unusually long time made all later first attempts of its route count as retries, for ever, so that they were treated as late. The maximum is now that of the current and the last ten seconds. The incarnation of an endpoint is one type of fleetconfig instead of three.

--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -177,7 +177,7 @@
 	mu          sync.Mutex
 	endpoints   map[string]*endpointState
 	byAddress   map[string][]*endpointState
-	holdoffs    map[incarnation]holdoff
+	holdoffs    map[fleetconfig.Incarnation]holdoff
 	pools       map[ident.Pool]*fleetconfig.Pool
 	members     map[ident.Pool]*poolMembers
 	reportMeans map[ident.Pool]*reportMean
--- a/internal/core/assigner/holdoff.go
+++ b/internal/core/assigner/holdoff.go
@@ -10,16 +10,6 @@
 // endpoints of the largest fleet.
 const maxHoldoffs = 8192
 
-// incarnation identifies one start of an endpoint.
-type incarnation struct {
-	id        string
-	startTime int64
-}
-
-func incarnationOf(e fleetconfig.Endpoint) incarnation {
-	return incarnation{id: e.ID, startTime: e.StartTime}
-}
-
 // holdoff is what an incarnation of an endpoint has said itself about further requests. It outlives the endpoint's
 // entry, because the entry may disappear and return, or be older than the statement.
 type holdoff struct {
@@ -35,7 +25,7 @@
 func (a *Assigner) RecordLeaving(e fleetconfig.Endpoint) (isNew bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	h := a.holdoffs[incarnationOf(e)]
+	h := a.holdoffs[e.Incarnation()]
 	isNew = !h.leaving
 	h.leaving = true
 	a.setHoldoff(e, h)
@@ -46,7 +36,7 @@
 func (a *Assigner) Pause(e fleetconfig.Endpoint, d time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	h := a.holdoffs[incarnationOf(e)]
+	h := a.holdoffs[e.Incarnation()]
 	if until := time.Now().Add(d); until.After(h.pausedUntil) {
 		h.pausedUntil = until
 	}
@@ -56,14 +46,14 @@
 // setHoldoff stores a holdoff, and drops the oldest one if there are too many. The caller must hold a.mu.
 func (a *Assigner) setHoldoff(e fleetconfig.Endpoint, h holdoff) {
 	if a.holdoffs == nil {
-		a.holdoffs = make(map[incarnation]holdoff)
+		a.holdoffs = make(map[fleetconfig.Incarnation]holdoff)
 	}
 	h.recordedAt = time.Now()
-	a.holdoffs[incarnationOf(e)] = h
+	a.holdoffs[e.Incarnation()] = h
 	if len(a.holdoffs) <= maxHoldoffs {
 		return
 	}
-	var oldest incarnation
+	var oldest fleetconfig.Incarnation
 	var oldestAt time.Time
 	for key, other := range a.holdoffs {
 		if oldestAt.IsZero() || other.recordedAt.Before(oldestAt) {
@@ -76,17 +66,17 @@
 // pauseRemaining returns how long the endpoint takes no requests from this host; zero if it takes them now. The caller
 // must hold a.mu.
 func (a *Assigner) pauseRemaining(s *endpointState, now time.Time) time.Duration {
-	return max(0, a.holdoffs[incarnationOf(s.Endpoint)].pausedUntil.Sub(now))
+	return max(0, a.holdoffs[s.Incarnation()].pausedUntil.Sub(now))
 }
 
 // IsLeaving reports whether the incarnation of an endpoint has said that it is leaving.
 func (a *Assigner) IsLeaving(e fleetconfig.Endpoint) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.holdoffs[incarnationOf(e)].leaving
+	return a.holdoffs[e.Incarnation()].leaving
 }
 
 // isLeaving reports whether the endpoint has said that it is leaving. The caller must hold a.mu.
 func (a *Assigner) isLeaving(s *endpointState) bool {
-	return a.holdoffs[incarnationOf(s.Endpoint)].leaving
+	return a.holdoffs[s.Incarnation()].leaving
 }
--- a/internal/core/fleetconfig/fleetconfig.go
+++ b/internal/core/fleetconfig/fleetconfig.go
@@ -223,6 +223,17 @@
 	WarmupRemaining time.Duration
 }
 
+// Incarnation identifies one start of an endpoint, which may start again under the same id.
+type Incarnation struct {
+	ID        string
+	StartTime int64
+}
+
+// Incarnation returns the incarnation that the entry describes.
+func (e *Endpoint) Incarnation() Incarnation {
+	return Incarnation{ID: e.ID, StartTime: e.StartTime}
+}
+
 // Host returns the name of the endpoint's host, which is its IP address.
 func (e *Endpoint) Host() ident.Host {
 	ip, _, _ := strings.Cut(e.Address, ":")
--- a/internal/core/fleettracker/fleettracker.go
+++ b/internal/core/fleettracker/fleettracker.go
@@ -33,12 +33,6 @@
 	firstSeen    time.Time
 }
 
-// incarnation identifies one start of an endpoint.
-type incarnation struct {
-	id        string
-	startTime int64
-}
-
 // maxDepartures limits the incarnations that are remembered as draining or gone. It is several times the number of
 // endpoints of the largest fleet.
 const maxDepartures = 8192
@@ -68,7 +62,7 @@
 	lastRead    time.Time
 	recoveredAt time.Time
 	// departures holds the incarnations that are known to be draining or gone.
-	departures map[incarnation]departure
+	departures map[fleetconfig.Incarnation]departure
 	// isRestored says that the next snapshot is of a store that has been restored from an older copy.
 	isRestored bool
 	readFailed bool
@@ -108,7 +102,7 @@
 	old := t.entries
 	t.entries = make(map[string]*entry, len(all))
 	for _, e := range all {
-		if t.isRestored && t.departures[incarnation{e.ID, e.StartTime}].isGone {
+		if t.isRestored && t.departures[e.Incarnation()].isGone {
 			continue
 		}
 		t.put(e)
@@ -133,7 +127,7 @@
 
 // put stores an entry. An incarnation that was draining remains so, whatever its entry says. The caller must hold t.mu.
 func (t *Tracker) put(e fleetconfig.Endpoint) {
-	key := incarnation{e.ID, e.StartTime}
+	key := e.Incarnation()
 	d := t.departures[key]
 	// Without a start time, incarnations cannot be told apart.
 	e.Draining = e.Draining || d.isDraining && e.StartTime != 0
@@ -145,24 +139,24 @@
 
 // recordGone remembers that the entry of an incarnation has been removed. The caller must hold t.mu.
 func (t *Tracker) recordGone(e fleetconfig.Endpoint) {
-	t.setDeparture(incarnation{e.ID, e.StartTime}, departure{isDraining: e.Draining, isGone: true})
+	t.setDeparture(e.Incarnation(), departure{isDraining: e.Draining, isGone: true})
 }
 
 // setDeparture stores a departure, and drops the oldest one if there are too many. The caller must hold t.mu.
-func (t *Tracker) setDeparture(key incarnation, d departure) {
+func (t *Tracker) setDeparture(key fleetconfig.Incarnation, d departure) {
 	if !d.isDraining && !d.isGone {
 		delete(t.departures, key)
 		return
 	}
 	if t.departures == nil {
-		t.departures = make(map[incarnation]departure)
+		t.departures = make(map[fleetconfig.Incarnation]departure)
 	}
 	d.at = time.Now()
 	t.departures[key] = d
 	if len(t.departures) <= maxDepartures {
 		return
 	}
-	var oldest incarnation
+	var oldest fleetconfig.Incarnation
 	var oldestAt time.Time
 	for other, d := range t.departures {
 		if oldestAt.IsZero() || d.at.Before(oldestAt) {
@@ -186,7 +180,7 @@
 	defer t.mu.Unlock()
 	out := make([]Departure, 0, len(t.departures))
 	for key, d := range t.departures {
-		out = append(out, Departure{ID: key.id, StartTime: key.startTime, IsDraining: d.isDraining, IsGone: d.isGone})
+		out = append(out, Departure{ID: key.ID, StartTime: key.StartTime, IsDraining: d.isDraining, IsGone: d.isGone})
 	}
 	return out
 }
@@ -197,7 +191,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, d := range all {
-		t.setDeparture(incarnation{d.ID, d.StartTime}, departure{isDraining: d.IsDraining, isGone: d.IsGone})
+		t.setDeparture(fleetconfig.Incarnation{ID: d.ID, StartTime: d.StartTime}, departure{isDraining: d.IsDraining, isGone: d.IsGone})
 	}
 	t.isRestored = true
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,8 @@
 	// deadlineSpread is the fraction by which the remaining time of a first attempt may be shorter than the longest one
 	// of its route. A caller that states a still shorter time is treated as retrying.
 	deadlineSpread = 0.16
+	// remainingPeriod is the time after which the longest remaining time of a route is determined anew.
+	remainingPeriod = 10 * time.Second
 	// shutdownRetryDelay is the Retry-After of a host that is shutting down. It is short because another host serves
 	// the retry.
 	shutdownRetryDelay = 10 * time.Millisecond
@@ -70,8 +72,28 @@
 	isRefusing     atomic.Bool
 	activeRequests atomic.Int64
 	mu             sync.Mutex
-	// longestRemaining is the longest remaining time that a caller has stated, by route. First attempts state it.
-	longestRemaining map[string]time.Duration
+	// longestRemaining is the longest remaining time that a caller has stated of late, by route. First attempts state it.
+	longestRemaining map[string]recentMaximum
+}
+
+// recentMaximum is the longest of some durations within the current period and the one before. A single caller that
+// states an unusually long time is forgotten after that.
+type recentMaximum struct {
+	current, previous time.Duration
+	startedAt         time.Time
+}
+
+// add adds a duration, and returns the maximum with it.
+func (m *recentMaximum) add(d time.Duration) time.Duration {
+	now := time.Now()
+	switch age := now.Sub(m.startedAt); {
+	case age > 2*remainingPeriod:
+		*m = recentMaximum{startedAt: now}
+	case age > remainingPeriod:
+		*m = recentMaximum{previous: m.current, startedAt: now}
+	}
+	m.current = max(m.current, d)
+	return max(m.current, m.previous)
 }
 
 // SetConfig replaces the configuration if config is newer, and reports whether it did.
@@ -212,10 +234,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.longestRemaining == nil {
-		g.longestRemaining = make(map[string]time.Duration)
+		g.longestRemaining = make(map[string]recentMaximum)
 	}
-	longest := max(g.longestRemaining[req.route.Name], req.Remaining)
-	g.longestRemaining[req.route.Name] = longest
+	maximum := g.longestRemaining[req.route.Name]
+	longest := maximum.add(req.Remaining)
+	g.longestRemaining[req.route.Name] = maximum
 	elapsed := longest - req.Remaining
 	if float64(elapsed) <= deadlineSpread*float64(longest) {
 		return 0
--- a/internal/loadexchanger/trackers.go
+++ b/internal/loadexchanger/trackers.go
@@ -5,16 +5,11 @@
 	"time"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
+	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/loadtracker"
 )
 
-// incarnation identifies one start of an endpoint.
-type incarnation struct {
-	id        string
-	startTime int64
-}
-
 type endpointTracker struct {
 	loadtracker.Tracker
 	isLeaving bool
@@ -24,7 +19,7 @@
 // trackers holds the reported loads at the endpoints that this host responds for.
 type trackers struct {
 	mu  sync.Mutex
-	all map[incarnation]*endpointTracker
+	all map[fleetconfig.Incarnation]*endpointTracker
 }
 
 // record stores a report, and returns the load of the other hosts at the endpoint and whether one of them knows that it
@@ -33,10 +28,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.all == nil {
-		t.all = make(map[incarnation]*endpointTracker)
+		t.all = make(map[fleetconfig.Incarnation]*endpointTracker)
 	}
 	now := time.Now()
-	key := incarnation{r.Endpoint, r.StartTime}
+	key := fleetconfig.Incarnation{ID: r.Endpoint, StartTime: r.StartTime}
 	e := t.all[key]
 	if e == nil {
 		for other, unused := range t.all {
