--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/nutmegdock/nutmegdock/internal/core/boundedmap"
 	"github.com/nutmegdock/nutmegdock/internal/core/breaker"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
@@ -177,7 +178,7 @@
 	mu          sync.Mutex
 	endpoints   map[string]*endpointState
 	byAddress   map[string][]*endpointState
-	holdoffs    map[fleetconfig.Incarnation]holdoff
+	holdoffs    boundedmap.Map[fleetconfig.Incarnation, holdoff]
 	pools       map[ident.Pool]*fleetconfig.Pool
 	members     map[ident.Pool]*poolMembers
 	reportMeans map[ident.Pool]*reportMean
@@ -237,14 +238,11 @@
 	var bestCost time.Duration
 	refusal := NoEndpoint
 	for s := range a.eligible(q) {
-		release, ok := s.serves(q, pool, now)
-		if !ok || q.Excluded[s.ID] || a.isLeaving(s) || !s.isUsable() {
-			continue
+		release, state := a.availability(s, q, now)
+		if state == paused && refusal == NoEndpoint {
+			refusal = Paused
 		}
-		if a.pauseRemaining(s, now) > 0 {
-			if refusal == NoEndpoint {
-				refusal = Paused
-			}
+		if state != available {
 			continue
 		}
 		refusal = Overload
--- a/internal/core/assigner/holdoff.go
+++ b/internal/core/assigner/holdoff.go
@@ -17,7 +17,6 @@
 	leaving bool
 	// pausedUntil is the time until which the incarnation takes no requests from this host.
 	pausedUntil time.Time
-	recordedAt  time.Time
 }
 
 // RecordLeaving records that an endpoint has said that it is leaving, and reports whether that is new. The incarnation
@@ -25,7 +24,7 @@
 func (a *Assigner) RecordLeaving(e fleetconfig.Endpoint) (isNew bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	h := a.holdoffs[e.Incarnation()]
+	h := a.holdoffs.Get(e.Incarnation())
 	isNew = !h.leaving
 	h.leaving = true
 	a.setHoldoff(e, h)
@@ -36,47 +35,59 @@
 func (a *Assigner) Pause(e fleetconfig.Endpoint, d time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	h := a.holdoffs[e.Incarnation()]
+	h := a.holdoffs.Get(e.Incarnation())
 	if until := time.Now().Add(d); until.After(h.pausedUntil) {
 		h.pausedUntil = until
 	}
 	a.setHoldoff(e, h)
 }
 
-// setHoldoff stores a holdoff, and drops the oldest one if there are too many. The caller must hold a.mu.
 func (a *Assigner) setHoldoff(e fleetconfig.Endpoint, h holdoff) {
-	if a.holdoffs == nil {
-		a.holdoffs = make(map[fleetconfig.Incarnation]holdoff)
-	}
-	h.recordedAt = time.Now()
-	a.holdoffs[e.Incarnation()] = h
-	if len(a.holdoffs) <= maxHoldoffs {
-		return
-	}
-	var oldest fleetconfig.Incarnation
-	var oldestAt time.Time
-	for key, other := range a.holdoffs {
-		if oldestAt.IsZero() || other.recordedAt.Before(oldestAt) {
-			oldest, oldestAt = key, other.recordedAt
-		}
-	}
-	delete(a.holdoffs, oldest)
+	a.holdoffs.Limit = maxHoldoffs
+	a.holdoffs.Set(e.Incarnation(), h)
 }
 
 // pauseRemaining returns how long the endpoint takes no requests from this host; zero if it takes them now. The caller
 // must hold a.mu.
 func (a *Assigner) pauseRemaining(s *endpointState, now time.Time) time.Duration {
-	return max(0, a.holdoffs[s.Incarnation()].pausedUntil.Sub(now))
+	return max(0, a.holdoffs.Get(s.Incarnation()).pausedUntil.Sub(now))
 }
 
 // IsLeaving reports whether the incarnation of an endpoint has said that it is leaving.
 func (a *Assigner) IsLeaving(e fleetconfig.Endpoint) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.holdoffs[e.Incarnation()].leaving
+	return a.holdoffs.Get(e.Incarnation()).leaving
 }
 
-// isLeaving reports whether the endpoint has said that it is leaving. The caller must hold a.mu.
-func (a *Assigner) isLeaving(s *endpointState) bool {
-	return a.holdoffs[s.Incarnation()].leaving
+// availability says whether an endpoint may receive a request.
+type availability int
+
+const (
+	available availability = iota
+	// notServing means that the endpoint does not serve what the query requires, or is excluded by it.
+	notServing
+	// unusable means that the endpoint cannot be reached or fails.
+	unusable
+	leaving
+	paused
+)
+
+// availability returns whether an endpoint may receive the request of a query, and the release that it serves. The
+// caller must hold a.mu.
+func (a *Assigner) availability(s *endpointState, q Query, now time.Time) (fleetconfig.Release, availability) {
+	release, ok := s.serves(q, a.pools[q.Pool], now)
+	h := a.holdoffs.Get(s.Incarnation())
+	switch {
+	case !ok || q.Excluded[s.ID]:
+		return release, notServing
+	case !s.isUsable():
+		return release, unusable
+	case h.leaving:
+		return release, leaving
+	case h.pausedUntil.After(now):
+		return release, paused
+	default:
+		return release, available
+	}
 }
--- a/internal/core/assigner/probe.go
+++ b/internal/core/assigner/probe.go
@@ -40,7 +40,7 @@
 	now := time.Now()
 	var out []Probe
 	for id, s := range a.endpoints {
-		if s.addressReused || a.isLeaving(s) || a.pauseRemaining(s, now) > 0 {
+		if s.addressReused || a.holdoffs.Get(s.Incarnation()).leaving || a.pauseRemaining(s, now) > 0 {
 			continue
 		}
 		if s.down || s.localLoad.Requests > 0 && now.Sub(s.lastActive) > probeAfterSilence {
--- a/internal/core/assigner/report.go
+++ b/internal/core/assigner/report.go
@@ -53,7 +53,6 @@
 		return nil
 	}
 	now := time.Now()
-	pool := a.pools[q.Pool]
 	var out []fleetconfig.Endpoint
 	add := func(list []*endpointState) {
 		if len(list) == 0 {
@@ -67,10 +66,10 @@
 				return
 			}
 			s := list[(start+i*stride)%len(list)]
-			if queried[s.ID] || q.Excluded[s.ID] || a.isLeaving(s) || !s.isUsable() || a.pauseRemaining(s, now) > 0 {
+			if queried[s.ID] {
 				continue
 			}
-			if _, ok := s.serves(q, pool, now); !ok {
+			if _, state := a.availability(s, q, now); state != available {
 				continue
 			}
 			queried[s.ID] = true
@@ -148,25 +147,19 @@
 	return Load{}
 }
 
-// LoadedEndpoints returns the endpoints at which this host has requests, with its load.
-func (a *Assigner) LoadedEndpoints() map[string]EndpointLoad {
+// LoadedEndpoints returns the endpoints at which this host has requests.
+func (a *Assigner) LoadedEndpoints() []fleetconfig.Endpoint {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	out := make(map[string]EndpointLoad)
-	for id, s := range a.endpoints {
+	var out []fleetconfig.Endpoint
+	for _, s := range a.endpoints {
 		if s.localLoad.Requests > 0 {
-			out[id] = EndpointLoad{Endpoint: s.Endpoint, Load: s.localLoad}
+			out = append(out, s.Endpoint)
 		}
 	}
 	return out
 }
 
-// EndpointLoad is the load of this host at an endpoint.
-type EndpointLoad struct {
-	Endpoint fleetconfig.Endpoint
-	Load     Load
-}
-
 // totalLoad returns the load of all hosts at an endpoint. Without a recent report, the load of the others is taken for
 // the mean of recent reports. The caller must hold a.mu.
 func (a *Assigner) totalLoad(s *endpointState, now time.Time) Load {
--- a/internal/core/assigner/snapshot.go
+++ b/internal/core/assigner/snapshot.go
@@ -29,23 +29,23 @@
 	pool := a.pools[q.Pool]
 	var out Snapshot
 	for s := range a.eligible(q) {
-		if _, ok := s.serves(q, pool, now); !ok || q.Excluded[s.ID] {
-			continue
+		_, state := a.availability(s, q, now)
+		if state != notServing {
+			out.ServingEndpoints++
 		}
-		out.ServingEndpoints++
-		if !s.isUsable() {
+		switch state {
+		case unusable:
 			out.UnusableEndpoints++
-			continue
-		}
-		if a.isLeaving(s) {
+		case leaving:
 			out.LeavingEndpoints++
-			continue
-		}
-		if rest := a.pauseRemaining(s, now); rest > 0 {
+		case paused:
 			out.PausedEndpoints++
-			if out.EarliestResume == 0 || rest < out.EarliestResume {
+			if rest := a.pauseRemaining(s, now); out.EarliestResume == 0 || rest < out.EarliestResume {
 				out.EarliestResume = rest
 			}
+		case available, notServing:
+		}
+		if state != available {
 			continue
 		}
 		if age := now.Sub(s.reportedAt); !s.reportedAt.IsZero() && age <= reportTTL {
--- a/internal/core/fleettracker/fleettracker.go
+++ b/internal/core/fleettracker/fleettracker.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/nutmegdock/nutmegdock/internal/core/boundedmap"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 )
 
@@ -42,7 +43,6 @@
 	isDraining bool
 	// isGone says that its entry has been removed.
 	isGone bool
-	at     time.Time
 }
 
 type entry struct {
@@ -62,7 +62,7 @@
 	lastRead    time.Time
 	recoveredAt time.Time
 	// departures holds the incarnations that are known to be draining or gone.
-	departures map[fleetconfig.Incarnation]departure
+	departures boundedmap.Map[fleetconfig.Incarnation, departure]
 	// isRestored says that the next snapshot is of a store that has been restored from an older copy.
 	isRestored bool
 	readFailed bool
@@ -102,7 +102,7 @@
 	old := t.entries
 	t.entries = make(map[string]*entry, len(all))
 	for _, e := range all {
-		if t.isRestored && t.departures[e.Incarnation()].isGone {
+		if t.isRestored && t.departures.Get(e.Incarnation()).isGone {
 			continue
 		}
 		t.put(e)
@@ -128,7 +128,7 @@
 // put stores an entry. An incarnation that was draining remains so, whatever its entry says. The caller must hold t.mu.
 func (t *Tracker) put(e fleetconfig.Endpoint) {
 	key := e.Incarnation()
-	d := t.departures[key]
+	d := t.departures.Get(key)
 	// Without a start time, incarnations cannot be told apart.
 	e.Draining = e.Draining || d.isDraining && e.StartTime != 0
 	if e.Draining != d.isDraining || d.isGone {
@@ -142,28 +142,14 @@
 	t.setDeparture(e.Incarnation(), departure{isDraining: e.Draining, isGone: true})
 }
 
-// setDeparture stores a departure, and drops the oldest one if there are too many. The caller must hold t.mu.
+// setDeparture stores a departure, or removes it if the incarnation is in use. The caller must hold t.mu.
 func (t *Tracker) setDeparture(key fleetconfig.Incarnation, d departure) {
 	if !d.isDraining && !d.isGone {
-		delete(t.departures, key)
+		t.departures.Delete(key)
 		return
 	}
-	if t.departures == nil {
-		t.departures = make(map[fleetconfig.Incarnation]departure)
-	}
-	d.at = time.Now()
-	t.departures[key] = d
-	if len(t.departures) <= maxDepartures {
-		return
-	}
-	var oldest fleetconfig.Incarnation
-	var oldestAt time.Time
-	for other, d := range t.departures {
-		if oldestAt.IsZero() || d.at.Before(oldestAt) {
-			oldest, oldestAt = other, d.at
-		}
-	}
-	delete(t.departures, oldest)
+	t.departures.Limit = maxDepartures
+	t.departures.Set(key, d)
 }
 
 // Departure is an incarnation of an endpoint that is draining or gone.
@@ -178,8 +164,8 @@
 func (t *Tracker) Departures() []Departure {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make([]Departure, 0, len(t.departures))
-	for key, d := range t.departures {
+	out := make([]Departure, 0, t.departures.Len())
+	for key, d := range t.departures.All() {
 		out = append(out, Departure{ID: key.ID, StartTime: key.StartTime, IsDraining: d.isDraining, IsGone: d.isGone})
 	}
 	return out
--- a/internal/core/presencetracker/presencetracker.go
+++ b/internal/core/presencetracker/presencetracker.go
@@ -116,12 +116,11 @@
 	t.ticks++
 	now := time.Now()
 	isRareDue := t.ticks%rareBeatPeriod == 1
-	leaders := t.leadersOf(t.Zone, now)
 	if !t.isLeader(now) {
 		if !isRareDue {
 			return nil
 		}
-		return []Message{{To: leaders}}
+		return []Message{{To: t.leadersOf(t.Zone, now)}}
 	}
 	beat := Beat{}
 	for _, h := range t.hosts {
--- a/internal/engineagent/engineagent.go
+++ b/internal/engineagent/engineagent.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"net/netip"
 	"strconv"
 	"sync"
 	"time"
@@ -104,7 +103,6 @@
 	tasks.Go(func() error { return h.announcePeriodically(ctx) })
 	exchanger := &loadexchanger.Exchanger{
 		Host: ident.Host(h.IP), Conn: h.GateConn, Gate: h.currentGate, Logger: h.Logger,
-		Responder: func(fleetconfig.Endpoint) netip.AddrPort { return netip.AddrPort{} },
 	}
 	exchanger.Init()
 	tasks.Go(func() error { return exchanger.Run(ctx) })
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -134,6 +134,7 @@
 		return g.Assigner.Assign(*query)
 	}
 	among := make(map[string]bool)
+	var refusal assigner.Refusal
 	for round := range assigner.MaxRounds {
 		candidates := g.Assigner.Candidates(*query, among, round > 0)
 		if len(candidates) == 0 || ctx.Err() != nil {
@@ -141,11 +142,16 @@
 		}
 		query.Among = among
 		g.QueryLoads(ctx, candidates)
-		if choice, refusal := g.Assigner.Assign(*query); refusal == "" {
+		var choice *assigner.Assignment
+		if choice, refusal = g.Assigner.Assign(*query); refusal == "" {
 			return choice, ""
 		}
 	}
-	return g.Assigner.Assign(*query)
+	if query.Among == nil {
+		// No endpoint could be queried. The assigner knows the reason.
+		return g.Assigner.Assign(*query)
+	}
+	return nil, refusal
 }
 
 // withdrawAtCutoff cancels the attempt at the time from which no request may begin on its release, if it is still
--- a/internal/gatewayserver/fleet.go
+++ b/internal/gatewayserver/fleet.go
@@ -51,8 +51,12 @@
 	return cached.response, nil
 }
 
-// fleetDigest returns a digest of the fleet state. The lists must be sorted.
+// fleetDigest sorts the lists of the fleet state and returns a digest of it.
 func fleetDigest(fleet messages.FleetResponse) (uint64, error) {
+	slices.SortFunc(fleet.Engines, func(a, b messages.EngineInfo) int {
+		return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.FullRelease, b.FullRelease))
+	})
+	slices.SortFunc(fleet.Seeds, func(a, b hostregistrar.Entry) int { return a.Address.Compare(b.Address) })
 	data, err := json.Marshal(fleet)
 	if err != nil {
 		return 0, fmt.Errorf("encode fleet state: %w", err)
@@ -62,10 +66,6 @@
 
 func (h *Server) fleetSnapshot(p ident.Pool) messages.FleetResponse {
 	fleet := fleetwatcher.FleetFor(p, h.gateway.Config(), h.FleetWatcher.Tracker, h.Regions)
-	slices.SortFunc(fleet.Engines, func(a, b messages.EngineInfo) int {
-		return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.FullRelease, b.FullRelease))
-	})
 	fleet.Seeds = h.liveEntryHosts()
-	slices.SortFunc(fleet.Seeds, func(a, b hostregistrar.Entry) int { return a.Address.Compare(b.Address) })
 	return fleet
 }
--- a/internal/gatewayserver/replicate.go
+++ b/internal/gatewayserver/replicate.go
@@ -35,12 +35,8 @@
 
 // register keeps this host's entry in the list of entry hosts.
 func (h *Server) register(ctx context.Context) error {
-	address, err := netip.ParseAddr(h.IP)
-	if err != nil {
-		return fmt.Errorf("parse the address of this host: %w", err)
-	}
 	registrar := &hostregistrar.Registrar{
-		Entry: hostregistrar.Entry{Zone: h.Zone, Address: netip.AddrPortFrom(address, uint16(h.ExchangePort)), LinkMbps: h.LinkMbps},
+		Entry: hostregistrar.Entry{Zone: h.Zone, Address: netip.AddrPortFrom(h.presence.Self, uint16(h.ExchangePort)), LinkMbps: h.LinkMbps},
 		Put:   h.PutEntry, Restored: h.restored, Logger: h.Logger,
 	}
 	return registrar.Run(ctx)
@@ -90,8 +86,7 @@
 	h.mu.Lock()
 	entryHosts := h.entryHosts
 	h.mu.Unlock()
-	self := netip.MustParseAddr(h.IP)
-	lowestInZone, lowest := self, self
+	lowestInZone, lowest := h.presence.Self, h.presence.Self
 	var inZone, remote string
 	for _, e := range entryHosts {
 		a := e.Address.Addr()
--- a/internal/gatewayserver/restore.go
+++ b/internal/gatewayserver/restore.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"net/netip"
 	"slices"
 	"strconv"
 	"time"
@@ -52,7 +51,10 @@
 	h.FleetWatcher.InitialStatus = &snapshot
 	h.setEntryHosts(snapshot.Values)
 	var zonePeers []string
-	for _, e := range hostregistrar.ParseEntries(snapshot.Values, h.Logger) {
+	h.mu.Lock()
+	entryHosts := h.entryHosts
+	h.mu.Unlock()
+	for _, e := range entryHosts {
 		if e.Zone == h.Zone && string(e.Host()) != h.IP {
 			zonePeers = append(zonePeers, net.JoinHostPort(e.Address.Addr().String(), strconv.Itoa(h.Replicator.ControlPort)))
 		}
@@ -89,8 +91,9 @@
 	if chunkreplicator.SelectSeeds(entryHosts)[ident.Host(h.IP)] {
 		return ""
 	}
-	self := netip.MustParseAddr(h.IP)
-	if !slices.ContainsFunc(entryHosts, func(e hostregistrar.Entry) bool { return e.Zone == h.Zone && e.Address.Addr().Less(self) }) {
+	if !slices.ContainsFunc(entryHosts, func(e hostregistrar.Entry) bool {
+		return e.Zone == h.Zone && e.Address.Addr().Less(h.presence.Self)
+	}) {
 		return ""
 	}
 	notBanned := func(string) bool { return false }
--- a/internal/loadexchanger/loadexchanger.go
+++ b/internal/loadexchanger/loadexchanger.go
@@ -47,7 +47,7 @@
 	Responder func(e fleetconfig.Endpoint) netip.AddrPort
 	// LocalLoad returns the load of this host at an endpoint, and LoadedEndpoints the endpoints where it is not zero.
 	LocalLoad       func(e fleetconfig.Endpoint) assigner.Load
-	LoadedEndpoints func() map[string]assigner.EndpointLoad
+	LoadedEndpoints func() []fleetconfig.Endpoint
 	// IsLeaving reports whether an endpoint has told this host that it is leaving.
 	IsLeaving func(e fleetconfig.Endpoint) bool
 	// OnReply receives a reply to a query for an endpoint.
@@ -81,8 +81,8 @@
 type query struct {
 	endpoint  fleetconfig.Endpoint
 	responder netip.AddrPort
-	// onReply is called with the reply; nil once the query is not waited for any more.
-	onReply func()
+	// replied receives a value with the reply if the query is waited for. It never blocks.
+	replied chan<- struct{}
 }
 
 // Init prepares the exchanger. It must be called before any other method.
@@ -129,8 +129,8 @@
 		case <-ticker.C:
 			loaded := x.LoadedEndpoints()
 			x.mu.Lock()
-			for id, l := range loaded {
-				x.pending[id] = l.Endpoint
+			for _, e := range loaded {
+				x.pending[e.ID] = e
 			}
 			x.mu.Unlock()
 		case <-x.changed:
@@ -162,8 +162,9 @@
 // Query queries the responders of endpoints for the load of the other hosts there, and returns when all of them have
 // replied, after replyTimeout, or when ctx ends. It does not wait for responders that have missed a query a moment ago.
 func (x *Exchanger) Query(ctx context.Context, endpoints []fleetconfig.Endpoint) {
-	var awaited sync.WaitGroup
 	ids := make([]uint64, 0, len(endpoints))
+	replied := make(chan struct{}, len(endpoints))
+	awaited := 0
 	now := time.Now()
 	for _, e := range endpoints {
 		to := x.Responder(e)
@@ -175,24 +176,25 @@
 		ids = append(ids, id)
 		x.mu.Lock()
 		if now.After(x.silentUntil[to]) {
-			awaited.Add(1)
-			q.onReply = awaited.Done
+			awaited++
+			q.replied = replied
 		}
 		x.queries[id] = q
 		x.mu.Unlock()
 		x.sendReport(e, id)
 	}
-	done := make(chan struct{})
-	go func() {
-		awaited.Wait()
-		close(done)
-	}()
 	timer := time.NewTimer(replyTimeout)
 	defer timer.Stop()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	case <-timer.C:
+	isOver := false
+	for awaited > 0 && !isOver {
+		select {
+		case <-replied:
+			awaited--
+		case <-ctx.Done():
+			isOver = true
+		case <-timer.C:
+			isOver = true
+		}
 	}
 	x.endQueries(ids, time.Since(now) >= replyTimeout)
 }
@@ -207,10 +209,6 @@
 		if q == nil {
 			continue
 		}
-		if q.onReply != nil {
-			q.onReply()
-			q.onReply = nil
-		}
 		if isTimeout {
 			x.silentUntil[q.responder] = time.Now().Add(silentTimeout)
 		}
@@ -309,7 +307,7 @@
 	if r.Gate != nil {
 		x.OnGate(*r.Gate)
 	}
-	if q.onReply != nil {
-		q.onReply()
+	if q.replied != nil {
+		q.replied <- struct{}{}
 	}
 }
--- a/internal/loadexchanger/loadexchanger_test.go
+++ b/internal/loadexchanger/loadexchanger_test.go
@@ -64,7 +64,7 @@
 			defer h.mu.Unlock()
 			return h.load
 		},
-		LoadedEndpoints: func() map[string]assigner.EndpointLoad { return nil },
+		LoadedEndpoints: func() []fleetconfig.Endpoint { return nil },
 		IsLeaving: func(fleetconfig.Endpoint) bool {
 			h.mu.Lock()
 			defer h.mu.Unlock()
--- a/internal/storerelayer/storerelayer.go
+++ b/internal/storerelayer/storerelayer.go
@@ -95,6 +95,17 @@
 	changed    chan struct{}
 }
 
+// reset drops the records. The next one has the given offset.
+func (c *topicCache) reset(offset int64) {
+	c.firstOffset, c.nextOffset, c.records, c.bytes = offset, offset, nil, 0
+}
+
+// notify wakes the hosts that wait for a change.
+func (c *topicCache) notify() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
 func (r *Relayer) cacheFor(topic string) *topicCache {
 	if r.caches == nil {
 		r.caches = make(map[string]*topicCache)
@@ -186,8 +197,7 @@
 		return
 	}
 	// Waiting hosts are notified that they have to read the store themselves.
-	close(cache.changed)
-	cache.changed = make(chan struct{})
+	cache.notify()
 }
 
 func (r *Relayer) readFromReader(ctx context.Context, reader, topic string, epoch watcher.Epoch, from int64, wait time.Duration) (watcher.Batch, error) {
@@ -215,9 +225,8 @@
 	if b.Epoch > cache.epoch {
 		// Offsets of the older epoch have been given out again. Waiting hosts are told the new epoch.
 		cache.epoch, cache.values = b.Epoch, nil
-		cache.firstOffset, cache.nextOffset, cache.records, cache.bytes = b.NextOffset, b.NextOffset, nil, 0
-		close(cache.changed)
-		cache.changed = make(chan struct{})
+		cache.reset(b.NextOffset)
+		cache.notify()
 		return
 	}
 	if cache.nextOffset != from {
@@ -233,11 +242,11 @@
 		}
 	}
 	if len(cache.records) == 0 || cache.nextOffset != from {
-		cache.firstOffset, cache.nextOffset, cache.records, cache.bytes = from, from, nil, 0
+		cache.reset(from)
 	}
 	if b.NextOffset-from != int64(len(b.Changes)) {
 		// Some records were not changes, so offsets do not map to positions in the cache.
-		cache.firstOffset, cache.nextOffset, cache.records, cache.bytes = b.NextOffset, b.NextOffset, nil, 0
+		cache.reset(b.NextOffset)
 		return
 	}
 	cache.nextOffset = b.NextOffset
@@ -251,8 +260,7 @@
 		cache.firstOffset++
 	}
 	if len(b.Changes) > 0 {
-		close(cache.changed)
-		cache.changed = make(chan struct{})
+		cache.notify()
 	}
 }
 
@@ -301,9 +309,8 @@
 		return
 	}
 	cache.epoch, cache.values = s.Epoch, maps.Clone(s.Values)
-	cache.firstOffset, cache.nextOffset, cache.records, cache.bytes = s.NextOffset, s.NextOffset, nil, 0
-	close(cache.changed)
-	cache.changed = make(chan struct{})
+	cache.reset(s.NextOffset)
+	cache.notify()
 }
 
 // ServeSnapshot serves another host's query for a snapshot. It waits a moment for this host's own snapshot: hosts that
