gateway: log withdrawals, and the release that an attempt was sent to

A request that is withdrawn at the end of a rollout left no line of its own, and the line of a failed attempt did not name the release of its engine. Without them, a request that begins after the rollout timeout cannot be told to have been withdrawn too late, not at all, or in vain. No change of behaviour.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -118,6 +118,9 @@
 		if state.lastErr != nil {
 			f := g.logFields(req)
 			f["endpoint"], f["cause"], f["load"], f["sent"] = choice.Endpoint.ID, state.lastErr.Error(), choice.Load.Requests, state.mayHaveRun
+			if choice.Release > 0 {
+				f["release"] = int64(choice.Release)
+			}
 			event.AttemptFailed.Log(g.Logger.WithFields(f), nil)
 		}
 		if !g.mayRetry(ctx, req, state) && !g.waitForEndpoints(ctx, req, state) {
@@ -166,6 +169,9 @@
 	}
 	timer := time.AfterFunc(time.Until(cutoff), func() {
 		if !g.Assigner.HasFirstEvent(choice) {
+			event.RequestWithdrawn.Log(g.Logger.WithFields(g.logFields(req)), log.Fields{
+				"endpoint": choice.Endpoint.ID, "release": int64(choice.Release), "late": time.Since(cutoff).Milliseconds(),
+			})
 			cancel()
 		}
 	})
