Failing test: a request begins on an older release after its engine was silent

The engine reads a request, is silent for 1.5 s and then begins it, although its connection was closed 0.3 s before the rollout timeout.

--- /dev/null
+++ b/internal/gateway/rollout_test.go
@@ -0,0 +1,148 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
+	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
+	"github.com/nutmegdock/nutmegdock/internal/core/fleettracker"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/retrybudget"
+	"github.com/nutmegdock/nutmegdock/internal/gateway"
+	"github.com/nutmegdock/nutmegdock/internal/sender"
+)
+
+const (
+	testRolloutTimeout = 8 * time.Second
+	// longestSilence is how long a sound engine may be silent: "a second or so".
+	longestSilence = 1500 * time.Millisecond
+	prefillTime    = 100 * time.Millisecond
+)
+
+// silentEngine is an engine on an older release. While it is silent, it neither begins requests nor notices that
+// connections are closed. It then goes on with the requests that it holds.
+type silentEngine struct {
+	silentFrom, silentUntil time.Time
+
+	mu        sync.Mutex
+	lastBegin time.Time
+	begun     int
+}
+
+// remainingSilence returns how long the engine stays silent; zero if it is not silent now.
+func (e *silentEngine) remainingSilence() time.Duration {
+	now := time.Now()
+	if now.Before(e.silentFrom) {
+		return 0
+	}
+	return max(0, e.silentUntil.Sub(now))
+}
+
+func (e *silentEngine) serve(c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	r, err := http.ReadRequest(br)
+	if err != nil {
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		_, _ = br.ReadByte() // returns when the connection is closed
+	}()
+	select {
+	case <-time.After(prefillTime):
+	case <-closed:
+	}
+	if silence := e.remainingSilence(); silence > 0 {
+		time.Sleep(silence)
+	} else if isDone(closed) {
+		return
+	}
+	e.mu.Lock()
+	e.lastBegin = time.Now()
+	e.begun++
+	e.mu.Unlock()
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRelease: 1\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: x\n\n\r\n0\r\n\r\n")
+}
+
+func isDone(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// A request that waited at a silent engine began on the older release after the rollout timeout, although its connection
+// had been closed before.
+func TestRequestBeginsOnOlderReleaseAfterEngineWasSilent(t *testing.T) {
+	for start := testRolloutTimeout - 3*time.Second; start < testRolloutTimeout; start += 100 * time.Millisecond {
+		t.Run(fmt.Sprint("silent from ", start), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkRolloutWithSilence(t, start, longestSilence) })
+		})
+	}
+}
+
+func checkRolloutWithSilence(t *testing.T, start, silence time.Duration) {
+	is := is.New(t)
+	tracker := &fleettracker.Tracker{RolloutTimeout: testRolloutTimeout}
+	a := &assigner.Assigner{Zone: "z", Random: func() float64 { return 0 }}
+	a.SetEndpoints([]fleetconfig.Endpoint{{ID: "e", Pool: "p", Address: "e", Zone: "z", Slots: 100, Models: []fleetconfig.ServedModel{{Model: "m", Release: 1}}}})
+	engine := &silentEngine{silentFrom: time.Now().Add(start), silentUntil: time.Now().Add(start + silence)}
+	var engines sync.WaitGroup
+	g := &gateway.Gateway{
+		Codec: testCodec, Assigner: a, RetryBudget: &retrybudget.Budget{},
+		Sender: &sender.Sender{Dial: func(context.Context, string, string) (net.Conn, error) {
+			c, remote := net.Pipe()
+			engines.Go(func() { engine.serve(remote) })
+			return c, nil
+		}},
+		OldestRelease: tracker.OldestAllowed, WithdrawalTime: tracker.WithdrawDeadline,
+		RetryAfter: func(time.Duration) time.Duration { return 0 },
+		Logger:     &log.Logger{Handler: discard.New(), Level: log.InfoLevel}, Meter: gateway.NewMeter(prometheus.NewRegistry()),
+	}
+	config := &fleetconfig.Config{Revision: 1, Pools: map[ident.Pool]*fleetconfig.Pool{"p": {Name: "p"}}}
+	config.SetRoutes([]fleetconfig.Route{{
+		Name: "stream", Host: "h", Prefix: "/", Kind: fleetconfig.Stream, Resumable: true, MaxAttempts: 1, Timeout: 5 * time.Second,
+		Objective: time.Second, Anonymous: true, Pools: []fleetconfig.PoolShare{{Pool: "p", Weight: 1}},
+	}})
+	g.SetConfig(config)
+	tracker.AddRelease("m", 2, false)
+	deadline := time.Now().Add(testRolloutTimeout)
+	var callers sync.WaitGroup
+	for i := 0; time.Now().Before(deadline.Add(silence)); i++ {
+		callers.Go(func() {
+			defer func() { _ = recover() }() // the handler aborts broken streams
+			r := httptest.NewRequest(http.MethodPost, "http://h/", nil)
+			r.Header.Set("Id", fmt.Sprint(i))
+			r.Header.Set("Model", "m")
+			r.Header.Set("Left", "4000")
+			g.ServeHTTP(httptest.NewRecorder(), r)
+		})
+		time.Sleep(50 * time.Millisecond)
+	}
+	callers.Wait()
+	engines.Wait()
+	is.True(engine.begun > 50)                 // the older release served while it was allowed
+	is.True(!engine.lastBegin.After(deadline)) // no request began on the older release after the rollout timeout
+}
