No request begins on an older release after its engine was silent

Cause: the last moment at which a request may be sent to, or may still wait at, an engine on an older release was 0.7 and 0.3 s before the timeout. These margins assume that an engine reads all the time: a withdrawn request does not begin, because its connection is closed. An engine that stands still for a second and goes on begins the requests that it holds first. The class: a permission with an end is checked before a wait that can be longer than the margin, and withdrawn by a message that the waiting party need not read in time.

Change: both margins are longer by the longest silence of a sound engine, 1.5 s. So nothing depends on the engine seeing the withdrawal. The four groups of engines switch within the time for which requests are sent to the old release (RolloutTimeout less 2.2 s) instead of RolloutTimeout, so that the last group does not wait without requests; the last one started at 0.9 of the timeout before, 0.1 s before its requests ended. The test of the tracker demands the longer margins.

--- a/internal/core/fleettracker/fleettracker.go
+++ b/internal/core/fleettracker/fleettracker.go
@@ -19,13 +19,16 @@
 	// startupGrace is the time from the start of this host until it enforces a release that it found in the store.
 	// Hosts are exempt from RolloutTimeout for the first three seconds after their start.
 	startupGrace = 2500 * time.Millisecond
+	// maxEngineSilence is the longest time for which a sound engine may stand still. It then continues with the requests
+	// that it held before it notices that they have been withdrawn.
+	maxEngineSilence = 1500 * time.Millisecond
 	// assignMargin is how long before the end of RolloutTimeout the host stops sending new requests to an older release.
-	// It covers the wait of a request in the queue of the engine.
-	assignMargin = 700 * time.Millisecond
+	// Besides a silence of the engine it covers the wait of a request in its queue.
+	assignMargin = maxEngineSilence + 700*time.Millisecond
 	// withdrawMargin is how long before the end of RolloutTimeout the host withdraws requests that still wait in the
-	// queue of an engine on an older release. It covers the transfer to the engine and the age of the information about
-	// the release.
-	withdrawMargin = 300 * time.Millisecond
+	// queue of an engine on an older release. Besides a silence of the engine it covers the transfer to the engine and the
+	// age of the information about the release.
+	withdrawMargin = maxEngineSilence + 300*time.Millisecond
 )
 
 type release struct {
@@ -247,7 +250,7 @@
 		}
 	}
 	now := time.Now()
-	enforcedFrom := now.Add(t.RolloutTimeout - assignMargin)
+	enforcedFrom := now.Add(t.AssignTime())
 	if fromSnapshot {
 		enforcedFrom = now.Add(startupGrace)
 	}
@@ -269,6 +272,11 @@
 	return oldest
 }
 
+// AssignTime returns how long after a release is found requests are still sent to older ones.
+func (t *Tracker) AssignTime() time.Duration {
+	return max(0, t.RolloutTimeout-assignMargin)
+}
+
 // WithdrawDeadline returns when a request that has not started on release n must be withdrawn; zero if no newer release
 // is known.
 func (t *Tracker) WithdrawDeadline(m fleetconfig.Model, n fleetconfig.Release) time.Time {
--- a/internal/core/fleettracker/fleettracker_test.go
+++ b/internal/core/fleettracker/fleettracker_test.go
@@ -91,8 +91,8 @@
 		is.True(tracker.FirstSeen("m", 3).IsZero())
 		// Requests that wait on release 1 are withdrawn before the rollout timeout of release 2, but only after new
 		// requests are no longer sent to release 1.
-		is.Equal(time.Until(tracker.WithdrawDeadline("m", 1)), rolloutTimeout-4*time.Second-300*time.Millisecond)
-		is.Equal(time.Until(tracker.WithdrawDeadline("m", 2)), rolloutTimeout-300*time.Millisecond)
+		is.Equal(time.Until(tracker.WithdrawDeadline("m", 1)), rolloutTimeout-4*time.Second-1800*time.Millisecond)
+		is.Equal(time.Until(tracker.WithdrawDeadline("m", 2)), rolloutTimeout-1800*time.Millisecond)
 		is.True(tracker.WithdrawDeadline("m", 3).IsZero())
 		time.Sleep(rolloutTimeout - 4*time.Second - time.Millisecond)
 		is.Equal(tracker.OldestAllowed("m"), fleetconfig.Release(2)) // each release has its own rollout timeout
--- a/internal/core/rolloutplanner/rolloutplanner.go
+++ b/internal/core/rolloutplanner/rolloutplanner.go
@@ -13,11 +13,11 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/ranker"
 )
 
-// groupStartShares holds the time at which each group switches, as a fraction of the time allowed for the rollout. An
-// engine is unavailable for about a fifth of that time, while it finishes its requests in flight and loads. The first
-// group starts about when the chunks have been fetched. The last group starts before the allowed time ends, and accepts
-// no new requests on the old release from then on.
-var groupStartShares = []float64{0.33, 0.52, 0.71, 0.90}
+// groupStartShares holds the time at which each group switches, as a fraction of the time for which entry hosts send
+// requests to engines with the old release. An engine is unavailable for about a quarter of that time, while it finishes
+// its requests in flight and loads. The first group starts about when the chunks have been fetched. The last group starts
+// when it would receive no more requests on the old release.
+var groupStartShares = []float64{0.45, 0.63, 0.81, 0.99}
 
 // Report is the state that an engine reports of itself.
 type Report struct {
@@ -81,8 +81,8 @@
 	Release fleetconfig.Release
 }
 
-// SwitchShare returns the time at which the engine of host self switches, as a fraction of the time allowed for the
-// rollout. Engines with the oldest releases switch first. Engines with the same release are ranked by rendezvous
+// SwitchShare returns the time at which the engine of host self switches, as a fraction of the time for which entry hosts
+// send requests to engines with the old release. Engines with the oldest releases switch first. Engines with the same release are ranked by rendezvous
 // hashing of their hosts.
 func SwitchShare(self string, all []Member) float64 {
 	hosts := make([]string, 0, len(all))
