A release that is found late is enforced from when it may have been published

An entry host counts the rollout timeout from the moment at which it finds a release. With a reader of the store that stands still, it finds it when the call to that reader has failed, 0.7 s later, and the hosts that read from it in turn do not know that it was late. So requests were sent to the older release for that much too long.

Change: each change bears the time that failed calls have cost since the last one that succeeded, added up over the hosts that pass it on.

--- a/internal/core/fleettracker/fleettracker.go
+++ b/internal/core/fleettracker/fleettracker.go
@@ -34,7 +34,8 @@
 type release struct {
 	number       fleetconfig.Release
 	enforcedFrom time.Time
-	firstSeen    time.Time
+	// publishedAt is the earliest time at which the release may have been published, as far as this host knows.
+	publishedAt time.Time
 }
 
 // maxDepartures limits the incarnations that are remembered as draining or gone. It is several times the number of
@@ -237,8 +238,8 @@
 }
 
 // AddRelease adds a release of a model and reports whether it is newer than those known. fromSnapshot says that the
-// release was read in a snapshot, so that it may have been published long ago.
-func (t *Tracker) AddRelease(m fleetconfig.Model, n fleetconfig.Release, fromSnapshot bool) bool {
+// release was read in a snapshot, so that it may have been published long ago. Otherwise it was published within delay.
+func (t *Tracker) AddRelease(m fleetconfig.Model, n fleetconfig.Release, fromSnapshot bool, delay time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.releases == nil {
@@ -249,12 +250,12 @@
 			return false
 		}
 	}
-	now := time.Now()
-	enforcedFrom := now.Add(t.AssignTime())
+	publishedAt := time.Now().Add(-delay)
+	enforcedFrom := publishedAt.Add(t.AssignTime())
 	if fromSnapshot {
-		enforcedFrom = now.Add(startupGrace)
+		enforcedFrom = time.Now().Add(startupGrace)
 	}
-	t.releases[m] = append(t.releases[m], release{number: n, enforcedFrom: enforcedFrom, firstSeen: now})
+	t.releases[m] = append(t.releases[m], release{number: n, enforcedFrom: enforcedFrom, publishedAt: publishedAt})
 	return true
 }
 
@@ -305,14 +306,15 @@
 	return newest
 }
 
-// FirstSeen returns when this host first saw a release with a higher number than after; zero if there is none.
-func (t *Tracker) FirstSeen(m fleetconfig.Model, after fleetconfig.Release) time.Time {
+// PublishedAt returns the earliest time at which a release with a higher number than after may have been published, as far
+// as this host knows; zero if there is none.
+func (t *Tracker) PublishedAt(m fleetconfig.Model, after fleetconfig.Release) time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var earliest time.Time
 	for _, r := range t.releases[m] {
-		if r.number > after && (earliest.IsZero() || r.firstSeen.Before(earliest)) {
-			earliest = r.firstSeen
+		if r.number > after && (earliest.IsZero() || r.publishedAt.Before(earliest)) {
+			earliest = r.publishedAt
 		}
 	}
 	return earliest
--- a/internal/core/fleettracker/fleettracker_test.go
+++ b/internal/core/fleettracker/fleettracker_test.go
@@ -79,16 +79,16 @@
 		is := is.New(t)
 		tracker := &fleettracker.Tracker{RolloutTimeout: rolloutTimeout}
 		is.Equal(tracker.OldestAllowed("m"), fleetconfig.Release(1))
-		is.True(tracker.AddRelease("m", 2, false))
-		is.True(!tracker.AddRelease("m", 2, false))
+		is.True(tracker.AddRelease("m", 2, false, 0))
+		is.True(!tracker.AddRelease("m", 2, false, 0))
 		time.Sleep(4 * time.Second)
-		is.True(tracker.AddRelease("m", 3, false))
-		is.True(!tracker.AddRelease("m", 2, false))
+		is.True(tracker.AddRelease("m", 3, false, 0))
+		is.True(!tracker.AddRelease("m", 2, false, 0))
 		is.Equal(tracker.Newest("m"), fleetconfig.Release(3))
 		is.Equal(tracker.OldestAllowed("m"), fleetconfig.Release(1))
-		is.Equal(time.Since(tracker.FirstSeen("m", 1)), 4*time.Second)
-		is.Equal(time.Since(tracker.FirstSeen("m", 2)), time.Duration(0))
-		is.True(tracker.FirstSeen("m", 3).IsZero())
+		is.Equal(time.Since(tracker.PublishedAt("m", 1)), 4*time.Second)
+		is.Equal(time.Since(tracker.PublishedAt("m", 2)), time.Duration(0))
+		is.True(tracker.PublishedAt("m", 3).IsZero())
 		// Requests that wait on release 1 are withdrawn before the rollout timeout of release 2, but only after new
 		// requests are no longer sent to release 1.
 		is.Equal(time.Until(tracker.WithdrawDeadline("m", 1)), rolloutTimeout-4*time.Second-1800*time.Millisecond)
@@ -101,12 +101,24 @@
 	})
 }
 
+func TestReleaseFoundLateIsEnforcedFromItsPublication(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tracker := &fleettracker.Tracker{RolloutTimeout: rolloutTimeout}
+		tracker.AddRelease("m", 2, false, 1200*time.Millisecond)
+		is.Equal(time.Since(tracker.PublishedAt("m", 1)), 1200*time.Millisecond)
+		is.Equal(time.Until(tracker.WithdrawDeadline("m", 1)), rolloutTimeout-3*time.Second)
+		time.Sleep(tracker.AssignTime() - 1200*time.Millisecond)
+		is.Equal(tracker.OldestAllowed("m"), fleetconfig.Release(2))
+	})
+}
+
 // A host that starts does not know when a release was published, so it must not wait for the full rollout timeout.
 func TestReleaseReadAtStartIsEnforcedAfterTheStartupGrace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tracker := &fleettracker.Tracker{RolloutTimeout: rolloutTimeout}
-		tracker.AddRelease("m", 2, true)
+		tracker.AddRelease("m", 2, true, 0)
 		is.Equal(tracker.OldestAllowed("m"), fleetconfig.Release(1))
 		time.Sleep(2500 * time.Millisecond)
 		is.Equal(tracker.OldestAllowed("m"), fleetconfig.Release(2))
--- a/internal/engineagent/fleet.go
+++ b/internal/engineagent/fleet.go
@@ -138,7 +138,7 @@
 		h.entryHosts = resp.Seeds
 	}
 	h.mu.Unlock()
-	if h.tracker.AddRelease(fleetconfig.Model(resp.Model), fleetconfig.Release(resp.NewestRelease), isFirst) || isFirst {
+	if h.tracker.AddRelease(fleetconfig.Model(resp.Model), fleetconfig.Release(resp.NewestRelease), isFirst, 0) || isFirst {
 		h.notify()
 	}
 }
--- a/internal/engineagent/reconcile.go
+++ b/internal/engineagent/reconcile.go
@@ -211,7 +211,7 @@
 func (h *Agent) awaitTurn(ctx context.Context, s fleetconfig.ServedModel, served fleetconfig.Release) error {
 	for {
 		turnShare := rolloutplanner.SwitchShare(h.IP, h.members(served))
-		turnTime := h.tracker.FirstSeen(s.Model, served).Add(time.Duration(turnShare * float64(h.tracker.AssignTime())))
+		turnTime := h.tracker.PublishedAt(s.Model, served).Add(time.Duration(turnShare * float64(h.tracker.AssignTime())))
 		if !time.Now().Before(turnTime) {
 			return nil
 		}
--- a/internal/fleetwatcher/fleetwatcher.go
+++ b/internal/fleetwatcher/fleetwatcher.go
@@ -96,7 +96,7 @@
 // restored from an older copy a moment ago.
 func (w *Watcher) AddNewest(resp messages.NewestResponse) {
 	w.Tracker.AddDepartures(resp.Departures)
-	w.applyOperatorValues(resp.Values, true)
+	w.applyOperatorValues(resp.Values, true, 0)
 }
 
 func (w *Watcher) setNewestOperatorValue(key string, value []byte) {
@@ -119,8 +119,10 @@
 	var tasks errgroup.Group
 	operator := w.newWatcher(w.Topics.Operator)
 	operator.Wait, operator.Pause = w.OperatorWait, operatorPause
-	operator.ApplySnapshot = func(values map[string][]byte) { w.applyOperatorValues(values, true) }
-	operator.ApplyChanges = func(changes []watcher.Change) { w.applyOperatorValues(latestValues(changes), false) }
+	operator.ApplySnapshot = func(values map[string][]byte) { w.applyOperatorValues(values, true, 0) }
+	operator.ApplyChanges = func(changes []watcher.Change) {
+		w.applyOperatorValues(latestValues(changes), false, longestDelay(changes))
+	}
 	tasks.Go(func() error { return operator.Run(ctx) })
 	endpoints := w.newWatcher(w.Topics.Endpoints)
 	endpoints.Pause, endpoints.RelayedPause = w.EndpointPause, relayedEndpointPause
@@ -172,7 +174,17 @@
 	return out
 }
 
-func (w *Watcher) applyOperatorValues(values map[string][]byte, isSnapshot bool) {
+// longestDelay returns the longest delay of the changes.
+func longestDelay(changes []watcher.Change) (longest time.Duration) {
+	for _, c := range changes {
+		longest = max(longest, c.Delay)
+	}
+	return longest
+}
+
+// applyOperatorValues applies configurations and releases. delay is how long ago they may have been written, unless they
+// are of a snapshot.
+func (w *Watcher) applyOperatorValues(values map[string][]byte, isSnapshot bool, delay time.Duration) {
 	for key, value := range values {
 		switch {
 		case len(value) == 0:
@@ -191,11 +203,11 @@
 				event.ReleaseInvalid.Log(w.Logger.WithError(err).WithField("key", key), nil)
 				continue
 			}
-			if !w.Tracker.AddRelease(serving.Model, serving.Release, isSnapshot) {
+			if !w.Tracker.AddRelease(serving.Model, serving.Release, isSnapshot, delay) {
 				continue
 			}
 			w.setNewestOperatorValue(key, value)
-			event.ReleaseFound.Log(w.Logger.WithFields(log.Fields{"model": string(serving.Model), "release": int64(serving.Release), "first": isSnapshot}), nil)
+			event.ReleaseFound.Log(w.Logger.WithFields(log.Fields{"model": string(serving.Model), "release": int64(serving.Release), "first": isSnapshot, "delay": delay.Milliseconds()}), nil)
 			if w.OnRelease != nil {
 				w.OnRelease(serving)
 			}
--- a/internal/fleetwatcher/snapshot.go
+++ b/internal/fleetwatcher/snapshot.go
@@ -28,7 +28,7 @@
 			return true
 		},
 	}
-	once.applyOperatorValues(operator.Values, true)
+	once.applyOperatorValues(operator.Values, true, 0)
 	once.resetEndpoints(endpoints.Values)
 	return FleetFor(pool, config, once.Tracker, regions), nil
 }
--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -127,7 +127,7 @@
 		Objective: time.Second, Anonymous: true, Pools: []fleetconfig.PoolShare{{Pool: "p", Weight: 1}},
 	}})
 	g.SetConfig(config)
-	tracker.AddRelease("m", 2, false)
+	tracker.AddRelease("m", 2, false, 0)
 	deadline := time.Now().Add(testRolloutTimeout)
 	var callers sync.WaitGroup
 	for i := 0; time.Now().Before(deadline.Add(silence)); i++ {
--- a/internal/storerelayer/storerelayer.go
+++ b/internal/storerelayer/storerelayer.go
@@ -90,6 +90,9 @@
 	bytes                   int
 	// values holds the newest value of each key up to nextOffset; nil if it is not known.
 	values map[string][]byte
+	// readAt is when the last call succeeded, and hasFailed is set if a call has failed since.
+	readAt    time.Time
+	hasFailed bool
 	// validUntil is the time until which the cache is current enough to be relayed to other hosts.
 	validUntil time.Time
 	changed    chan struct{}
@@ -139,10 +142,12 @@
 		b, err := r.readFromReader(ctx, reader, topic, epoch, from, r.readerWait())
 		r.recordReader(topicReader{reader, topic}, err == nil)
 		if err == nil {
+			r.addDelay(topic, b)
 			r.updateValidity(topic, true)
 			r.addToCache(topic, from, b)
 			return b, nil
 		}
+		r.recordFailure(topic)
 		wait = 0
 		if time.Since(startedAt) > maxReaderSwitchTime {
 			break
@@ -150,11 +155,35 @@
 	}
 	r.extendValidity(topic, wait)
 	b, err := r.ReadStore(ctx, topic, epoch, from, wait)
-	r.updateValidity(topic, err == nil)
-	if err == nil {
-		r.addToCache(topic, from, b)
+	if err != nil {
+		r.recordFailure(topic)
+		r.updateValidity(topic, false)
+		return b, err
+	}
+	r.addDelay(topic, b)
+	r.updateValidity(topic, true)
+	r.addToCache(topic, from, b)
+	return b, nil
+}
+
+func (r *Relayer) recordFailure(topic string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cacheFor(topic).hasFailed = true
+}
+
+// addDelay adds to the delay of changes the time that was lost by failed calls since the last one that succeeded.
+func (r *Relayer) addDelay(topic string, b watcher.Batch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	cache := r.cacheFor(topic)
+	now := time.Now()
+	if cache.hasFailed && !cache.readAt.IsZero() {
+		for i := range b.Changes {
+			b.Changes[i].Delay += now.Sub(cache.readAt)
+		}
 	}
-	return b, err
+	cache.readAt, cache.hasFailed = now, false
 }
 
 func (r *Relayer) readerWait() time.Duration {
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -37,6 +37,8 @@
 type Change struct {
 	Key   string
 	Value []byte
+	// Delay is how long before the change was found it may have been made, beyond the delay of calls that succeed at once.
+	Delay time.Duration `json:",omitempty"`
 }
 
 // Batch is a sequence of changes. NextOffset is the offset that follows it.
