gateway: a request that waits when a release is found is withdrawn at its cutoff

The time of the withdrawal was looked up once, as an attempt begins.

TestRequestThatWaitsWhenReleaseIsFoundIsNotWithdrawn failed (504 after 3 s) and passes. The scripted fleet of the tests now withdraws by release, as the tracker does, instead of not at all after the cutoff; TestQueuedRequestIsWithdrawnAtCutoff sends its second attempt to an engine on the newer release.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -72,10 +72,10 @@
 	gateway   *gateway.Gateway
 	endpoints []fleetconfig.Endpoint
 
-	// oldest is the oldest release on which a request may begin, and cutoff the time at which queued requests are
-	// withdrawn.
+	// oldest is the oldest release on which a request may begin, and cutoff the time at which queued requests on release 1
+	// are withdrawn; nil means never.
 	oldest atomic.Int64
-	cutoff time.Time
+	cutoff atomic.Pointer[time.Time]
 
 	mu       sync.Mutex
 	received []*http.Request
@@ -136,11 +136,12 @@
 	f.gateway = &gateway.Gateway{
 		Codec: testCodec, Assigner: a, Sender: &sender.Sender{Dial: (&dialer.Dialer{}).DialContext}, RetryBudget: &retrybudget.Budget{},
 		OldestRelease: func(fleetconfig.Model) fleetconfig.Release { return fleetconfig.Release(f.oldest.Load()) },
-		WithdrawalTime: func(fleetconfig.Model, fleetconfig.Release) time.Time {
-			if time.Now().After(f.cutoff) {
+		WithdrawalTime: func(_ fleetconfig.Model, release fleetconfig.Release) time.Time {
+			cutoff := f.cutoff.Load()
+			if cutoff == nil || release > 1 {
 				return time.Time{}
 			}
-			return f.cutoff
+			return *cutoff
 		},
 		RetryAfter: func(left time.Duration) time.Duration { return (left / 3).Round(time.Second) },
 		Logger:     &log.Logger{Handler: discard.New(), Level: log.InfoLevel}, Meter: gateway.NewMeter(prometheus.NewRegistry()),
@@ -180,6 +181,10 @@
 	}
 }
 
+func (f *testFleet) setCutoff(at time.Time) {
+	f.cutoff.Store(&at)
+}
+
 func (f *testFleet) requests() []*http.Request {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -483,14 +488,23 @@
 	f.gateway.Assigner.SetEndpoints(f.endpoints)
 }
 
+// serveReleases makes the first endpoint serve release 1, and the second one, in another zone, release 2.
+func (f *testFleet) serveReleases() {
+	for i := range f.endpoints {
+		f.endpoints[i].Models = []fleetconfig.ServedModel{{Model: "m", Release: fleetconfig.Release(i + 1)}}
+	}
+	f.endpoints[1].Zone = "y"
+	f.gateway.Assigner.SetEndpoints(f.endpoints)
+}
+
 // A request that is still queued at an engine on an older release is withdrawn at the cutoff and sent elsewhere. One
 // that has begun continues.
 func TestQueuedRequestIsWithdrawnAtCutoff(t *testing.T) {
 	is := is.New(t)
 	f := startFleet(t, []step{noResponse}, []step{streamOf(1, 2, true)})
-	f.cutoff = time.Now().Add(200 * time.Millisecond)
+	f.setCutoff(time.Now().Add(200 * time.Millisecond))
 	f.configure(1)
-	f.serveModel()
+	f.serveReleases()
 	status, body, _, err := f.send("/stream/", f.setModel)
 	is.NoErr(err)
 	is.Equal(status, 200)
@@ -502,7 +516,7 @@
 		time.Sleep(300 * time.Millisecond)
 		_, _ = io.WriteString(c, "0\r\n\r\n")
 	}})
-	f.cutoff = time.Now().Add(100 * time.Millisecond)
+	f.setCutoff(time.Now().Add(100 * time.Millisecond))
 	f.configure(1)
 	f.serveModel()
 	status, _, _, err = f.send("/stream/", f.setModel)
@@ -511,6 +525,20 @@
 	is.Equal(len(f.requests()), 1)
 }
 
+// A request that waited at an engine when a newer release was found was not withdrawn at the cutoff.
+func TestRequestThatWaitsWhenReleaseIsFoundIsNotWithdrawn(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, []step{noResponse}, []step{streamOf(1, 2, true)})
+	f.configure(1)
+	f.serveReleases()
+	time.AfterFunc(100*time.Millisecond, func() { f.setCutoff(time.Now().Add(400 * time.Millisecond)) })
+	status, body, _, err := f.send("/stream/", f.setModel)
+	is.NoErr(err)
+	is.Equal(status, 200)
+	is.Equal(body, streamBody(1, 2))
+	is.Equal(len(f.requests()), 2)
+}
+
 // An interrupted stream does not resume on a release on which no request may begin any more.
 func TestInterruptedStreamDoesNotResumeOnExpiredRelease(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -157,27 +157,6 @@
 	return nil, refusal
 }
 
-// withdrawAtCutoff cancels the attempt at the time from which no request may begin on its release, if it is still
-// queued at the engine then.
-func (g *Gateway) withdrawAtCutoff(req *request, choice *assigner.Assignment, cancel func()) (stopTimer func()) {
-	if req.Model == "" {
-		return func() {}
-	}
-	cutoff := g.WithdrawalTime(req.Model, choice.Release)
-	if cutoff.IsZero() {
-		return func() {}
-	}
-	timer := time.AfterFunc(time.Until(cutoff), func() {
-		if !g.Assigner.HasFirstEvent(choice) {
-			event.RequestWithdrawn.Log(g.Logger.WithFields(g.logFields(req)), log.Fields{
-				"endpoint": choice.Endpoint.ID, "release": int64(choice.Release), "late": time.Since(cutoff).Milliseconds(),
-			})
-			cancel()
-		}
-	})
-	return func() { timer.Stop() }
-}
-
 // tryEndpoint makes one attempt, and then releases the endpoint, even if the attempt panics to abort the caller's
 // connection. It reports whether the caller has got the complete response.
 func (g *Gateway) tryEndpoint(ctx context.Context, req *request, state *requestState, choice *assigner.Assignment) (isDone bool) {
