gateway: the log says how far a failed attempt had got

1703 has two more fields: whether a response header had arrived, and how many complete events of the stream. Without them, an endpoint that crashes as it begins to answer looked like one that resets its connections in the middle of a response. No change of logic.

go test -race ./internal/gateway ./internal/core/sequencer ./internal/event and script/lint passed.

--- a/internal/core/sequencer/sequencer.go
+++ b/internal/core/sequencer/sequencer.go
@@ -40,8 +40,8 @@
 	// LastIDKnown says that the id is certain, so that the next event must follow it.
 	LastIDKnown bool
 
-	buffer []byte
-	count  int
+	buffer          []byte
+	count, received int
 }
 
 // Feed adds received bytes and returns the events that they complete.
@@ -54,6 +54,7 @@
 			break
 		}
 		ev := s.buffer[:end+blankLine]
+		s.received++
 		forward, err := s.accept(ev)
 		if err != nil {
 			return out, err
@@ -103,6 +104,11 @@
 	return s.count
 }
 
+// Received returns the number of complete events that were received, with or without an id.
+func (s *Sequencer) Received() int {
+	return s.received
+}
+
 // HasPartial reports whether the buffer holds an incomplete event.
 func (s *Sequencer) HasPartial() bool {
 	return len(bytes.TrimSpace(s.buffer)) > 0
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -51,6 +51,10 @@
 	// sent a response header.
 	sequencer  sequencer.Sequencer
 	headerSent bool
+	// hasResponse is set if the current attempt has received a response header. receivedBefore is the number of events
+	// that earlier attempts received.
+	hasResponse    bool
+	receivedBefore int
 	// release is the release that the stream began on; zero if it is unknown.
 	release fleetconfig.Release
 	// timeToFirstEvent is the time to the first event of the stream, and maxGap the longest time between two events.
@@ -68,6 +72,11 @@
 	predictedFirstEvent time.Duration
 }
 
+// receivedEvents returns the number of complete events that the current attempt has received.
+func (s *requestState) receivedEvents() int {
+	return s.sequencer.Received() - s.receivedBefore
+}
+
 // bufferedResponse is a response that has been read in full.
 type bufferedResponse struct {
 	status int
@@ -118,6 +127,7 @@
 		if state.lastErr != nil {
 			f := g.logFields(req)
 			f["endpoint"], f["cause"], f["load"], f["sent"] = choice.Endpoint.ID, state.lastErr.Error(), choice.Load.Requests, state.mayHaveRun
+			f["header"], f["events"] = state.hasResponse, state.receivedEvents()
 			event.AttemptFailed.Log(g.Logger.WithFields(f), nil)
 		}
 		if !g.mayRetry(ctx, req, state) && !g.waitForEndpoints(ctx, req, state) {
@@ -292,7 +302,7 @@
 	if state.sequencer.LastIDKnown {
 		endpointReq.After, endpointReq.HasAfter = state.sequencer.LastID, true
 	}
-	state.lastErr = nil
+	state.lastErr, state.hasResponse, state.receivedBefore = nil, false, state.sequencer.Received()
 	resp, err := g.Sender.Send(ctx, sender.Attempt{
 		Address: choice.Endpoint.Address, Method: req.r.Method, Target: req.r.RequestURI, Host: req.r.Host,
 		Header: g.Codec.EndpointHeader(req.r, endpointReq), Body: req.body,
@@ -302,6 +312,7 @@
 		return state.recordFailure(ctx, req, err), false
 	}
 	defer resp.Close()
+	state.hasResponse = true
 	info := g.Codec.ReadResponse(resp.Status, resp.Header)
 	if !info.IsOtherEndpoint {
 		g.recordHoldoff(req, choice.Endpoint, info)
