--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -44,6 +44,6 @@
 	SettingsRejected       = Event{1752, log.WarnLevel, "reloaded settings are invalid and were ignored"}
 	CallerDisconnected     = Event{1704, log.InfoLevel, "caller disconnected before the response was complete"}
 	ResponseAborted        = Event{1705, log.WarnLevel, "response aborted"}
-	RequestWithdrawn       = Event{1706, log.InfoLevel, "request withdrawn from an engine on an older release before it began"}
+	RequestWithdrawn       = Event{1709, log.InfoLevel, "request withdrawn from an engine on an older release before it began"}
 	ProcessFailed          = Event{1753, log.ErrorLevel, "process failed"}
 )
