--- a/internal/loadexchanger/loadexchanger.go
+++ b/internal/loadexchanger/loadexchanger.go
@@ -24,6 +24,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/loadtracker"
 	"github.com/nutmegdock/nutmegdock/internal/core/presencetracker"
 	"github.com/nutmegdock/nutmegdock/internal/event"
+	"github.com/nutmegdock/nutmegdock/internal/factexchanger"
 )
 
 const (
@@ -33,10 +34,12 @@
 	silentTimeout = time.Second
 	// repeatInterval is the time between two reports of a load that does not change: a third of the time for which a
 	// responder keeps it.
-	repeatInterval  = loadtracker.TTL / 3
-	maxMessageBytes = 16 << 10
+	repeatInterval = loadtracker.TTL / 3
 )
 
+// MaxMessageBytes is the maximum size of an encoded message.
+const MaxMessageBytes = 16 << 10
+
 // Exchanger sends and receives the messages of one host on one socket. Set its fields before Run.
 type Exchanger struct {
 	// Host names this host.
@@ -56,6 +59,8 @@
 	OnGate func(g assigner.GateState)
 	// Presence decides on the beats of an entry host. It is nil on other hosts.
 	Presence *presencetracker.Tracker
+	// OnFacts receives the facts about crashes that another entry host sends. It is nil on other hosts.
+	OnFacts func(m factexchanger.Message, from netip.AddrPort)
 	// Gate returns the gate state to send with replies, or nil. It is nil on entry hosts.
 	Gate func() *assigner.GateState
 	// Logger receives the log events of messages that cannot be decoded.
@@ -235,6 +240,11 @@
 	}
 }
 
+// SendFacts sends facts about crashes to other entry hosts.
+func (x *Exchanger) SendFacts(m factexchanger.Message, to ...netip.AddrPort) {
+	x.send(message{Host: x.Host, Facts: &m}, to...)
+}
+
 func (x *Exchanger) send(m message, to ...netip.AddrPort) {
 	data, err := encode(m)
 	if err != nil {
@@ -248,7 +258,7 @@
 }
 
 func (x *Exchanger) receive(ctx context.Context) error {
-	buf := make([]byte, maxMessageBytes)
+	buf := make([]byte, MaxMessageBytes)
 	for {
 		n, from, err := x.Conn.ReadFrom(buf)
 		if ctx.Err() != nil {
@@ -287,6 +297,8 @@
 		x.handleReply(*m.Reply)
 	case m.Gate != nil && x.OnGate != nil:
 		x.OnGate(*m.Gate)
+	case m.Facts != nil && x.OnFacts != nil:
+		x.OnFacts(*m.Facts, from)
 	case m.Beat != nil && x.Presence != nil:
 		x.Presence.Receive(from.Addr().Unmap(), *m.Beat)
 	}
--- a/internal/loadexchanger/message.go
+++ b/internal/loadexchanger/message.go
@@ -8,15 +8,17 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/presencetracker"
+	"github.com/nutmegdock/nutmegdock/internal/factexchanger"
 )
 
 // message is one datagram. Exactly one of its fields beside Host is set.
 type message struct {
-	Host   ident.Host            `cbor:"host,omitempty"`
-	Report *Report               `cbor:"load,omitempty"`
-	Reply  *Reply                `cbor:"reply,omitempty"`
-	Beat   *presencetracker.Beat `cbor:"beat,omitempty"`
-	Gate   *assigner.GateState   `cbor:"gate,omitempty"`
+	Host   ident.Host             `cbor:"host,omitempty"`
+	Report *Report                `cbor:"load,omitempty"`
+	Reply  *Reply                 `cbor:"reply,omitempty"`
+	Beat   *presencetracker.Beat  `cbor:"beat,omitempty"`
+	Gate   *assigner.GateState    `cbor:"gate,omitempty"`
+	Facts  *factexchanger.Message `cbor:"facts,omitempty"`
 }
 
 // Report states the load of the sender at one incarnation of an endpoint. It replaces the earlier ones, so that the
