--- a/internal/core/crashsuspector/facts.go
+++ b/internal/core/crashsuspector/facts.go
@@ -1,7 +1,5 @@
 package crashsuspector
 
-import "time"
-
 // Feature is a hash of something that requests have in common: a part of their prompts, or the whole request.
 type Feature uint64
 
