--- a/internal/factexchanger/factexchanger.go
+++ b/internal/factexchanger/factexchanger.go
@@ -41,10 +41,8 @@
 
 // Exchanger exchanges the facts of one host. Set its fields before Run.
 type Exchanger struct {
-	// Facts returns all facts that this host holds, and Merge adds those of another host. Merge returns the clearings that
-	// this host adds to them.
-	Facts func() crashsuspector.Facts
-	Merge func(facts crashsuspector.Facts) crashsuspector.Facts
+	// Suspector holds the facts of this host.
+	Suspector *crashsuspector.Suspector
 	// LivePeers returns the other hosts that are live, which receive announcements, and Peers all others in the list.
 	LivePeers, Peers func() []netip.AddrPort
 	// Send sends a message. It is lost if it cannot be sent.
@@ -63,7 +61,8 @@
 	// The fields below are used by Run alone.
 	collected     []timedFacts
 	announcements []*announcement
-	answers       map[crashsuspector.Feature]answer
+	// answers holds the clearings that this host adds to crashes that it has received, and when to announce them.
+	answers map[crashsuspector.Feature]time.Time
 	// nextNumber is that of the next announcement, and lastAnnouncedAt the time of the last one.
 	nextNumber      uint64
 	lastAnnouncedAt time.Time
@@ -98,13 +97,6 @@
 	at      time.Time
 }
 
-// answer is a clearing that this host adds to crashes that it has received.
-type answer struct {
-	// at is the time of the clearing, and crashAt that of the latest of the crashes.
-	at, crashAt time.Time
-	dueAt       time.Time
-}
-
 type digestPair struct {
 	own, other uint64
 }
@@ -118,7 +110,7 @@
 // Init prepares the exchanger. It must be called before any other method.
 func (x *Exchanger) Init() {
 	x.wake = make(chan struct{}, 1)
-	x.answers, x.silent = make(map[crashsuspector.Feature]answer), make(map[netip.AddrPort]bool)
+	x.answers, x.silent = make(map[crashsuspector.Feature]time.Time), make(map[netip.AddrPort]bool)
 	x.requests.Limit = maxDigestPairs
 	// An acknowledgement for an earlier process of this host must not be taken for one of this process.
 	x.nextNumber = rand.Uint64()
@@ -207,8 +199,8 @@
 	for _, a := range x.announcements {
 		update(a.dueAt)
 	}
-	for _, a := range x.answers {
-		update(a.dueAt)
+	for _, dueAt := range x.answers {
+		update(dueAt)
 	}
 	return due, !due.IsZero()
 }
@@ -225,20 +217,22 @@
 		return
 	}
 	if !m.Facts.IsEmpty() {
-		answers := x.Merge(m.Facts)
-		x.addAnswers(answers, r)
-		x.dropClearings(r)
+		for _, c := range x.Suspector.Merge(m.Facts).Clearings {
+			if _, ok := x.answers[c.Feature]; !ok {
+				x.answers[c.Feature] = r.at.Add(rand.N(maxClearingDelay))
+			}
+		}
 	}
 	switch m.Kind {
 	case Announcement:
 		x.Send(Message{Kind: Acknowledgement, Number: m.Number}, r.from)
 	case Round:
-		own := digest(x.Facts())
+		own := digest(x.Suspector.Facts())
 		if own != m.Number && x.mayRequest(digestPair{own, m.Number}, r.at) {
 			x.sendFacts(Request, r.from)
 		}
 	case Request:
-		if digest(x.Facts()) != m.Number {
+		if digest(x.Suspector.Facts()) != m.Number {
 			x.sendFacts(Response, r.from)
 		}
 	case Acknowledgement, Response:
@@ -257,53 +251,17 @@
 	return true
 }
 
-// addAnswers schedules the clearings that this host adds to a received message.
-func (x *Exchanger) addAnswers(answers crashsuspector.Facts, r receivedMessage) {
-	for _, c := range answers.Clearings {
-		a, ok := x.answers[c.Feature]
-		if !ok {
-			a.dueAt = r.at.Add(rand.N(maxClearingDelay))
-		}
-		if at := r.at.Add(-milliseconds(c.AgeMs)); at.After(a.at) {
-			a.at = at
-		}
-		for _, crash := range r.message.Facts.Crashes {
-			at := r.at.Add(-milliseconds(crash.AgeMs))
-			if at.After(a.crashAt) && slices.Contains(crash.Suspects, c.Feature) {
-				a.crashAt = at
-			}
-		}
-		x.answers[c.Feature] = a
-	}
-}
-
-// dropClearings drops the clearings of this host that a received message makes superfluous.
-func (x *Exchanger) dropClearings(r receivedMessage) {
-	for _, c := range r.message.Facts.Clearings {
-		at := r.at.Add(-milliseconds(c.AgeMs))
-		if a, ok := x.answers[c.Feature]; ok && !at.Before(a.crashAt) {
-			delete(x.answers, c.Feature)
-		}
-		for _, a := range x.announcements {
-			a.facts.Clearings = slices.DeleteFunc(a.facts.Clearings, func(own crashsuspector.Clearing) bool {
-				return own.Feature == c.Feature && at.After(a.at.Add(-milliseconds(own.AgeMs)))
-			})
-		}
-	}
-}
-
-// collectDueAnswers collects the clearings whose delay is over.
+// collectDueAnswers collects the clearings whose delay is over and that no other host has announced meanwhile.
 func (x *Exchanger) collectDueAnswers(now time.Time) {
-	var facts crashsuspector.Facts
-	for f, a := range x.answers {
-		if a.dueAt.After(now) {
-			continue
+	var due []crashsuspector.Clearing
+	for f, dueAt := range x.answers {
+		if !dueAt.After(now) {
+			delete(x.answers, f)
+			due = append(due, crashsuspector.Clearing{Feature: f})
 		}
-		delete(x.answers, f)
-		facts.Clearings = append(facts.Clearings, crashsuspector.Clearing{Feature: f, AgeMs: now.Sub(a.at).Milliseconds()})
 	}
-	if !facts.IsEmpty() {
-		x.collected = append(x.collected, timedFacts{facts: facts, at: now})
+	if remaining := x.Suspector.Remaining(due); len(remaining) > 0 {
+		x.collected = append(x.collected, timedFacts{facts: crashsuspector.Facts{Clearings: remaining}, at: now})
 	}
 }
 
@@ -352,7 +310,7 @@
 		a.dueAt = now.Add(repeatInterval)
 	}
 	x.announcements = slices.DeleteFunc(x.announcements, func(a *announcement) bool {
-		return len(a.waiting) == 0 || a.facts.IsEmpty()
+		return len(a.waiting) == 0
 	})
 }
 
@@ -361,7 +319,7 @@
 	if !x.nextRoundAt.IsZero() && now.Before(x.nextRoundAt) {
 		return
 	}
-	facts := x.Facts()
+	facts := x.Suspector.Facts()
 	if facts.IsEmpty() {
 		x.nextRoundAt = time.Time{}
 		return
@@ -397,7 +355,7 @@
 
 // sendFacts sends all facts to one host. Only the last part of a request is one, so that it gets one response.
 func (x *Exchanger) sendFacts(k Kind, to netip.AddrPort) {
-	facts := x.Facts()
+	facts := x.Suspector.Facts()
 	d := digest(facts)
 	parts := split(facts, x.MaxMessageBytes)
 	for i, part := range parts {
@@ -411,7 +369,7 @@
 
 // agedAt returns the facts with their ages at a later time.
 func (t timedFacts) agedAt(now time.Time) crashsuspector.Facts {
-	d := now.Sub(t.at).Milliseconds()
+	d := now.Sub(t.at).Round(time.Millisecond).Milliseconds()
 	out := crashsuspector.Facts{Crashes: slices.Clone(t.facts.Crashes), Clearings: slices.Clone(t.facts.Clearings)}
 	for i := range out.Crashes {
 		out.Crashes[i].AgeMs += d
@@ -421,7 +379,3 @@
 	}
 	return out
 }
-
-func milliseconds(ms int64) time.Duration {
-	return time.Duration(ms) * time.Millisecond
-}
--- a/internal/factexchanger/factexchanger_test.go
+++ b/internal/factexchanger/factexchanger_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -22,85 +21,27 @@
 const (
 	zones           = 3
 	maxMessageBytes = 16 << 10
-	// retention is how long the hosts of the tests keep a fact.
-	retention = time.Minute
 )
 
-// holder holds the facts of one host. It adds a clearing of each feature that it answers to crashes that it merges.
-type holder struct {
-	mu        sync.Mutex
-	crashes   map[crashsuspector.CrashID]heldCrash
-	clearings map[crashsuspector.Feature]time.Time
-	answers   crashsuspector.Feature
-}
-
-type heldCrash struct {
-	at       time.Time
-	suspects map[crashsuspector.Feature]bool
-}
-
-func (h *holder) Merge(facts crashsuspector.Facts) crashsuspector.Facts {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	var out crashsuspector.Facts
-	now := time.Now()
-	for _, c := range facts.Crashes {
-		held, ok := h.crashes[c.ID]
-		if !ok {
-			held = heldCrash{at: now.Add(-time.Duration(c.AgeMs) * time.Millisecond), suspects: make(map[crashsuspector.Feature]bool)}
-			h.crashes[c.ID] = held
-		}
-		for _, f := range c.Suspects {
-			held.suspects[f] = true
-			if f == h.answers && h.clearings[f].Before(held.at) {
-				h.clearings[f] = now
-				out.Clearings = append(out.Clearings, crashsuspector.Clearing{Feature: f})
-			}
-		}
-	}
-	for _, c := range facts.Clearings {
-		if at := now.Add(-time.Duration(c.AgeMs) * time.Millisecond); at.After(h.clearings[c.Feature]) {
-			h.clearings[c.Feature] = at
-		}
-	}
-	return out
-}
-
-func (h *holder) Facts() crashsuspector.Facts {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	var out crashsuspector.Facts
-	for id, c := range h.crashes {
-		if age := time.Since(c.at); age < retention {
-			out.Crashes = append(out.Crashes, crashsuspector.Crash{ID: id, AgeMs: age.Milliseconds(), Suspects: slices.Collect(maps.Keys(c.suspects))})
-		}
-	}
-	for f, at := range h.clearings {
-		if age := time.Since(at); age < retention {
-			out.Clearings = append(out.Clearings, crashsuspector.Clearing{Feature: f, AgeMs: age.Milliseconds()})
-		}
-	}
-	return out
-}
-
-func (h *holder) suspects(id crashsuspector.CrashID) int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return len(h.crashes[id].suspects)
-}
-
 type host struct {
 	*factexchanger.Exchanger
-	holder  holder
 	address netip.AddrPort
 	zone    int
 }
 
-// announceCrash records a crash at the host.
+// announceCrash records a crash at the host and announces it.
 func (h *host) announceCrash(id crashsuspector.CrashID, suspects ...crashsuspector.Feature) {
-	facts := crashsuspector.Facts{Crashes: []crashsuspector.Crash{{ID: id, Suspects: suspects}}}
-	h.holder.Merge(facts)
-	h.Announce(facts)
+	h.Announce(h.Suspector.RecordCrash(id, suspects))
+}
+
+// suspects returns the suspects of a crash that the host holds.
+func (h *host) suspects(id crashsuspector.CrashID) []crashsuspector.Feature {
+	for _, c := range h.Suspector.Facts().Crashes {
+		if c.ID == id {
+			return c.Suspects
+		}
+	}
+	return nil
 }
 
 // fleet is a number of hosts and the network between them.
@@ -123,7 +64,6 @@
 	f.resetCounts()
 	for i := range n {
 		h := &host{zone: i % zones, address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(1 + i%250)}), 7000)}
-		h.holder.crashes, h.holder.clearings = make(map[crashsuspector.CrashID]heldCrash), make(map[crashsuspector.Feature]time.Time)
 		peers := func() []netip.AddrPort {
 			var out []netip.AddrPort
 			for _, other := range f.hosts {
@@ -134,7 +74,7 @@
 			return out
 		}
 		h.Exchanger = &factexchanger.Exchanger{
-			Facts: h.holder.Facts, Merge: h.holder.Merge, LivePeers: peers, Peers: peers, MaxMessageBytes: maxMessageBytes,
+			Suspector: &crashsuspector.Suspector{}, LivePeers: peers, Peers: peers, MaxMessageBytes: maxMessageBytes,
 			Send: func(m factexchanger.Message, to ...netip.AddrPort) { f.send(h, m, to) },
 		}
 		h.Init()
@@ -190,7 +130,7 @@
 func (f *fleet) lacking(id crashsuspector.CrashID, suspects int) int {
 	n := 0
 	for _, h := range f.hosts {
-		if h.holder.suspects(id) < suspects {
+		if len(h.suspects(id)) < suspects {
 			n++
 		}
 	}
@@ -248,7 +188,7 @@
 		is := is.New(t)
 		f := newFleet(t, 9)
 		for _, h := range f.hosts[1:] {
-			h.holder.Merge(crashsuspector.Facts{Crashes: []crashsuspector.Crash{{ID: 1, Suspects: []crashsuspector.Feature{1}}}})
+			h.Suspector.Merge(crashsuspector.Facts{Crashes: []crashsuspector.Crash{{ID: 1, Suspects: []crashsuspector.Feature{1}}}})
 			h.Notify()
 		}
 		time.Sleep(2 * time.Second)
@@ -267,7 +207,7 @@
 		synctest.Wait()
 		is.Equal(f.sent, 0)
 		f.hosts[0].announceCrash(1, 1)
-		time.Sleep(retention + time.Second)
+		time.Sleep(crashsuspector.Retention + 2*time.Second)
 		synctest.Wait()
 		is.True(f.sent > 0)
 		f.resetCounts()
@@ -327,8 +267,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(t, 149)
-		for _, h := range f.hosts {
-			h.holder.answers = 1
+		for _, h := range f.hosts[1:] {
+			h.Announce(h.Suspector.RecordSuccess([]crashsuspector.Feature{1}))
 		}
 		f.hosts[0].announceCrash(1, 1, 2)
 		time.Sleep(time.Second)
@@ -337,9 +277,7 @@
 		is.True(len(f.clearingsSentFrom) > 0)
 		is.True(len(f.clearingsSentFrom) < 149/3)
 		for _, h := range f.hosts {
-			facts := h.holder.Facts()
-			is.Equal(len(facts.Clearings), 1)
-			is.True(facts.Clearings[0].AgeMs <= facts.Crashes[0].AgeMs)
+			is.Equal(h.suspects(1), []crashsuspector.Feature{2})
 		}
 	})
 }
@@ -348,26 +286,28 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(t, 2)
-		large := make([]crashsuspector.Feature, 5000)
-		for i := range large {
-			large[i] = crashsuspector.Feature(rand.Uint64())
-		}
-		const crashes = 200
-		facts := crashsuspector.Facts{Crashes: []crashsuspector.Crash{{ID: 1, Suspects: large}}}
+		const crashes, suspects, cleared = 500, 250, 2000
 		for id := range crashsuspector.CrashID(crashes) {
-			facts.Crashes = append(facts.Crashes, crashsuspector.Crash{ID: 2 + id, Suspects: large[:50]})
+			features := make([]crashsuspector.Feature, suspects)
+			for i := range features {
+				features[i] = crashsuspector.Feature(rand.Uint64())
+			}
+			f.hosts[0].Suspector.RecordCrash(id, features)
 		}
-		for _, c := range large[:2000] {
-			facts.Clearings = append(facts.Clearings, crashsuspector.Clearing{Feature: c})
+		var facts crashsuspector.Facts
+		for range cleared {
+			facts.Clearings = append(facts.Clearings, crashsuspector.Clearing{Feature: crashsuspector.Feature(rand.Uint64())})
 		}
-		f.hosts[0].holder.Merge(facts)
+		f.hosts[0].Suspector.Merge(facts)
 		f.hosts[0].Notify()
 		time.Sleep(3 * time.Second)
 		synctest.Wait()
-		got := f.hosts[1].holder.Facts()
-		is.Equal(len(got.Crashes), len(facts.Crashes))
-		is.Equal(len(got.Clearings), len(facts.Clearings))
-		is.Equal(f.hosts[1].holder.suspects(1), len(large))
+		got := f.hosts[1].Suspector.Facts()
+		is.Equal(len(got.Crashes), crashes)
+		is.Equal(len(got.Clearings), cleared)
+		for id := range crashsuspector.CrashID(crashes) {
+			is.Equal(f.hosts[1].suspects(id), f.hosts[0].suspects(id))
+		}
 		const hostBytes = 100 // for the name of the sender around the message
 		is.True(f.largest <= maxMessageBytes-hostBytes)
 		f.resetCounts()
--- a/internal/factexchanger/message.go
+++ b/internal/factexchanger/message.go
@@ -42,28 +42,22 @@
 	messageBaseBytes = 128
 )
 
-// split splits facts into parts that fit into messages of maxBytes. There is at least one part. The suspects of a crash
-// that is too large for a message are split as well.
+// split splits facts into parts that fit into messages of maxBytes. There is at least one part. Each crash fits into a
+// message, as the number of its suspects is bounded.
 func split(facts crashsuspector.Facts, maxBytes int) []crashsuspector.Facts {
-	capacity := maxBytes - messageBaseBytes
 	parts := []crashsuspector.Facts{{}}
-	left := capacity
+	left := maxBytes - messageBaseBytes
 	reserve := func(n int) *crashsuspector.Facts {
 		if n > left {
 			parts = append(parts, crashsuspector.Facts{})
-			left = capacity
+			left = maxBytes - messageBaseBytes
 		}
 		left -= n
 		return &parts[len(parts)-1]
 	}
-	maxSuspects := (capacity - crashBytes) / integerBytes
 	for _, c := range facts.Crashes {
-		for rest := c.Suspects; len(rest) > 0; {
-			n := min(len(rest), maxSuspects)
-			part := reserve(crashBytes + n*integerBytes)
-			part.Crashes = append(part.Crashes, crashsuspector.Crash{ID: c.ID, AgeMs: c.AgeMs, Suspects: rest[:n]})
-			rest = rest[n:]
-		}
+		part := reserve(crashBytes + len(c.Suspects)*integerBytes)
+		part.Crashes = append(part.Crashes, c)
 	}
 	for _, c := range facts.Clearings {
 		part := reserve(clearingBytes)
@@ -72,23 +66,23 @@
 	return parts
 }
 
-// digest returns the same number for facts that mean the same: the crashes, with the suspects that are not cleared. It
-// is zero without facts. It does not depend on the ages, which differ by the time that messages take.
+// digest returns the same number for facts from which the same is concluded: the crashes with their suspects, and which
+// of these were answered at another time. It does not depend on the ages, which differ by the time that messages take.
 func digest(facts crashsuspector.Facts) uint64 {
-	clearedMs := make(map[crashsuspector.Feature]int64, len(facts.Clearings))
+	answered := make(map[crashsuspector.Feature]bool, len(facts.Clearings))
 	for _, c := range facts.Clearings {
-		if age, ok := clearedMs[c.Feature]; !ok || c.AgeMs < age {
-			clearedMs[c.Feature] = c.AgeMs
-		}
+		answered[c.Feature] = true
 	}
 	var sum uint64
 	var buf []byte
 	for _, c := range facts.Crashes {
-		suspects := slices.Sorted(slices.Values(c.Suspects))
+		if len(c.Suspects) == 0 {
+			continue
+		}
 		buf = binary.BigEndian.AppendUint64(buf[:0], uint64(c.ID))
-		for _, f := range slices.Compact(suspects) {
+		for _, f := range slices.Sorted(slices.Values(c.Suspects)) {
 			buf = binary.BigEndian.AppendUint64(buf, uint64(f))
-			if age, ok := clearedMs[f]; ok && age <= c.AgeMs {
+			if answered[f] {
 				buf = append(buf, 1)
 			}
 		}
