Records of quarantined features in the store; facts in gatewayserver

The live entry host with the lowest address keeps one record for each quarantined feature under the status topic: the crashes for which it is quarantined, with ages relative to the latest one. A host that starts takes the facts of hosts of its zone, or those of the records if none of these hosts knows them, and is not ready before.

--- a/cmd/gatewayd/main.go
+++ b/cmd/gatewayd/main.go
@@ -45,5 +45,9 @@
 		PutEntry: func(ctx context.Context, key string, value []byte) error {
 			return store.Put(ctx, wirenames.TopicStatus, key, value)
 		},
+		PutRecords: func(ctx context.Context, values map[string][]byte) error {
+			const partition = 0
+			return store.PutBatch(ctx, wirenames.TopicStatus, partition, values)
+		},
 	}).Run(ctx)
 }
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -40,6 +40,9 @@
 	ReleaseArchiveFailed   = Event{1743, log.WarnLevel, "release is not archived in the store yet"}
 	ArchiveReadFailed      = Event{1744, log.InfoLevel, "archived release cannot be read from the store; reading it from the origin"}
 	EarlyLoadFailed        = Event{1745, log.WarnLevel, "engine could not load its first layers early; loading waits for all chunks"}
+	QuarantineRestored     = Event{1771, log.WarnLevel, "quarantined features learned from the store"}
+	QuarantineUnreadable   = Event{1772, log.WarnLevel, "record of a quarantined feature does not parse"}
+	QuarantineWriteFailed  = Event{1773, log.WarnLevel, "records of quarantined features could not be written; will be retried"}
 	SettingsReloaded       = Event{1751, log.InfoLevel, "settings reloaded"}
 	SettingsRejected       = Event{1752, log.WarnLevel, "reloaded settings are invalid and were ignored"}
 	CallerDisconnected     = Event{1704, log.InfoLevel, "caller disconnected before the response was complete"}
--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -20,6 +20,7 @@
 
 	"github.com/nutmegdock/nutmegdock/internal/chunkreplicator"
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
+	"github.com/nutmegdock/nutmegdock/internal/core/crashsuspector"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleettracker"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
@@ -27,6 +28,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/retrybudget"
 	"github.com/nutmegdock/nutmegdock/internal/dialer"
 	"github.com/nutmegdock/nutmegdock/internal/event"
+	"github.com/nutmegdock/nutmegdock/internal/factexchanger"
 	"github.com/nutmegdock/nutmegdock/internal/fleetwatcher"
 	"github.com/nutmegdock/nutmegdock/internal/gateway"
 	"github.com/nutmegdock/nutmegdock/internal/headercodec"
@@ -34,6 +36,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/httpserver"
 	"github.com/nutmegdock/nutmegdock/internal/loadexchanger"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
+	"github.com/nutmegdock/nutmegdock/internal/quarantinerecorder"
 	"github.com/nutmegdock/nutmegdock/internal/rpc"
 	"github.com/nutmegdock/nutmegdock/internal/sender"
 	"github.com/nutmegdock/nutmegdock/internal/storerelayer"
@@ -95,9 +98,11 @@
 	Regions map[ident.Zone]ident.Region
 	// Replicator holds the chunks of the weights for the engines' hosts. Run sets its peers, origin and control methods.
 	Replicator *chunkreplicator.Replicator
-	// PutEntry writes this host's entry to the list of entry hosts in the store.
-	PutEntry func(ctx context.Context, key string, value []byte) error
-	Logger   log.Interface
+	// PutEntry writes this host's entry to the list of entry hosts in the store, and PutRecords writes other values under
+	// the same topic in one call.
+	PutEntry   func(ctx context.Context, key string, value []byte) error
+	PutRecords func(ctx context.Context, values map[string][]byte) error
+	Logger     log.Interface
 
 	gateway  *gateway.Gateway
 	assigner *assigner.Assigner
@@ -113,9 +118,18 @@
 	restored     chan struct{}
 	archiveAgain atomic.Bool
 
+	suspector     *crashsuspector.Suspector
+	factExchanger *factexchanger.Exchanger
+	recorder      *quarantinerecorder.Recorder
+	// knowsFacts is set when this host has learned the facts about crashes that were known before its start.
+	knowsFacts atomic.Bool
+	startTime  time.Time
+
 	mu         sync.Mutex
 	entryHosts []hostregistrar.Entry
-	fleets     map[ident.Pool]fleetCacheEntry
+	// loadedAt is when this host could first have become ready but for the facts.
+	loadedAt time.Time
+	fleets   map[ident.Pool]fleetCacheEntry
 }
 
 // Run serves until ctx ends, and then drains the requests in flight.
@@ -125,6 +139,7 @@
 	if err != nil {
 		return fmt.Errorf("parse the address of this host: %w", err)
 	}
+	h.startTime = time.Now()
 	h.presence = &presencetracker.Tracker{Self: self, Zone: h.Zone}
 	h.assigner = &assigner.Assigner{Zone: h.Zone}
 	exchanger := &loadexchanger.Exchanger{
@@ -133,6 +148,7 @@
 	}
 	exchanger.Init()
 	h.assigner.OnLoadChange = exchanger.LoadChanged
+	h.initFacts(exchanger)
 	tracker := &fleettracker.Tracker{RolloutTimeout: h.RolloutTimeout}
 	h.gateway = &gateway.Gateway{
 		Codec: h.Codec, Assigner: h.assigner, QueryLoads: exchanger.Query, Sender: &sender.Sender{Dial: (&dialer.Dialer{ConnectTimeout: connectTimeout}).DialContext},
@@ -159,12 +175,11 @@
 		messages.RecordsMethod:  rpc.TypedHandler(relayer.ServeRecords),
 		messages.FleetMethod:    rpc.TypedHandler(h.handleFleet),
 		messages.SnapshotMethod: rpc.TypedHandler(relayer.ServeSnapshot),
-		messages.NewestMethod:   rpc.TypedHandler(h.FleetWatcher.Newest),
+		messages.NewestMethod:   rpc.TypedHandler(h.handleNewest),
 	}
 	h.Replicator.Init(registry)
 	h.FleetWatcher.OnConfig = h.setConfig
 	h.FleetWatcher.OnEndpoints = func() { h.assigner.SetEndpoints(tracker.Endpoints()) }
-	h.FleetWatcher.OnPeers = h.setEntryHosts
 	h.restored = make(chan struct{}, 1)
 	h.FleetWatcher.OnRestore = h.handleRestore
 	conn, err := net.ListenPacket("udp4", net.JoinHostPort(h.IP, fmt.Sprint(h.ExchangePort)))
@@ -175,6 +190,7 @@
 	serveCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	tasks, serveCtx := errgroup.WithContext(serveCtx)
+	h.FleetWatcher.OnPeers = func(values map[string][]byte) { h.handleStatus(serveCtx, values) }
 	tasks.Go(func() error {
 		h.learnNewest(serveCtx)
 		return h.FleetWatcher.Run(serveCtx)
@@ -186,6 +202,8 @@
 	tasks.Go(func() error { return h.refreshEndpoints(serveCtx) })
 	exchanger.Conn = conn
 	tasks.Go(func() error { return exchanger.Run(serveCtx) })
+	tasks.Go(func() error { return h.factExchanger.Run(serveCtx) })
+	tasks.Go(func() error { return h.recorder.Run(serveCtx) })
 	mux := http.NewServeMux()
 	mux.Handle("/", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	tasks.Go(func() error { return h.serve(serveCtx, h.MetricsAddress, mux) })
@@ -238,7 +256,7 @@
 }
 
 func (h *Server) handleReadiness(w http.ResponseWriter, _ *http.Request) {
-	if h.draining.Load() || h.gateway.Config() == nil || !h.FleetWatcher.Tracker.Loaded() {
+	if h.draining.Load() || h.gateway.Config() == nil || !h.FleetWatcher.Tracker.Loaded() || !h.hasLearnedFacts() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/gatewayserver/restore.go
+++ b/internal/gatewayserver/restore.go
@@ -29,9 +29,19 @@
 	peerListTimeout = 300 * time.Millisecond
 )
 
+// handleNewest returns the newest state that this host has seen.
+func (h *Server) handleNewest(ctx context.Context, q struct{}) (messages.NewestResponse, error) {
+	resp, err := h.FleetWatcher.Newest(ctx, q)
+	if h.knowsFacts.Load() {
+		resp.KnowsFacts, resp.Facts = true, h.suspector.Facts()
+	}
+	return resp, err
+}
+
 // handleRestore makes this host write again what the store may have lost.
 func (h *Server) handleRestore() {
 	h.archiveAgain.Store(true)
+	h.recorder.HandleRestore()
 	select {
 	case h.restored <- struct{}{}:
 	default:
@@ -50,6 +60,17 @@
 	}
 	h.FleetWatcher.InitialStatus = &snapshot
 	h.setEntryHosts(snapshot.Values)
+	responses := h.queryNewest(ctx)
+	for _, resp := range responses {
+		if len(resp.Values) > 0 {
+			h.FleetWatcher.AddNewest(resp)
+		}
+	}
+	h.learnFacts(snapshot.Values, responses)
+}
+
+// queryNewest asks hosts of the zone for the newest state that they have seen.
+func (h *Server) queryNewest(ctx context.Context) []messages.NewestResponse {
 	var zonePeers []string
 	h.mu.Lock()
 	entryHosts := h.entryHosts
@@ -74,11 +95,11 @@
 			responses <- resp
 		}()
 	}
+	out := make([]messages.NewestResponse, 0, len(zonePeers))
 	for range zonePeers {
-		if resp := <-responses; len(resp.Values) > 0 {
-			h.FleetWatcher.AddNewest(resp)
-		}
+		out = append(out, <-responses)
 	}
+	return out
 }
 
 // snapshotReader returns the control address of the host to read snapshots from: the responsive host of the zone with
--- a/internal/messages/records.go
+++ b/internal/messages/records.go
@@ -1,6 +1,7 @@
 package messages
 
 import (
+	"github.com/nutmegdock/nutmegdock/internal/core/crashsuspector"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleettracker"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/hostregistrar"
@@ -47,6 +48,9 @@
 	Values map[string][]byte `json:"values,omitempty"`
 	// Departures lists the endpoints that are draining or gone.
 	Departures []fleettracker.Departure `json:"gone,omitempty"`
+	// KnowsFacts is set if the host has learned the facts about crashes since its own start, and Facts are those.
+	KnowsFacts bool                 `json:"knows,omitempty"`
+	Facts      crashsuspector.Facts `json:"facts,omitzero"`
 }
 
 // FleetMethod requests the fleet state that the hosts beside engines need from an entry host.
