--- a/internal/loadexchanger/loadexchanger_test.go
+++ b/internal/loadexchanger/loadexchanger_test.go
@@ -13,9 +13,11 @@
 	"github.com/matryer/is"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
+	"github.com/nutmegdock/nutmegdock/internal/core/crashsuspector"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/presencetracker"
+	"github.com/nutmegdock/nutmegdock/internal/factexchanger"
 	"github.com/nutmegdock/nutmegdock/internal/loadexchanger"
 )
 
@@ -162,3 +164,27 @@
 	}
 	is.True(presence.IsResponsive(senderAddress.Addr()))
 }
+
+func TestFactsAreCarriedUpToTheMaximumSize(t *testing.T) {
+	is := is.New(t)
+	conn, address := listen(t)
+	got := make(chan factexchanger.Message, 1)
+	run(t, &loadexchanger.Exchanger{Host: "x", Conn: conn, OnFacts: func(m factexchanger.Message, _ netip.AddrPort) { got <- m }})
+	senderConn, _ := listen(t)
+	sender := &loadexchanger.Exchanger{Host: "y", Conn: senderConn}
+	run(t, sender)
+	const suspects = 1800 // of 9 bytes each
+	want := factexchanger.Message{Kind: factexchanger.Response, Number: 5, Facts: crashsuspector.Facts{Crashes: []crashsuspector.Crash{{ID: 1, AgeMs: 2}}}}
+	for i := range crashsuspector.Feature(suspects) {
+		want.Facts.Crashes[0].Suspects = append(want.Facts.Crashes[0].Suspects, ^i)
+	}
+	sender.SendFacts(want, address)
+	select {
+	case m := <-got:
+		is.Equal(m.Kind, want.Kind)
+		is.Equal(m.Number, want.Number)
+		is.Equal(m.Facts.Crashes, want.Facts.Crashes)
+	case <-time.After(5 * time.Second):
+		t.Fatal("facts not received")
+	}
+}
