--- a/internal/core/crashsuspector/crashsuspector.go
+++ b/internal/core/crashsuspector/crashsuspector.go
@@ -113,12 +113,12 @@
 		if len(s.facts.byFeature[f]) == 0 {
 			continue
 		}
-		s.facts.addClearing(f, now)
+		s.facts.addClearing(f, s.successes.id(f), now)
 		if now.Sub(s.facts.clearings[f].announced) < announceInterval {
 			continue
 		}
 		s.facts.markAnnounced(f, now)
-		out.Clearings = append(out.Clearings, Clearing{Feature: f})
+		out.Clearings = append(out.Clearings, exportClearing(f, s.facts.clearings[f], now))
 	}
 	changes := s.update(now)
 	s.mu.Unlock()
@@ -133,7 +133,7 @@
 	s.initialise()
 	for _, c := range facts.Clearings {
 		if at, ok := timeOf(c.AgeMs, now); ok && now.Sub(at) < Retention {
-			s.facts.addHeardClearing(c.Feature, at)
+			s.facts.addHeardClearing(c.Feature, c.ID, at)
 		}
 	}
 	var out Facts
@@ -165,9 +165,9 @@
 		if !ok || now.Sub(at) >= Retention || (!known.IsZero() && !clears(at, crashed)) {
 			continue
 		}
-		s.facts.addClearing(f, at)
+		s.facts.addClearing(f, s.successes.id(f), at)
 		s.facts.markAnnounced(f, now)
-		out = append(out, exportClearing(f, at, now))
+		out = append(out, exportClearing(f, s.facts.clearings[f], now))
 	}
 	return out
 }
@@ -181,7 +181,7 @@
 			continue
 		}
 		s.facts.markAnnounced(f, now)
-		out = append(out, exportClearing(f, held.at, now))
+		out = append(out, exportClearing(f, held, now))
 	}
 	return out
 }
@@ -198,7 +198,7 @@
 		if held.at.IsZero() || !held.heardAt.Before(held.at.Add(-announceInterval)) {
 			continue
 		}
-		out = append(out, exportClearing(c.Feature, held.at, now))
+		out = append(out, exportClearing(c.Feature, held, now))
 	}
 	return out
 }
@@ -216,7 +216,7 @@
 	}
 	for f, c := range s.facts.clearings {
 		if len(s.facts.byFeature[f]) > 0 || now.Sub(c.at) < spreadTime {
-			out.Clearings = append(out.Clearings, exportClearing(f, c.at, now))
+			out.Clearings = append(out.Clearings, exportClearing(f, c, now))
 		}
 	}
 	s.mu.Unlock()
@@ -364,7 +364,6 @@
 	return Crash{ID: c.id, AgeMs: now.Sub(c.at).Milliseconds(), Suspects: append([]Feature(nil), c.suspects...)}
 }
 
-// exportClearing rounds the age up, so that a clearing does not become newer each time that it is passed on.
-func exportClearing(f Feature, at, now time.Time) Clearing {
-	return Clearing{Feature: f, AgeMs: (now.Sub(at) + time.Millisecond - 1).Milliseconds()}
+func exportClearing(f Feature, c clearing, now time.Time) Clearing {
+	return Clearing{Feature: f, ID: c.id, AgeMs: now.Sub(c.at).Milliseconds()}
 }
--- a/internal/core/crashsuspector/facts.go
+++ b/internal/core/crashsuspector/facts.go
@@ -6,6 +6,9 @@
 // CrashID identifies the end of one incarnation of an endpoint. All hosts derive the same id from the incarnation.
 type CrashID uint64
 
+// ClearingID identifies one answer to a request with a feature.
+type ClearingID uint32
+
 // Crash is the end of an endpoint with requests in progress.
 type Crash struct {
 	_  struct{} `cbor:",toarray"`
@@ -20,6 +23,7 @@
 type Clearing struct {
 	_       struct{} `cbor:",toarray"`
 	Feature Feature
+	ID      ClearingID
 	// AgeMs is the time in milliseconds since the answer.
 	AgeMs int64
 }
--- a/internal/core/crashsuspector/factset.go
+++ b/internal/core/crashsuspector/factset.go
@@ -43,6 +43,7 @@
 
 // clearing is the last answer to a request with a feature.
 type clearing struct {
+	id ClearingID
 	at time.Time
 	// heardAt is the time of the last answer that another host has announced.
 	heardAt time.Time
@@ -151,13 +152,18 @@
 	}
 }
 
-// addClearing merges a clearing with what is known of the feature.
-func (s *factSet) addClearing(f Feature, at time.Time) {
+// addClearing merges a clearing with what is known of the feature. The latest answer counts, at the earliest time that a
+// host has told: otherwise it would get later each time that it is passed on.
+func (s *factSet) addClearing(f Feature, id ClearingID, at time.Time) {
 	held := s.clearings[f]
-	if !at.After(held.at) {
+	isNew := at.After(held.at) || (at.Equal(held.at) && id > held.id)
+	if id == held.id && !held.at.IsZero() {
+		isNew = at.Before(held.at)
+	}
+	if !isNew {
 		return
 	}
-	held.at = at
+	held.id, held.at = id, at
 	s.clearings[f] = held
 	s.changed = true
 	for _, c := range slices.Clone(s.byFeature[f]) {
@@ -168,8 +174,8 @@
 }
 
 // addHeardClearing merges a clearing that another host has announced.
-func (s *factSet) addHeardClearing(f Feature, at time.Time) {
-	s.addClearing(f, at)
+func (s *factSet) addHeardClearing(f Feature, id ClearingID, at time.Time) {
+	s.addClearing(f, id, at)
 	held := s.clearings[f]
 	if at.After(held.heardAt) {
 		held.heardAt = at
--- a/internal/core/crashsuspector/quarantine.go
+++ b/internal/core/crashsuspector/quarantine.go
@@ -7,9 +7,10 @@
 )
 
 const (
-	// crashSpacing is the time within which crashes count once: engines may end together for a reason of their own, such
-	// as a loss of power.
-	crashSpacing = 100 * time.Millisecond
+	// crashSpacing is the time within which crashes count as maxSimultaneous at most, or once if the feature was answered
+	// before: engines may end together for a reason of their own, such as a loss of power.
+	crashSpacing    = 100 * time.Millisecond
+	maxSimultaneous = 2
 	// suspectThreshold is the number of crashes from which requests are not retried after another one.
 	suspectThreshold = 2
 	// soleSuspectThreshold is the number of crashes at which a feature is quarantined that alone explains them.
@@ -93,24 +94,31 @@
 				c.unexplained = append(c.unexplained, crash)
 			}
 		}
-		if c.count = countSpaced(c.unexplained); c.count >= suspectThreshold {
+		if c.count = countSpaced(c.unexplained, c.answered); c.count >= suspectThreshold {
 			kept = append(kept, c)
 		}
 	}
 	return kept
 }
 
-// countSpaced counts crashes that are ordered by time, those within crashSpacing of a counted one once.
-func countSpaced(crashes []*crash) int {
-	n := 0
-	var counted time.Time
+// countSpaced counts crashes that are ordered by time, but only some of those within crashSpacing.
+func countSpaced(crashes []*crash, answered bool) int {
+	limit := maxSimultaneous
+	if answered {
+		limit = 1
+	}
+	total, n := 0, 0
+	var first time.Time
 	for _, c := range crashes {
-		if n == 0 || c.at.Sub(counted) >= crashSpacing {
-			counted = c.at
+		if total == 0 || c.at.Sub(first) >= crashSpacing {
+			first, n = c.at, 0
+		}
+		if n < limit {
 			n++
+			total++
 		}
 	}
-	return n
+	return total
 }
 
 // nextQuarantined returns the features to quarantine next: the first candidate that is the sole suspect of enough
--- a/internal/core/crashsuspector/successtable.go
+++ b/internal/core/crashsuspector/successtable.go
@@ -58,3 +58,10 @@
 	}
 	return time.Time{}, false
 }
+
+// id returns the id of the last success of a feature. It differs from those of other hosts, as their start times do.
+func (t *successTable) id(f Feature) ClearingID {
+	at, _ := t.last(f)
+	const multiplier = 0xff51afd7ed558ccd
+	return ClearingID((uint64(f) ^ uint64(t.startTime.UnixNano()+int64(at.Sub(t.startTime)))*multiplier) >> 32)
+}
