factexchanger: a clearing that other hosts lack is announced by any host that holds it

Suspector.Remaining compares the time of the held clearing with the one heard, so that a host that had heard of the clearing from another host never announced it to a zone that was cut off for longer than facts are sent. The exchanger now drops its clearing only if the same or a later one is received while its delay runs.

--- a/internal/factexchanger/factexchanger.go
+++ b/internal/factexchanger/factexchanger.go
@@ -28,6 +28,8 @@
 	roundPeers    = 3
 	// maxClearingDelay is the longest random delay of a clearing that other hosts may send as well.
 	maxClearingDelay = 50 * time.Millisecond
+	// clearingTolerance is the time that messages take at most, as a rule.
+	clearingTolerance = 10 * time.Millisecond
 	// minRequestDelay and maxRequestDelay limit the time between two requests that are caused by the same two digests. It
 	// doubles, as hosts may never agree on facts that expire on one of them.
 	minRequestDelay, maxRequestDelay = 100 * time.Millisecond, 10 * time.Second
@@ -62,7 +64,7 @@
 	collected     []timedFacts
 	announcements []*announcement
 	// answers holds the clearings that this host adds to crashes that it has received, and when to announce them.
-	answers map[crashsuspector.Feature]time.Time
+	answers map[crashsuspector.Feature]answer
 	// nextNumber is that of the next announcement, and lastAnnouncedAt the time of the last one.
 	nextNumber      uint64
 	lastAnnouncedAt time.Time
@@ -97,6 +99,13 @@
 	at      time.Time
 }
 
+// answer is a clearing that this host adds to crashes that it has received.
+type answer struct {
+	clearing crashsuspector.Clearing
+	// at is when the age of the clearing was right, and dueAt when to announce it.
+	at, dueAt time.Time
+}
+
 type digestPair struct {
 	own, other uint64
 }
@@ -110,7 +119,7 @@
 // Init prepares the exchanger. It must be called before any other method.
 func (x *Exchanger) Init() {
 	x.wake = make(chan struct{}, 1)
-	x.answers, x.silent = make(map[crashsuspector.Feature]time.Time), make(map[netip.AddrPort]bool)
+	x.answers, x.silent = make(map[crashsuspector.Feature]answer), make(map[netip.AddrPort]bool)
 	x.requests.Limit = maxDigestPairs
 	// An acknowledgement for an earlier process of this host must not be taken for one of this process.
 	x.nextNumber = rand.Uint64()
@@ -199,8 +208,8 @@
 	for _, a := range x.announcements {
 		update(a.dueAt)
 	}
-	for _, dueAt := range x.answers {
-		update(dueAt)
+	for _, a := range x.answers {
+		update(a.dueAt)
 	}
 	return due, !due.IsZero()
 }
@@ -217,9 +226,11 @@
 		return
 	}
 	if !m.Facts.IsEmpty() {
+		x.dropAnswers(r)
 		for _, c := range x.Suspector.Merge(m.Facts).Clearings {
 			if _, ok := x.answers[c.Feature]; !ok {
-				x.answers[c.Feature] = r.at.Add(rand.N(maxClearingDelay))
+				now := time.Now()
+				x.answers[c.Feature] = answer{clearing: c, at: now, dueAt: now.Add(rand.N(maxClearingDelay))}
 			}
 		}
 	}
@@ -251,18 +262,25 @@
 	return true
 }
 
-// collectDueAnswers collects the clearings whose delay is over and that no other host has announced meanwhile.
+// dropAnswers drops the answers that are not needed because of a clearing in a received message, which has the same time
+// or a later one apart from the time that messages take.
+func (x *Exchanger) dropAnswers(r receivedMessage) {
+	for _, c := range r.message.Facts.Clearings {
+		a, ok := x.answers[c.Feature]
+		if ok && !r.at.Add(-milliseconds(c.AgeMs)).Before(a.at.Add(-milliseconds(a.clearing.AgeMs)-clearingTolerance)) {
+			delete(x.answers, c.Feature)
+		}
+	}
+}
+
+// collectDueAnswers collects the clearings whose delay is over.
 func (x *Exchanger) collectDueAnswers(now time.Time) {
-	var due []crashsuspector.Clearing
-	for f, dueAt := range x.answers {
-		if !dueAt.After(now) {
+	for f, a := range x.answers {
+		if !a.dueAt.After(now) {
 			delete(x.answers, f)
-			due = append(due, crashsuspector.Clearing{Feature: f})
+			x.collected = append(x.collected, timedFacts{facts: crashsuspector.Facts{Clearings: []crashsuspector.Clearing{a.clearing}}, at: a.at})
 		}
 	}
-	if remaining := x.Suspector.Remaining(due); len(remaining) > 0 {
-		x.collected = append(x.collected, timedFacts{facts: crashsuspector.Facts{Clearings: remaining}, at: now})
-	}
 }
 
 // announce makes announcements of the collected facts, unless the last one was a moment ago.
@@ -379,3 +397,7 @@
 	}
 	return out
 }
+
+func milliseconds(ms int64) time.Duration {
+	return time.Duration(ms) * time.Millisecond
+}
--- a/internal/factexchanger/factexchanger_test.go
+++ b/internal/factexchanger/factexchanger_test.go
@@ -268,6 +268,7 @@
 		is := is.New(t)
 		f := newFleet(t, 149)
 		for _, h := range f.hosts[1:] {
+			time.Sleep(rand.N(8 * time.Millisecond))
 			h.Announce(h.Suspector.RecordSuccess([]crashsuspector.Feature{1}))
 		}
 		f.hosts[0].announceCrash(1, 1, 2)
@@ -282,6 +283,33 @@
 	})
 }
 
+// A zone was cut off while a feature was cleared in the others, a long time ago, and the host that cleared it is gone.
+func TestZoneThatWasCutOffLearnsOldClearing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 9)
+		f.hosts[0].announceCrash(1, 1, 2)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		f.cutZone = 1
+		clearing := crashsuspector.Facts{Clearings: []crashsuspector.Clearing{{Feature: 1, ID: 77}}}
+		for _, h := range f.hosts {
+			if h.zone != f.cutZone {
+				h.Suspector.Merge(clearing)
+			}
+		}
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		is.Equal(f.hosts[1].suspects(1), []crashsuspector.Feature{1, 2})
+		f.cutZone = -1
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		for _, h := range f.hosts {
+			is.Equal(h.suspects(1), []crashsuspector.Feature{2})
+		}
+	})
+}
+
 func TestFactsAreSplitOverMessages(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/factexchanger/message.go
+++ b/internal/factexchanger/message.go
@@ -38,7 +38,7 @@
 const (
 	integerBytes     = 9
 	crashBytes       = 3*integerBytes + 1
-	clearingBytes    = 2*integerBytes + 1
+	clearingBytes    = 3*integerBytes + 1
 	messageBaseBytes = 128
 )
 
