crashsuspector: Merge tells the sender that a crash is older than it holds it to be

A host that takes the crashes of a record in the store as new did not accept a clearing that is older than its start, and stayed alone with the quarantine.

--- a/internal/core/crashsuspector/crashsuspector.go
+++ b/internal/core/crashsuspector/crashsuspector.go
@@ -126,7 +126,8 @@
 	return out
 }
 
-// Merge adds the facts of another host, and returns the clearings that this host knows of the suspects among them.
+// Merge adds the facts of another host. It returns the clearings that this host knows of the suspects among them, and the
+// crashes that are older than the sender holds them to be, without suspects.
 func (s *Suspector) Merge(facts Facts) Facts {
 	s.mu.Lock()
 	now := time.Now()
@@ -142,6 +143,10 @@
 		if !ok {
 			continue
 		}
+		if held := s.facts.crashes[c.ID]; held != nil && at.Sub(held.at) >= successWindow {
+			at = held.at
+			out.Crashes = append(out.Crashes, Crash{ID: c.ID, AgeMs: now.Sub(at).Milliseconds()})
+		}
 		out.Clearings = append(out.Clearings, s.repeatClearings(c.Suspects, at, now)...)
 		if added := s.facts.addCrash(c.ID, at, c.Suspects); len(added) > 0 {
 			if held := s.facts.crashes[c.ID]; held != nil {
--- a/internal/factexchanger/factexchanger.go
+++ b/internal/factexchanger/factexchanger.go
@@ -227,7 +227,13 @@
 	}
 	if !m.Facts.IsEmpty() {
 		x.dropAnswers(r)
-		for _, c := range x.Suspector.Merge(m.Facts).Clearings {
+		answers := x.Suspector.Merge(m.Facts)
+		if len(answers.Crashes) > 0 {
+			for _, part := range split(crashsuspector.Facts{Crashes: answers.Crashes}, x.MaxMessageBytes) {
+				x.Send(Message{Kind: Response, Facts: part}, r.from)
+			}
+		}
+		for _, c := range answers.Clearings {
 			if _, ok := x.answers[c.Feature]; !ok {
 				now := time.Now()
 				x.answers[c.Feature] = answer{clearing: c, at: now, dueAt: now.Add(rand.N(maxClearingDelay))}
--- a/internal/gatewayserver/facts.go
+++ b/internal/gatewayserver/facts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -88,14 +89,18 @@
 	h.recorder.Notify()
 }
 
-// addRecordedFacts adds the facts of records in the store.
+// addRecordedFacts adds the facts of records in the store. Other hosts read them as well, so nothing is announced.
 func (h *Server) addRecordedFacts(facts crashsuspector.Facts) {
 	if facts.IsEmpty() {
 		return
 	}
-	h.factExchanger.Announce(h.suspector.Merge(facts))
+	before := h.suspector.QuarantinedFeatures()
+	h.suspector.Merge(facts)
 	h.factExchanger.Notify()
-	event.QuarantineRestored.Log(h.Logger, log.Fields{"crashes": len(facts.Crashes)})
+	learned := slices.DeleteFunc(h.suspector.QuarantinedFeatures(), func(f crashsuspector.Feature) bool { return slices.Contains(before, f) })
+	if len(learned) > 0 {
+		event.QuarantineRestored.Log(h.Logger, log.Fields{"features": len(learned)})
+	}
 }
 
 // hasLearnedFacts reports whether this host knows the facts about crashes, or has waited for them for long enough.
