gateway: refuse requests that crash endpoints

Callers saw engines end one after the other on requests with one part in their prompts: entry hosts did not notice crashes at all, retried the requests at other engines, and sent every further one.

- The features of a request are the parts of its prompt but the last, and the request itself (host of the route, method, target, key, body).
The parts are read from the caller's header; a malformed one only means that there are none.
- An attempt that is lost before its second event makes one test connection to its endpoint, for all attempts lost there.
If it is refused, the endpoint has crashed, and the features of all attempts in progress there go to the crash suspector.
The retry waits for that, 250 ms at most.
- Quarantined requests are refused before the assignment, without Retry-After: 503 if no endpoint may have run them, else 502.
An attempt whose feature becomes quarantined is cancelled until its second event, and is not written if only the connection has been made.
After a crash, a suspect request is not retried.
- Events 1706 to 1708, metrics for crashes and quarantined features; the log of a refusal names the feature and the part of the prompt.

The facts of one host are not sent to the others yet.

--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -7,6 +7,9 @@
 	RequestRefused         = Event{1701, log.InfoLevel, "request refused"}
 	RequestCompleted       = Event{1702, log.InfoLevel, "request completed"}
 	AttemptFailed          = Event{1703, log.InfoLevel, "attempt failed"}
+	CrashRecorded          = Event{1706, log.WarnLevel, "endpoint crashed with requests in progress"}
+	FeatureQuarantined     = Event{1707, log.WarnLevel, "feature of requests crashes endpoints; requests with it are refused"}
+	QuarantineLifted       = Event{1708, log.InfoLevel, "requests with a feature are no longer refused"}
 	HostReady              = Event{1711, log.InfoLevel, "host is ready"}
 	ConfigApplied          = Event{1712, log.InfoLevel, "configuration applied"}
 	ConfigInvalid          = Event{1713, log.ErrorLevel, "configuration does not parse"}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/apex/log"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
+	"github.com/nutmegdock/nutmegdock/internal/core/crashsuspector"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/retrybudget"
@@ -62,6 +63,11 @@
 	// RetryAfter returns the Retry-After of a request that is refused for overload, given the remaining time of its
 	// caller.
 	RetryAfter func(remaining time.Duration) time.Duration
+	// Suspector finds what requests that crash endpoints have in common. Its OnQuarantine and OnLift must be set to
+	// HandleQuarantine and HandleLift.
+	Suspector *crashsuspector.Suspector
+	// Announce sends facts that this host has observed to the other entry hosts. Nil means that this is the only one.
+	Announce func(facts crashsuspector.Facts)
 	// Logger receives the log events of requests.
 	Logger log.Interface
 	// Meter counts requests.
@@ -71,6 +77,8 @@
 	isShuttingDown atomic.Bool
 	isRefusing     atomic.Bool
 	activeRequests atomic.Int64
+	attempts       attemptList
+	checks         crashChecks
 	mu             sync.Mutex
 	// longestRemaining is the longest remaining time that a caller has stated of late, by route. First attempts state it.
 	longestRemaining map[string]recentMaximum
@@ -145,6 +153,8 @@
 	deadline time.Time
 	// earlierTime is the time that the caller has spent on earlier attempts.
 	earlierTime time.Duration
+	// features are what the request has in common with other requests.
+	features []crashsuspector.Feature
 }
 
 // ServeHTTP serves one request.
@@ -169,6 +179,7 @@
 		g.logIncomplete(req, event.CallerDisconnected, "body", err)
 		panic(http.ErrAbortHandler)
 	}
+	req.setFeatures()
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
 	g.runAttempts(ctx, req)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -21,6 +21,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
+	"github.com/nutmegdock/nutmegdock/internal/core/crashsuspector"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/retrybudget"
@@ -37,7 +38,7 @@
 		after, err := strconv.ParseInt(r.Header.Get("After"), 10, 64)
 		return headercodec.CallerRequest{
 			ID: ident.RequestID(r.Header.Get("Id")), Remaining: time.Duration(ms) * time.Millisecond, Key: fleetconfig.Key(r.Header.Get("Key")),
-			Model: fleetconfig.Model(r.Header.Get("Model")), After: after, HasAfter: err == nil,
+			Model: fleetconfig.Model(r.Header.Get("Model")), After: after, HasAfter: err == nil, PromptParts: strings.Fields(r.Header.Get("Parts")),
 		}
 	},
 	EndpointHeader: func(r *http.Request, h headercodec.EndpointRequest) http.Header {
@@ -80,6 +81,9 @@
 	mu       sync.Mutex
 	received []*http.Request
 	steps    []step
+	// listeners and connections are those of each endpoint, by address.
+	listeners   map[string]net.Listener
+	connections map[string][]net.Conn
 }
 
 // step is the response of an endpoint to the request on one connection, which is closed afterwards.
@@ -119,7 +123,7 @@
 }
 
 func startFleet(t *testing.T, scripts ...[]step) *testFleet {
-	f := &testFleet{}
+	f := &testFleet{listeners: make(map[string]net.Listener), connections: make(map[string][]net.Conn)}
 	f.oldest.Store(1)
 	var endpoints []fleetconfig.Endpoint
 	for i, script := range scripts {
@@ -128,6 +132,7 @@
 		is.New(t).NoErr(err)
 		t.Cleanup(func() { _ = ln.Close() })
 		endpoints = append(endpoints, fleetconfig.Endpoint{ID: fmt.Sprint("e", i), Pool: "p", Address: ln.Addr().String(), Zone: "z", Slots: 2})
+		f.listeners[ln.Addr().String()] = ln
 		go f.serve(ln)
 	}
 	a := &assigner.Assigner{Zone: "z", Random: func() float64 { return 0 }}
@@ -144,7 +149,9 @@
 		},
 		RetryAfter: func(left time.Duration) time.Duration { return (left / 3).Round(time.Second) },
 		Logger:     &log.Logger{Handler: discard.New(), Level: log.InfoLevel}, Meter: gateway.NewMeter(prometheus.NewRegistry()),
+		Suspector: &crashsuspector.Suspector{},
 	}
+	f.gateway.Suspector.OnQuarantine, f.gateway.Suspector.OnLift = f.gateway.HandleQuarantine, f.gateway.HandleLift
 	f.Server = httptest.NewServer(f.gateway)
 	t.Cleanup(f.Close)
 	return f
@@ -158,6 +165,9 @@
 		if err != nil {
 			return
 		}
+		f.mu.Lock()
+		f.connections[ln.Addr().String()] = append(f.connections[ln.Addr().String()], c)
+		f.mu.Unlock()
 		go f.serveConn(c.(*net.TCPConn))
 	}
 }
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -14,6 +14,8 @@
 	truncated        *prometheus.CounterVec
 	duration         prometheus.Histogram
 	timeToFirstEvent prometheus.Histogram
+	crashes          prometheus.Counter
+	quarantined      prometheus.Gauge
 }
 
 // NewMeter registers the metrics and returns their meter.
@@ -25,8 +27,10 @@
 		truncated:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "nutmegdock_gateway_cuts_total", Help: "Answers that were broken off, by reason."}, []string{"reason"}),
 		duration:         prometheus.NewHistogram(prometheus.HistogramOpts{Name: "nutmegdock_gateway_answer_seconds", Help: "Time from arrival to the end of the answer.", Buckets: seconds}),
 		timeToFirstEvent: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "nutmegdock_gateway_first_seconds", Help: "Time from arrival to the first event of a stream.", Buckets: seconds}),
+		crashes:          prometheus.NewCounter(prometheus.CounterOpts{Name: "nutmegdock_gateway_crashes_total", Help: "Crashes of endpoints that this host has observed."}),
+		quarantined:      prometheus.NewGauge(prometheus.GaugeOpts{Name: "nutmegdock_gateway_quarantined_features", Help: "Features of requests that are quarantined."}),
 	}
-	r.MustRegister(m.responses, m.refusals, m.truncated, m.duration, m.timeToFirstEvent)
+	r.MustRegister(m.responses, m.refusals, m.truncated, m.duration, m.timeToFirstEvent, m.crashes, m.quarantined)
 	return m
 }
 
@@ -50,3 +54,13 @@
 func (m *Meter) ObserveFirstEvent(took time.Duration) {
 	m.timeToFirstEvent.Observe(took.Seconds())
 }
+
+// CountCrash counts a crash of an endpoint.
+func (m *Meter) CountCrash() {
+	m.crashes.Inc()
+}
+
+// AddQuarantined adds to the number of quarantined features.
+func (m *Meter) AddQuarantined(n int) {
+	m.quarantined.Add(float64(n))
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -51,10 +51,14 @@
 	// sent a response header.
 	sequencer  sequencer.Sequencer
 	headerSent bool
-	// hasResponse is set if the current attempt has received a response header. receivedBefore is the number of events
-	// that earlier attempts received.
-	hasResponse    bool
-	receivedBefore int
+	// responseStatus is the status of the response to the current attempt, or zero before its header has arrived.
+	// receivedBefore is the number of events that earlier attempts received.
+	responseStatus, receivedBefore int
+	// attempt is the current attempt, and outcome its outcome for the endpoint. isHarmless is set if the attempt does not
+	// crash its endpoint, and hasCrashed if the endpoint has crashed.
+	attempt                attempt
+	outcome                assigner.Outcome
+	isHarmless, hasCrashed bool
 	// release is the release that the stream began on; zero if it is unknown.
 	release fleetconfig.Release
 	// timeToFirstEvent is the time to the first event of the stream, and maxGap the longest time between two events.
@@ -88,6 +92,7 @@
 func (g *Gateway) runAttempts(ctx context.Context, req *request) {
 	state := &requestState{tried: make(map[string]bool)}
 	state.sequencer.LastID, state.sequencer.LastIDKnown = req.After, req.HasAfter
+	defer g.attempts.remove(&state.attempt)
 	for {
 		if state.headerSent && state.release > 0 && state.release < g.OldestRelease(req.Model) {
 			// A stream can only resume on the release that it began on, and no request may begin on that any more.
@@ -95,7 +100,12 @@
 			return
 		}
 		attemptCtx, cancel := context.WithCancel(ctx)
-		query := g.assignerQuery(req, state, cancel)
+		if !g.beginAttempt(req, state, cancel) {
+			cancel()
+			g.endUnserved(ctx, req, state, reasonQuarantined)
+			return
+		}
+		query := g.assignerQuery(req, state)
 		choice, refusal := g.assign(attemptCtx, &query)
 		if refusal != "" {
 			cancel()
@@ -121,15 +131,23 @@
 		isDone := g.tryEndpoint(attemptCtx, req, state, choice)
 		stopTimer()
 		cancel()
+		reason := g.endAttempt(ctx, req, state, choice, isDone)
 		if isDone {
 			return
 		}
 		if state.lastErr != nil {
 			f := g.logFields(req)
 			f["endpoint"], f["cause"], f["load"], f["sent"] = choice.Endpoint.ID, state.lastErr.Error(), choice.Load.Requests, state.mayHaveRun
-			f["header"], f["events"] = state.hasResponse, state.receivedEvents()
+			f["header"], f["events"] = state.responseStatus > 0, state.receivedEvents()
+			if state.hasCrashed {
+				f["features"] = featureList(req.features)
+			}
 			event.AttemptFailed.Log(g.Logger.WithFields(f), nil)
 		}
+		if reason != "" {
+			g.endUnserved(ctx, req, state, reason)
+			return
+		}
 		if !g.mayRetry(ctx, req, state) && !g.waitForEndpoints(ctx, req, state) {
 			g.endUnserved(ctx, req, state, "failed")
 			return
@@ -188,6 +206,7 @@
 	result := assigner.CallerGone // unless sendAttempt returns
 	defer func() { g.Assigner.Release(choice, result) }()
 	result, isDone = g.sendAttempt(ctx, req, state, choice)
+	state.outcome = result
 	return isDone
 }
 
@@ -207,13 +226,13 @@
 }
 
 // assignerQuery returns the query for an endpoint for the next attempt. A stream that has begun stays on its release.
-func (g *Gateway) assignerQuery(req *request, state *requestState, cancel func()) assigner.Query {
+func (g *Gateway) assignerQuery(req *request, state *requestState) assigner.Query {
 	query := assigner.Query{
 		Pool: req.pool, Model: req.Model, PromptTokens: req.PromptTokens, Excluded: state.tried,
 		TimeLeft: req.route.Objective - req.earlierTime - time.Since(req.arrivedAt),
 	}
 	if req.route.MayRepeat() {
-		query.OnUnreachable = cancel
+		query.OnUnreachable = state.attempt.disconnect
 	}
 	if req.Model != "" {
 		query.Release = g.OldestRelease(req.Model)
@@ -253,6 +272,8 @@
 		panic(http.ErrAbortHandler)
 	case state.heldResponse != nil:
 		g.writeResponse(req, state.heldResponse.status, state.heldResponse.header, state.heldResponse.body)
+	case reason == reasonQuarantined || reason == reasonSuspect:
+		g.refuse(req, g.suspectRejection(req, state, reason))
 	case state.mayHaveRun > 0 && ctx.Err() != nil:
 		g.refuse(req, rejection{status: http.StatusGatewayTimeout, reason: "deadline", cause: errorText(state.lastErr)})
 	case state.mayHaveRun > 0:
@@ -302,17 +323,19 @@
 	if state.sequencer.LastIDKnown {
 		endpointReq.After, endpointReq.HasAfter = state.sequencer.LastID, true
 	}
-	state.lastErr, state.hasResponse, state.receivedBefore = nil, false, state.sequencer.Received()
+	state.lastErr, state.responseStatus, state.receivedBefore = nil, 0, state.sequencer.Received()
+	state.isHarmless, state.hasCrashed = false, false
 	resp, err := g.Sender.Send(ctx, sender.Attempt{
 		Address: choice.Endpoint.Address, Method: req.r.Method, Target: req.r.RequestURI, Host: req.r.Host,
 		Header: g.Codec.EndpointHeader(req.r, endpointReq), Body: req.body,
-		Matches: func(h http.Header) bool { return g.Codec.IsResponseTo(req.ID, h) },
+		Matches:     func(h http.Header) bool { return g.Codec.IsResponseTo(req.ID, h) },
+		BeforeWrite: func() bool { return state.attempt.markSent(&choice.Endpoint) },
 	})
 	if err != nil {
 		return state.recordFailure(ctx, req, err), false
 	}
 	defer resp.Close()
-	state.hasResponse = true
+	state.responseStatus = resp.Status
 	info := g.Codec.ReadResponse(resp.Status, resp.Header)
 	if !info.IsOtherEndpoint {
 		g.recordHoldoff(req, choice.Endpoint, info)
@@ -497,6 +520,7 @@
 		n, err := resp.Read(buf)
 		if n > 0 {
 			out, seqErr := state.sequencer.Feed(buf[:n])
+			g.recordProgress(req, state)
 			if len(out) > 0 {
 				if writeErr := g.forwardEvents(req, state, resp, info, ctl, out); writeErr != nil {
 					return assigner.CallerGone, false
--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -20,6 +20,7 @@
 
 	"github.com/nutmegdock/nutmegdock/internal/chunkreplicator"
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
+	"github.com/nutmegdock/nutmegdock/internal/core/crashsuspector"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleettracker"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
@@ -134,12 +135,15 @@
 	exchanger.Init()
 	h.assigner.OnLoadChange = exchanger.LoadChanged
 	tracker := &fleettracker.Tracker{RolloutTimeout: h.RolloutTimeout}
+	suspector := &crashsuspector.Suspector{}
 	h.gateway = &gateway.Gateway{
-		Codec: h.Codec, Assigner: h.assigner, QueryLoads: exchanger.Query, Sender: &sender.Sender{Dial: (&dialer.Dialer{ConnectTimeout: connectTimeout}).DialContext},
+		Suspector: suspector,
+		Codec:     h.Codec, Assigner: h.assigner, QueryLoads: exchanger.Query, Sender: &sender.Sender{Dial: (&dialer.Dialer{ConnectTimeout: connectTimeout}).DialContext},
 		RetryBudget:   &retrybudget.Budget{TokensPerRequest: h.RetryRatio * budgetShare, Burst: h.RetryBurst * budgetShare / minBudgetHosts},
 		OldestRelease: tracker.OldestAllowed, WithdrawalTime: tracker.WithdrawDeadline, Logger: h.Logger, Meter: gateway.NewMeter(registry),
 		RetryAfter: func(remaining time.Duration) time.Duration { return max(0, remaining/retryAfterDivisor) },
 	}
+	suspector.OnQuarantine, suspector.OnLift = h.gateway.HandleQuarantine, h.gateway.HandleLift
 	h.FleetWatcher.Tracker = tracker
 	h.Replicator.Peers = h.chunkPeers
 	h.Replicator.Origin = h.origin
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -99,6 +99,21 @@
 	is.Equal(o.Kind, outcome.NotRun)
 }
 
+func TestWithdrawnRequestIsNotWritten(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{})
+	address, received := startEndpoint(t, func(*net.TCPConn, *http.Request) { close(closed) })
+	s := &sender.Sender{Dial: (&dialer.Dialer{}).DialContext}
+	_, err := s.Send(context.Background(), sender.Attempt{
+		Address: address, Method: http.MethodGet, Target: "/", Host: "h.example", BeforeWrite: func() bool { return false },
+	})
+	var o *outcome.Error
+	is.True(errors.As(err, &o))
+	is.Equal(o.Kind, outcome.NotRun)
+	<-closed
+	is.Equal(received.Load(), int64(0))
+}
+
 func TestRequestIsForwardedUnchanged(t *testing.T) {
 	is := is.New(t)
 	got := make(chan *http.Request, 1)
