explain: print the crashes for which a request was refused

The line of a refusal names the quarantined feature. The lines of all hosts that name it, too, are printed: crashes with it among their suspects, the requests that these interrupted, and the quarantine itself.

--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -93,12 +93,12 @@
 // ErrNotFound reports that no log line has the id.
 var ErrNotFound = errors.New("no log line has this id; of the requests that are neither late nor failed, only one in sixteen is logged")
 
-// Timeline returns the lines of the request, and those that show the state known to its host and the events of its
-// endpoints, ordered by time.
+// Timeline returns the lines of the request, and those that show the state known to its host, the events of its
+// endpoints, and the crashes for which it was refused, ordered by time.
 func (e *Explainer) Timeline() ([]Line, error) {
 	slices.SortStableFunc(e.lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	var requestLines []int
-	endpoints := make(map[string]bool)
+	endpoints, features := make(map[string]bool), make(map[string]bool)
 	for i, l := range e.lines {
 		if l.Fields["id"] != e.AttemptID {
 			continue
@@ -107,6 +107,9 @@
 		if name := text(l.Fields["endpoint"]); name != "" {
 			endpoints[name] = true
 		}
+		if feature := text(l.Fields["feature"]); feature != "" {
+			features[feature] = true
+		}
 	}
 	if len(requestLines) == 0 {
 		return nil, ErrNotFound
@@ -126,6 +129,9 @@
 		if isEndpointEvent && e.lines[first].Time.Sub(l.Time) < lookbackWindow {
 			selected[i] = true
 		}
+		if l.hasFeature(features) {
+			selected[i] = true
+		}
 	}
 	var out []Line
 	for i, l := range e.lines {
@@ -136,6 +142,22 @@
 	return out, nil
 }
 
+// hasFeature reports whether the line is about one of the features: its quarantine, a crash of which it is a suspect, or
+// a request with it that an endpoint crashed on.
+func (l Line) hasFeature(features map[string]bool) bool {
+	if l.Event == event.RequestRefused.Number {
+		return false
+	}
+	for _, name := range []string{"feature", "suspects", "features"} {
+		for feature := range strings.FieldsSeq(text(l.Fields[name])) {
+			if features[feature] {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // newest returns the index of a host's newest line of an event before the given index.
 func (e *Explainer) newest(ev event.Event, host string, before int) (int, bool) {
 	for i := before - 1; i >= 0; i-- {
