--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -195,6 +196,49 @@
 	is.Equal(refusals.Load(), int32(1))
 }
 
+// The connections of an endpoint that has crashed may be lost at different times. A stream with events is no suspect.
+func TestWaitingRequestsAreSuspectsBeforeTheyAreLost(t *testing.T) {
+	is := is.New(t)
+	var waiting sync.WaitGroup
+	waiting.Add(2)
+	f := startCrashFleet(t, 1, func(f *testFleet) []step {
+		serve := func(c *net.TCPConn, r *http.Request) {
+			switch r.URL.Path {
+			case "/fixed/started":
+				_, _ = io.WriteString(c, responseHeader+events(1, 2))
+				fallthrough
+			case "/fixed/waiting":
+				time.Sleep(50 * time.Millisecond) // until the events have arrived
+				waiting.Done()
+				noResponse(c, r)
+			default:
+				f.stopListening(c)
+			}
+		}
+		return []step{serve, serve, serve}
+	})
+	started, request := featuresOf(t, "/fixed/started", nil)[0], featuresOf(t, "/fixed/waiting", nil)[0]
+	for _, path := range []string{"/fixed/started", "/fixed/waiting"} {
+		go f.send(path, nil)
+	}
+	waiting.Wait()
+	status, _, _, err := f.send("/once/crash", nil)
+	is.NoErr(err)
+	is.Equal(status, http.StatusBadGateway)
+	crashes := f.gateway.Suspector.Facts().Crashes
+	is.Equal(len(crashes), 1)
+	is.Equal(len(crashes[0].Suspects), 2)
+	is.True(slices.Contains(crashes[0].Suspects, request))
+	is.True(!slices.Contains(crashes[0].Suspects, started))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, connections := range f.connections {
+		for _, c := range connections {
+			_ = c.Close()
+		}
+	}
+}
+
 func TestFactsAreAnnounced(t *testing.T) {
 	is := is.New(t)
 	f := startCrashFleet(t, 2, func(f *testFleet) []step { return []step{f.crashAfter(""), response(200, "a")} })
