--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -151,11 +151,13 @@
 	h.initFacts(exchanger)
 	tracker := &fleettracker.Tracker{RolloutTimeout: h.RolloutTimeout}
 	h.gateway = &gateway.Gateway{
+		Suspector: h.suspector, Announce: h.factExchanger.Announce,
 		Codec: h.Codec, Assigner: h.assigner, QueryLoads: exchanger.Query, Sender: &sender.Sender{Dial: (&dialer.Dialer{ConnectTimeout: connectTimeout}).DialContext},
 		RetryBudget:   &retrybudget.Budget{TokensPerRequest: h.RetryRatio * budgetShare, Burst: h.RetryBurst * budgetShare / minBudgetHosts},
 		OldestRelease: tracker.OldestAllowed, WithdrawalTime: tracker.WithdrawDeadline, Logger: h.Logger, Meter: gateway.NewMeter(registry),
 		RetryAfter: func(remaining time.Duration) time.Duration { return max(0, remaining/retryAfterDivisor) },
 	}
+	h.suspector.OnQuarantine, h.suspector.OnLift = h.gateway.HandleQuarantine, h.gateway.HandleLift
 	h.FleetWatcher.Tracker = tracker
 	h.Replicator.Peers = h.chunkPeers
 	h.Replicator.Origin = h.origin
