--- a/internal/factexchanger/factexchanger.go
+++ b/internal/factexchanger/factexchanger.go
@@ -189,7 +189,8 @@
 	x.announce(now)
 	x.sendDue(now)
 	x.sendRound(now)
-	if len(added)+len(messages) > 0 && x.OnChange != nil {
+	hasFacts := func(r receivedMessage) bool { return !r.message.Facts.IsEmpty() }
+	if x.OnChange != nil && (len(added) > 0 || slices.ContainsFunc(messages, hasFacts)) {
 		x.OnChange()
 	}
 }
--- a/internal/factexchanger/factexchanger_test.go
+++ b/internal/factexchanger/factexchanger_test.go
@@ -96,6 +96,12 @@
 	f.clearingsSentFrom = make(map[netip.AddrPort]bool)
 }
 
+func (f *fleet) setCutZone(zone int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cutZone = zone
+}
+
 func (f *fleet) send(from *host, m factexchanger.Message, to []netip.AddrPort) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -164,14 +170,14 @@
 				synctest.Test(t, func(t *testing.T) {
 					is := is.New(t)
 					f := newFleet(t, n)
-					f.cutZone = 1
+					f.setCutZone(1)
 					f.hosts[0].announceCrash(1, 1)
 					f.hosts[1].announceCrash(2, 2)
 					time.Sleep(8 * time.Second)
 					synctest.Wait()
 					is.True(f.lacking(1, 1) > 0)
 					is.True(f.lacking(2, 1) > 0)
-					f.cutZone = -1
+					f.setCutZone(-1)
 					time.Sleep(2 * time.Second)
 					synctest.Wait()
 					is.Equal(f.lacking(1, 1), 0)
@@ -249,7 +255,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(t, 9)
-		f.cutZone = 1
+		f.setCutZone(1)
 		const gone, others = 3, 5
 		for id, sends := range []int{10, 1} {
 			f.hosts[0].announceCrash(crashsuspector.CrashID(id), 1)
@@ -291,17 +297,17 @@
 		f.hosts[0].announceCrash(1, 1, 2)
 		time.Sleep(time.Second)
 		synctest.Wait()
-		f.cutZone = 1
+		f.setCutZone(1)
 		clearing := crashsuspector.Facts{Clearings: []crashsuspector.Clearing{{Feature: 1, ID: 77}}}
 		for _, h := range f.hosts {
-			if h.zone != f.cutZone {
+			if h.zone != 1 {
 				h.Suspector.Merge(clearing)
 			}
 		}
 		time.Sleep(time.Minute)
 		synctest.Wait()
 		is.Equal(f.hosts[1].suspects(1), []crashsuspector.Feature{1, 2})
-		f.cutZone = -1
+		f.setCutZone(-1)
 		time.Sleep(2 * time.Second)
 		synctest.Wait()
 		for _, h := range f.hosts {
