--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -328,11 +328,13 @@
 		<-received
 		f.quarantine(features)
 	}()
+	sentAt := time.Now()
 	status, body, h, err := f.send("/read/x", nil)
 	is.NoErr(err)
 	is.Equal(status, http.StatusBadGateway)
 	is.Equal(body, `{"id":"id1","reason":"quarantined"}`)
 	is.Equal(h.Get("Retry-After"), "")
+	is.True(time.Since(sentAt) < 2*time.Second) // the caller waits for 3 s
 	<-closed
 	is.Equal(len(f.requests()), 1)
 }
