--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -7,6 +7,9 @@
 	RequestRefused         = Event{1701, log.InfoLevel, "request refused"}
 	RequestCompleted       = Event{1702, log.InfoLevel, "request completed"}
 	AttemptFailed          = Event{1703, log.InfoLevel, "attempt failed"}
+	CrashRecorded          = Event{1706, log.WarnLevel, "endpoint crashed with requests in progress"}
+	FeatureQuarantined     = Event{1707, log.WarnLevel, "feature of requests crashes endpoints; requests with it are refused"}
+	QuarantineLifted       = Event{1708, log.InfoLevel, "requests with a feature are no longer refused"}
 	HostReady              = Event{1711, log.InfoLevel, "host is ready"}
 	ConfigApplied          = Event{1712, log.InfoLevel, "configuration applied"}
 	ConfigInvalid          = Event{1713, log.ErrorLevel, "configuration does not parse"}
@@ -40,6 +43,9 @@
 	ReleaseArchiveFailed   = Event{1743, log.WarnLevel, "release is not archived in the store yet"}
 	ArchiveReadFailed      = Event{1744, log.InfoLevel, "archived release cannot be read from the store; reading it from the origin"}
 	EarlyLoadFailed        = Event{1745, log.WarnLevel, "engine could not load its first layers early; loading waits for all chunks"}
+	QuarantineRestored     = Event{1771, log.WarnLevel, "quarantined features learned from the store"}
+	QuarantineUnreadable   = Event{1772, log.WarnLevel, "record of a quarantined feature does not parse"}
+	QuarantineWriteFailed  = Event{1773, log.WarnLevel, "records of quarantined features could not be written; will be retried"}
 	SettingsReloaded       = Event{1751, log.InfoLevel, "settings reloaded"}
 	SettingsRejected       = Event{1752, log.WarnLevel, "reloaded settings are invalid and were ignored"}
 	CallerDisconnected     = Event{1704, log.InfoLevel, "caller disconnected before the response was complete"}
