--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -132,7 +132,11 @@
 	var callers sync.WaitGroup
 	for i := 0; time.Now().Before(deadline.Add(silence)); i++ {
 		callers.Go(func() {
-			defer func() { _ = recover() }() // the handler aborts broken streams
+			defer func() {
+				if reason := recover(); reason != nil && reason != http.ErrAbortHandler { // the handler aborts broken streams
+					panic(reason)
+				}
+			}()
 			r := httptest.NewRequest(http.MethodPost, "http://h/", nil)
 			r.Header.Set("Id", fmt.Sprint(i))
 			r.Header.Set("Model", "m")
