--- a/internal/factexchanger/factexchanger.go
+++ b/internal/factexchanger/factexchanger.go
@@ -235,10 +235,12 @@
 			}
 		}
 		for _, c := range answers.Clearings {
-			if _, ok := x.answers[c.Feature]; !ok {
-				now := time.Now()
-				x.answers[c.Feature] = answer{clearing: c, at: now, dueAt: now.Add(rand.N(maxClearingDelay))}
+			a := x.answers[c.Feature]
+			a.clearing, a.at = c, time.Now()
+			if a.dueAt.IsZero() {
+				a.dueAt = a.at.Add(rand.N(maxClearingDelay))
 			}
+			x.answers[c.Feature] = a
 		}
 	}
 	switch m.Kind {
