--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -19,6 +19,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
+	"github.com/nutmegdock/nutmegdock/internal/core/crashsuspector"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleettracker"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
@@ -111,7 +112,7 @@
 	engine := &silentEngine{silentFrom: time.Now().Add(start), silentUntil: time.Now().Add(start + silence)}
 	var engines sync.WaitGroup
 	g := &gateway.Gateway{
-		Codec: testCodec, Assigner: a, RetryBudget: &retrybudget.Budget{},
+		Codec: testCodec, Assigner: a, Suspector: &crashsuspector.Suspector{}, RetryBudget: &retrybudget.Budget{},
 		Sender: &sender.Sender{Dial: func(context.Context, string, string) (net.Conn, error) {
 			c, remote := net.Pipe()
 			engines.Go(func() { engine.serve(remote) })
