A suspended host enforces a release at the end of its rollout timeout

The clock of the runtime stands still while the host is suspended, and an entry host counted the rollout timeout by it: suspended for 2.5 s amid a rollout, it sent requests to engines on the older release for 2.5 s too long; it is in touch again before the timeout ends. The agent beside an engine switched its engine that much later.

Change: internal/suspensiondetector compares the clock with one that runs during a suspension, whenever a request asks for the oldest release and while an agent waits for its turn; the tracker moves the end of the timeouts.

--- a/internal/core/fleettracker/fleettracker.go
+++ b/internal/core/fleettracker/fleettracker.go
@@ -273,6 +273,19 @@
 	return oldest
 }
 
+// RecordSuspension records that the host was suspended for a time that the runtime's clock does not count. The rollout
+// timeouts of the known releases end earlier by that clock.
+func (t *Tracker) RecordSuspension(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, all := range t.releases {
+		for i := range all {
+			all[i].enforcedFrom = all[i].enforcedFrom.Add(-d)
+			all[i].publishedAt = all[i].publishedAt.Add(-d)
+		}
+	}
+}
+
 // AssignTime returns how long after a release is found requests are still sent to older ones.
 func (t *Tracker) AssignTime() time.Duration {
 	return max(0, t.RolloutTimeout-assignMargin)
--- a/internal/core/fleettracker/fleettracker_test.go
+++ b/internal/core/fleettracker/fleettracker_test.go
@@ -113,6 +113,22 @@
 	})
 }
 
+// The clock of the runtime stood still while the host was suspended, and the older release was used for that much longer.
+func TestReleaseIsEnforcedLateAfterSuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tracker := &fleettracker.Tracker{RolloutTimeout: rolloutTimeout}
+		tracker.AddRelease("m", 2, false, 0)
+		time.Sleep(time.Second)
+		tracker.RecordSuspension(2 * time.Second)
+		is.Equal(time.Since(tracker.PublishedAt("m", 1)), 3*time.Second)
+		time.Sleep(tracker.AssignTime() - 3*time.Second - time.Millisecond)
+		is.Equal(tracker.OldestAllowed("m"), fleetconfig.Release(1))
+		time.Sleep(time.Millisecond)
+		is.Equal(tracker.OldestAllowed("m"), fleetconfig.Release(2))
+	})
+}
+
 // A host that starts does not know when a release was published, so it must not wait for the full rollout timeout.
 func TestReleaseReadAtStartIsEnforcedAfterTheStartupGrace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/engineagent/engineagent.go
+++ b/internal/engineagent/engineagent.go
@@ -28,6 +28,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/hostregistrar"
 	"github.com/nutmegdock/nutmegdock/internal/loadexchanger"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
+	"github.com/nutmegdock/nutmegdock/internal/suspensiondetector"
 )
 
 const (
@@ -73,8 +74,9 @@
 	FleetWatcher *fleetwatcher.Watcher
 	Logger       log.Interface
 
-	tracker *fleettracker.Tracker
-	updates chan struct{}
+	tracker     *fleettracker.Tracker
+	suspensions *suspensiondetector.Detector
+	updates     chan struct{}
 	// gateChanged signals that the gate state has been set.
 	gateChanged chan struct{}
 
@@ -88,6 +90,8 @@
 func (h *Agent) Run(ctx context.Context) error {
 	h.updates, h.gateChanged = make(chan struct{}, 1), make(chan struct{}, 1)
 	h.tracker = &fleettracker.Tracker{RolloutTimeout: h.RolloutTimeout}
+	h.suspensions = &suspensiondetector.Detector{OnSuspension: h.tracker.RecordSuspension, Logger: h.Logger}
+	h.suspensions.Check()
 	registry := prometheus.NewRegistry()
 	h.Replicator.Peers = h.peers
 	h.Replicator.Origin = func() (string, ident.Region) {
--- a/internal/engineagent/reconcile.go
+++ b/internal/engineagent/reconcile.go
@@ -210,6 +210,7 @@
 // awaitTurn waits for this engine's turn to change over from the served release to s.
 func (h *Agent) awaitTurn(ctx context.Context, s fleetconfig.ServedModel, served fleetconfig.Release) error {
 	for {
+		h.suspensions.Check()
 		turnShare := rolloutplanner.SwitchShare(h.IP, h.members(served))
 		turnTime := h.tracker.PublishedAt(s.Model, served).Add(time.Duration(turnShare * float64(h.tracker.AssignTime())))
 		if !time.Now().Before(turnTime) {
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -7,6 +7,7 @@
 	RequestRefused         = Event{1701, log.InfoLevel, "request refused"}
 	RequestCompleted       = Event{1702, log.InfoLevel, "request completed"}
 	AttemptFailed          = Event{1703, log.InfoLevel, "attempt failed"}
+	HostSuspended          = Event{1710, log.WarnLevel, "host was suspended"}
 	HostReady              = Event{1711, log.InfoLevel, "host is ready"}
 	ConfigApplied          = Event{1712, log.InfoLevel, "configuration applied"}
 	ConfigInvalid          = Event{1713, log.ErrorLevel, "configuration does not parse"}
--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -37,6 +37,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/rpc"
 	"github.com/nutmegdock/nutmegdock/internal/sender"
 	"github.com/nutmegdock/nutmegdock/internal/storerelayer"
+	"github.com/nutmegdock/nutmegdock/internal/suspensiondetector"
 	"github.com/nutmegdock/nutmegdock/internal/watcher"
 )
 
@@ -134,10 +135,20 @@
 	exchanger.Init()
 	h.assigner.OnLoadChange = exchanger.LoadChanged
 	tracker := &fleettracker.Tracker{RolloutTimeout: h.RolloutTimeout}
+	suspensions := &suspensiondetector.Detector{OnSuspension: tracker.RecordSuspension, Logger: h.Logger}
+	suspensions.Check()
 	h.gateway = &gateway.Gateway{
 		Codec: h.Codec, Assigner: h.assigner, QueryLoads: exchanger.Query, Sender: &sender.Sender{Dial: (&dialer.Dialer{ConnectTimeout: connectTimeout}).DialContext},
-		RetryBudget:   &retrybudget.Budget{TokensPerRequest: h.RetryRatio * budgetShare, Burst: h.RetryBurst * budgetShare / minBudgetHosts},
-		OldestRelease: tracker.OldestAllowed, WithdrawalTime: tracker.WithdrawDeadline, Logger: h.Logger, Meter: gateway.NewMeter(registry),
+		RetryBudget: &retrybudget.Budget{TokensPerRequest: h.RetryRatio * budgetShare, Burst: h.RetryBurst * budgetShare / minBudgetHosts},
+		OldestRelease: func(m fleetconfig.Model) fleetconfig.Release {
+			suspensions.Check()
+			return tracker.OldestAllowed(m)
+		},
+		WithdrawalTime: func(m fleetconfig.Model, release fleetconfig.Release) time.Time {
+			suspensions.Check()
+			return tracker.WithdrawDeadline(m, release)
+		},
+		Logger: h.Logger, Meter: gateway.NewMeter(registry),
 		RetryAfter: func(remaining time.Duration) time.Duration { return max(0, remaining/retryAfterDivisor) },
 	}
 	h.FleetWatcher.Tracker = tracker
