A release that is found late without a failed call is enforced in time

The delay of a change was counted only if a call had failed.

Change: a call that ends later than its wait and 300 ms after the call before it counts as late; the delay is the time since the records were last known to be complete, which a host states with what it passes on (age), on a clock that also runs while the host is suspended.

--- a/internal/fleetwatcher/late_test.go
+++ b/internal/fleetwatcher/late_test.go
@@ -65,7 +65,8 @@
 		QueryReader: func(ctx context.Context, _ string, q messages.RecordsQuery) (messages.RecordsResponse, error) {
 			return query(ctx, q)
 		},
-		ReadStore: store.read,
+		ReadStore:         store.read,
+		ReadStoreSnapshot: func(context.Context, string) (watcher.Snapshot, error) { return watcher.Snapshot{}, nil },
 	}
 	return h
 }
@@ -77,7 +78,7 @@
 			s := fleetconfig.ServedModel{Model: "m"}
 			return s, json.Unmarshal(data, &s.Release)
 		}},
-		ReadSnapshot: func(context.Context, string) (watcher.Snapshot, error) { return watcher.Snapshot{}, nil },
+		ReadSnapshot: h.relayer.ReadSnapshot,
 		ReadChanges: func(ctx context.Context, topic string, epoch watcher.Epoch, from int64, wait time.Duration) (watcher.Batch, error) {
 			if topic != "operator" {
 				sleep(ctx, wait)
--- a/internal/messages/records.go
+++ b/internal/messages/records.go
@@ -24,7 +24,9 @@
 type RecordsResponse struct {
 	NextOffset int64 `json:"next"`
 	// Epoch is the epoch of the store that the records belong to. If it is later than that of the query, there are none.
-	Epoch      int64  `json:"epoch,omitempty"`
+	Epoch int64 `json:"epoch,omitempty"`
+	// AgeMs is the time in milliseconds since the records were known to be complete up to NextOffset.
+	AgeMs      int64  `json:"age,omitempty"`
 	Unknown    bool   `json:"unknown,omitempty"`
 	Compressed bool   `json:"packed,omitempty"`
 	Data       []byte `json:"data,omitempty"`
--- a/internal/storerelayer/storerelayer.go
+++ b/internal/storerelayer/storerelayer.go
@@ -41,6 +41,9 @@
 	maxReaderSwitchTime = 100 * time.Millisecond
 	// maxCachedBytes limits the cached records of a topic. It holds several configurations of a thousand routes.
 	maxCachedBytes = 2 << 20
+	// maxCallDelay is how much later than it waits a call may succeed, counted from the end of the call before, if neither
+	// this host nor the source stood still. It includes the pause between two calls.
+	maxCallDelay = 300 * time.Millisecond
 	// minCompressBytes is the size from which a response is compressed.
 	minCompressBytes = 4 << 10
 )
@@ -62,12 +65,16 @@
 	// ReadStoreSnapshot reads a snapshot from the store, and QuerySnapshot queries another host for one.
 	ReadStoreSnapshot func(ctx context.Context, topic string) (watcher.Snapshot, error)
 	QuerySnapshot     func(ctx context.Context, address string, q messages.SnapshotQuery) (messages.RecordsResponse, error)
+	// Elapsed returns the time since some moment, including that for which the host was suspended. Nil means the clock of
+	// the runtime, which does not count that.
+	Elapsed func() time.Duration
 	// QueryReader queries the reader.
 	QueryReader func(ctx context.Context, address string, q messages.RecordsQuery) (messages.RecordsResponse, error)
 
-	mu     sync.Mutex
-	caches map[string]*topicCache
-	bans   map[topicReader]ban
+	mu        sync.Mutex
+	startedAt time.Time
+	caches    map[string]*topicCache
+	bans      map[topicReader]ban
 }
 
 // ban excludes a reader that has failed. Its duration doubles with each failure until the next success.
@@ -90,9 +97,10 @@
 	bytes                   int
 	// values holds the newest value of each key up to nextOffset; nil if it is not known.
 	values map[string][]byte
-	// readAt is when the last call succeeded, and hasFailed is set if a call has failed since.
-	readAt    time.Time
-	hasFailed bool
+	// readAt is when the last call succeeded, as Elapsed gives it, and hasFailed is set if a call has failed since. The
+	// records were complete at completeAt, which is earlier if another host gave them. hasRead is set after the first call.
+	readAt, completeAt time.Duration
+	hasRead, hasFailed bool
 	// validUntil is the time until which the cache is current enough to be relayed to other hosts.
 	validUntil time.Time
 	changed    chan struct{}
@@ -139,10 +147,11 @@
 		if reader == "" {
 			break
 		}
+		calledAt := r.readElapsed()
 		b, err := r.readFromReader(ctx, reader, topic, epoch, from, r.readerWait())
 		r.recordReader(topicReader{reader, topic}, err == nil)
 		if err == nil {
-			r.addDelay(topic, b)
+			r.addDelay(topic, b, calledAt, r.readerWait())
 			r.updateValidity(topic, true)
 			r.addToCache(topic, from, b)
 			return b, nil
@@ -154,36 +163,65 @@
 		}
 	}
 	r.extendValidity(topic, wait)
+	calledAt := r.readElapsed()
 	b, err := r.ReadStore(ctx, topic, epoch, from, wait)
 	if err != nil {
 		r.recordFailure(topic)
 		r.updateValidity(topic, false)
 		return b, err
 	}
-	r.addDelay(topic, b)
+	r.addDelay(topic, b, calledAt, wait)
 	r.updateValidity(topic, true)
 	r.addToCache(topic, from, b)
 	return b, nil
 }
 
+func (r *Relayer) readElapsed() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.elapsed()
+}
+
+// elapsed returns the time since some moment. The caller must hold r.mu.
+func (r *Relayer) elapsed() time.Duration {
+	if r.Elapsed != nil {
+		return r.Elapsed()
+	}
+	if r.startedAt.IsZero() {
+		r.startedAt = time.Now()
+	}
+	return time.Since(r.startedAt)
+}
+
 func (r *Relayer) recordFailure(topic string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.cacheFor(topic).hasFailed = true
 }
 
-// addDelay adds to the delay of changes the time that was lost by failed calls since the last one that succeeded.
-func (r *Relayer) addDelay(topic string, b watcher.Batch) {
+// addDelay adds to the delay of changes the time since the records were last known to be complete, if a call has failed
+// since or this one has taken longer than it waits: this host or the source may have stood still.
+func (r *Relayer) addDelay(topic string, b watcher.Batch, calledAt, wait time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	cache := r.cacheFor(topic)
-	now := time.Now()
-	if cache.hasFailed && !cache.readAt.IsZero() {
+	now := r.elapsed()
+	if cache.hasRead && (cache.hasFailed || now-cache.readAt > wait+maxCallDelay) {
 		for i := range b.Changes {
-			b.Changes[i].Delay += now.Sub(cache.readAt)
+			b.Changes[i].Delay += now - cache.completeAt
 		}
 	}
-	cache.readAt, cache.hasFailed = now, false
+	readAt := now
+	if now-calledAt > wait+maxCallDelay {
+		// The source may have given its answer at any time since the call.
+		readAt = calledAt
+	}
+	cache.setComplete(readAt, b.Age)
+}
+
+// setComplete records that the records were complete a time before readAt.
+func (c *topicCache) setComplete(readAt, age time.Duration) {
+	c.readAt, c.completeAt, c.hasRead, c.hasFailed = readAt, readAt-age, true, false
 }
 
 func (r *Relayer) readerWait() time.Duration {
@@ -240,7 +278,10 @@
 		return watcher.Batch{}, fmt.Errorf("reader %s does not hold records of %s from offset %d", reader, topic, from)
 	}
 	records, err := decodeRecords(resp)
-	return watcher.Batch{Changes: records, NextOffset: resp.NextOffset, Epoch: watcher.Epoch(resp.Epoch), IsRelayed: true}, err
+	return watcher.Batch{
+		Changes: records, NextOffset: resp.NextOffset, Epoch: watcher.Epoch(resp.Epoch), IsRelayed: true,
+		Age: time.Duration(resp.AgeMs) * time.Millisecond,
+	}, err
 }
 
 // addToCache adds records to the cache of a topic.
@@ -321,7 +362,10 @@
 		return watcher.Snapshot{}, fmt.Errorf("reader %s does not hold a snapshot of %s", reader, topic)
 	}
 	records, err := decodeRecords(resp)
-	s := watcher.Snapshot{Values: make(map[string][]byte, len(records)), NextOffset: resp.NextOffset, Epoch: watcher.Epoch(resp.Epoch)}
+	s := watcher.Snapshot{
+		Values: make(map[string][]byte, len(records)), NextOffset: resp.NextOffset, Epoch: watcher.Epoch(resp.Epoch),
+		Age: time.Duration(resp.AgeMs) * time.Millisecond,
+	}
 	for _, c := range records {
 		s.Values[c.Key] = c.Value
 	}
@@ -338,6 +382,7 @@
 		return
 	}
 	cache.epoch, cache.values = s.Epoch, maps.Clone(s.Values)
+	cache.setComplete(r.elapsed(), s.Age)
 	cache.reset(s.NextOffset)
 	cache.notify()
 }
@@ -357,10 +402,10 @@
 				records = append(records, watcher.Change{Key: key, Value: value})
 			}
 		}
-		epoch, next, changed := int64(cache.epoch), cache.nextOffset, cache.changed
+		epoch, next, changed, age := int64(cache.epoch), cache.nextOffset, cache.changed, r.elapsed()-cache.completeAt
 		r.mu.Unlock()
 		if isKnown {
-			return encodeRecords(records, epoch, next)
+			return encodeRecords(records, epoch, next, age)
 		}
 		remaining := time.Until(deadline)
 		if remaining <= 0 {
@@ -393,14 +438,14 @@
 		if isKnown {
 			records = cache.records[q.FromOffset-cache.firstOffset:]
 		}
-		next, changed := cache.nextOffset, cache.changed
+		next, changed, age := cache.nextOffset, cache.changed, r.elapsed()-cache.completeAt
 		r.mu.Unlock()
 		if !isKnown {
 			return messages.RecordsResponse{Unknown: true}, nil
 		}
 		remaining := time.Until(deadline)
 		if len(records) > 0 || remaining <= 0 {
-			return encodeRecords(records, q.Epoch, next)
+			return encodeRecords(records, q.Epoch, next, age)
 		}
 		select {
 		case <-ctx.Done():
@@ -411,8 +456,8 @@
 	}
 }
 
-func encodeRecords(records []watcher.Change, epoch, next int64) (messages.RecordsResponse, error) {
-	resp := messages.RecordsResponse{NextOffset: next, Epoch: epoch}
+func encodeRecords(records []watcher.Change, epoch, next int64, age time.Duration) (messages.RecordsResponse, error) {
+	resp := messages.RecordsResponse{NextOffset: next, Epoch: epoch, AgeMs: age.Milliseconds()}
 	if len(records) == 0 {
 		return resp, nil
 	}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -31,6 +31,8 @@
 	Values     map[string][]byte
 	NextOffset int64
 	Epoch      Epoch
+	// Age is the time since the values were known to be the newest.
+	Age time.Duration
 }
 
 // Change is a new value of a key. A nil or empty value deletes the key.
@@ -48,6 +50,8 @@
 	Epoch      Epoch
 	// IsRelayed says that another host has passed the changes on.
 	IsRelayed bool
+	// Age is the time since there were no further changes, as far as the source knows.
+	Age time.Duration
 }
 
 // EpochError reports that a response is of an older epoch than one that this host has seen, so that it says nothing
