--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -10,6 +10,7 @@
 	CrashRecorded          = Event{1706, log.WarnLevel, "endpoint crashed with requests in progress"}
 	FeatureQuarantined     = Event{1707, log.WarnLevel, "feature of requests crashes endpoints; requests with it are refused"}
 	QuarantineLifted       = Event{1708, log.InfoLevel, "requests with a feature are no longer refused"}
+	HostSuspended          = Event{1710, log.WarnLevel, "host was suspended"}
 	HostReady              = Event{1711, log.InfoLevel, "host is ready"}
 	ConfigApplied          = Event{1712, log.InfoLevel, "configuration applied"}
 	ConfigInvalid          = Event{1713, log.ErrorLevel, "configuration does not parse"}
--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -40,6 +40,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/rpc"
 	"github.com/nutmegdock/nutmegdock/internal/sender"
 	"github.com/nutmegdock/nutmegdock/internal/storerelayer"
+	"github.com/nutmegdock/nutmegdock/internal/suspensiondetector"
 	"github.com/nutmegdock/nutmegdock/internal/watcher"
 )
 
@@ -150,11 +151,21 @@
 	h.assigner.OnLoadChange = exchanger.LoadChanged
 	h.initFacts(exchanger)
 	tracker := &fleettracker.Tracker{RolloutTimeout: h.RolloutTimeout}
+	suspensions := &suspensiondetector.Detector{OnSuspension: tracker.RecordSuspension, Logger: h.Logger}
+	suspensions.Check()
 	h.gateway = &gateway.Gateway{
 		Suspector: h.suspector, Announce: h.factExchanger.Announce,
 		Codec: h.Codec, Assigner: h.assigner, QueryLoads: exchanger.Query, Sender: &sender.Sender{Dial: (&dialer.Dialer{ConnectTimeout: connectTimeout}).DialContext},
-		RetryBudget:   &retrybudget.Budget{TokensPerRequest: h.RetryRatio * budgetShare, Burst: h.RetryBurst * budgetShare / minBudgetHosts},
-		OldestRelease: tracker.OldestAllowed, WithdrawalTime: tracker.WithdrawDeadline, Logger: h.Logger, Meter: gateway.NewMeter(registry),
+		RetryBudget: &retrybudget.Budget{TokensPerRequest: h.RetryRatio * budgetShare, Burst: h.RetryBurst * budgetShare / minBudgetHosts},
+		OldestRelease: func(m fleetconfig.Model) fleetconfig.Release {
+			suspensions.Check()
+			return tracker.OldestAllowed(m)
+		},
+		WithdrawalTime: func(m fleetconfig.Model, release fleetconfig.Release) time.Time {
+			suspensions.Check()
+			return tracker.WithdrawDeadline(m, release)
+		},
+		Logger: h.Logger, Meter: gateway.NewMeter(registry),
 		RetryAfter: func(remaining time.Duration) time.Duration { return max(0, remaining/retryAfterDivisor) },
 	}
 	h.suspector.OnQuarantine, h.suspector.OnLift = h.gateway.HandleQuarantine, h.gateway.HandleLift
@@ -162,6 +173,7 @@
 	h.Replicator.Peers = h.chunkPeers
 	h.Replicator.Origin = h.origin
 	relayer := &storerelayer.Relayer{
+		Elapsed:       suspensions.Elapsed,
 		ReaderAddress: h.storeReader, CallGap: h.FleetWatcher.EndpointPause + callGapMargin, ReaderWait: h.FleetWatcher.OperatorWait / 2, ReadStore: h.FleetWatcher.ReadChanges,
 		QueryReader: func(ctx context.Context, address string, q messages.RecordsQuery) (messages.RecordsResponse, error) {
 			return rpc.Call[messages.RecordsResponse](ctx, h.rpcPool.Client(address), messages.RecordsMethod, q)
