Crash suspector: early probes

The state test found that a sound first part that was quarantined by mistake (all engines end right after the hosts started, before any answer) stayed refused for a minute, as its own quarantine kept it from being answered. A quarantined feature is now tried once 1.5 s after its last crash by a request without other suspects, and once after 2.5 s by any, unless it was never answered and alone explains five crashes.

--- a/internal/core/crashsuspector/probe.go
+++ b/internal/core/crashsuspector/probe.go
@@ -3,7 +3,15 @@
 import "time"
 
 const (
-	// minProbeInterval is the time after the last crash at which a quarantined feature is tried again for the first time.
+	// earlyProbeDelay is the time after the last crash at which a feature that may be sound is tried once. Requests with
+	// other suspects wait longer: one that shows whether a single feature is sound is better.
+	earlyProbeDelay       = 1500 * time.Millisecond
+	earlySharedProbeDelay = 2500 * time.Millisecond
+	// earlyProbePeriod is the time after the last crash from which there is no early probe.
+	earlyProbePeriod = 30 * time.Second
+	// earlyRetryDelay is the time after which an early probe without result is repeated.
+	earlyRetryDelay = 5 * time.Second
+	// minProbeInterval is the time after the last crash at which a quarantined feature is tried again regularly.
 	minProbeInterval = time.Minute
 	// maxProbeInterval is shorter than Retention, so that a feature that still crashes engines stays quarantined.
 	maxProbeInterval = 8 * time.Minute
@@ -11,16 +19,18 @@
 	probeValidity = 2 * time.Second
 )
 
-// probe is a request that this host has chosen to try a quarantined feature again.
+// probe is the last request that this host has chosen to try a quarantined feature again.
 type probe struct {
 	// request is a hash of the request's features.
 	request uint64
 	at      time.Time
+	// early and earlyShared report whether there has been an early probe of the feature alone, and with others.
+	early, earlyShared bool
 }
 
 // quarantineFinding returns the finding for a quarantined feature. Each crash that followed the one before it only after
-// about the time of a probe doubles the time to the next.
-func (s *factSet) quarantineFinding(f Feature) finding {
+// about the time of a regular probe doubles the time to the next.
+func (s *factSet) quarantineFinding(f Feature, isCertain bool) finding {
 	interval := minProbeInterval
 	crashes := s.byFeature[f]
 	for i, c := range crashes[1:] {
@@ -28,7 +38,7 @@
 			interval = min(2*interval, maxProbeInterval)
 		}
 	}
-	return finding{verdict: Quarantined, probeAt: crashes[len(crashes)-1].at.Add(interval), probeInterval: interval}
+	return finding{verdict: Quarantined, isCertain: isCertain, lastCrash: crashes[len(crashes)-1].at, probeInterval: interval}
 }
 
 // startProbe reports whether a request with quarantined features may run as a probe. The same request may ask again
@@ -43,35 +53,54 @@
 	if v == nil {
 		return true
 	}
-	now, request := time.Now(), hashFeatures(features)
+	var quarantined []Feature
 	for _, f := range features {
-		found := v.findings[f]
-		if found.verdict != Quarantined {
-			continue
-		}
-		if now.Before(found.probeAt) {
-			return false
+		if v.findings[f].verdict == Quarantined {
+			quarantined = append(quarantined, f)
 		}
-		last, ok := s.probes[f]
-		if ok && now.Before(last.at.Add(found.probeInterval)) && (last.request != request || now.Sub(last.at) >= probeValidity) {
+	}
+	now, request, isShared := time.Now(), hashFeatures(features), s.facts.countRepeated(features) > 1
+	for _, f := range quarantined {
+		if found := v.findings[f]; !s.probes[f].isCurrent(request, found, now) && !s.probes[f].isFollowedBy(found, isShared, now) {
 			return false
 		}
 	}
-	for _, f := range features {
-		if v.findings[f].verdict != Quarantined {
-			continue
-		}
-		if last, ok := s.probes[f]; ok && last.request == request && now.Sub(last.at) < probeValidity {
+	if s.probes == nil {
+		s.probes = make(map[Feature]probe)
+	}
+	for _, f := range quarantined {
+		last := s.probes[f]
+		if last.isCurrent(request, v.findings[f], now) {
 			continue
 		}
-		if s.probes == nil {
-			s.probes = make(map[Feature]probe)
-		}
-		s.probes[f] = probe{request: request, at: now}
+		s.probes[f] = probe{request: request, at: now, early: last.early || !isShared, earlyShared: last.earlyShared || isShared}
 	}
 	return true
 }
 
+// isCurrent reports whether a request is the probe and has not crashed an engine yet.
+func (p probe) isCurrent(request uint64, found finding, now time.Time) bool {
+	return p.request == request && now.Sub(p.at) < probeValidity && !p.at.Before(found.lastCrash)
+}
+
+// isFollowedBy reports whether another probe may follow.
+func (p probe) isFollowedBy(found finding, isShared bool, now time.Time) bool {
+	sinceCrash, sinceProbe := now.Sub(found.lastCrash), now.Sub(p.at)
+	if sinceCrash >= found.probeInterval && sinceProbe >= found.probeInterval {
+		return true
+	}
+	if found.isCertain || sinceCrash >= earlyProbePeriod {
+		return false
+	}
+	if !p.at.Before(found.lastCrash) {
+		return sinceProbe >= earlyRetryDelay
+	}
+	if isShared {
+		return !p.earlyShared && sinceCrash >= earlySharedProbeDelay
+	}
+	return !p.early && sinceCrash >= earlyProbeDelay
+}
+
 func hashFeatures(features []Feature) uint64 {
 	const offset, prime = 14695981039346656037, 1099511628211
 	h := uint64(offset)
--- a/internal/core/crashsuspector/quarantine.go
+++ b/internal/core/crashsuspector/quarantine.go
@@ -22,9 +22,11 @@
 // finding is what the facts say about a feature that has several crashes against it.
 type finding struct {
 	verdict Verdict
-	// probeAt is the time from which a quarantined feature may be tried again, and probeInterval the time after which
-	// it may be tried once more if that had no result.
-	probeAt       time.Time
+	// isCertain means that a quarantined feature was never answered and alone explains many crashes.
+	isCertain bool
+	// lastCrash is the time of the last crash with a quarantined feature, and probeInterval the time after it, and after
+	// a probe without result, at which the feature is tried again.
+	lastCrash     time.Time
 	probeInterval time.Duration
 }
 
@@ -64,12 +66,12 @@
 	for {
 		candidates = s.updateCandidates(candidates, found)
 		slices.SortFunc(candidates, compareCandidates)
-		quarantined := s.nextQuarantined(candidates, found)
+		quarantined, isCertain := s.nextQuarantined(candidates, found)
 		if len(quarantined) == 0 {
 			break
 		}
 		for _, f := range quarantined {
-			found[f] = s.quarantineFinding(f)
+			found[f] = s.quarantineFinding(f, isCertain)
 			for _, c := range s.byFeature[f] {
 				c.explained = true
 			}
@@ -123,7 +125,7 @@
 
 // nextQuarantined returns the features to quarantine next: the first candidate that is the sole suspect of enough
 // crashes, or the first with so many crashes that it is quarantined together with its rivals.
-func (s *factSet) nextQuarantined(candidates []candidate, found map[Feature]finding) []Feature {
+func (s *factSet) nextQuarantined(candidates []candidate, found map[Feature]finding) (features []Feature, isCertain bool) {
 	for _, c := range candidates {
 		if c.count < soleSuspectThreshold {
 			continue
@@ -131,12 +133,12 @@
 		rivals := s.rivals(c, found)
 		switch {
 		case len(rivals) == 0:
-			return []Feature{c.feature}
+			return []Feature{c.feature}, !c.answered && countSpaced(s.byFeature[c.feature], false) >= quarantineThreshold
 		case c.count >= quarantineThreshold:
-			return append(rivals, c.feature)
+			return append(rivals, c.feature), false
 		}
 	}
-	return nil
+	return nil, false
 }
 
 // rivals returns the features that explain the same crashes as a candidate, and are as likely the cause.
