A request is sent to an older release only if it is expected to begin in time

After a silence an engine goes on with all that it held, one prompt after the other.

Change: the assigner leaves out an engine on an older release at which the request is not expected to begin 1.7 s before the timeout, 1.5 s of them the silence. The fixed margin becomes 1.9 s instead of 2.2 s, so that short queues are used for longer. The groups of engines follow it.

--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -76,6 +76,9 @@
 	Release fleetconfig.Release
 	// ExactRelease requires exactly Release, not a newer one.
 	ExactRelease bool
+	// BeginDeadline returns the time by which a request must be expected to begin on a release, or the zero time. Nil means
+	// that there is none.
+	BeginDeadline func(m fleetconfig.Model, r fleetconfig.Release) time.Time
 	// PromptTokens is the number of prompt tokens.
 	PromptTokens float64
 	// TimeLeft is the rest of the objective; zero or less means that the objective has already passed.
@@ -248,7 +251,7 @@
 		refusal = Overload
 		load := a.totalLoad(s, now)
 		predicted, ok := a.predict(pool, s, load, q, now)
-		if !ok {
+		if !ok || !beginsInTime(q, release, now.Add(predicted)) {
 			continue
 		}
 		cost := predicted + time.Duration(a.random()*float64(maxCostJitter))
@@ -272,6 +275,15 @@
 	return choice, ""
 }
 
+// beginsInTime reports whether a request that is expected to begin at a time may be sent to an engine with the release.
+func beginsInTime(q Query, r fleetconfig.Release, beginsAt time.Time) bool {
+	if q.BeginDeadline == nil || q.Model == "" {
+		return true
+	}
+	deadline := q.BeginDeadline(q.Model, r)
+	return deadline.IsZero() || !beginsAt.After(deadline)
+}
+
 func (a *Assigner) notifyChanged(s *endpointState) {
 	if a.OnLoadChange != nil {
 		a.OnLoadChange(s.Endpoint, s.localLoad)
--- a/internal/core/fleettracker/fleettracker.go
+++ b/internal/core/fleettracker/fleettracker.go
@@ -16,15 +16,18 @@
 	// minOutage is the shortest time without a successful read after which entries may have expired: two heartbeats of
 	// an endpoint.
 	minOutage = 2400 * time.Millisecond
-	// startupGrace is the time from the start of this host until it enforces a release that it found in the store.
-	// Hosts are exempt from RolloutTimeout for the first three seconds after their start.
+	// startupGrace is the time from the read of a snapshot to the end of the rollout of a release in it: it may have been
+	// published long ago. Hosts are exempt from RolloutTimeout for the first three seconds after their start.
 	startupGrace = 2500 * time.Millisecond
 	// maxEngineSilence is the longest time for which a sound engine may stand still. It then continues with the requests
 	// that it held before it notices that they have been withdrawn.
 	maxEngineSilence = 1500 * time.Millisecond
+	// beginMargin is how long before the end of RolloutTimeout a request must be expected to begin on an older release.
+	// Besides a silence of the engine it covers the transfer to the engine and the age of the information about the release.
+	beginMargin = maxEngineSilence + 200*time.Millisecond
 	// assignMargin is how long before the end of RolloutTimeout the host stops sending new requests to an older release.
-	// Besides a silence of the engine it covers the wait of a request in its queue.
-	assignMargin = maxEngineSilence + 700*time.Millisecond
+	// Few requests begin in less than the difference to beginMargin.
+	assignMargin = maxEngineSilence + 400*time.Millisecond
 	// withdrawMargin is how long before the end of RolloutTimeout the host withdraws requests that still wait in the
 	// queue of an engine on an older release. Besides a silence of the engine it covers the transfer to the engine and the
 	// age of the information about the release.
@@ -32,8 +35,9 @@
 )
 
 type release struct {
-	number       fleetconfig.Release
-	enforcedFrom time.Time
+	number fleetconfig.Release
+	// endsAt is the time from which no request may begin on an older release.
+	endsAt time.Time
 	// publishedAt is the earliest time at which the release may have been published, as far as this host knows.
 	publishedAt time.Time
 }
@@ -251,11 +255,11 @@
 		}
 	}
 	publishedAt := time.Now().Add(-delay)
-	enforcedFrom := publishedAt.Add(t.AssignTime())
+	endsAt := publishedAt.Add(t.RolloutTimeout)
 	if fromSnapshot {
-		enforcedFrom = time.Now().Add(startupGrace)
+		endsAt = time.Now().Add(startupGrace + assignMargin)
 	}
-	t.releases[m] = append(t.releases[m], release{number: n, enforcedFrom: enforcedFrom, publishedAt: publishedAt})
+	t.releases[m] = append(t.releases[m], release{number: n, endsAt: endsAt, publishedAt: publishedAt})
 	return true
 }
 
@@ -266,7 +270,7 @@
 	now := time.Now()
 	oldest := fleetconfig.Release(1)
 	for _, r := range t.releases[m] {
-		if !now.Before(r.enforcedFrom) {
+		if !now.Before(r.endsAt.Add(-assignMargin)) {
 			oldest = max(oldest, r.number)
 		}
 	}
@@ -280,7 +284,7 @@
 	defer t.mu.Unlock()
 	for _, all := range t.releases {
 		for i := range all {
-			all[i].enforcedFrom = all[i].enforcedFrom.Add(-d)
+			all[i].endsAt = all[i].endsAt.Add(-d)
 			all[i].publishedAt = all[i].publishedAt.Add(-d)
 		}
 	}
@@ -291,21 +295,32 @@
 	return max(0, t.RolloutTimeout-assignMargin)
 }
 
+// BeginDeadline returns the time by which a request that is sent to release n must be expected to begin; zero if no newer
+// release is known.
+func (t *Tracker) BeginDeadline(m fleetconfig.Model, n fleetconfig.Release) time.Time {
+	return t.beforeEnd(m, n, beginMargin)
+}
+
 // WithdrawDeadline returns when a request that has not started on release n must be withdrawn; zero if no newer release
 // is known.
 func (t *Tracker) WithdrawDeadline(m fleetconfig.Model, n fleetconfig.Release) time.Time {
+	return t.beforeEnd(m, n, withdrawMargin)
+}
+
+// beforeEnd returns a time before the end of the first rollout of a release after n; zero if there is none.
+func (t *Tracker) beforeEnd(m fleetconfig.Model, n fleetconfig.Release, margin time.Duration) time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var earliest time.Time
 	for _, r := range t.releases[m] {
-		if r.number > n && (earliest.IsZero() || r.enforcedFrom.Before(earliest)) {
-			earliest = r.enforcedFrom
+		if r.number > n && (earliest.IsZero() || r.endsAt.Before(earliest)) {
+			earliest = r.endsAt
 		}
 	}
 	if earliest.IsZero() {
 		return earliest
 	}
-	return earliest.Add(assignMargin - withdrawMargin)
+	return earliest.Add(-margin)
 }
 
 // Newest returns the newest known release of a model; zero if there is none.
--- a/internal/core/fleettracker/fleettracker_test.go
+++ b/internal/core/fleettracker/fleettracker_test.go
@@ -94,6 +94,7 @@
 		is.Equal(time.Until(tracker.WithdrawDeadline("m", 1)), rolloutTimeout-4*time.Second-1800*time.Millisecond)
 		is.Equal(time.Until(tracker.WithdrawDeadline("m", 2)), rolloutTimeout-1800*time.Millisecond)
 		is.True(tracker.WithdrawDeadline("m", 3).IsZero())
+		is.Equal(time.Until(tracker.BeginDeadline("m", 2)), rolloutTimeout-1700*time.Millisecond)
 		time.Sleep(rolloutTimeout - 4*time.Second - time.Millisecond)
 		is.Equal(tracker.OldestAllowed("m"), fleetconfig.Release(2)) // each release has its own rollout timeout
 		time.Sleep(4 * time.Second)
@@ -136,6 +137,7 @@
 		tracker := &fleettracker.Tracker{RolloutTimeout: rolloutTimeout}
 		tracker.AddRelease("m", 2, true, 0)
 		is.Equal(tracker.OldestAllowed("m"), fleetconfig.Release(1))
+		is.True(!tracker.WithdrawDeadline("m", 1).IsZero())
 		time.Sleep(2500 * time.Millisecond)
 		is.Equal(tracker.OldestAllowed("m"), fleetconfig.Release(2))
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,9 @@
 	RetryBudget *retrybudget.Budget
 	// OldestRelease returns the oldest release of a model on which a request may begin now.
 	OldestRelease func(m fleetconfig.Model) fleetconfig.Release
+	// BeginDeadline returns the time by which a request that is sent to a release must be expected to begin, or the zero
+	// time if there is none. Nil means that there is none.
+	BeginDeadline func(m fleetconfig.Model, release fleetconfig.Release) time.Time
 	// WithdrawalTime returns the time at which a request that has not begun on the release is withdrawn, or the zero time
 	// if there is none.
 	WithdrawalTime func(m fleetconfig.Model, release fleetconfig.Release) time.Time
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -213,7 +213,7 @@
 // assignerQuery returns the query for an endpoint for the next attempt. A stream that has begun stays on its release.
 func (g *Gateway) assignerQuery(req *request, state *requestState) assigner.Query {
 	query := assigner.Query{
-		Pool: req.pool, Model: req.Model, PromptTokens: req.PromptTokens, Excluded: state.tried,
+		Pool: req.pool, Model: req.Model, PromptTokens: req.PromptTokens, Excluded: state.tried, BeginDeadline: g.BeginDeadline,
 		TimeLeft: req.route.Objective - req.earlierTime - time.Since(req.arrivedAt),
 	}
 	if req.route.MayRepeat() {
--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -161,6 +161,7 @@
 			suspensions.Check()
 			return tracker.OldestAllowed(m)
 		},
+		BeginDeadline: tracker.BeginDeadline,
 		WithdrawalTime: func(m fleetconfig.Model, release fleetconfig.Release) time.Time {
 			suspensions.Check()
 			return tracker.WithdrawDeadline(m, release)
