A host that starts leaves no requests at a silent engine after its exemption

Change: the margins are counted back from the end of that time, as for a release that is found at run time. TestStartedHostLeavesRequestsAtSilentEngineAfterItsExemption failed (withdrawn 3.2 s after the start) and passes; TestReleaseReadAtStartIsEnforcedAfterTheStartupGrace expects the earlier time.

--- a/internal/core/fleettracker/fleettracker.go
+++ b/internal/core/fleettracker/fleettracker.go
@@ -257,7 +257,7 @@
 	publishedAt := time.Now().Add(-delay)
 	endsAt := publishedAt.Add(t.RolloutTimeout)
 	if fromSnapshot {
-		endsAt = time.Now().Add(startupGrace + assignMargin)
+		endsAt = time.Now().Add(startupGrace)
 	}
 	t.releases[m] = append(t.releases[m], release{number: n, endsAt: endsAt, publishedAt: publishedAt})
 	return true
