Bound response headers and bodies without end in sender

Cause: sender read response headers with http.ReadResponse on the bare connection, which sets no limit: a status line, header line or sequence of header lines without end was held in memory until the caller's deadline. A header that arrived one byte now and then used up the caller's whole time, so that a repeatable request could not be sent elsewhere. The body of a response to another request had a size limit but no time limit, and the body that is forwarded had none.

Change: a header may have 64 KiB, and must end within 1 s of its first byte, or within half of the time left if that is shorter; the wait for the first byte is limited by the deadline alone, as before. The same time applies to a skipped body. A forwarded body may have 64 MiB. Error types HeaderSizeError, HeaderTimeoutError and BodySizeError; the attempt counts as one that may have run, with the reason mismatch or stalled.

--- /dev/null
+++ b/internal/sender/responsereader.go
@@ -0,0 +1,127 @@
+package sender
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	readBufferBytes = 4 << 10
+	// maxHeaderBytes limits one response header with its status line. Up to readBufferBytes more may be read.
+	maxHeaderBytes = 64 << 10
+	// maxHeaderTime bounds the time from the first byte of a response header to its end. It is shorter if the deadline is
+	// near: a headerTimeDivisor-th of the time left.
+	maxHeaderTime     = time.Second
+	headerTimeDivisor = 2
+	// maxSkippedBytes limits the body of a skipped response. maxHeaderTime applies to it as well.
+	maxSkippedBytes = 1 << 20
+	// maxBodyBytes limits the body of a response.
+	maxBodyBytes = 64 << 20
+)
+
+// HeaderSizeError reports a response header that exceeds the maximum size.
+type HeaderSizeError struct {
+	// Limit is the maximum size in bytes.
+	Limit int
+}
+
+// Error names the maximum size.
+func (e *HeaderSizeError) Error() string {
+	return fmt.Sprintf("response header exceeds %d bytes", e.Limit)
+}
+
+// HeaderTimeoutError reports a response header that began and did not end in time.
+type HeaderTimeoutError struct {
+	Timeout time.Duration
+}
+
+// Error names the timeout.
+func (e *HeaderTimeoutError) Error() string {
+	return fmt.Sprintf("response header did not end within %s", e.Timeout)
+}
+
+// BodySizeError reports a response body that exceeds the maximum size.
+type BodySizeError struct {
+	// Limit is the maximum size in bytes.
+	Limit int
+}
+
+// Error names the maximum size.
+func (e *BodySizeError) Error() string {
+	return fmt.Sprintf("response body exceeds %d bytes", e.Limit)
+}
+
+// responseReader reads the responses on one connection. Use newResponseReader.
+type responseReader struct {
+	conn net.Conn
+	br   *bufio.Reader
+	// remaining is the number of bytes that may still be read from the connection, if isLimited is set.
+	remaining int
+	isLimited bool
+}
+
+func newResponseReader(conn net.Conn) *responseReader {
+	r := &responseReader{conn: conn}
+	r.br = bufio.NewReaderSize(readerFunc(r.readConn), readBufferBytes)
+	return r
+}
+
+type readerFunc func(p []byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) {
+	return f(p)
+}
+
+// readConn fills the buffer.
+func (r *responseReader) readConn(p []byte) (int, error) {
+	if r.isLimited && r.remaining <= 0 {
+		return 0, &HeaderSizeError{Limit: maxHeaderBytes}
+	}
+	n, err := r.conn.Read(p)
+	r.remaining -= n
+	return n, err
+}
+
+// next waits for the next response and reads its header.
+func (r *responseReader) next(ctx context.Context, method string) (resp *http.Response, err error) {
+	if _, err := r.br.Peek(1); err != nil {
+		return nil, err
+	}
+	r.remaining, r.isLimited = maxHeaderBytes, true
+	defer func() { r.isLimited = false }()
+	err = r.limitTime(ctx, func() error {
+		resp, err = http.ReadResponse(r.br, &http.Request{Method: method})
+		return err
+	})
+	return resp, err
+}
+
+// skip reads the body of a response to another request.
+func (r *responseReader) skip(ctx context.Context, resp *http.Response) error {
+	return r.limitTime(ctx, func() error {
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes))
+		if err == nil && n == maxSkippedBytes {
+			err = &BodySizeError{Limit: maxSkippedBytes}
+		}
+		return err
+	})
+}
+
+// limitTime calls read and interrupts it when it takes too long.
+func (r *responseReader) limitTime(ctx context.Context, read func() error) error {
+	timeout := maxHeaderTime
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Until(deadline)/headerTimeDivisor)
+	}
+	timer := time.AfterFunc(timeout, func() { _ = r.conn.SetReadDeadline(time.Unix(1, 0)) })
+	err := read()
+	if !timer.Stop() && ctx.Err() == nil {
+		return &HeaderTimeoutError{Timeout: timeout}
+	}
+	return err
+}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -5,7 +5,6 @@
 package sender
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -19,13 +18,8 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
 )
 
-const (
-	readBufferBytes = 4 << 10
-	// maxMismatched limits the responses to other requests that are skipped on one connection.
-	maxMismatched = 2
-	// maxMismatchedBytes limits the body of a skipped response.
-	maxMismatchedBytes = 1 << 20
-)
+// maxSkipped limits the informational responses and those to other requests that are skipped on one connection.
+const maxSkipped = 2
 
 // Sender sends attempts to endpoints. Set its fields before use.
 type Sender struct {
@@ -55,14 +49,21 @@
 	// IsFramed is set if a length or chunked encoding marks the end of the body.
 	IsFramed bool
 
-	body       io.Reader
+	body io.Reader
+	// received is the number of bytes of the body that were read.
+	received   int
 	conn       net.Conn
 	stopCancel func() bool
 }
 
-// Read reads the body.
+// Read reads the body. It returns a BodySizeError for a body that exceeds the maximum size.
 func (r *Response) Read(p []byte) (int, error) {
-	return r.body.Read(p)
+	n, err := r.body.Read(p)
+	r.received += n
+	if r.received > maxBodyBytes {
+		return 0, &BodySizeError{Limit: maxBodyBytes}
+	}
+	return n, err
 }
 
 // Close closes the connection.
@@ -89,10 +90,18 @@
 	return resp, nil
 }
 
-// newError returns an error with the given outcome. Its reason is Deadline if the deadline of ctx has passed.
+// newError returns an error with the given outcome. Its reason is Deadline if the deadline of ctx has passed, and depends
+// on the error for a response header without end.
 func newError(ctx context.Context, kind outcome.Kind, reason outcome.Reason, err error) *outcome.Error {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	var sizeErr *HeaderSizeError
+	var timeoutErr *HeaderTimeoutError
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		reason = outcome.Deadline
+	case errors.As(err, &sizeErr):
+		reason = outcome.Mismatch
+	case errors.As(err, &timeoutErr):
+		reason = outcome.Stalled
 	}
 	return &outcome.Error{Kind: kind, Reason: reason, Message: err.Error()}
 }
@@ -115,9 +124,9 @@
 			written <- err
 		}()
 	}
-	br := bufio.NewReaderSize(conn, readBufferBytes)
-	for range maxMismatched + 1 {
-		resp, err := http.ReadResponse(br, &http.Request{Method: attempt.Method})
+	reader := newResponseReader(conn)
+	for range maxSkipped + 1 {
+		resp, err := reader.next(ctx, attempt.Method)
 		if err != nil {
 			return nil, newError(ctx, outcome.Unknown, outcome.ConnectionLost, err)
 		}
@@ -130,9 +139,8 @@
 				IsFramed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
 			}, nil
 		}
-		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxMismatchedBytes))
-		if err != nil || n == maxMismatchedBytes {
-			break
+		if reader.skip(ctx, resp) != nil {
+			break // reported as a mismatch
 		}
 	}
 	return nil, newError(ctx, outcome.Unknown, outcome.Mismatch, fmt.Errorf("endpoint %s responded to a different request", attempt.Address))
