A stream without length that ends before its first event is broken off

Cause: forwardStream took the end of a connection for the end of the stream whenever no part of an event was left over. A response with neither a length nor chunks ends with its connection, so that of an endpoint that crashed right after its header, and one of a resumed stream that crashed before its next event, became a complete response for the caller.

Change: without a length or chunks, a stream is complete only if the attempt has brought at least one event. Otherwise it may have run: it resumes elsewhere if its route allows that, and fails if not. A stream that ends in a last chunk or by its length may still be empty.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -480,6 +480,7 @@
 func (g *Gateway) forwardStream(ctx context.Context, req *request, state *requestState, resp *sender.Response, info headercodec.ResponseInfo) (assigner.Outcome, bool) {
 	state.mayHaveRun++
 	state.sequencer.DiscardPartial()
+	hasEvents := false
 	ctl := http.NewResponseController(req.w)
 	buf := make([]byte, copyBufferBytes)
 	for {
@@ -487,6 +488,7 @@
 		if n > 0 {
 			out, seqErr := state.sequencer.Feed(buf[:n])
 			if len(out) > 0 {
+				hasEvents = true
 				if writeErr := g.forwardEvents(req, state, resp, info, ctl, out); writeErr != nil {
 					return assigner.CallerGone, false
 				}
@@ -496,7 +498,7 @@
 			}
 		}
 		switch {
-		case errors.Is(err, io.EOF) && !state.sequencer.HasPartial():
+		case errors.Is(err, io.EOF) && !state.sequencer.HasPartial() && (hasEvents || resp.IsFramed):
 			if !state.headerSent {
 				g.startStream(req, state, resp, info)
 			}
