Gateway: a response without end is a failure of its endpoint

A large response that broke off or had no end panicked inside the attempt, so the endpoint was released as if the caller had left: its breaker never learnt of the failure. And a stream of events without an id was forwarded without a limit until the caller's deadline, as only the size of one event was bounded.

Change: forwardLarge returns the endpoint's failure, or the caller's, and the response is aborted after that; no other endpoint continues it. The sequencer accepts 1 MiB of events without an id between two events with one (UnnumberedError).

--- a/internal/core/sequencer/sequencer.go
+++ b/internal/core/sequencer/sequencer.go
@@ -10,8 +10,12 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/eventscanner"
 )
 
-// maxEventBytes is the maximum size of one event. It bounds the buffer for a stream that never ends an event.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes is the maximum size of one event. It bounds the buffer for a stream that never ends an event.
+	maxEventBytes = 1 << 20
+	// maxUnnumberedBytes is the maximum size of the events without an id between two events with one.
+	maxUnnumberedBytes = 1 << 20
+)
 
 // OrderError reports an event whose id does not follow that of the previous event.
 type OrderError struct {
@@ -33,6 +37,16 @@
 	return fmt.Sprintf("stream event exceeds %d bytes", e.Bytes)
 }
 
+// UnnumberedError reports too many bytes of events without an id.
+type UnnumberedError struct {
+	Bytes int
+}
+
+// Error names the maximum size.
+func (e *UnnumberedError) Error() string {
+	return fmt.Sprintf("stream events without an id exceed %d bytes", e.Bytes)
+}
+
 // Sequencer tracks one stream. The zero value accepts any id for the first event.
 type Sequencer struct {
 	// LastID is the id of the last event that the caller has received; zero means none.
@@ -41,7 +55,9 @@
 	LastIDKnown bool
 
 	buffer []byte
-	count  int
+	// unnumberedBytes is the size of the events since the last one with an id.
+	unnumberedBytes int
+	count           int
 }
 
 // Feed adds received bytes and returns the events that they complete.
@@ -69,12 +85,17 @@
 	return out, nil
 }
 
-// accept reports whether an event is to be forwarded. It returns an error if events are missing before it.
+// accept reports whether an event is to be forwarded. It returns an error if events are missing before it, or if too many
+// without an id precede it.
 func (s *Sequencer) accept(ev []byte) (bool, error) {
 	id, ok := eventID(ev)
 	if !ok {
+		if s.unnumberedBytes += len(ev); s.unnumberedBytes > maxUnnumberedBytes {
+			return false, &UnnumberedError{Bytes: maxUnnumberedBytes}
+		}
 		return true, nil
 	}
+	s.unnumberedBytes = 0
 	if s.LastIDKnown && id <= s.LastID {
 		return false, nil
 	}
@@ -111,4 +132,5 @@
 // DiscardPartial discards an incomplete event after the connection was interrupted.
 func (s *Sequencer) DiscardPartial() {
 	s.buffer = nil
+	s.unnumberedBytes = 0
 }
--- a/internal/core/sequencer/sequencer_test.go
+++ b/internal/core/sequencer/sequencer_test.go
@@ -82,3 +82,25 @@
 	_, err := s.Feed([]byte(strings.Repeat("x", 2<<20)))
 	is.New(t).True(errors.As(err, &sizeErr))
 }
+
+// A stream that sends events without an id for ever is broken. A few between two events with an id are not.
+func TestUnnumberedEventsWithoutEndAreAnError(t *testing.T) {
+	is := is.New(t)
+	var s sequencer.Sequencer
+	const comment = ": comment\n\n"
+	for id := 1; id <= 50; id++ {
+		_, err := s.Feed([]byte(strings.Repeat(comment, 4000) + event(id)))
+		is.NoErr(err)
+	}
+	var unnumbered *sequencer.UnnumberedError
+	forwarded := 0
+	for range 1000 {
+		out, err := s.Feed([]byte(strings.Repeat(comment, 1000)))
+		forwarded += len(out)
+		if errors.As(err, &unnumbered) {
+			break
+		}
+	}
+	is.True(unnumbered != nil)
+	is.True(forwarded <= unnumbered.Bytes)
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -51,6 +51,8 @@
 	// sent a response header.
 	sequencer  sequencer.Sequencer
 	headerSent bool
+	// isLarge is set once a part of a large response has been sent, which no other endpoint can continue.
+	isLarge bool
 	// release is the release that the stream began on; zero if it is unknown.
 	release fleetconfig.Release
 	// timeToFirstEvent is the time to the first event of the stream, and maxGap the longest time between two events.
@@ -217,7 +219,7 @@
 // mayRetry reports whether another endpoint may be tried. A retry consumes one token of the retry budget, unless the
 // last endpoint could not be reached.
 func (g *Gateway) mayRetry(ctx context.Context, req *request, state *requestState) bool {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || state.isLarge {
 		return false
 	}
 	var o *outcome.Error
@@ -375,7 +377,7 @@
 	state.mayHaveRun++
 	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes+1))
 	if err == nil && len(body) > maxBufferedBytes {
-		return g.forwardLarge(req, state, resp, body)
+		return g.forwardLarge(ctx, req, state, resp, body)
 	}
 	if err != nil {
 		state.lastErr = &outcome.Error{Kind: outcome.Unknown, Reason: outcome.Truncated, Message: err.Error()}
@@ -399,22 +401,26 @@
 }
 
 // forwardLarge forwards a response that is too large to buffer.
-func (g *Gateway) forwardLarge(req *request, state *requestState, resp *sender.Response, head []byte) (assigner.Outcome, bool) {
+func (g *Gateway) forwardLarge(ctx context.Context, req *request, state *requestState, resp *sender.Response, head []byte) (assigner.Outcome, bool) {
 	if state.headerSent {
 		state.lastErr = &outcome.Error{Kind: outcome.Unknown, Reason: outcome.Truncated, Message: "response is not a stream"}
 		return assigner.Failed, false
 	}
-	state.headerSent = true
+	state.headerSent, state.isLarge = true, true
 	g.writeHeader(req, resp.Status, resp.Header, resp.Length)
-	if _, err := req.w.Write(head); err == nil {
-		_, err = io.Copy(req.w, resp)
-		if err == nil {
-			g.recordResponse(req, nil, resp.Status)
-			return assigner.Served, true
+	readErr, writeErr := copyBody(req.w, resp, head)
+	switch {
+	case readErr != nil:
+		state.lastErr = &outcome.Error{Kind: outcome.Unknown, Reason: outcome.Truncated, Message: readErr.Error()}
+		if ctx.Err() != nil {
+			return assigner.CallerGone, false
 		}
+		return assigner.Failed, false
+	case writeErr != nil:
+		return assigner.CallerGone, false
 	}
-	g.logIncomplete(req, event.ResponseAborted, "body", nil)
-	panic(http.ErrAbortHandler)
+	g.recordResponse(req, nil, resp.Status)
+	return assigner.Served, true
 }
 
 // writeHeader forwards a response header without its hop-by-hop fields. A negative length means that the length of the
