e2e: report how a process ended that the test has not ended

Cause: TestBookingsAmidFaults failed once with 'signal entry-0: os: process already finished', and the harness kept neither the exit status or signal nor the time; a restart overwrote the log of the incarnation before it, and standard output was dropped.

Change: a process's end is kept with its state, time, processor time, peak memory and the machine's out-of-memory kills meanwhile, and named by a failed signal. A process that ended by itself fails its test. Logs are appended to and hold both outputs.

--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -66,11 +66,6 @@
 	os.Exit(code)
 }
 
-type process struct {
-	cmd    *exec.Cmd
-	exited chan error
-}
-
 type cluster struct {
 	t           testing.TB
 	binDir      string
@@ -175,26 +170,17 @@
 
 func (c *cluster) startProcess(program string, host ident.Host, settings any) {
 	c.t.Helper()
-	logFile, err := os.Create(filepath.Join(c.dir, string(host)+".log"))
-	if err != nil {
-		c.t.Fatal(err)
-	}
 	cmd := exec.Command(filepath.Join(c.binDir, program), "--settings", c.writeFile(string(host)+".json", settings))
-	cmd.Stderr = logFile
-	if err := cmd.Start(); err != nil {
+	p, err := startLogged(cmd, filepath.Join(c.dir, string(host)+".log"))
+	if err != nil {
 		c.t.Fatal(err)
 	}
-	p := &process{cmd: cmd, exited: make(chan error, 1)}
-	go func() {
-		p.exited <- cmd.Wait()
-		_ = logFile.Close()
-	}()
 	c.processes[host] = p
 }
 
 func (c *cluster) signal(host ident.Host, s syscall.Signal) {
 	c.t.Helper()
-	if err := c.processes[host].cmd.Process.Signal(s); err != nil {
+	if err := c.processes[host].signal(s); err != nil {
 		c.t.Fatalf("signal %s: %v", host, err)
 	}
 }
@@ -213,10 +199,14 @@
 	}
 }
 
-// killAll kills all processes. If the test has failed, it also prints their logs.
+// killAll kills all processes. One that has ended by itself fails the test. If the test has failed, it also prints the
+// logs.
 func (c *cluster) killAll() {
-	for _, p := range c.processes {
-		_ = p.cmd.Process.Kill()
+	for host, p := range c.processes {
+		if end := p.endedByItself(); end != nil {
+			c.t.Errorf("process of %s ended by itself: %s", host, end)
+		}
+		_ = p.signal(syscall.SIGKILL)
 		<-p.exited
 	}
 	if !c.t.Failed() {
