--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -1,4 +1,5 @@
-// Package daemon runs a program with its settings file and shuts it down gracefully on SIGINT or SIGTERM.
+// Package daemon runs a program with its settings file and shuts it down gracefully on SIGINT, SIGTERM or
+// SIGHUP.
 package daemon
 
 import (
@@ -38,7 +39,8 @@
 		fmt.Printf("%s: settings are valid\n", flags.Settings)
 		return 0
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	// SIGHUP would otherwise end the process without a log line.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	defer stop()
 	logger := &log.Logger{Handler: json.New(os.Stderr), Level: log.InfoLevel}
 	if err := run(ctx, cfg, logger); err != nil {
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -14,6 +15,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 )
 
 // process is one program under test. Its standard output and error go to its log file.
@@ -128,3 +131,18 @@
 		})
 	}
 }
+
+// A hangup ends a daemon as SIGTERM does, with log lines that say so.
+func TestHangupIsLogged(t *testing.T) {
+	is := is.New(t)
+	c := startCluster(t, 1)
+	c.waitUntil("all hosts report", func() bool { return len(c.status().Endpoints) == 3 })
+	for _, host := range []ident.Host{"entry-1", "endpoint-0"} {
+		c.signal(host, syscall.SIGHUP)
+		is.NoErr(c.waitExit(host))
+		data, err := os.ReadFile(filepath.Join(c.dir, string(host)+".log"))
+		is.NoErr(err)
+		is.True(bytes.Contains(data, []byte(`"event":1002,`)))
+		is.True(bytes.Contains(data, []byte("hangup signal received")))
+	}
+}
--- a/internal/endpointhost/endpointhost.go
+++ b/internal/endpointhost/endpointhost.go
@@ -130,7 +130,7 @@
 	select {
 	case err = <-webDone:
 	case <-ctx.Done():
-		s.drain(background, grace)
+		s.drain(background, grace, context.Cause(ctx))
 		stopWeb()
 		err = <-webDone
 	}
@@ -140,9 +140,10 @@
 	return err
 }
 
-// drain refuses new requests, notifies the other hosts, and waits up to grace for the requests in flight.
-func (s *Server) drain(ctx context.Context, grace time.Duration) {
-	event.Stopping.Log(s.Logger, log.Fields{"host": s.Settings.Host})
+// drain refuses new requests, notifies the other hosts, and waits up to grace for the requests in flight. cause is the
+// reason for the shutdown.
+func (s *Server) drain(ctx context.Context, grace time.Duration, cause error) {
+	event.Stopping.Log(s.Logger, log.Fields{"host": s.Settings.Host, "cause": cause.Error()})
 	idle := s.gate.Drain()
 	s.reporter.Send(ctx)
 	_ = s.members.AnnounceLeaving(ctx)
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -104,7 +104,7 @@
 	})
 	g.Go(func() error {
 		<-gctx.Done()
-		event.Stopping.Log(s.Logger, log.Fields{"host": s.Settings.Host})
+		event.Stopping.Log(s.Logger, log.Fields{"host": s.Settings.Host, "cause": context.Cause(gctx).Error()})
 		return nil
 	})
 	err = g.Wait()
