rpc: messages have a maximum size

Cause: the codec of the library reads as many bytes as a message announces. A peer that announces 2^62 bytes and sends without end fills the memory: for a client until the deadline of its call, for a server as long as the connection lasts.

--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -65,7 +65,7 @@
 	if s.conns == nil {
 		s.conns = make(map[*jsonrpc2.Conn]bool)
 	}
-	stream := jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(c, limitedCodec{})
 	conn := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle)), discardLog())
 	s.conns[conn] = true
 	go func() {
@@ -142,7 +142,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", c.Address, err)
 	}
-	stream := jsonrpc2.NewBufferedStream(nc, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(nc, limitedCodec{})
 	c.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, jsonrpc2.HandlerWithError(rejectCall), discardLog())
 	return c.conn, nil
 }
