HTTP clients read response headers of up to 64 KiB

Cause: the clients used the default of net/http, 10 MiB.

Change: MaxResponseHeaderBytes of 64 KiB in the clients of dialer, forwarder and bytecounter. Informational responses count towards it.

Measured before: a header without end made a client allocate 87 MB (one line) or 187 MB (many lines) in all; an endpoint's host has 152 MB. After: below 8 MB; about 4.8 MB in one run. A slow header ended at the call's deadline before and after.

--- a/internal/bytecounter/bytecounter.go
+++ b/internal/bytecounter/bytecounter.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/nutmegdock/nutmegdock/internal/dialer"
 )
 
 const dialTimeout = time.Second
@@ -41,8 +43,8 @@
 
 // Dial connects to an address. The bytes of the connection are counted.
 func (c *Counter) Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	netConn, err := dialer.DialContext(ctx, network, address)
+	d := net.Dialer{Timeout: dialTimeout}
+	netConn, err := d.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
@@ -51,7 +53,7 @@
 
 // Client returns an HTTP client that counts the bytes of its connections.
 func (c *Counter) Client() *http.Client {
-	return &http.Client{Transport: &http.Transport{DialContext: c.Dial, IdleConnTimeout: time.Minute}}
+	return &http.Client{Transport: &http.Transport{DialContext: c.Dial, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: dialer.MaxResponseHeaderBytes}}
 }
 
 type listener struct {
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -17,9 +17,11 @@
 	DefaultConnectTimeout = time.Second
 	// DefaultUserTimeout is how long a peer may leave sent bytes or a keep-alive probe unacknowledged: four lost packets
 	// in a row.
-	DefaultUserTimeout  = 2 * time.Second
-	keepAliveProbes     = 3
-	maxIdleConnsPerHost = 4
+	DefaultUserTimeout = 2 * time.Second
+	// MaxResponseHeaderBytes limits the response headers that HTTP clients read.
+	MaxResponseHeaderBytes = 64 << 10
+	keepAliveProbes        = 3
+	maxIdleConnsPerHost    = 4
 )
 
 // Dialer connects over TCP with keep-alive and a TCP user timeout. Set its fields before use.
@@ -64,12 +66,15 @@
 
 // NoKeepAliveClient returns an HTTP client that keeps no idle connections, for a peer that accepts few connections.
 func (d *Dialer) NoKeepAliveClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true}}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: MaxResponseHeaderBytes,
+	}}
 }
 
 // Client returns an HTTP client for calls that may be retried. It keeps few idle connections.
 func (d *Dialer) Client() *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext: d.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: 10 * time.Second, DisableCompression: true,
+		MaxResponseHeaderBytes: MaxResponseHeaderBytes,
 	}}
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
+	"github.com/nutmegdock/nutmegdock/internal/dialer"
 	"github.com/nutmegdock/nutmegdock/internal/headers"
 )
 
@@ -65,6 +66,8 @@
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 		DisableKeepAlives:   disableKeepAlives,
+
+		MaxResponseHeaderBytes: dialer.MaxResponseHeaderBytes,
 	}
 	return &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 }
