storerelayer: decompressed records have a maximum size

Cause: a compressed response of another host was expanded without a limit.

Change: bodyreader.ReadAll reads a body of a limited size, and returns a SizeError instead of a part of a larger one; records may have 32 MiB. A reader that exceeds it is banned like any that fails, and the store is read.

--- a/internal/storerelayer/storerelayer.go
+++ b/internal/storerelayer/storerelayer.go
@@ -9,11 +9,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"maps"
 	"sync"
 	"time"
 
+	"github.com/nutmegdock/nutmegdock/internal/bodyreader"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
 	"github.com/nutmegdock/nutmegdock/internal/watcher"
 )
@@ -41,6 +41,8 @@
 	maxReaderSwitchTime = 100 * time.Millisecond
 	// maxCachedBytes limits the cached records of a topic. It holds several configurations of a thousand routes.
 	maxCachedBytes = 2 << 20
+	// maxRecordsBytes limits the decompressed records of one response of a reader.
+	maxRecordsBytes = 32 << 20
 	// minCompressBytes is the size from which a response is compressed.
 	minCompressBytes = 4 << 10
 )
@@ -417,7 +419,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("decompress records: %w", err)
 		}
-		if data, err = io.ReadAll(r); err != nil {
+		if data, err = bodyreader.ReadAll(r, maxRecordsBytes); err != nil {
 			return nil, fmt.Errorf("decompress records: %w", err)
 		}
 	}
