weightclient: bodies without end and chunks that trickle are errors

Cause: names and manifests beyond their limit were cut without an error, and a chunk that arrived one byte now and then counted as progress with each byte, so that the planner never gave it up and one of the two fetches of a host was lost.

Change: get returns a SizeError. A chunk whose reads have taken 2 s at less than 4 KiB/s is a SlowError, and is fetched from another source; the time that progress takes to limit the rate does not count.

Measured before: name and manifest gave another error than the size, and a chunk at 20 bytes a second was not given up (worked out: it takes 27 minutes). After: all pass; a link of 5 KiB/s still brings a chunk.

--- a/internal/weightclient/weightclient.go
+++ b/internal/weightclient/weightclient.go
@@ -7,7 +7,9 @@
 	"io"
 	"net/http"
 	"net/url"
+	"time"
 
+	"github.com/nutmegdock/nutmegdock/internal/bodyreader"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/manifest"
 	"github.com/nutmegdock/nutmegdock/internal/headers"
@@ -17,6 +19,9 @@
 const (
 	maxManifestBytes = 16 << 20
 	maxNameBytes     = 256
+	// minChunkRate is the rate in bytes per second below which a chunk is given up, once its reads have taken slowAfter.
+	minChunkRate = 4 << 10
+	slowAfter    = 2 * time.Second
 )
 
 // Client fetches from any source, given the source's base URL.
@@ -65,9 +70,16 @@
 	}
 	defer body.Close()
 	data := make([]byte, 0, chunk.Size)
+	// waited is the time that the reads have taken, without that of progress.
+	var waited time.Duration
 	for len(data) < cap(data) {
+		startTime := time.Now()
 		n, err := body.Read(data[len(data):min(cap(data), len(data)+pacer.MaxTransferBytes)])
 		data = data[:len(data)+n]
+		waited += time.Since(startTime)
+		if waited > slowAfter && float64(len(data)) < minChunkRate*waited.Seconds() {
+			return nil, &SlowError{URL: address, Got: ident.Bytes(len(data)), Waited: waited}
+		}
 		if progressErr := progress(ctx, len(data)); progressErr != nil {
 			return nil, progressErr
 		}
@@ -96,14 +108,26 @@
 	return fmt.Sprintf("get %s: response truncated: got %d of %d bytes; fetch it from another source", e.URL, e.Got, e.Want)
 }
 
-// get returns at most limit bytes of the response.
-func (c *Client) get(ctx context.Context, address string, limit int64) ([]byte, error) {
+// SlowError reports a chunk that arrived at less than the minimum rate.
+type SlowError struct {
+	URL    string
+	Got    ident.Bytes
+	Waited time.Duration
+}
+
+// Error implements the error interface.
+func (e *SlowError) Error() string {
+	return fmt.Sprintf("get %s: %d bytes in %s are fewer than %d per second; fetch it from another source", e.URL, e.Got, e.Waited, minChunkRate)
+}
+
+// get returns the body of the response, which may have up to limit bytes.
+func (c *Client) get(ctx context.Context, address string, limit int) ([]byte, error) {
 	body, err := c.open(ctx, address, "")
 	if err != nil {
 		return nil, err
 	}
 	defer body.Close()
-	data, err := io.ReadAll(io.LimitReader(body, limit))
+	data, err := bodyreader.ReadAll(body, limit)
 	if err != nil {
 		return nil, fmt.Errorf("get %s: %w", address, err)
 	}
