chunkreplicator: a chunk of the origin has at most its size

Cause: a response of the origin that goes on beyond the chunk was read up to 8 MiB or for 5 s, of a chunk of some 32 KiB, over a narrow link.

Change: it is given up at the first byte beyond the size in the manifest.

--- a/internal/chunkreplicator/chunkreplicator.go
+++ b/internal/chunkreplicator/chunkreplicator.go
@@ -20,6 +20,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmegdock/nutmegdock/internal/archiver"
+	"github.com/nutmegdock/nutmegdock/internal/bodyreader"
 	"github.com/nutmegdock/nutmegdock/internal/chunkserver"
 	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
 	"github.com/nutmegdock/nutmegdock/internal/core/chunkcache"
@@ -230,7 +231,12 @@
 	ctx, cancel := context.WithTimeout(ctx, originChunkTimeout)
 	defer cancel()
 	startTime := time.Now()
-	data, err := r.ReadChunk(ctx, origin, s, number, p)
+	data, err := r.ReadChunk(ctx, origin, s, number, func(ctx context.Context, received int) error {
+		if ident.Bytes(received) > k.Size {
+			return &bodyreader.SizeError{Limit: int(k.Size)}
+		}
+		return p(ctx, received)
+	})
 	if err != nil {
 		if ctx.Err() != nil || !errors.Is(err, context.Canceled) {
 			event.OriginFetchFailed.Log(r.Logger.WithError(err).WithFields(log.Fields{"chunk": number, "took": time.Since(startTime).Milliseconds()}), nil)
