Engine state, log and admin responses without end are errors; clients of endpointd and entryd share the dialer's limits

Cause: the prober decoded the state of an engine without a limit, for 500 ms at the speed of the loopback. loader, logclient and adminclient cut a longer body and decoded the part. endpointd and entryd used clients with the default limit of 10 MiB on a response header.

Change: bodyreader.ReadAll in all of them. For the prober, a state without end is no crash, as one that does not come in time: it is no evidence against a request.

Membership lists (4 MiB), the recorded results (64 KiB) and error texts (512 bytes) were bounded already.

--- a/internal/adminclient/adminclient.go
+++ b/internal/adminclient/adminclient.go
@@ -13,6 +13,7 @@
 	"strconv"
 
 	"github.com/nutmegdock/nutmegdock/internal/adminapi"
+	"github.com/nutmegdock/nutmegdock/internal/bodyreader"
 	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/reducer"
@@ -120,7 +121,7 @@
 		return result, fmt.Errorf("entry host cannot be reached; check --admin: %w", err)
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	data, err := bodyreader.ReadAll(resp.Body, maxResponseBytes)
 	if err != nil {
 		return result, fmt.Errorf("%s: read response: %w", path, err)
 	}
--- a/internal/endpointhost/endpointhost.go
+++ b/internal/endpointhost/endpointhost.go
@@ -21,6 +21,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/chunkcache"
 	"github.com/nutmegdock/nutmegdock/internal/core/gate"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/dialer"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/fetcher"
 	"github.com/nutmegdock/nutmegdock/internal/httpserver"
@@ -197,7 +198,7 @@
 		Fetch: s.fetcher.Fetch, View: s.follower.View, Changed: s.follower.Changed,
 		Hosts: func() []membership.Member { return s.members.Members(membership.RoleEndpoint) },
 		Loader: &loader.Loader{
-			Engine: s.Settings.BackendURL, Source: "http://" + s.Settings.DataAddress, HTTP: &http.Client{},
+			Engine: s.Settings.BackendURL, Source: "http://" + s.Settings.DataAddress, HTTP: (&dialer.Dialer{}).Client(),
 		},
 		Logger: s.Logger,
 	}
--- a/internal/endpointhost/requests.go
+++ b/internal/endpointhost/requests.go
@@ -13,6 +13,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/inflighttracker"
 	"github.com/nutmegdock/nutmegdock/internal/core/permitter"
 	"github.com/nutmegdock/nutmegdock/internal/crashnotifier"
+	"github.com/nutmegdock/nutmegdock/internal/dialer"
 	"github.com/nutmegdock/nutmegdock/internal/endpointproxy"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/forwarder"
@@ -31,7 +32,7 @@
 
 func (s *Server) buildRequests() {
 	entryClients := &rpc.Pool{Dial: s.controlBytes.Dial}
-	backendProber := &prober.Prober{Kind: s.Settings.Kind, Backend: s.Settings.BackendURL, HTTP: &http.Client{}}
+	backendProber := &prober.Prober{Kind: s.Settings.Kind, Backend: s.Settings.BackendURL, HTTP: (&dialer.Dialer{}).Client()}
 	crashNotifier := &crashnotifier.Notifier{
 		EntryHosts: func() []membership.Member { return s.members.Members(membership.RoleEntry) },
 		Send: func(ctx context.Context, control string, crash messages.BackendCrash) error {
--- a/internal/entryhost/admin.go
+++ b/internal/entryhost/admin.go
@@ -10,6 +10,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/authorizer"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/reducer"
+	"github.com/nutmegdock/nutmegdock/internal/dialer"
 	"github.com/nutmegdock/nutmegdock/internal/logclient"
 	"github.com/nutmegdock/nutmegdock/internal/publisher"
 	"github.com/nutmegdock/nutmegdock/internal/refusalrecorder"
@@ -18,8 +19,8 @@
 
 // adminHandler returns the handler of the admin address: the operators' interface, metrics, health and readiness.
 func (s *Server) adminHandler(tokens *authorizer.Authorizer) http.Handler {
-	logs := &logclient.Client{URL: s.Settings.LogURL, HTTP: &http.Client{}}
-	store := &weightclient.Client{HTTP: &http.Client{}}
+	logs := &logclient.Client{URL: s.Settings.LogURL, HTTP: (&dialer.Dialer{}).Client()}
+	store := &weightclient.Client{HTTP: (&dialer.Dialer{}).Client()}
 	attempts := refusalrecorder.New(logs, s.Logger)
 	p := &publisher.Publisher{
 		Append: func(ctx context.Context, data []byte) (ident.Offset, error) {
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -7,11 +7,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"time"
 
+	"github.com/nutmegdock/nutmegdock/internal/bodyreader"
 	"github.com/nutmegdock/nutmegdock/internal/core/enginecontroller"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/engineapi"
@@ -97,7 +97,7 @@
 		return state, fmt.Errorf("engine %s: %w", l.Engine, err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxStateBytes))
+	body, err := bodyreader.ReadAll(resp.Body, maxStateBytes)
 	if err != nil {
 		return state, fmt.Errorf("engine %s: read response: %w", l.Engine, err)
 	}
--- a/internal/logclient/logclient.go
+++ b/internal/logclient/logclient.go
@@ -6,12 +6,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
+	"github.com/nutmegdock/nutmegdock/internal/bodyreader"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 )
 
@@ -98,7 +98,7 @@
 		return fmt.Errorf("log service: %w", err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPageBytes))
+	body, err := bodyreader.ReadAll(resp.Body, maxPageBytes)
 	if err != nil {
 		return fmt.Errorf("log service: %w", err)
 	}
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/nutmegdock/nutmegdock/internal/bodyreader"
 	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
 	"github.com/nutmegdock/nutmegdock/internal/engineapi"
 )
@@ -21,6 +22,7 @@
 	probeInterval = 500 * time.Millisecond
 	// downProbeInterval is the time between probes of a back end that has crashed.
 	downProbeInterval = 50 * time.Millisecond
+	maxStateBytes     = 64 << 10
 )
 
 // Prober probes one back end. Set its fields before use.
@@ -66,7 +68,7 @@
 }
 
 // HasCrashed reports whether the back end that had the given start time has crashed: it refuses or breaks connections,
-// or it reports another start time. A back end that does not respond in time counts as alive.
+// or it reports another start time. A back end whose response does not end, or not in time, counts as alive.
 func (p *Prober) HasCrashed(ctx context.Context, previous int64) bool {
 	startTime, err := p.probe(context.WithoutCancel(ctx))
 	if err == nil {
@@ -74,7 +76,8 @@
 		return previous != 0 && startTime != previous
 	}
 	var netErr net.Error
-	if errors.As(err, &netErr) && netErr.Timeout() {
+	var sizeErr *bodyreader.SizeError
+	if errors.As(err, &netErr) && netErr.Timeout() || errors.As(err, &sizeErr) {
 		return false
 	}
 	p.mu.Lock()
@@ -114,8 +117,12 @@
 		return 0, fmt.Errorf("probe: %w", err)
 	}
 	defer resp.Body.Close()
+	data, err := bodyreader.ReadAll(resp.Body, maxStateBytes)
+	if err != nil {
+		return 0, fmt.Errorf("probe: read engine state: %w", err)
+	}
 	var state engineapi.State
-	if err := json.NewDecoder(resp.Body).Decode(&state); err != nil {
+	if err := json.Unmarshal(data, &state); err != nil {
 		return 0, fmt.Errorf("probe: decode engine state: %w", err)
 	}
 	return state.StartTime, nil
