--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -51,8 +51,9 @@
 	// sent a response header.
 	sequencer  sequencer.Sequencer
 	headerSent bool
-	// isLarge is set once a part of a large response has been sent, which no other endpoint can continue.
-	isLarge bool
+	// isFinal is set once no other endpoint can continue the response: a part of a large one has been sent, or the caller
+	// has left.
+	isFinal bool
 	// release is the release that the stream began on; zero if it is unknown.
 	release fleetconfig.Release
 	// timeToFirstEvent is the time to the first event of the stream, and maxGap the longest time between two events.
@@ -219,7 +220,7 @@
 // mayRetry reports whether another endpoint may be tried. A retry consumes one token of the retry budget, unless the
 // last endpoint could not be reached.
 func (g *Gateway) mayRetry(ctx context.Context, req *request, state *requestState) bool {
-	if ctx.Err() != nil || state.isLarge {
+	if ctx.Err() != nil || state.isFinal {
 		return false
 	}
 	var o *outcome.Error
@@ -406,7 +407,7 @@
 		state.lastErr = &outcome.Error{Kind: outcome.Unknown, Reason: outcome.Truncated, Message: "response is not a stream"}
 		return assigner.Failed, false
 	}
-	state.headerSent, state.isLarge = true, true
+	state.headerSent, state.isFinal = true, true
 	g.writeHeader(req, resp.Status, resp.Header, resp.Length)
 	readErr, writeErr := copyBody(req.w, resp, head)
 	switch {
@@ -496,6 +497,7 @@
 			if len(out) > 0 {
 				hasEvents = true
 				if writeErr := g.forwardEvents(req, state, resp, info, ctl, out); writeErr != nil {
+					state.isFinal = true
 					return assigner.CallerGone, false
 				}
 			}
