--- a/internal/endpointhost/endpointhost.go
+++ b/internal/endpointhost/endpointhost.go
@@ -21,6 +21,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/chunkcache"
 	"github.com/nutmegdock/nutmegdock/internal/core/gate"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/dialer"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/fetcher"
 	"github.com/nutmegdock/nutmegdock/internal/httpserver"
@@ -130,7 +131,7 @@
 	select {
 	case err = <-webDone:
 	case <-ctx.Done():
-		s.drain(background, grace)
+		s.drain(background, grace, context.Cause(ctx))
 		stopWeb()
 		err = <-webDone
 	}
@@ -140,9 +141,10 @@
 	return err
 }
 
-// drain refuses new requests, notifies the other hosts, and waits up to grace for the requests in flight.
-func (s *Server) drain(ctx context.Context, grace time.Duration) {
-	event.Stopping.Log(s.Logger, log.Fields{"host": s.Settings.Host})
+// drain refuses new requests, notifies the other hosts, and waits up to grace for the requests in flight. cause is the
+// reason for the shutdown.
+func (s *Server) drain(ctx context.Context, grace time.Duration, cause error) {
+	event.Stopping.Log(s.Logger, log.Fields{"host": s.Settings.Host, "cause": cause.Error()})
 	idle := s.gate.Drain()
 	s.reporter.Send(ctx)
 	_ = s.members.AnnounceLeaving(ctx)
@@ -196,7 +198,7 @@
 		Fetch: s.fetcher.Fetch, View: s.follower.View, Changed: s.follower.Changed,
 		Hosts: func() []membership.Member { return s.members.Members(membership.RoleEndpoint) },
 		Loader: &loader.Loader{
-			Engine: s.Settings.BackendURL, Source: "http://" + s.Settings.DataAddress, HTTP: &http.Client{},
+			Engine: s.Settings.BackendURL, Source: "http://" + s.Settings.DataAddress, HTTP: (&dialer.Dialer{}).Client(),
 		},
 		Logger: s.Logger,
 	}
--- a/internal/storerelayer/storerelayer.go
+++ b/internal/storerelayer/storerelayer.go
@@ -9,11 +9,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"maps"
 	"sync"
 	"time"
 
+	"github.com/nutmegdock/nutmegdock/internal/bodyreader"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
 	"github.com/nutmegdock/nutmegdock/internal/watcher"
 )
@@ -44,6 +44,8 @@
 	// maxCallDelay is how much later than it waits a call may succeed, counted from the end of the call before, if neither
 	// this host nor the source stood still. It includes the pause between two calls.
 	maxCallDelay = 300 * time.Millisecond
+	// maxRecordsBytes limits the decompressed records of one response of a reader.
+	maxRecordsBytes = 32 << 20
 	// minCompressBytes is the size from which a response is compressed.
 	minCompressBytes = 4 << 10
 )
@@ -491,7 +493,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("decompress records: %w", err)
 		}
-		if data, err = io.ReadAll(r); err != nil {
+		if data, err = bodyreader.ReadAll(r, maxRecordsBytes); err != nil {
 			return nil, fmt.Errorf("decompress records: %w", err)
 		}
 	}
