engineagent: the announced gate follows the engine's report

An engine accepted a load command whose response was lost or late. The agent gave up the step, and later found the engine loading or serving the target release, for which it did nothing. The gate that it had announced as closed stayed so, and the entry hosts sent the engine no requests until the next rollout. A host that restarted while its engine loaded announced no gate at all, so that requests went to an engine that accepts none.

The agent now corrects the announced gate whenever it reads the engine's report outside of a load command: closed while the engine loads, and the served release once that is the target release with all its layers.

--- a/internal/engineagent/reconcile.go
+++ b/internal/engineagent/reconcile.go
@@ -61,6 +61,7 @@
 			event.StagedChunksNotReused.Log(h.Logger.WithError(err), nil)
 		}
 	}
+	h.updateGate(r, target, served)
 	if served >= target.Release || r.Loading {
 		return nil
 	}
@@ -83,6 +84,20 @@
 	return h.loadStaged(ctx, target, a, fleetconfig.LayerRange{}, r.StartTime)
 }
 
+// updateGate corrects the announced gate state by the engine's report, which shows the effect of a load command whose
+// response was late or lost.
+func (h *Agent) updateGate(r rolloutplanner.Report, target fleetconfig.ServedModel, served fleetconfig.Release) {
+	h.mu.Lock()
+	g := h.gateState
+	h.mu.Unlock()
+	switch {
+	case r.Loading && (!g.Closed || g.StartTime != r.StartTime):
+		h.setGateState(gateState{Closed: true, StartTime: r.StartTime})
+	case !r.Loading && g.Closed && served >= target.Release:
+		h.setGateState(gateState{StartTime: r.StartTime, Model: target.Model, Release: served})
+	}
+}
+
 // fetch fetches all chunks of a release to this host. An empty engine loads its first layers meanwhile.
 func (h *Agent) fetch(ctx context.Context, target fleetconfig.ServedModel, r rolloutplanner.Report) (manifest.Artifact, error) {
 	superseded := func() bool { return h.isSuperseded(target) }
