The hosts beside engines count a rollout from the release's publication

They asked an entry host each 500 ms, which answered from a copy of up to 50 ms of age, and counted the rollout from when they learned of the release. Their groups switched up to 0.55 s later than planned, and those of a restarted host by as much as the release was old. The entry host now states in each response the time since the earliest possible publication that it knows, which is not part of the digest, and the agent takes it as the delay of the release. The field existed, but nothing set or read it.

A release that an agent finds in the store itself, while no entry host responds, is still counted from then.

--- a/internal/engineagent/engineagent_test.go
+++ b/internal/engineagent/engineagent_test.go
@@ -134,7 +134,7 @@
 	gates   chan assigner.GateState
 }
 
-func start(t *testing.T, e *engine) *testHost {
+func start(t *testing.T, e *engine, changes ...func(h *engineagent.Agent)) *testHost {
 	is := is.New(t)
 	b := &testHost{engine: e, gates: make(chan assigner.GateState, 1000)}
 	gateConn, err := net.ListenPacket("udp4", "127.0.0.1:0")
@@ -201,6 +201,9 @@
 			Logger: discardLogger,
 		},
 	}
+	for _, change := range changes {
+		change(h)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { is.NoErr(h.Run(ctx)) })
--- a/internal/engineagent/fleet.go
+++ b/internal/engineagent/fleet.go
@@ -138,7 +138,8 @@
 		h.entryHosts = resp.Seeds
 	}
 	h.mu.Unlock()
-	if h.tracker.AddRelease(fleetconfig.Model(resp.Model), fleetconfig.Release(resp.NewestRelease), isFirst, 0) || isFirst {
+	age := max(0, time.Duration(resp.ReleaseAgeMs)*time.Millisecond)
+	if h.tracker.AddRelease(fleetconfig.Model(resp.Model), fleetconfig.Release(resp.NewestRelease), isFirst, age) || isFirst {
 		h.notify()
 	}
 }
--- a/internal/gatewayserver/fleet.go
+++ b/internal/gatewayserver/fleet.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/fleetwatcher"
 	"github.com/nutmegdock/nutmegdock/internal/hostregistrar"
@@ -48,7 +49,18 @@
 	if cached.response.Known && cached.response.Digest == q.Digest {
 		return messages.FleetResponse{Known: true, Digest: q.Digest, Unchanged: true}, nil
 	}
-	return cached.response, nil
+	resp := cached.response
+	resp.ReleaseAgeMs = h.releaseAge(resp).Milliseconds()
+	return resp, nil
+}
+
+// releaseAge returns the time since the earliest possible publication of the newest release; zero if it is unknown.
+func (h *Server) releaseAge(fleet messages.FleetResponse) time.Duration {
+	publishedAt := h.FleetWatcher.Tracker.PublishedAt(fleetconfig.Model(fleet.Model), fleetconfig.Release(fleet.NewestRelease-1))
+	if publishedAt.IsZero() {
+		return 0
+	}
+	return time.Since(publishedAt)
 }
 
 // fleetDigest sorts the lists of the fleet state and returns a digest of it.
--- a/internal/messages/records.go
+++ b/internal/messages/records.go
@@ -71,10 +71,10 @@
 	OriginAddress string       `json:"origin,omitempty"`
 	OriginRegion  ident.Region `json:"home,omitempty"`
 	Model         string       `json:"model,omitempty"`
-	// NewestRelease is the newest release, and ReleaseAgeMs the time in milliseconds since the responding host learned of
-	// it. ReleaseAgeMs is negative if the host learned of the release at its own start.
+	// NewestRelease is the newest release, and ReleaseAgeMs the time in milliseconds since its earliest possible publication,
+	// as far as the responding host knows; zero if it is unknown. ReleaseAgeMs is not part of the digest.
 	NewestRelease int64 `json:"release,omitempty"`
-	ReleaseAgeMs  int64 `json:"named,omitempty"`
+	ReleaseAgeMs  int64 `json:"age,omitempty"`
 	// Layers is the number of layers of the model.
 	Layers int `json:"layers,omitempty"`
 	// Seeds are the entry hosts.
