assigner: the first event counts without an entry of its endpoint

The entry of an endpoint may go while a request waits there, for example in an outage of the store. The first event of its stream was then not recorded, so that the running stream counted as queued and was withdrawn at the cutoff of its release. The event is now recorded before the endpoint is looked up.

--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -415,16 +415,18 @@
 }
 
 func (a *Assigner) recordFirstEvent(c *Assignment) {
+	isFirst := !c.hasFirstEvent
+	// It counts even if the endpoint has no entry any more.
+	c.hasFirstEvent = true
 	s := a.endpoints[c.Endpoint.ID]
 	if s == nil || s.StartTime != c.Endpoint.StartTime {
 		return
 	}
-	s.lastActive = time.Now()
-	if c.hasFirstEvent {
+	now := time.Now()
+	s.lastActive = now
+	if !isFirst {
 		return
 	}
-	c.hasFirstEvent = true
-	now := time.Now()
 	s.localLoad.PendingPromptTokens = max(0, s.localLoad.PendingPromptTokens-c.promptTokens)
 	delete(s.awaitingFirstEvent, c)
 	if c.nominalFirstEvent > 0 {
