gateway: a request without events has begun once its response header is there

A request with a model on a route that is not a stream never records a first event. If it ran over the cutoff of its release, it was withdrawn while its response was read: a request that may run once ended with 502, a repeatable one ran twice, and a large response was cut off. Its withdrawal now ends with the arrival of the response header. The assigner does not take that as a first event, because an engine may send the header only with the complete response, which says nothing about the time to a first event.

Without a response header, such a request may still be queued, and is withdrawn as before. An engine that runs it but sends the header only at the end cannot be told apart from one that has it queued.

--- a/internal/gateway/begun_test.go
+++ b/internal/gateway/begun_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -33,3 +34,49 @@
 	is.NoErr(err)
 	is.Equal(body, streamBody(1, 10))
 }
+
+// slowBody sends the response header at once, and the body in two parts with a pause between them.
+func slowBody(first, second string, pause time.Duration) step {
+	return func(c *net.TCPConn, _ *http.Request) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(first)+len(second), first)
+		time.Sleep(pause)
+		_, _ = io.WriteString(c, second)
+	}
+}
+
+// A running request whose response is not a stream was withdrawn at the cutoff, because it has no first event.
+func TestRunningRequestWithoutEventsIsWithdrawn(t *testing.T) {
+	large := strings.Repeat("x", 2<<20) // more than is buffered
+	for name, c := range map[string]struct{ path, first string }{
+		"at most once": {"/once/", "fir"},
+		"repeatable":   {"/read/", "fir"},
+		"large":        {"/read/", large},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := startFleet(t, []step{slowBody(c.first, "st", 400*time.Millisecond)}, []step{response(200, "second")})
+			f.setCutoff(time.Now().Add(200 * time.Millisecond))
+			f.configure(1)
+			f.serveReleases()
+			status, body, _, err := f.send(c.path, f.setModel)
+			is.NoErr(err)
+			is.Equal(status, 200)
+			is.True(body == c.first+"st")
+			is.Equal(len(f.requests()), 1)
+		})
+	}
+}
+
+// Without a response header, a request whose response is not a stream may still be queued, and is withdrawn.
+func TestRequestWithoutEventsBeginsAfterCutoff(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, []step{noResponse}, []step{response(200, "second")})
+	f.setCutoff(time.Now().Add(200 * time.Millisecond))
+	f.configure(1)
+	f.serveReleases()
+	status, body, _, err := f.send("/read/", f.setModel)
+	is.NoErr(err)
+	is.Equal(status, 200)
+	is.Equal(body, "second")
+	is.Equal(len(f.requests()), 2)
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -68,6 +68,8 @@
 	refusalDetails log.Fields
 	// onEvent notifies the assigner that the current endpoint has sent an event.
 	onEvent func()
+	// stopWithdrawal ends the withdrawal of the current attempt at the cutoff of its release.
+	stopWithdrawal func()
 	// predictedFirstEvent is the predicted time to the first event of the current endpoint.
 	predictedFirstEvent time.Duration
 }
@@ -117,9 +119,9 @@
 			"endpoint": choice.Endpoint.ID, "load": choice.Load.Requests, "unread": choice.Load.PendingPromptTokens,
 			"first": choice.PredictedFirstEvent.Milliseconds(), "attempt": len(state.tried),
 		}).Debug("request sent")
-		stopTimer := g.withdrawAtCutoff(req, choice, cancel)
+		state.stopWithdrawal = g.withdrawAtCutoff(req, choice, cancel)
 		isDone := g.tryEndpoint(attemptCtx, req, state, choice)
-		stopTimer()
+		state.stopWithdrawal()
 		cancel()
 		if isDone {
 			return
@@ -319,6 +321,8 @@
 	case resp.Status == http.StatusOK && req.route.Kind == fleetconfig.Stream:
 		return g.forwardStream(ctx, req, state, resp, info)
 	default:
+		// Without events, the request has begun once its response header is there.
+		state.stopWithdrawal()
 		return g.forwardBuffered(ctx, req, state, resp)
 	}
 }
