Requests are withdrawn from an older release only after they were expected to begin

A request that was expected to begin up to 1.7 s before the rollout timeout was withdrawn 1.8 s before it. Now the expectation must lie 1.9 s before the timeout, none is sent later than 2 s before it, and the withdrawal is 1.7 s before it.

--- a/internal/core/fleettracker/fleettracker.go
+++ b/internal/core/fleettracker/fleettracker.go
@@ -23,15 +23,15 @@
 	// that it held before it notices that they have been withdrawn.
 	maxEngineSilence = 1500 * time.Millisecond
 	// beginMargin is how long before the end of RolloutTimeout a request must be expected to begin on an older release.
-	// Besides a silence of the engine it covers the transfer to the engine and the age of the information about the release.
-	beginMargin = maxEngineSilence + 200*time.Millisecond
+	// Besides a silence of the engine it covers the error of the expectation, so that few requests are withdrawn.
+	beginMargin = maxEngineSilence + 400*time.Millisecond
 	// assignMargin is how long before the end of RolloutTimeout the host stops sending new requests to an older release.
 	// Few requests begin in less than the difference to beginMargin.
-	assignMargin = maxEngineSilence + 400*time.Millisecond
+	assignMargin = maxEngineSilence + 500*time.Millisecond
 	// withdrawMargin is how long before the end of RolloutTimeout the host withdraws requests that still wait in the
 	// queue of an engine on an older release. Besides a silence of the engine it covers the transfer to the engine and the
 	// age of the information about the release.
-	withdrawMargin = maxEngineSilence + 300*time.Millisecond
+	withdrawMargin = maxEngineSilence + 200*time.Millisecond
 )
 
 type release struct {
