Crash suspector: keep a quarantine when another feature explains more

The state test found that a crash of another part changed which part explains the earlier crashes, and so lifted a quarantine. The features that were never answered are now considered at each crash in turn. A request that its caller repeats was taken for the probe that had just been chosen: a probe is verified once only.

--- a/internal/core/crashsuspector/crashsuspector_test.go
+++ b/internal/core/crashsuspector/crashsuspector_test.go
@@ -95,6 +95,19 @@
 	})
 }
 
+// A feature that explains the same crashes and others later does not lift the quarantine.
+func TestQuarantineStaysWhenAnotherFeatureExplainsMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &crashsuspector.Suspector{}
+		crashRepeatedly(s, 1, 1, 1)
+		crashRepeatedly(s, 2, 2, 1, 2)
+		is.Equal(s.QuarantinedFeatures(), []feature{1})
+		crashRepeatedly(s, 4, 6, 2)
+		is.Equal(s.QuarantinedFeatures(), []feature{1, 2})
+	})
+}
+
 func TestCrashesThatAreExplainedDoNotCount(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -345,10 +358,12 @@
 		other := &crashsuspector.Suspector{}
 		other.Merge(s.Evidence(1))
 		is.Equal(other.Verdict([]feature{1}), crashsuspector.Quarantined)
+		other = &crashsuspector.Suspector{}
 		for _, c := range s.Facts().Crashes { // in parts, the newest first
-			other = &crashsuspector.Suspector{}
 			other.Merge(facts{Crashes: []crashsuspector.Crash{c}})
+			time.Sleep(2 * time.Second)
 		}
+		is.Equal(len(other.Facts().Crashes), 11)
 	})
 }
 
@@ -420,7 +435,8 @@
 		crashRepeatedly(s, 1, 3, 1)
 		got := probes(s, 30*time.Minute, func(n int) {
 			request := []feature{1, feature(1000 + n)}
-			is.Equal(s.Verdict(request), crashsuspector.Suspect) // verified again before it is sent
+			is.Equal(s.Verdict(request), crashsuspector.Suspect)     // verified again before it is sent
+			is.Equal(s.Verdict(request), crashsuspector.Quarantined) // sent again by its caller
 			is.Equal(s.Verdict([]feature{1, 7}), crashsuspector.Quarantined)
 			time.Sleep(50 * time.Millisecond)
 			s.RecordCrash(crashsuspector.CrashID(100+n), request)
--- a/internal/core/crashsuspector/factset.go
+++ b/internal/core/crashsuspector/factset.go
@@ -27,8 +27,8 @@
 	at time.Time
 	// suspects is sorted, and lacks the features that have been cleared.
 	suspects []Feature
-	// explained is used by findQuarantined.
-	explained bool
+	// isConsidered and isExplained are used by findings.
+	isConsidered, isExplained bool
 }
 
 func (c *crash) hasSuspect(f Feature) bool {
--- a/internal/core/crashsuspector/probe.go
+++ b/internal/core/crashsuspector/probe.go
@@ -15,7 +15,7 @@
 	minProbeInterval = time.Minute
 	// maxProbeInterval is shorter than Retention, so that a feature that still crashes engines stays quarantined.
 	maxProbeInterval = 8 * time.Minute
-	// probeValidity is how long the request that was chosen as a probe may be verified again.
+	// probeValidity is how long the request that was chosen as a probe may be verified again, once.
 	probeValidity = 2 * time.Second
 )
 
@@ -24,6 +24,8 @@
 	// request is a hash of the request's features.
 	request uint64
 	at      time.Time
+	// isVerified means that the request was verified again before it was sent.
+	isVerified bool
 	// early and earlyShared report whether there has been an early probe of the feature alone, and with others.
 	early, earlyShared bool
 }
@@ -41,8 +43,8 @@
 	return finding{verdict: Quarantined, isCertain: isCertain, lastCrash: crashes[len(crashes)-1].at, probeInterval: interval}
 }
 
-// startProbe reports whether a request with quarantined features may run as a probe. The same request may ask again
-// for a short time.
+// startProbe reports whether a request with quarantined features may run as a probe. The same request may be verified
+// once more, right before it is sent. Callers may repeat it, so that others with the same features are refused.
 func (s *Suspector) startProbe(features []Feature) bool {
 	if s.MayProbe == nil || !s.MayProbe() {
 		return false
@@ -71,6 +73,8 @@
 	for _, f := range quarantined {
 		last := s.probes[f]
 		if last.isCurrent(request, v.findings[f], now) {
+			last.isVerified = true
+			s.probes[f] = last
 			continue
 		}
 		s.probes[f] = probe{request: request, at: now, early: last.early || !isShared, earlyShared: last.earlyShared || isShared}
@@ -78,9 +82,9 @@
 	return true
 }
 
-// isCurrent reports whether a request is the probe and has not crashed an engine yet.
+// isCurrent reports whether a request is the probe that has been chosen but not been sent yet.
 func (p probe) isCurrent(request uint64, found finding, now time.Time) bool {
-	return p.request == request && now.Sub(p.at) < probeValidity && !p.at.Before(found.lastCrash)
+	return p.request == request && !p.isVerified && now.Sub(p.at) < probeValidity && !p.at.Before(found.lastCrash)
 }
 
 // isFollowedBy reports whether another probe may follow.
--- a/internal/core/crashsuspector/quarantine.go
+++ b/internal/core/crashsuspector/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -30,77 +31,116 @@
 	probeInterval time.Duration
 }
 
+// decision is the computation of the findings from a set of facts.
+type decision struct {
+	facts *factSet
+	found map[Feature]finding
+}
+
 // candidate is a feature that may be quarantined.
 type candidate struct {
 	feature Feature
-	// answered reports whether a request with the feature was answered within the retention.
-	answered bool
 	// unexplained holds the crashes that no quarantined feature explains, and count their number.
 	unexplained []*crash
 	count       int
 }
 
-// compareCandidates orders features by how likely they are the cause. One that was never answered comes first: a feature
-// that most requests of a route share is also a suspect of most crashes.
+// compareCandidates orders features by how many crashes they explain.
 func compareCandidates(a, b candidate) int {
-	if a.answered != b.answered {
-		if b.answered {
-			return -1
-		}
-		return 1
-	}
 	return cmp.Or(cmp.Compare(b.count, a.count), cmp.Compare(len(b.unexplained), len(a.unexplained)), cmp.Compare(a.feature, b.feature))
 }
 
 // findings returns what the facts say about the features with several crashes against them. It depends on the facts
 // only, so that hosts that hold the same facts decide the same.
+//
+// The features that were never answered are considered at each crash in turn: one that is quarantined stays so, even if
+// others explain more of its crashes later. The features that were answered are considered last, as a feature that many
+// sound requests share is a suspect of most crashes.
 func (s *factSet) findings() map[Feature]finding {
-	found := make(map[Feature]finding)
+	d := &decision{facts: s, found: make(map[Feature]finding)}
 	for _, c := range s.crashes {
-		c.explained = false
+		c.isConsidered, c.isExplained = false, false
 	}
-	var candidates []candidate
+	frequent := s.frequentByCrash()
+	for _, c := range slices.SortedFunc(maps.Keys(frequent), compareCrashes) {
+		c.isConsidered = true
+		if !c.isExplained {
+			d.quarantine(frequent[c], false)
+		}
+	}
+	for _, c := range s.crashes {
+		c.isConsidered = true
+	}
+	repeated := slices.Collect(maps.Keys(s.repeated))
+	d.quarantine(repeated, true)
+	for _, f := range repeated {
+		if d.found[f].verdict != Quarantined && countSpaced(d.unexplained(f), s.isAnswered(f)) >= suspectThreshold {
+			d.found[f] = finding{verdict: Suspect}
+		}
+	}
+	return d.found
+}
+
+// frequentByCrash returns the features with enough crashes to be quarantined, by crash.
+func (s *factSet) frequentByCrash() map[*crash][]Feature {
+	frequent := make(map[*crash][]Feature)
 	for f := range s.repeated {
-		candidates = append(candidates, candidate{feature: f, answered: !s.clearings[f].at.IsZero()})
+		if crashes := s.byFeature[f]; len(crashes) >= soleSuspectThreshold {
+			for _, c := range crashes {
+				frequent[c] = append(frequent[c], f)
+			}
+		}
 	}
+	return frequent
+}
+
+// isAnswered reports whether a request with the feature was answered within the retention.
+func (s *factSet) isAnswered(f Feature) bool {
+	return !s.clearings[f].at.IsZero()
+}
+
+// quarantine quarantines those of the features for which there is enough evidence, among the ones that were answered or
+// the others.
+func (d *decision) quarantine(features []Feature, answered bool) {
 	for {
-		candidates = s.updateCandidates(candidates, found)
-		slices.SortFunc(candidates, compareCandidates)
-		quarantined, isCertain := s.nextQuarantined(candidates, found)
+		quarantined, isCertain := d.next(d.candidates(features, answered))
 		if len(quarantined) == 0 {
-			break
+			return
 		}
 		for _, f := range quarantined {
-			found[f] = s.quarantineFinding(f, isCertain)
-			for _, c := range s.byFeature[f] {
-				c.explained = true
+			d.found[f] = d.facts.quarantineFinding(f, isCertain)
+			for _, c := range d.facts.byFeature[f] {
+				c.isExplained = true
 			}
 		}
 	}
-	for _, c := range candidates {
-		found[c.feature] = finding{verdict: Suspect}
-	}
-	return found
 }
 
-// updateCandidates counts the unexplained crashes again, and returns the features that still have several.
-func (s *factSet) updateCandidates(candidates []candidate, found map[Feature]finding) []candidate {
-	kept := candidates[:0]
-	for _, c := range candidates {
-		if found[c.feature].verdict == Quarantined {
+// candidates returns the features with enough crashes to be quarantined, the one that explains most of them first.
+func (d *decision) candidates(features []Feature, answered bool) []candidate {
+	var candidates []candidate
+	for _, f := range features {
+		if d.facts.isAnswered(f) != answered || d.found[f].verdict == Quarantined {
 			continue
 		}
-		c.unexplained = c.unexplained[:0]
-		for _, crash := range s.byFeature[c.feature] {
-			if !crash.explained {
-				c.unexplained = append(c.unexplained, crash)
-			}
+		c := candidate{feature: f, unexplained: d.unexplained(f)}
+		if c.count = countSpaced(c.unexplained, answered); c.count >= soleSuspectThreshold {
+			candidates = append(candidates, c)
 		}
-		if c.count = countSpaced(c.unexplained, c.answered); c.count >= suspectThreshold {
-			kept = append(kept, c)
+	}
+	slices.SortFunc(candidates, compareCandidates)
+	return candidates
+}
+
+// unexplained returns the crashes with a feature that have been considered and that no quarantined feature explains.
+func (d *decision) unexplained(f Feature) []*crash {
+	var crashes []*crash
+	for _, c := range d.facts.byFeature[f] {
+		if c.isConsidered && !c.isExplained {
+			crashes = append(crashes, c)
 		}
 	}
-	return kept
+	return crashes
 }
 
 // countSpaced counts crashes that are ordered by time, but only some of those within crashSpacing.
@@ -123,17 +163,14 @@
 	return total
 }
 
-// nextQuarantined returns the features to quarantine next: the first candidate that is the sole suspect of enough
-// crashes, or the first with so many crashes that it is quarantined together with its rivals.
-func (s *factSet) nextQuarantined(candidates []candidate, found map[Feature]finding) (features []Feature, isCertain bool) {
+// next returns the features to quarantine next: the first candidate that is the sole suspect of its crashes, or the first
+// with so many crashes that it is quarantined together with its rivals.
+func (d *decision) next(candidates []candidate) (features []Feature, isCertain bool) {
 	for _, c := range candidates {
-		if c.count < soleSuspectThreshold {
-			continue
-		}
-		rivals := s.rivals(c, found)
+		rivals := d.rivals(c)
 		switch {
 		case len(rivals) == 0:
-			return []Feature{c.feature}, !c.answered && countSpaced(s.byFeature[c.feature], false) >= quarantineThreshold
+			return []Feature{c.feature}, d.isCertain(c.feature)
 		case c.count >= quarantineThreshold:
 			return append(rivals, c.feature), false
 		}
@@ -141,11 +178,17 @@
 	return nil, false
 }
 
-// rivals returns the features that explain the same crashes as a candidate, and are as likely the cause.
-func (s *factSet) rivals(c candidate, found map[Feature]finding) []Feature {
+// isCertain reports whether a sole suspect was never answered and has many crashes against it.
+func (d *decision) isCertain(f Feature) bool {
+	return !d.facts.isAnswered(f) && countSpaced(d.facts.byFeature[f], false) >= quarantineThreshold
+}
+
+// rivals returns the features that explain the same crashes as a candidate. One that was answered is no rival of one that
+// was not.
+func (d *decision) rivals(c candidate) []Feature {
 	var rivals []Feature
 	for _, f := range c.unexplained[0].suspects {
-		if f == c.feature || found[f].verdict == Quarantined || (!c.answered && !s.clearings[f].at.IsZero()) {
+		if f == c.feature || d.found[f].verdict == Quarantined || (d.facts.isAnswered(f) && !d.facts.isAnswered(c.feature)) {
 			continue
 		}
 		if !slices.ContainsFunc(c.unexplained[1:], func(other *crash) bool { return !other.hasSuspect(f) }) {
