Crash suspector: no early probe with two likely features

Requests that are repeated have a part and a digest that always occur together; each sound part of them that had been quarantined by mistake led to a probe that crashed another engine. A request with two features that were never answered and have five crashes against them is not tried early.

--- a/internal/core/crashsuspector/crashsuspector_test.go
+++ b/internal/core/crashsuspector/crashsuspector_test.go
@@ -513,11 +513,13 @@
 	})
 }
 
-// Two features that occur together only are tried again together.
+// Two features that were answered before, and that occur together only, are tried again together.
 func TestProbeOfInseparableFeatures(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := &crashsuspector.Suspector{MayProbe: func() bool { return true }}
+		s.RecordSuccess([]feature{1, 2})
+		time.Sleep(time.Second)
 		crashRepeatedly(s, 1, 5, 1, 2)
 		time.Sleep(2500 * time.Millisecond)
 		is.Equal(s.Verdict([]feature{1, 2, 3}), crashsuspector.Suspect)
@@ -525,3 +527,16 @@
 		is.Equal(s.Verdict([]feature{1, 2, 4}), crashsuspector.Clean)
 	})
 }
+
+// No request with two features that were never answered is tried early: one of them crashes engines.
+func TestNoEarlyProbeWithTwoLikelyFeatures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &crashsuspector.Suspector{MayProbe: func() bool { return true }}
+		crashRepeatedly(s, 1, 5, 1, 2)
+		time.Sleep(5 * time.Second)
+		is.Equal(s.Verdict([]feature{1, 2, 3}), crashsuspector.Quarantined)
+		time.Sleep(time.Minute)
+		is.Equal(s.Verdict([]feature{1, 2, 3}), crashsuspector.Suspect)
+	})
+}
--- a/internal/core/crashsuspector/factset.go
+++ b/internal/core/crashsuspector/factset.go
@@ -105,17 +105,6 @@
 	return added
 }
 
-// countRepeated counts the features with more than one crash.
-func (s *factSet) countRepeated(features []Feature) int {
-	n := 0
-	for _, f := range features {
-		if s.repeated[f] {
-			n++
-		}
-	}
-	return n
-}
-
 func (s *factSet) addSuspect(c *crash, f Feature) {
 	i, _ := slices.BinarySearch(c.suspects, f)
 	c.suspects = slices.Insert(c.suspects, i, f)
--- a/internal/core/crashsuspector/probe.go
+++ b/internal/core/crashsuspector/probe.go
@@ -61,9 +61,11 @@
 			quarantined = append(quarantined, f)
 		}
 	}
-	now, request, isShared := time.Now(), hashFeatures(features), s.facts.countRepeated(features) > 1
+	now, request := time.Now(), hashFeatures(features)
+	isShared, mayBeEarly := s.facts.countRepeated(features) > 1, s.facts.countLikely(features) <= 1
 	for _, f := range quarantined {
-		if found := v.findings[f]; !s.probes[f].isCurrent(request, found, now) && !s.probes[f].isFollowedBy(found, isShared, now) {
+		p, found := s.probes[f], v.findings[f]
+		if !p.isCurrent(request, found, now) && !p.isFollowedBy(found, now) && !(mayBeEarly && p.isFollowedEarlyBy(found, isShared, now)) {
 			return false
 		}
 	}
@@ -87,17 +89,19 @@
 	return p.request == request && !p.isVerified && now.Sub(p.at) < probeValidity && !p.at.Before(found.lastCrash)
 }
 
-// isFollowedBy reports whether another probe may follow.
-func (p probe) isFollowedBy(found finding, isShared bool, now time.Time) bool {
-	sinceCrash, sinceProbe := now.Sub(found.lastCrash), now.Sub(p.at)
-	if sinceCrash >= found.probeInterval && sinceProbe >= found.probeInterval {
-		return true
-	}
+// isFollowedBy reports whether another regular probe may follow.
+func (p probe) isFollowedBy(found finding, now time.Time) bool {
+	return now.Sub(found.lastCrash) >= found.probeInterval && now.Sub(p.at) >= found.probeInterval
+}
+
+// isFollowedEarlyBy reports whether an early probe may follow.
+func (p probe) isFollowedEarlyBy(found finding, isShared bool, now time.Time) bool {
+	sinceCrash := now.Sub(found.lastCrash)
 	if found.isCertain || sinceCrash >= earlyProbePeriod {
 		return false
 	}
 	if !p.at.Before(found.lastCrash) {
-		return sinceProbe >= earlyRetryDelay
+		return now.Sub(p.at) >= earlyRetryDelay
 	}
 	if isShared {
 		return !p.earlyShared && sinceCrash >= earlySharedProbeDelay
@@ -105,6 +109,29 @@
 	return !p.early && sinceCrash >= earlyProbeDelay
 }
 
+// countRepeated counts the features with more than one crash.
+func (s *factSet) countRepeated(features []Feature) int {
+	n := 0
+	for _, f := range features {
+		if s.repeated[f] {
+			n++
+		}
+	}
+	return n
+}
+
+// countLikely counts the features that were never answered and have many crashes against them. A request with several
+// is no early probe, as one of them crashes engines.
+func (s *factSet) countLikely(features []Feature) int {
+	n := 0
+	for _, f := range features {
+		if s.isLikely(f) {
+			n++
+		}
+	}
+	return n
+}
+
 func hashFeatures(features []Feature) uint64 {
 	const offset, prime = 14695981039346656037, 1099511628211
 	h := uint64(offset)
--- a/internal/core/crashsuspector/quarantine.go
+++ b/internal/core/crashsuspector/quarantine.go
@@ -99,6 +99,11 @@
 	return !s.clearings[f].at.IsZero()
 }
 
+// isLikely reports whether a feature was never answered and has many crashes against it.
+func (s *factSet) isLikely(f Feature) bool {
+	return !s.isAnswered(f) && countSpaced(s.byFeature[f], false) >= quarantineThreshold
+}
+
 // quarantine quarantines those of the features for which there is enough evidence, among the ones that were answered or
 // the others.
 func (d *decision) quarantine(features []Feature, answered bool) {
@@ -170,7 +175,7 @@
 		rivals := d.rivals(c)
 		switch {
 		case len(rivals) == 0:
-			return []Feature{c.feature}, d.isCertain(c.feature)
+			return []Feature{c.feature}, d.facts.isLikely(c.feature)
 		case c.count >= quarantineThreshold:
 			return append(rivals, c.feature), false
 		}
@@ -178,11 +183,6 @@
 	return nil, false
 }
 
-// isCertain reports whether a sole suspect was never answered and has many crashes against it.
-func (d *decision) isCertain(f Feature) bool {
-	return !d.facts.isAnswered(f) && countSpaced(d.facts.byFeature[f], false) >= quarantineThreshold
-}
-
 // rivals returns the features that explain the same crashes as a candidate. One that was answered is no rival of one that
 // was not.
 func (d *decision) rivals(c candidate) []Feature {
