--- a/internal/core/crashsuspector/probe.go
+++ b/internal/core/crashsuspector/probe.go
@@ -15,7 +15,7 @@
 	minProbeInterval = time.Minute
 	// maxProbeInterval is shorter than Retention, so that a feature that still crashes engines stays quarantined.
 	maxProbeInterval = 8 * time.Minute
-	// probeValidity is how long the request that was chosen as a probe may be verified again.
+	// probeValidity is how long the request that was chosen as a probe may be verified again, once.
 	probeValidity = 2 * time.Second
 )
 
@@ -24,6 +24,8 @@
 	// request is a hash of the request's features.
 	request uint64
 	at      time.Time
+	// isVerified means that the request was verified again before it was sent.
+	isVerified bool
 	// early and earlyShared report whether there has been an early probe of the feature alone, and with others.
 	early, earlyShared bool
 }
@@ -41,8 +43,8 @@
 	return finding{verdict: Quarantined, isCertain: isCertain, lastCrash: crashes[len(crashes)-1].at, probeInterval: interval}
 }
 
-// startProbe reports whether a request with quarantined features may run as a probe. The same request may ask again
-// for a short time.
+// startProbe reports whether a request with quarantined features may run as a probe. The same request may be verified
+// once more, right before it is sent. Callers may repeat it, so that others with the same features are refused.
 func (s *Suspector) startProbe(features []Feature) bool {
 	if s.MayProbe == nil || !s.MayProbe() {
 		return false
@@ -59,9 +61,11 @@
 			quarantined = append(quarantined, f)
 		}
 	}
-	now, request, isShared := time.Now(), hashFeatures(features), s.facts.countRepeated(features) > 1
+	now, request := time.Now(), hashFeatures(features)
+	isShared, mayBeEarly := s.facts.countRepeated(features) > 1, s.facts.countLikely(features) <= 1
 	for _, f := range quarantined {
-		if found := v.findings[f]; !s.probes[f].isCurrent(request, found, now) && !s.probes[f].isFollowedBy(found, isShared, now) {
+		p, found := s.probes[f], v.findings[f]
+		if !p.isCurrent(request, found, now) && !p.isFollowedBy(found, now) && !(mayBeEarly && p.isFollowedEarlyBy(found, isShared, now)) {
 			return false
 		}
 	}
@@ -71,6 +75,8 @@
 	for _, f := range quarantined {
 		last := s.probes[f]
 		if last.isCurrent(request, v.findings[f], now) {
+			last.isVerified = true
+			s.probes[f] = last
 			continue
 		}
 		s.probes[f] = probe{request: request, at: now, early: last.early || !isShared, earlyShared: last.earlyShared || isShared}
@@ -78,22 +84,24 @@
 	return true
 }
 
-// isCurrent reports whether a request is the probe and has not crashed an engine yet.
+// isCurrent reports whether a request is the probe that has been chosen but not been sent yet.
 func (p probe) isCurrent(request uint64, found finding, now time.Time) bool {
-	return p.request == request && now.Sub(p.at) < probeValidity && !p.at.Before(found.lastCrash)
+	return p.request == request && !p.isVerified && now.Sub(p.at) < probeValidity && !p.at.Before(found.lastCrash)
 }
 
-// isFollowedBy reports whether another probe may follow.
-func (p probe) isFollowedBy(found finding, isShared bool, now time.Time) bool {
-	sinceCrash, sinceProbe := now.Sub(found.lastCrash), now.Sub(p.at)
-	if sinceCrash >= found.probeInterval && sinceProbe >= found.probeInterval {
-		return true
-	}
+// isFollowedBy reports whether another regular probe may follow.
+func (p probe) isFollowedBy(found finding, now time.Time) bool {
+	return now.Sub(found.lastCrash) >= found.probeInterval && now.Sub(p.at) >= found.probeInterval
+}
+
+// isFollowedEarlyBy reports whether an early probe may follow.
+func (p probe) isFollowedEarlyBy(found finding, isShared bool, now time.Time) bool {
+	sinceCrash := now.Sub(found.lastCrash)
 	if found.isCertain || sinceCrash >= earlyProbePeriod {
 		return false
 	}
 	if !p.at.Before(found.lastCrash) {
-		return sinceProbe >= earlyRetryDelay
+		return now.Sub(p.at) >= earlyRetryDelay
 	}
 	if isShared {
 		return !p.earlyShared && sinceCrash >= earlySharedProbeDelay
@@ -101,6 +109,29 @@
 	return !p.early && sinceCrash >= earlyProbeDelay
 }
 
+// countRepeated counts the features with more than one crash.
+func (s *factSet) countRepeated(features []Feature) int {
+	n := 0
+	for _, f := range features {
+		if s.repeated[f] {
+			n++
+		}
+	}
+	return n
+}
+
+// countLikely counts the features that were never answered and have many crashes against them. A request with several
+// is no early probe, as one of them crashes engines.
+func (s *factSet) countLikely(features []Feature) int {
+	n := 0
+	for _, f := range features {
+		if s.isLikely(f) {
+			n++
+		}
+	}
+	return n
+}
+
 func hashFeatures(features []Feature) uint64 {
 	const offset, prime = 14695981039346656037, 1099511628211
 	h := uint64(offset)
