assigner: the load of an endpoint counts only requests that were sent since its entry returned

If the entry of an endpoint goes and returns while a request is in progress there, the end of that request was taken off the load of the new state: 0 requests with one in progress. TestLoadIsTooLowAfterEntryOfEndpointReturned failed and passes.

--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -436,7 +436,7 @@
 	}
 	now := time.Now()
 	s.lastActive = now
-	if !isFirst {
+	if !isFirst || !s.inFlight[c] {
 		return
 	}
 	s.localLoad.PendingPromptTokens = max(0, s.localLoad.PendingPromptTokens-c.promptTokens)
@@ -475,12 +475,15 @@
 	if s == nil || s.StartTime != c.Endpoint.StartTime {
 		return
 	}
-	if !c.hasFirstEvent {
-		s.localLoad.PendingPromptTokens = max(0, s.localLoad.PendingPromptTokens-c.promptTokens)
-		delete(s.awaitingFirstEvent, c)
+	// A request that was sent before the endpoint's entry went and returned is not counted in its load.
+	if s.inFlight[c] {
+		if !c.hasFirstEvent {
+			s.localLoad.PendingPromptTokens = max(0, s.localLoad.PendingPromptTokens-c.promptTokens)
+			delete(s.awaitingFirstEvent, c)
+		}
+		s.localLoad.Requests = max(0, s.localLoad.Requests-1)
+		delete(s.inFlight, c)
 	}
-	s.localLoad.Requests = max(0, s.localLoad.Requests-1)
-	delete(s.inFlight, c)
 	switch outcome {
 	case Unreachable:
 		a.markUnreachable(s)
