--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -15,7 +15,6 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
-	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
@@ -25,6 +24,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/retrybudget"
 	"github.com/nutmegdock/nutmegdock/internal/gateway"
+	"github.com/nutmegdock/nutmegdock/internal/headercodec"
 	"github.com/nutmegdock/nutmegdock/internal/sender"
 )
 
@@ -105,49 +105,84 @@
 }
 
 func checkRolloutWithSilence(t *testing.T, start, silence time.Duration) {
-	is := is.New(t)
+	engine := &silentEngine{silentFrom: time.Now().Add(start), silentUntil: time.Now().Add(start + silence)}
+	r := &rollout{objective: time.Second, pool: &fleetconfig.Pool{Name: "p"}, serve: engine.serve}
+	r.run(silence)
+	r.check(t, engine.begun, 50, engine.lastBegin)
+}
+
+// rollout is a rollout of release 2 to one engine, which stays on release 1.
+type rollout struct {
+	objective    time.Duration
+	pool         *fleetconfig.Pool
+	promptTokens float64
+	// serve serves one connection to the engine.
+	serve func(c net.Conn)
+
+	deadline time.Time
+}
+
+// run sends a request every 50 ms, until the rollout timeout has passed by the given time, and waits for all to end.
+func (r *rollout) run(after time.Duration) {
 	tracker := &fleettracker.Tracker{RolloutTimeout: testRolloutTimeout}
+	pools := map[ident.Pool]*fleetconfig.Pool{"p": r.pool}
 	a := &assigner.Assigner{Zone: "z", Random: func() float64 { return 0 }}
-	a.SetEndpoints([]fleetconfig.Endpoint{{ID: "e", Pool: "p", Address: "e", Zone: "z", Slots: 100, Models: []fleetconfig.ServedModel{{Model: "m", Release: 1}}}})
-	engine := &silentEngine{silentFrom: time.Now().Add(start), silentUntil: time.Now().Add(start + silence)}
-	var engines sync.WaitGroup
+	a.SetEndpoints([]fleetconfig.Endpoint{{
+		ID: "e", Pool: "p", Address: "e", Zone: "z", Slots: 100, Models: []fleetconfig.ServedModel{{Model: "m", Release: 1}}, Layers: fleetconfig.LayerRange{To: 1},
+	}})
+	a.SetPools(pools)
+	var engine sync.WaitGroup
+	codec := testCodec
+	codec.ReadRequest = func(req *http.Request) headercodec.CallerRequest {
+		c := testCodec.ReadRequest(req)
+		c.PromptTokens = r.promptTokens
+		return c
+	}
 	g := &gateway.Gateway{
-		Codec: testCodec, Assigner: a, Suspector: &crashsuspector.Suspector{}, RetryBudget: &retrybudget.Budget{},
+		Codec: codec, Assigner: a, Suspector: &crashsuspector.Suspector{}, RetryBudget: &retrybudget.Budget{},
 		Sender: &sender.Sender{Dial: func(context.Context, string, string) (net.Conn, error) {
 			c, remote := net.Pipe()
-			engines.Go(func() { engine.serve(remote) })
+			engine.Go(func() { r.serve(remote) })
 			return c, nil
 		}},
 		OldestRelease: tracker.OldestAllowed, BeginDeadline: tracker.BeginDeadline, WithdrawalTime: tracker.WithdrawDeadline,
 		RetryAfter: func(time.Duration) time.Duration { return 0 },
 		Logger:     &log.Logger{Handler: discard.New(), Level: log.InfoLevel}, Meter: gateway.NewMeter(prometheus.NewRegistry()),
 	}
-	config := &fleetconfig.Config{Revision: 1, Pools: map[ident.Pool]*fleetconfig.Pool{"p": {Name: "p"}}}
+	config := &fleetconfig.Config{Revision: 1, Pools: pools}
 	config.SetRoutes([]fleetconfig.Route{{
 		Name: "stream", Host: "h", Prefix: "/", Kind: fleetconfig.Stream, Resumable: true, MaxAttempts: 1, Timeout: 5 * time.Second,
-		Objective: time.Second, Anonymous: true, Pools: []fleetconfig.PoolShare{{Pool: "p", Weight: 1}},
+		Objective: r.objective, Anonymous: true, Pools: []fleetconfig.PoolShare{{Pool: "p", Weight: 1}},
 	}})
 	g.SetConfig(config)
 	tracker.AddRelease("m", 2, false, 0)
-	deadline := time.Now().Add(testRolloutTimeout)
+	r.deadline = time.Now().Add(testRolloutTimeout)
 	var callers sync.WaitGroup
-	for i := 0; time.Now().Before(deadline.Add(silence)); i++ {
+	for i := 0; time.Now().Before(r.deadline.Add(after)); i++ {
 		callers.Go(func() {
 			defer func() {
 				if reason := recover(); reason != nil && reason != http.ErrAbortHandler { // the handler aborts broken streams
 					panic(reason)
 				}
 			}()
-			r := httptest.NewRequest(http.MethodPost, "http://h/", nil)
-			r.Header.Set("Id", fmt.Sprint(i))
-			r.Header.Set("Model", "m")
-			r.Header.Set("Left", "4000")
-			g.ServeHTTP(httptest.NewRecorder(), r)
+			req := httptest.NewRequest(http.MethodPost, "http://h/", nil)
+			req.Header.Set("Id", fmt.Sprint(i))
+			req.Header.Set("Model", "m")
+			req.Header.Set("Left", "4000")
+			g.ServeHTTP(httptest.NewRecorder(), req)
 		})
 		time.Sleep(50 * time.Millisecond)
 	}
 	callers.Wait()
-	engines.Wait()
-	is.True(engine.begun > 50)                 // the older release served while it was allowed
-	is.True(!engine.lastBegin.After(deadline)) // no request began on the older release after the rollout timeout
+	engine.Wait()
+}
+
+// check checks that the older release served while it was allowed, and began no request after the rollout timeout.
+func (r *rollout) check(t *testing.T, begun, minBegun int, lastBegin time.Time) {
+	if begun <= minBegun {
+		t.Errorf("%d requests began on the older release, want more than %d", begun, minBegun)
+	}
+	if late := lastBegin.Sub(r.deadline); late > 0 {
+		t.Errorf("a request began on the older release %v after the rollout timeout", late)
+	}
 }
