Crash suspector: state test checks the bound for repeated requests

A request that is repeated now has the same parts each time, and is checked against its own rule, three crashes.

--- a/internal/core/crashsuspector/crashsuspector.go
+++ b/internal/core/crashsuspector/crashsuspector.go
@@ -255,7 +255,8 @@
 	return out
 }
 
-// Verdict returns how a request with the features may be run.
+// Verdict returns how a request with the features may be run. A request that is chosen to try a quarantined feature again
+// is Suspect: Verdict may be called once more for it, right before it is sent.
 func (s *Suspector) Verdict(features []Feature) Verdict {
 	v := s.currentView()
 	if v == nil {
--- a/internal/core/crashsuspector/fleet_test.go
+++ b/internal/core/crashsuspector/fleet_test.go
@@ -15,8 +15,10 @@
 	settleTime = 3 * time.Second
 	// serveTime is the time after the fifth crash from which sound requests must be served again.
 	serveTime = 6 * time.Second
-	// crashesBeforeBound is the number of crashes of one part after which the number of its requests is bounded.
-	crashesBeforeBound = 5
+	// crashesBeforeBound is the number of crashes after which the number of requests with the part is bounded, and
+	// crashesBeforeRepeatBound the number after which that of a request that is repeated is.
+	crashesBeforeBound       = 5
+	crashesBeforeRepeatBound = 3
 
 	engineSlots = 16
 	eventGap    = 46 * time.Millisecond
@@ -249,12 +251,12 @@
 	if !c.isFirst {
 		features = append(features, firstPart(c.route))
 	}
-	if c.hasGroup {
-		features = append(features, groupPart(c.route, f.rng.IntN(max(1, f.routes[c.route].groups))))
-	}
-	digest := f.newDigest()
+	group, digest := f.rng.IntN(max(1, f.routes[c.route].groups)), f.newDigest()
 	if c.repeats {
-		digest = repeatedDigest(i)
+		group, digest = 0, repeatedDigest(i)
+	}
+	if c.hasGroup {
+		features = append(features, groupPart(c.route, group))
 	}
 	f.submit(&simulatedRequest{features: append(features, crashPart(i), digest), route: c.route, crasher: i})
 }
@@ -621,11 +623,14 @@
 
 // reachedAfterBound returns how many requests with a crasher reached engines after the time from which they are bounded.
 func (f *fleet) reachedAfterBound(i int) int {
-	t := f.byCrasher[i]
-	if len(t.crashes) < crashesBeforeBound {
+	t, crashes := f.byCrasher[i], crashesBeforeBound
+	if f.crashers[i].repeats {
+		crashes = crashesBeforeRepeatBound
+	}
+	if len(t.crashes) < crashes {
 		return 0
 	}
-	return countAfter(t.reached, t.crashes[crashesBeforeBound-1]+settleTime)
+	return countAfter(t.reached, t.crashes[crashes-1]+settleTime)
 }
 
 func countAfter(times []time.Duration, from time.Duration) int {
--- a/internal/core/crashsuspector/state_test.go
+++ b/internal/core/crashsuspector/state_test.go
@@ -39,16 +39,6 @@
 			probability: rapid.SampledFrom([]float64{1, 1, 1, 0.5}).Draw(rt, "probability"), repeats: intn("repeats", 0, 4) == 0,
 		})
 	}
-	// Sound requests of a route are at least as frequent as those with crashing parts.
-	for i := range s.routes {
-		crashRate := 0.0
-		for _, c := range s.crashers {
-			if c.route == i {
-				crashRate += c.rate
-			}
-		}
-		s.routes[i].rate = max(s.routes[i].rate, crashRate)
-	}
 	for range intn("disturbances", 0, 3) {
 		s.disturbances = append(s.disturbances, drawDisturbance(rt, s))
 	}
