Features that explain the same three crashes are quarantined together

A request that its caller repeats has a part and a digest that always occur together.

Change: ties are quarantined at the third crash; a sound one of them is tried again after 1.5 s, as before. A feature is certain, and not tried early, if none of the features that were never answered explains all its crashes as well. The unit tests of ties expect the third crash instead of the fifth.

--- a/internal/core/crashsuspector/crashsuspector_test.go
+++ b/internal/core/crashsuspector/crashsuspector_test.go
@@ -55,17 +55,22 @@
 	})
 }
 
-// Two features that were in progress at the same crashes cannot be told apart before the fifth one.
-func TestTiedSuspectsAreQuarantinedAtFifthCrash(t *testing.T) {
+// Two features that were in progress at the same crashes cannot be told apart: both are quarantined, and tried early.
+func TestTiedSuspectsAreQuarantinedAtThirdCrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		s := &crashsuspector.Suspector{}
-		crashRepeatedly(s, 1, 4, 1, 2)
+		s := &crashsuspector.Suspector{MayProbe: func() bool { return true }}
+		crashRepeatedly(s, 1, 2, 1, 2)
 		is.Equal(s.Verdict([]feature{1}), crashsuspector.Suspect)
 		is.Equal(s.Verdict([]feature{2}), crashsuspector.Suspect)
-		crashRepeatedly(s, 5, 1, 1, 2)
+		crashRepeatedly(s, 3, 1, 1, 2)
 		is.Equal(s.Verdict([]feature{1}), crashsuspector.Quarantined)
 		is.Equal(s.Verdict([]feature{2}), crashsuspector.Quarantined)
+		time.Sleep(2 * time.Second)
+		is.Equal(s.Verdict([]feature{2}), crashsuspector.Suspect)
+		s.RecordSuccess([]feature{2})
+		is.Equal(s.Verdict([]feature{2}), crashsuspector.Clean)
+		is.Equal(s.QuarantinedFeatures(), []feature{1})
 	})
 }
 
@@ -74,8 +79,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := &crashsuspector.Suspector{}
-		crashRepeatedly(s, 1, 3, 1, 2)
-		crashRepeatedly(s, 4, 1, 1)
+		crashRepeatedly(s, 1, 2, 1, 2)
+		crashRepeatedly(s, 3, 1, 1)
 		is.Equal(s.Verdict([]feature{1}), crashsuspector.Quarantined)
 		is.Equal(s.Verdict([]feature{2}), crashsuspector.Clean)
 	})
--- a/internal/core/crashsuspector/probe.go
+++ b/internal/core/crashsuspector/probe.go
@@ -32,7 +32,7 @@
 
 // quarantineFinding returns the finding for a quarantined feature. Each crash that followed the one before it only after
 // about the time of a regular probe doubles the time to the next.
-func (s *factSet) quarantineFinding(f Feature, isCertain bool) finding {
+func (s *factSet) quarantineFinding(f Feature) finding {
 	interval := minProbeInterval
 	crashes := s.byFeature[f]
 	for i, c := range crashes[1:] {
@@ -40,7 +40,7 @@
 			interval = min(2*interval, maxProbeInterval)
 		}
 	}
-	return finding{verdict: Quarantined, isCertain: isCertain, lastCrash: crashes[len(crashes)-1].at, probeInterval: interval}
+	return finding{verdict: Quarantined, isCertain: s.isCertain(f), lastCrash: crashes[len(crashes)-1].at, probeInterval: interval}
 }
 
 // startProbe reports whether a request with quarantined features may run as a probe. The same request may be verified
--- a/internal/core/crashsuspector/quarantine.go
+++ b/internal/core/crashsuspector/quarantine.go
@@ -14,10 +14,10 @@
 	maxSimultaneous = 2
 	// suspectThreshold is the number of crashes from which requests are not retried after another one.
 	suspectThreshold = 2
-	// soleSuspectThreshold is the number of crashes at which a feature is quarantined that alone explains them.
-	soleSuspectThreshold = 3
-	// quarantineThreshold is the number of crashes at which a feature is quarantined although others explain them as well.
-	quarantineThreshold = 5
+	// quarantineThreshold is the number of crashes at which a feature is quarantined, with those that explain the same ones.
+	quarantineThreshold = 3
+	// certaintyThreshold is the number of crashes from which a feature that was never answered is taken to crash engines.
+	certaintyThreshold = 5
 )
 
 // finding is what the facts say about a feature that has several crashes against it.
@@ -85,7 +85,7 @@
 func (s *factSet) frequentByCrash() map[*crash][]Feature {
 	frequent := make(map[*crash][]Feature)
 	for f := range s.repeated {
-		if crashes := s.byFeature[f]; len(crashes) >= soleSuspectThreshold {
+		if crashes := s.byFeature[f]; len(crashes) >= quarantineThreshold {
 			for _, c := range crashes {
 				frequent[c] = append(frequent[c], f)
 			}
@@ -101,19 +101,27 @@
 
 // isLikely reports whether a feature was never answered and has many crashes against it.
 func (s *factSet) isLikely(f Feature) bool {
-	return !s.isAnswered(f) && countSpaced(s.byFeature[f], false) >= quarantineThreshold
+	return !s.isAnswered(f) && countSpaced(s.byFeature[f], false) >= certaintyThreshold
+}
+
+// isCertain reports whether a feature is likely to crash engines and no other one explains all its crashes.
+func (s *factSet) isCertain(f Feature) bool {
+	crashes := s.byFeature[f]
+	return s.isLikely(f) && !slices.ContainsFunc(crashes[0].suspects, func(other Feature) bool {
+		return other != f && !s.isAnswered(other) && !slices.ContainsFunc(crashes[1:], func(c *crash) bool { return !c.hasSuspect(other) })
+	})
 }
 
 // quarantine quarantines those of the features for which there is enough evidence, among the ones that were answered or
 // the others.
 func (d *decision) quarantine(features []Feature, answered bool) {
 	for {
-		quarantined, isCertain := d.next(d.candidates(features, answered))
+		quarantined := d.next(d.candidates(features, answered))
 		if len(quarantined) == 0 {
 			return
 		}
 		for _, f := range quarantined {
-			d.found[f] = d.facts.quarantineFinding(f, isCertain)
+			d.found[f] = d.facts.quarantineFinding(f)
 			for _, c := range d.facts.byFeature[f] {
 				c.isExplained = true
 			}
@@ -129,7 +137,7 @@
 			continue
 		}
 		c := candidate{feature: f, unexplained: d.unexplained(f)}
-		if c.count = countSpaced(c.unexplained, answered); c.count >= soleSuspectThreshold {
+		if c.count = countSpaced(c.unexplained, answered); c.count >= quarantineThreshold {
 			candidates = append(candidates, c)
 		}
 	}
@@ -168,19 +176,12 @@
 	return total
 }
 
-// next returns the features to quarantine next: the first candidate that is the sole suspect of its crashes, or the first
-// with so many crashes that it is quarantined together with its rivals.
-func (d *decision) next(candidates []candidate) (features []Feature, isCertain bool) {
-	for _, c := range candidates {
-		rivals := d.rivals(c)
-		switch {
-		case len(rivals) == 0:
-			return []Feature{c.feature}, d.facts.isLikely(c.feature)
-		case c.count >= quarantineThreshold:
-			return append(rivals, c.feature), false
-		}
+// next returns the features to quarantine next: the first candidate, with those that explain the same crashes.
+func (d *decision) next(candidates []candidate) []Feature {
+	if len(candidates) == 0 {
+		return nil
 	}
-	return nil, false
+	return append(d.rivals(candidates[0]), candidates[0].feature)
 }
 
 // rivals returns the features that explain the same crashes as a candidate. One that was answered is no rival of one that
