--- a/internal/core/fleettracker/fleettracker.go
+++ b/internal/core/fleettracker/fleettracker.go
@@ -332,7 +332,7 @@
 	}
 }
 
-// AssignTime returns how long after a release is found requests are still sent to older ones.
+// AssignTime returns how long after the publication of a release requests are still sent to older ones.
 func (t *Tracker) AssignTime() time.Duration {
 	return max(0, t.RolloutTimeout-assignMargin)
 }
--- a/internal/gateway/withdraw.go
+++ b/internal/gateway/withdraw.go
@@ -11,7 +11,7 @@
 )
 
 // cutoffCheckInterval is the time between two checks of a waiting request for a release that was found meanwhile. It is a
-// tenth of the shortest time after which a release that is found is enforced.
+// third of the shortest time after which a release that is found is enforced.
 const cutoffCheckInterval = 250 * time.Millisecond
 
 // withdrawal cancels an attempt at the time from which no request may begin on its release, if it is still queued at the
