--- a/internal/sender/endless_test.go
+++ b/internal/sender/endless_test.go
@@ -27,7 +27,7 @@
 	maxBodyFlood = 1 << 30
 	// maxHeadRead is the most that a reader may take of a header without end.
 	maxHeadRead = 128 << 10
-	// callerTimeout is the time limit of the callers.
+	// callerTimeout is how long the callers wait.
 	callerTimeout = 6 * time.Second
 )
 
