--- a/internal/core/fleettracker/fleettracker.go
+++ b/internal/core/fleettracker/fleettracker.go
@@ -40,8 +40,6 @@
 	endsAt time.Time
 	// publishedAt is the earliest time at which the release may have been published, as far as this host knows.
 	publishedAt time.Time
-	// isDated says that publishedAt is known. It is not for a release that was found in a snapshot.
-	isDated bool
 }
 
 // maxDepartures limits the incarnations that are remembered as draining or gone. It is several times the number of
@@ -261,7 +259,7 @@
 	if fromSnapshot {
 		endsAt = time.Now().Add(startupGrace)
 	}
-	t.releases[m] = append(t.releases[m], release{number: n, endsAt: endsAt, publishedAt: publishedAt, isDated: !fromSnapshot})
+	t.releases[m] = append(t.releases[m], release{number: n, endsAt: endsAt, publishedAt: publishedAt})
 	return true
 }
 
@@ -279,46 +277,6 @@
 	return oldest
 }
 
-// ReleaseAge is the age of a release.
-type ReleaseAge struct {
-	Model   fleetconfig.Model   `json:"model"`
-	Release fleetconfig.Release `json:"release"`
-	// AgeMs is the time in milliseconds since the earliest time at which the release may have been published.
-	AgeMs int64 `json:"age"`
-}
-
-// ReleaseAges returns the ages of the releases that this host has not just found in a snapshot.
-func (t *Tracker) ReleaseAges() []ReleaseAge {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []ReleaseAge
-	for m, all := range t.releases {
-		for _, r := range all {
-			if r.isDated {
-				out = append(out, ReleaseAge{Model: m, Release: r.number, AgeMs: time.Since(r.publishedAt).Milliseconds()})
-			}
-		}
-	}
-	return out
-}
-
-// SetReleaseAges sets the ages of known releases, as another host knows them. The rollout of a release that this host has
-// found in a snapshot then ends as on the other hosts.
-func (t *Tracker) SetReleaseAges(ages []ReleaseAge) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, a := range ages {
-		for i := range t.releases[a.Model] {
-			r := &t.releases[a.Model][i]
-			publishedAt := time.Now().Add(-time.Duration(a.AgeMs) * time.Millisecond)
-			if r.number != a.Release || r.isDated && !publishedAt.Before(r.publishedAt) {
-				continue
-			}
-			r.publishedAt, r.endsAt, r.isDated = publishedAt, publishedAt.Add(t.RolloutTimeout), true
-		}
-	}
-}
-
 // RecordSuspension records that the host was suspended for a time that the runtime's clock does not count. The rollout
 // timeouts of the known releases end earlier by that clock.
 func (t *Tracker) RecordSuspension(d time.Duration) {
--- a/internal/fleetwatcher/fleetwatcher.go
+++ b/internal/fleetwatcher/fleetwatcher.go
@@ -89,7 +89,7 @@
 func (w *Watcher) Newest(context.Context, struct{}) (messages.NewestResponse, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return messages.NewestResponse{Values: maps.Clone(w.newestOperatorValues), ReleaseAges: w.Tracker.ReleaseAges(), Departures: w.Tracker.Departures()}, nil
+	return messages.NewestResponse{Values: maps.Clone(w.newestOperatorValues), Departures: w.Tracker.Departures()}, nil
 }
 
 // AddNewest applies the state that another host has seen. It must be called before Run: the store may have been
@@ -97,7 +97,6 @@
 func (w *Watcher) AddNewest(resp messages.NewestResponse) {
 	w.Tracker.AddDepartures(resp.Departures)
 	w.applyOperatorValues(resp.Values, true, 0)
-	w.Tracker.SetReleaseAges(resp.ReleaseAges)
 }
 
 func (w *Watcher) setNewestOperatorValue(key string, value []byte) {
--- a/internal/messages/records.go
+++ b/internal/messages/records.go
@@ -48,8 +48,6 @@
 type NewestResponse struct {
 	// Values holds the newest configuration and releases, as the operator wrote them.
 	Values map[string][]byte `json:"values,omitempty"`
-	// ReleaseAges lists the ages of the releases.
-	ReleaseAges []fleettracker.ReleaseAge `json:"ages,omitempty"`
 	// Departures lists the endpoints that are draining or gone.
 	Departures []fleettracker.Departure `json:"gone,omitempty"`
 	// KnowsFacts is set if the host has learned the facts about crashes since its own start, and Facts are those.
