storerelayer: log where the records of the store come from when that changes

The logs showed when a configuration was applied, but not why a host was behind: whether it waited for a host before it, or read the store itself together with all others of its zone.

--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -29,6 +29,7 @@
 	EndpointLeaving        = Event{1725, log.InfoLevel, "endpoint says that it is leaving; it gets no further requests"}
 	EndpointPaused         = Event{1726, log.WarnLevel, "endpoint asks for a pause; it gets no requests until then"}
 	EndpointPauseInvalid   = Event{1727, log.WarnLevel, "endpoint asks for a pause that does not parse; ignored"}
+	RecordsSourceChanged   = Event{1729, log.InfoLevel, "records of the store are read from another source"}
 	ReleaseFetchFailed     = Event{1731, log.WarnLevel, "release is not fetched completely yet; will be retried"}
 	OriginFetchFailed      = Event{1732, log.WarnLevel, "chunk could not be fetched from the origin"}
 	PeerFetchFailed        = Event{1733, log.WarnLevel, "chunk could not be fetched from another host"}
--- a/internal/storerelayer/storerelayer.go
+++ b/internal/storerelayer/storerelayer.go
@@ -13,7 +13,10 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/nutmegdock/nutmegdock/internal/bodyreader"
+	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
 	"github.com/nutmegdock/nutmegdock/internal/watcher"
 )
@@ -50,6 +53,9 @@
 	minCompressBytes = 4 << 10
 )
 
+// storeSource names the store as a source of records.
+const storeSource = "store"
+
 // Relayer reads the store for one host, through the zone's reader if it can. Set its fields before use.
 type Relayer struct {
 	// ReaderAddress returns the control address of the host to read from, or "" if this host reads the store itself. Hosts
@@ -72,6 +78,8 @@
 	Elapsed func() time.Duration
 	// QueryReader queries the reader.
 	QueryReader func(ctx context.Context, address string, q messages.RecordsQuery) (messages.RecordsResponse, error)
+	// Logger receives the log events of changes of the source. It may be nil.
+	Logger log.Interface
 
 	mu        sync.Mutex
 	startedAt time.Time
@@ -103,6 +111,8 @@
 	// records were complete at completeAt, which is earlier if another host gave them. hasRead is set after the first call.
 	readAt, completeAt time.Duration
 	hasRead, hasFailed bool
+	// source is where the last records came from: the address of a reader, or storeSource.
+	source string
 	// validUntil is the time until which the cache is current enough to be relayed to other hosts.
 	validUntil time.Time
 	changed    chan struct{}
@@ -144,6 +154,7 @@
 // older epoch is not used. If the reader is in a later one, its response has no records but that epoch.
 func (r *Relayer) ReadChanges(ctx context.Context, topic string, epoch watcher.Epoch, from int64, wait time.Duration) (watcher.Batch, error) {
 	startedAt := time.Now()
+	var readerErr error
 	for range maxReaders {
 		reader := r.ReaderAddress(r.isBanned(topic))
 		if reader == "" {
@@ -156,8 +167,10 @@
 			r.addDelay(topic, b, calledAt, r.readerWait())
 			r.updateValidity(topic, true)
 			r.addToCache(topic, from, b)
+			r.recordSource(topic, reader, startedAt, readerErr)
 			return b, nil
 		}
+		readerErr = err
 		r.recordFailure(topic)
 		wait = 0
 		if time.Since(startedAt) > maxReaderSwitchTime {
@@ -175,9 +188,28 @@
 	r.addDelay(topic, b, calledAt, wait)
 	r.updateValidity(topic, true)
 	r.addToCache(topic, from, b)
+	r.recordSource(topic, storeSource, startedAt, readerErr)
 	return b, nil
 }
 
+// recordSource logs where records come from if that has changed. cause is the failure of the source before it, if there
+// was one.
+func (r *Relayer) recordSource(topic, source string, startedAt time.Time, cause error) {
+	r.mu.Lock()
+	cache := r.cacheFor(topic)
+	before := cache.source
+	cache.source = source
+	r.mu.Unlock()
+	if source == before || r.Logger == nil {
+		return
+	}
+	f := log.Fields{"topic": topic, "source": source, "before": before, "took": time.Since(startedAt).Milliseconds()}
+	if cause != nil {
+		f["cause"] = cause.Error()
+	}
+	event.RecordsSourceChanged.Log(r.Logger, f)
+}
+
 func (r *Relayer) readElapsed() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
