--- a/internal/storerelayer/storerelayer.go
+++ b/internal/storerelayer/storerelayer.go
@@ -116,11 +116,29 @@
 	// validUntil is the time until which the cache is current enough to be relayed to other hosts.
 	validUntil time.Time
 	changed    chan struct{}
+	// encodings holds the encoded records from the offsets that other hosts have asked for, up to nextOffset, so that many
+	// hosts that wait for one change cost no more than one.
+	encodings map[int64]*encoding
 }
 
 // reset drops the records. The next one has the given offset.
 func (c *topicCache) reset(offset int64) {
 	c.firstOffset, c.nextOffset, c.records, c.bytes = offset, offset, nil, 0
+	c.encodings = nil
+}
+
+// encodingFrom returns the encoding of the records from an offset on, which may not have been made yet. The offset of a
+// snapshot is snapshotOffset.
+func (c *topicCache) encodingFrom(offset int64) *encoding {
+	if c.encodings == nil {
+		c.encodings = make(map[int64]*encoding)
+	}
+	e := c.encodings[offset]
+	if e == nil {
+		e = &encoding{}
+		c.encodings[offset] = e
+	}
+	return e
 }
 
 // notify wakes the hosts that wait for a change.
@@ -353,6 +371,9 @@
 		cache.reset(b.NextOffset)
 		return
 	}
+	if len(b.Changes) > 0 {
+		cache.encodings = nil
+	}
 	cache.nextOffset = b.NextOffset
 	cache.records = append(cache.records, b.Changes...)
 	for _, c := range b.Changes {
@@ -437,9 +458,10 @@
 			}
 		}
 		epoch, next, changed, age := int64(cache.epoch), cache.nextOffset, cache.changed, r.elapsed()-cache.completeAt
+		encoded := cache.encodingFrom(snapshotOffset)
 		r.mu.Unlock()
 		if isKnown {
-			return encodeRecords(records, epoch, next, age)
+			return encoded.response(records, epoch, next, age)
 		}
 		remaining := time.Until(deadline)
 		if remaining <= 0 {
@@ -473,13 +495,20 @@
 			records = cache.records[q.FromOffset-cache.firstOffset:]
 		}
 		next, changed, age := cache.nextOffset, cache.changed, r.elapsed()-cache.completeAt
+		var encoded *encoding
+		if len(records) > 0 {
+			encoded = cache.encodingFrom(q.FromOffset)
+		}
 		r.mu.Unlock()
 		if !isKnown {
 			return messages.RecordsResponse{Unknown: true}, nil
 		}
 		remaining := time.Until(deadline)
-		if len(records) > 0 || remaining <= 0 {
-			return encodeRecords(records, q.Epoch, next, age)
+		switch {
+		case encoded != nil:
+			return encoded.response(records, q.Epoch, next, age)
+		case remaining <= 0:
+			return messages.RecordsResponse{NextOffset: next, Epoch: q.Epoch, AgeMs: age.Milliseconds()}, nil
 		}
 		select {
 		case <-ctx.Done():
@@ -490,31 +519,6 @@
 	}
 }
 
-func encodeRecords(records []watcher.Change, epoch, next int64, age time.Duration) (messages.RecordsResponse, error) {
-	resp := messages.RecordsResponse{NextOffset: next, Epoch: epoch, AgeMs: age.Milliseconds()}
-	if len(records) == 0 {
-		return resp, nil
-	}
-	data, err := json.Marshal(records)
-	if err != nil {
-		return resp, fmt.Errorf("encode records: %w", err)
-	}
-	if len(data) < minCompressBytes {
-		resp.Data = data
-		return resp, nil
-	}
-	var b bytes.Buffer
-	w := gzip.NewWriter(&b)
-	if _, err := w.Write(data); err != nil {
-		return resp, fmt.Errorf("compress records: %w", err)
-	}
-	if err := w.Close(); err != nil {
-		return resp, fmt.Errorf("compress records: %w", err)
-	}
-	resp.Data, resp.Compressed = b.Bytes(), true
-	return resp, nil
-}
-
 func decodeRecords(resp messages.RecordsResponse) ([]watcher.Change, error) {
 	data := resp.Data
 	if len(data) == 0 {
--- a/internal/storerelayer/storerelayer_test.go
+++ b/internal/storerelayer/storerelayer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -45,7 +46,7 @@
 		case refuses:
 			return watcher.Batch{}, errRefused
 		}
-		return watcher.Batch{Changes: changes[from:], NextOffset: int64(len(changes))}, nil
+		return watcher.Batch{Changes: slices.Clone(changes[from:]), NextOffset: int64(len(changes))}, nil
 	}
 }
 
