storerelayer: a zone whose reader falls silent agrees on another one before it reads the store

A host now asks the next readers, three in all, before it reads the store, and a host that looks for a source itself lets those that ask it wait for that, 150 ms at most. TestZoneReadsStoreTogetherAfterItsReaderFreezes failed before with one and with two frozen hosts (29 and 28 hosts at the store).

--- a/internal/storerelayer/stampede_test.go
+++ b/internal/storerelayer/stampede_test.go
@@ -13,9 +13,15 @@
 	"github.com/nutmegdock/nutmegdock/internal/watcher"
 )
 
-// The first host of a zone with thirty hosts freezes just before a change. The store is in another region, and the link to
+// The first hosts of a zone with thirty hosts freeze just before a change. The store is in another region, and the link to
 // it is too narrow for thirty copies of a large change.
 func TestZoneReadsStoreTogetherAfterItsReaderFreezes(t *testing.T) {
+	for frozen := 1; frozen <= 2; frozen++ {
+		t.Run(fmt.Sprint(frozen), func(t *testing.T) { checkFrozenReaders(t, frozen) })
+	}
+}
+
+func checkFrozenReaders(t *testing.T, frozen int) {
 	synctest.Test(t, func(t *testing.T) {
 		const (
 			hosts = 30
@@ -30,6 +36,7 @@
 		relayers := make(map[string]*storerelayer.Relayer)
 		offsets := make([]atomic.Int64, hosts)
 		name := func(i int) string { return fmt.Sprintf("host-%02d", i) }
+		hangsAt := func(address string) bool { return isFrozen.Load() && address < name(frozen) }
 		for i := range hosts {
 			relayers[name(i)] = &storerelayer.Relayer{
 				ReadStore: s.read(name(i)),
@@ -42,12 +49,12 @@
 					return ""
 				},
 				QueryReader: func(ctx context.Context, address string, q messages.RecordsQuery) (messages.RecordsResponse, error) {
-					if address == name(0) && isFrozen.Load() {
+					if hangsAt(address) {
 						<-ctx.Done()
 						return messages.RecordsResponse{}, ctx.Err()
 					}
 					resp, err := relayers[address].ServeRecords(ctx, q)
-					if address == name(0) && isFrozen.Load() {
+					if hangsAt(address) {
 						<-ctx.Done()
 						return messages.RecordsResponse{}, ctx.Err()
 					}
@@ -77,13 +84,16 @@
 			s.changes = append(s.changes, watcher.Change{Key: "k", Value: []byte("v")})
 		})
 		time.Sleep(applyTimeout)
-		for i := 1; i < hosts; i++ {
+		for i := frozen; i < hosts; i++ {
 			if offsets[i].Load() != 1 {
 				t.Errorf("%s does not have the change %s after it was made", name(i), applyTimeout)
 			}
 		}
 		s.mu.Lock()
-		if n := len(s.calls); n > maxStoreHosts+1 { // and the frozen one
+		for i := range frozen {
+			delete(s.calls, name(i))
+		}
+		if n := len(s.calls); n > maxStoreHosts {
 			t.Errorf("%d hosts have called the store, want at most %d", n, maxStoreHosts)
 		}
 		s.mu.Unlock()
--- a/internal/storerelayer/storerelayer.go
+++ b/internal/storerelayer/storerelayer.go
@@ -38,10 +38,13 @@
 	// minReaderBan and maxReaderBan limit the time for which a failed reader is not queried.
 	minReaderBan = time.Second
 	maxReaderBan = 8 * time.Second
-	// maxReaders is the number of readers that are tried before the store is read, and maxReaderSwitchTime the time after
-	// which no further one is tried.
-	maxReaders          = 3
-	maxReaderSwitchTime = 100 * time.Millisecond
+	// maxReaders is the number of readers that are tried before the store is read. If all hosts of a zone read the store as
+	// soon as their reader falls silent, their calls can exceed what the link to it carries, and none of them is current.
+	maxReaders = 3
+	// switchWait and switchTimeoutMargin replace the wait and readerTimeoutMargin for a reader that is tried because the one
+	// before it has failed. That reader may have to find another source itself.
+	switchWait          = 150 * time.Millisecond
+	switchTimeoutMargin = 100 * time.Millisecond
 	// maxCachedBytes limits the cached records of a topic. It holds several configurations of a thousand routes.
 	maxCachedBytes = 2 << 20
 	// maxCallDelay is how much later than it waits a call may succeed, counted from the end of the call before, if neither
@@ -111,6 +114,8 @@
 	// records were complete at completeAt, which is earlier if another host gave them. hasRead is set after the first call.
 	readAt, completeAt time.Duration
 	hasRead, hasFailed bool
+	// isSwitching is set while this host looks for another source after its reader has failed.
+	isSwitching bool
 	// source is where the last records came from: the address of a reader, or storeSource.
 	source string
 	// validUntil is the time until which the cache is current enough to be relayed to other hosts.
@@ -173,27 +178,26 @@
 func (r *Relayer) ReadChanges(ctx context.Context, topic string, epoch watcher.Epoch, from int64, wait time.Duration) (watcher.Batch, error) {
 	startedAt := time.Now()
 	var readerErr error
+	readerWait, timeoutMargin := r.readerWait(), readerTimeoutMargin
+	defer r.endSwitch(topic)
 	for range maxReaders {
 		reader := r.ReaderAddress(r.isBanned(topic))
 		if reader == "" {
 			break
 		}
 		calledAt := r.readElapsed()
-		b, err := r.readFromReader(ctx, reader, topic, epoch, from, r.readerWait())
+		b, err := r.readFromReader(ctx, reader, topic, epoch, from, readerWait, timeoutMargin)
 		r.recordReader(topicReader{reader, topic}, err == nil)
 		if err == nil {
-			r.addDelay(topic, b, calledAt, r.readerWait())
+			r.addDelay(topic, b, calledAt, readerWait)
 			r.updateValidity(topic, true)
 			r.addToCache(topic, from, b)
 			r.recordSource(topic, reader, startedAt, readerErr)
 			return b, nil
 		}
 		readerErr = err
-		r.recordFailure(topic)
-		wait = 0
-		if time.Since(startedAt) > maxReaderSwitchTime {
-			break
-		}
+		r.beginSwitch(topic)
+		wait, readerWait, timeoutMargin = 0, switchWait, switchTimeoutMargin
 	}
 	r.extendValidity(topic, wait)
 	calledAt := r.readElapsed()
@@ -245,6 +249,24 @@
 	return time.Since(r.startedAt)
 }
 
+// beginSwitch records that the reader has failed and that this host looks for another source. Hosts that ask it for
+// records wait for that.
+func (r *Relayer) beginSwitch(topic string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	cache := r.cacheFor(topic)
+	cache.hasFailed, cache.isSwitching = true, true
+}
+
+func (r *Relayer) endSwitch(topic string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if cache := r.cacheFor(topic); cache.isSwitching {
+		cache.isSwitching = false
+		cache.notify()
+	}
+}
+
 func (r *Relayer) recordFailure(topic string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -319,8 +341,8 @@
 	cache.notify()
 }
 
-func (r *Relayer) readFromReader(ctx context.Context, reader, topic string, epoch watcher.Epoch, from int64, wait time.Duration) (watcher.Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+readerTimeoutMargin)
+func (r *Relayer) readFromReader(ctx context.Context, reader, topic string, epoch watcher.Epoch, from int64, wait, timeoutMargin time.Duration) (watcher.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+timeoutMargin)
 	defer cancel()
 	resp, err := r.QueryReader(ctx, reader, messages.RecordsQuery{Topic: topic, FromOffset: from, Epoch: int64(epoch), WaitMs: wait.Milliseconds()})
 	if err != nil {
@@ -499,11 +521,12 @@
 		if len(records) > 0 {
 			encoded = cache.encodingFrom(q.FromOffset)
 		}
+		isSwitching := !isValid && cache.isSwitching
 		r.mu.Unlock()
-		if !isKnown {
+		remaining := time.Until(deadline)
+		if !isKnown && !(isSwitching && remaining > 0) {
 			return messages.RecordsResponse{Unknown: true}, nil
 		}
-		remaining := time.Until(deadline)
 		switch {
 		case encoded != nil:
 			return encoded.response(records, q.Epoch, next, age)
