--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -467,6 +467,30 @@
 	is.True(status >= 502 && time.Since(startedAt) < 300*time.Millisecond)
 }
 
+// All engines have lost power and have started again under other ids, and their old entries are still in the store: each
+// of them refuses the request. Repeats of callers that wait for endpoints are limited like all others.
+func TestRetryingCallerReachesEndpointsBeyondRetryBudget(t *testing.T) {
+	is := is.New(t)
+	const endpoints = 20
+	scripts := make([][]step, endpoints)
+	for i := range scripts {
+		scripts[i] = []step{notRun}
+	}
+	f := startFleet(t, scripts...)
+	f.configure(1)
+	all := f.endpoints
+	f.gateway.Assigner.SetEndpoints(nil)
+	_, _, _, err := f.send("/once/", func(r *http.Request) { r.Header.Set("Left", "6000") })
+	is.NoErr(err)
+	f.gateway.Assigner.SetEndpoints(all)
+	status, _, _, err := f.send("/once/", func(r *http.Request) { r.Header.Set("Left", "4000") })
+	is.NoErr(err)
+	is.Equal(status, 503)
+	repeats := len(f.requests()) - 1
+	t.Logf("%d repeats", repeats)
+	is.True(repeats <= retrybudget.InitialTokens) // two requests have not added a whole token
+}
+
 // Sustained overload: a retrying caller is refused as fast as a first attempt. Waiting for capacity would only take
 // it from requests that can still meet their objective.
 func TestRetryingCallerDoesNotWaitForCapacity(t *testing.T) {
