Requests to an endpoint that names a limit need a permit from one process for all entry hosts

Engines that had named a limit of 1 or 1.7 requests a second got as many requests as before, 17 to 23 in 4 s where 11 to 16 are allowed: nothing read Server-Limit, and each entry host places requests by load alone.

The process that the entry hosts query for the load at an endpoint (beside an engine, an entry host of the zone for a plain service) now gives a permit for each request while the endpoint names a limit (core/ratelimiter, a token bucket of the limit and half a second of it). A statement travels with the reports and replies that are sent before each assignment anyway, so that a host knows it before its first request. A later request's response replaces it; of responses that overlap the stricter holds. Without an answer to the request for a permit nothing is sent to that endpoint. Every attempt needs a permit: first ones, repeats and resumed streams. An endpoint without a permit is passed over until there may be one; if there is no other, the caller is refused at once (reason limited).

--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -129,6 +129,9 @@
 	Overload Refusal = "overload"
 	// Paused means that all endpoints that serve the query have asked this host for a pause.
 	Paused Refusal = "paused"
+	// Limited means that the endpoints that serve the query limit the requests that they take, and that all hosts together
+	// have sent as many. Some of them may have asked for a pause.
+	Limited Refusal = "limited"
 )
 
 // GateState says whether an engine accepts requests and what it serves, as reported by the host beside it. It arrives
@@ -242,8 +245,11 @@
 	refusal := NoEndpoint
 	for s := range a.eligible(q) {
 		release, state := a.availability(s, q, now)
-		if state == paused && refusal == NoEndpoint {
+		switch {
+		case state == paused && refusal == NoEndpoint:
 			refusal = Paused
+		case state == limited && (refusal == NoEndpoint || refusal == Paused):
+			refusal = Limited
 		}
 		if state != available {
 			continue
@@ -465,6 +471,8 @@
 	Refused
 	// CallerGone means that the caller disconnected, which says nothing about the endpoint.
 	CallerGone
+	// NotSent means that no connection was tried.
+	NotSent
 )
 
 // Release ends the request at its endpoint and records the outcome.
@@ -495,7 +503,7 @@
 		s.lastActive = time.Now()
 		s.breaker.RecordSuccess()
 		a.updateServiceTime(c.Endpoint.Pool, time.Since(c.sentAt))
-	case Refused, CallerGone:
+	case Refused, CallerGone, NotSent:
 	}
 	a.notifyChanged(s)
 }
--- a/internal/core/assigner/holdoff.go
+++ b/internal/core/assigner/holdoff.go
@@ -10,6 +10,9 @@
 // endpoints of the largest fleet.
 const maxHoldoffs = 8192
 
+// minPermitWait is the least time between two requests of this host for a permit that was refused.
+const minPermitWait = 10 * time.Millisecond
+
 // holdoff is what an incarnation of an endpoint has said itself about further requests. It outlives the endpoint's
 // entry, because the entry may disappear and return, or be older than the statement.
 type holdoff struct {
@@ -17,6 +20,10 @@
 	leaving bool
 	// pausedUntil is the time until which the incarnation takes no requests from this host.
 	pausedUntil time.Time
+	// limit is what the incarnation has stated about the rate of requests from all hosts. While it limits them,
+	// noPermitUntil is the time until which there is no permit for another one, as far as this host knows.
+	limit         fleetconfig.RateLimit
+	noPermitUntil time.Time
 }
 
 // RecordLeaving records that an endpoint has said that it is leaving, and reports whether that is new. The incarnation
@@ -47,6 +54,41 @@
 	a.holdoffs.Set(e.Incarnation(), h)
 }
 
+// RecordLimit merges what an endpoint has stated about the rate of requests that it takes, and reports whether another
+// limit holds now.
+func (a *Assigner) RecordLimit(e fleetconfig.Endpoint, limit fleetconfig.RateLimit) (isChanged bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	h := a.holdoffs.Get(e.Incarnation())
+	merged := h.limit.Merge(limit)
+	if merged.ID == h.limit.ID {
+		return false
+	}
+	isChanged = merged.IsLimited != h.limit.IsLimited || merged.Rate != h.limit.Rate
+	h.limit = merged
+	if isChanged {
+		h.noPermitUntil = time.Time{}
+	}
+	a.setHoldoff(e, h)
+	return isChanged
+}
+
+// Limit returns what an endpoint has stated about the rate of requests that it takes.
+func (a *Assigner) Limit(e fleetconfig.Endpoint) fleetconfig.RateLimit {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.holdoffs.Get(e.Incarnation()).limit
+}
+
+// RecordNoPermit records that there is no permit for a request to an endpoint for a time.
+func (a *Assigner) RecordNoPermit(e fleetconfig.Endpoint, wait time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	h := a.holdoffs.Get(e.Incarnation())
+	h.noPermitUntil = time.Now().Add(max(minPermitWait, wait))
+	a.setHoldoff(e, h)
+}
+
 // pauseRemaining returns how long the endpoint takes no requests from this host; zero if it takes them now. The caller
 // must hold a.mu.
 func (a *Assigner) pauseRemaining(s *endpointState, now time.Time) time.Duration {
@@ -71,6 +113,8 @@
 	unusable
 	leaving
 	paused
+	// limited means that the endpoint limits its requests and that there is no permit for another one now.
+	limited
 )
 
 // availability returns whether an endpoint may receive the request of a query, and the release that it serves. The
@@ -87,6 +131,8 @@
 		return release, leaving
 	case h.pausedUntil.After(now):
 		return release, paused
+	case h.noPermitUntil.After(now):
+		return release, limited
 	default:
 		return release, available
 	}
--- a/internal/core/assigner/snapshot.go
+++ b/internal/core/assigner/snapshot.go
@@ -9,10 +9,11 @@
 	// ServingEndpoints is the number of endpoints that serve what the query requires. UnusableEndpoints is the number of
 	// those that cannot be reached or are failing.
 	ServingEndpoints, UnusableEndpoints int
-	// LeavingEndpoints and PausedEndpoints are the numbers of those that have said that they leave or asked for a pause,
-	// and EarliestResume is the shortest rest of such a pause; zero if there is none.
-	LeavingEndpoints, PausedEndpoints int
-	EarliestResume                    time.Duration
+	// LeavingEndpoints, PausedEndpoints and LimitedEndpoints are the numbers of those that have said that they leave, asked
+	// for a pause, or limit their requests and have got as many. EarliestResume is the shortest time until one of the latter
+	// two may receive a request; zero if there is none.
+	LeavingEndpoints, PausedEndpoints, LimitedEndpoints int
+	EarliestResume                                      time.Duration
 	// EarliestFirstEvent is the shortest predicted time to the first event at a usable endpoint; zero if there is none.
 	EarliestFirstEvent time.Duration
 	// ReportedEndpoints is the number of endpoints for which a recent report of the other hosts' load is in use, and
@@ -40,9 +41,10 @@
 			out.LeavingEndpoints++
 		case paused:
 			out.PausedEndpoints++
-			if rest := a.pauseRemaining(s, now); out.EarliestResume == 0 || rest < out.EarliestResume {
-				out.EarliestResume = rest
-			}
+			out.addResume(a.pauseRemaining(s, now))
+		case limited:
+			out.LimitedEndpoints++
+			out.addResume(a.holdoffs.Get(s.Incarnation()).noPermitUntil.Sub(now))
 		case available, notServing:
 		}
 		if state != available {
@@ -60,6 +62,12 @@
 	return out
 }
 
+func (s *Snapshot) addResume(in time.Duration) {
+	if s.EarliestResume == 0 || in < s.EarliestResume {
+		s.EarliestResume = in
+	}
+}
+
 // isUsable reports whether requests may be sent to the endpoint now.
 func (s *endpointState) isUsable() bool {
 	return !s.down && !s.addressReused && s.breaker.Allows(s.localLoad.Requests)
--- a/internal/core/ident/ident.go
+++ b/internal/core/ident/ident.go
@@ -69,6 +69,9 @@
 // Bytes is a size in bytes.
 type Bytes int64
 
+// Rate is a number of requests per second.
+type Rate float64
+
 // TemplateObject returns the path of a template.
 func TemplateObject(t Template) ObjectPath {
 	return ObjectPath("template/" + string(t))
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -30,6 +30,8 @@
 	EndpointPaused         = Event{1726, log.WarnLevel, "endpoint asks for a pause; it gets no requests until then"}
 	EndpointPauseInvalid   = Event{1727, log.WarnLevel, "endpoint asks for a pause that does not parse; ignored"}
 	RecordsSourceChanged   = Event{1729, log.InfoLevel, "records of the store are read from another source"}
+	EndpointLimited        = Event{1746, log.InfoLevel, "endpoint has changed the limit on its requests"}
+	EndpointLimitInvalid   = Event{1747, log.WarnLevel, "endpoint states a limit that does not parse; ignored"}
 	ReleaseFetchFailed     = Event{1731, log.WarnLevel, "release is not fetched completely yet; will be retried"}
 	OriginFetchFailed      = Event{1732, log.WarnLevel, "chunk could not be fetched from the origin"}
 	PeerFetchFailed        = Event{1733, log.WarnLevel, "chunk could not be fetched from another host"}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,6 +51,9 @@
 	// QueryLoads queries the load of the other entry hosts at endpoints, and passes the replies to the assigner. It bounds
 	// the time that it takes. Nil means that this is the only entry host.
 	QueryLoads func(ctx context.Context, endpoints []fleetconfig.Endpoint)
+	// TakePermit takes a permit for one request to an endpoint that limits its requests. If there is none, it returns the
+	// time until there may be one. Nil means that no endpoint limits them.
+	TakePermit func(ctx context.Context, e fleetconfig.Endpoint) (ok bool, wait time.Duration)
 	// Sender sends attempts to endpoints.
 	Sender *sender.Sender
 	// RetryBudget limits retries.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -55,9 +55,10 @@
 	ReadResponse: func(status int, h http.Header) headercodec.ResponseInfo {
 		release, _ := strconv.Atoi(h.Get("Release"))
 		pause, _ := time.ParseDuration(h.Get("Pause"))
+		limit, err := strconv.ParseFloat(h.Get("Limit"), 64)
 		return headercodec.ResponseInfo{
 			NotRun: status == http.StatusServiceUnavailable && h.Get("Not-Run") != "", Release: fleetconfig.Release(release),
-			IsLeaving: h.Get("Leaving") != "", Pause: pause,
+			IsLeaving: h.Get("Leaving") != "", Pause: pause, IsLimited: err == nil, RateLimit: ident.Rate(limit),
 		}
 	},
 	SetRetryAfter: func(h http.Header, after time.Duration) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
+	"github.com/nutmegdock/nutmegdock/internal/core/ratelimiter"
 	"github.com/nutmegdock/nutmegdock/internal/core/sequencer"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/headercodec"
@@ -69,7 +71,7 @@
 	lastEventAt              time.Time
 	// load is the load of the current endpoint when it was chosen.
 	load assigner.Load
-	// resumeIn is the time until the first endpoint takes requests again, if all have asked for a pause.
+	// resumeIn is the time until the first endpoint takes requests again, if all have asked for a pause or limit them.
 	resumeIn time.Duration
 	// refusalDetails is this host's view of the endpoints when it found none for the request, for the log.
 	refusalDetails log.Fields
@@ -119,8 +121,12 @@
 			}
 			snapshot := g.Assigner.Snapshot(query)
 			state.refusalDetails = refusalFields(snapshot, query.TimeLeft)
-			if refusal == assigner.Paused {
+			switch refusal {
+			case assigner.Paused:
 				state.resumeIn = snapshot.EarliestResume
+			case assigner.Limited:
+				// All hosts compete for the next permit, so that it is not the time at which this caller will be served.
+				state.resumeIn = max(snapshot.EarliestResume, g.RetryAfter(req.Remaining-time.Since(req.arrivedAt)))
 			}
 			g.endUnserved(ctx, req, state, string(refusal))
 			return
@@ -167,7 +173,7 @@
 // request in time, it tries further ones. It sets the endpoints that query chose from.
 func (g *Gateway) assign(ctx context.Context, query *assigner.Query) (*assigner.Assignment, assigner.Refusal) {
 	if g.QueryLoads == nil {
-		return g.Assigner.Assign(*query)
+		return g.assignWithPermit(ctx, query)
 	}
 	among := make(map[string]bool)
 	var refusal assigner.Refusal
@@ -179,17 +185,34 @@
 		query.Among = among
 		g.QueryLoads(ctx, candidates)
 		var choice *assigner.Assignment
-		if choice, refusal = g.Assigner.Assign(*query); refusal == "" {
+		if choice, refusal = g.assignWithPermit(ctx, query); refusal == "" {
 			return choice, ""
 		}
 	}
 	if query.Among == nil {
 		// No endpoint could be queried. The assigner knows the reason.
-		return g.Assigner.Assign(*query)
+		return g.assignWithPermit(ctx, query)
 	}
 	return nil, refusal
 }
 
+// assignWithPermit chooses an endpoint that may receive the request now. One that limits its requests, and for which there
+// is no permit, is passed over until there may be one.
+func (g *Gateway) assignWithPermit(ctx context.Context, query *assigner.Query) (*assigner.Assignment, assigner.Refusal) {
+	for {
+		choice, refusal := g.Assigner.Assign(*query)
+		if refusal != "" || g.TakePermit == nil || !ratelimiter.NeedsPermit(g.Assigner.Limit(choice.Endpoint)) {
+			return choice, refusal
+		}
+		ok, wait := g.TakePermit(ctx, choice.Endpoint)
+		if ok {
+			return choice, ""
+		}
+		g.Assigner.RecordNoPermit(choice.Endpoint, wait)
+		g.Assigner.Release(choice, assigner.NotSent)
+	}
+}
+
 // tryEndpoint makes one attempt, and then releases the endpoint, even if the attempt panics to abort the caller's
 // connection. It reports whether the caller has got the complete response.
 func (g *Gateway) tryEndpoint(ctx context.Context, req *request, state *requestState, choice *assigner.Assignment) (isDone bool) {
@@ -293,7 +316,7 @@
 func refusalFields(snapshot assigner.Snapshot, timeLeft time.Duration) log.Fields {
 	return log.Fields{
 		"left": timeLeft.Milliseconds(), "serving": snapshot.ServingEndpoints, "unusable": snapshot.UnusableEndpoints, "soonest": snapshot.EarliestFirstEvent.Milliseconds(),
-		"leaving": snapshot.LeavingEndpoints, "paused": snapshot.PausedEndpoints,
+		"leaving": snapshot.LeavingEndpoints, "paused": snapshot.PausedEndpoints, "limited": snapshot.LimitedEndpoints,
 		"reports": snapshot.ReportedEndpoints, "oldest": snapshot.OldestReport.Milliseconds(),
 	}
 }
@@ -326,6 +349,7 @@
 	}
 	state.lastErr, state.responseStatus, state.receivedBefore = nil, 0, state.sequencer.Received()
 	state.isHarmless, state.hasCrashed = false, false
+	sentAt := time.Now()
 	resp, err := g.Sender.Send(ctx, sender.Attempt{
 		Address: choice.Endpoint.Address, Method: req.r.Method, Target: req.r.RequestURI, Host: req.r.Host,
 		Header: g.Codec.EndpointHeader(req.r, endpointReq), Body: req.body,
@@ -340,6 +364,7 @@
 	info := g.Codec.ReadResponse(resp.Status, resp.Header)
 	if !info.IsOtherEndpoint {
 		g.recordHoldoff(req, choice.Endpoint, info)
+		g.recordLimit(req, choice.Endpoint, info, sentAt)
 	}
 	switch {
 	case info.NotRun:
@@ -378,6 +403,22 @@
 	}
 }
 
+// recordLimit records what a response says about the rate of requests that its endpoint takes. Without a limit it ends the
+// one that was stated before.
+func (g *Gateway) recordLimit(req *request, e fleetconfig.Endpoint, info headercodec.ResponseInfo, sentAt time.Time) {
+	if info.InvalidLimit != "" {
+		event.EndpointLimitInvalid.Log(g.Logger.WithFields(g.logFields(req)), log.Fields{"endpoint": e.ID, "limit": info.InvalidLimit})
+		return
+	}
+	if !info.IsLimited && !g.Assigner.Limit(e).IsKnown() {
+		return
+	}
+	limit := fleetconfig.RateLimit{ID: rand.Uint64() | 1, IsLimited: info.IsLimited, Rate: info.RateLimit, SentAt: sentAt, ReceivedAt: time.Now()}
+	if g.Assigner.RecordLimit(e, limit) {
+		event.EndpointLimited.Log(g.Logger.WithFields(g.logFields(req)), log.Fields{"endpoint": e.ID, "born": e.StartTime, "limited": info.IsLimited, "rate": float64(info.RateLimit)})
+	}
+}
+
 // impliesNotRun reports whether callers conclude from the status that the request has not run.
 func impliesNotRun(status int) bool {
 	switch status {
--- a/internal/gatewayserver/load.go
+++ b/internal/gatewayserver/load.go
@@ -49,6 +49,12 @@
 	return bestAnywhere
 }
 
+func (h *Server) handleLimit(e fleetconfig.Endpoint, limit fleetconfig.RateLimit) {
+	if h.assigner.RecordLimit(e, limit) {
+		event.EndpointLimited.Log(h.Logger, log.Fields{"endpoint": e.ID, "born": e.StartTime, "limited": limit.IsLimited, "rate": float64(limit.Rate), "source": "entry host"})
+	}
+}
+
 func (h *Server) handleLoadReply(e fleetconfig.Endpoint, r loadexchanger.Reply) {
 	h.assigner.SetReport(e, r.Load)
 	if r.IsLeaving && h.assigner.RecordLeaving(e) {
--- a/internal/headercodec/headercodec.go
+++ b/internal/headercodec/headercodec.go
@@ -57,6 +57,12 @@
 	Pause time.Duration
 	// InvalidPause is the text of such a demand that cannot be parsed.
 	InvalidPause string
+	// IsLimited is set if the endpoint states the highest rate of requests that it takes from all hosts together, which is
+	// RateLimit.
+	IsLimited bool
+	RateLimit ident.Rate
+	// InvalidLimit is the text of such a limit that cannot be parsed. It says nothing about a limit that was stated before.
+	InvalidLimit string
 }
 
 // Codec holds the functions that read and write one set of headers.
--- a/internal/loadexchanger/loadexchanger.go
+++ b/internal/loadexchanger/loadexchanger.go
@@ -53,6 +53,10 @@
 	LoadedEndpoints func() []fleetconfig.Endpoint
 	// IsLeaving reports whether an endpoint has told this host that it is leaving.
 	IsLeaving func(e fleetconfig.Endpoint) bool
+	// Limit returns what this host knows of the limit that an endpoint has stated, and OnLimit receives what the responder
+	// knows. Both are nil on hosts that send no requests.
+	Limit   func(e fleetconfig.Endpoint) fleetconfig.RateLimit
+	OnLimit func(e fleetconfig.Endpoint, limit fleetconfig.RateLimit)
 	// OnReply receives a reply to a query for an endpoint.
 	OnReply func(e fleetconfig.Endpoint, r Reply)
 	// OnGate receives the state of an engine from the host beside it.
@@ -88,6 +92,8 @@
 	responder netip.AddrPort
 	// replied receives a value with the reply if the query is waited for. It never blocks.
 	replied chan<- struct{}
+	// granted receives the grant of a query for a permit. It never blocks.
+	granted chan<- grant
 }
 
 // Init prepares the exchanger. It must be called before any other method.
@@ -161,7 +167,7 @@
 		Endpoint: e.ID, StartTime: e.StartTime, Load: x.LocalLoad(e), Process: x.process, Serial: x.serial, IsLeaving: x.IsLeaving(e), Query: queryID,
 	}
 	x.reportMu.Unlock()
-	x.send(message{Host: x.Host, Report: r}, to)
+	x.send(message{Host: x.Host, Report: r, Limit: x.limitOf(e)}, to)
 }
 
 // Query queries the responders of endpoints for the load of the other hosts there, and returns when all of them have
@@ -284,7 +290,7 @@
 func (x *Exchanger) handle(m message, from netip.AddrPort) {
 	switch {
 	case m.Report != nil:
-		others, isLeaving := x.trackers.record(m.Host, m.Report)
+		others, isLeaving, limit := x.trackers.record(m.Host, m.Report, m.Limit.rateLimit())
 		if m.Report.Query == 0 {
 			return
 		}
@@ -292,9 +298,14 @@
 		if x.Gate != nil {
 			reply.Gate = x.Gate()
 		}
-		x.send(message{Host: x.Host, Reply: reply}, from)
+		x.send(message{Host: x.Host, Reply: reply, Limit: newLimitStatement(limit)}, from)
 	case m.Reply != nil:
-		x.handleReply(*m.Reply)
+		x.handleReply(*m.Reply, m.Limit)
+	case m.Permit != nil:
+		ok, wait, limit := x.trackers.takePermit(m.Permit, m.Limit.rateLimit())
+		x.send(message{Host: x.Host, Grant: &grant{Query: m.Permit.Query, OK: ok, Wait: wait}, Limit: newLimitStatement(limit)}, from)
+	case m.Grant != nil:
+		x.handleGrant(*m.Grant, m.Limit)
 	case m.Gate != nil && x.OnGate != nil:
 		x.OnGate(*m.Gate)
 	case m.Facts != nil && x.OnFacts != nil:
@@ -304,17 +315,24 @@
 	}
 }
 
-func (x *Exchanger) handleReply(r Reply) {
+// endQuery ends a query that was answered, and returns it, or nil if it is not known.
+func (x *Exchanger) endQuery(id uint64) *query {
 	x.mu.Lock()
-	q := x.queries[r.Query]
-	delete(x.queries, r.Query)
+	defer x.mu.Unlock()
+	q := x.queries[id]
+	delete(x.queries, id)
 	if q != nil {
 		delete(x.silentUntil, q.responder)
 	}
-	x.mu.Unlock()
+	return q
+}
+
+func (x *Exchanger) handleReply(r Reply, limit *limitStatement) {
+	q := x.endQuery(r.Query)
 	if q == nil {
 		return
 	}
+	x.notifyLimit(q.endpoint, limit)
 	x.OnReply(q.endpoint, r)
 	if r.Gate != nil {
 		x.OnGate(*r.Gate)
--- a/internal/loadexchanger/message.go
+++ b/internal/loadexchanger/message.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
+	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/presencetracker"
 	"github.com/nutmegdock/nutmegdock/internal/factexchanger"
@@ -19,6 +21,57 @@
 	Beat   *presencetracker.Beat  `cbor:"beat,omitempty"`
 	Gate   *assigner.GateState    `cbor:"gate,omitempty"`
 	Facts  *factexchanger.Message `cbor:"facts,omitempty"`
+	// Limit is what the sender knows of the limit at the endpoint of the load, the reply, the permit or the grant.
+	Limit  *limitStatement `cbor:"limit,omitempty"`
+	Permit *permitRequest  `cbor:"permit,omitempty"`
+	Grant  *grant          `cbor:"grant,omitempty"`
+}
+
+// permitRequest asks the responder of an endpoint for a permit for one request. The grant names the query.
+type permitRequest struct {
+	_         struct{} `cbor:",toarray"`
+	Endpoint  string
+	StartTime int64
+	Query     uint64
+}
+
+// grant answers a permitRequest. Without OK, Wait is the time until there will be a permit.
+type grant struct {
+	_     struct{} `cbor:",toarray"`
+	Query uint64
+	OK    bool
+	Wait  time.Duration
+}
+
+// transitMargin is the longest time that a message is expected to take.
+const transitMargin = 100 * time.Millisecond
+
+// limitStatement is a fleetconfig.RateLimit with times as their ages, since hosts have different clocks.
+type limitStatement struct {
+	_                    struct{} `cbor:",toarray"`
+	ID                   uint64
+	IsLimited            bool
+	Rate                 ident.Rate
+	SentAge, ReceivedAge time.Duration
+}
+
+// newLimitStatement returns nil if nothing is known.
+func newLimitStatement(l fleetconfig.RateLimit) *limitStatement {
+	if !l.IsKnown() {
+		return nil
+	}
+	now := time.Now()
+	return &limitStatement{ID: l.ID, IsLimited: l.IsLimited, Rate: l.Rate, SentAge: now.Sub(l.SentAt), ReceivedAge: now.Sub(l.ReceivedAt)}
+}
+
+// rateLimit returns the statement as of now. The time for which the message was on its way is not known, so the statement
+// may be older by transitMargin.
+func (s *limitStatement) rateLimit() fleetconfig.RateLimit {
+	if s == nil {
+		return fleetconfig.RateLimit{}
+	}
+	now := time.Now()
+	return fleetconfig.RateLimit{ID: s.ID, IsLimited: s.IsLimited, Rate: s.Rate, SentAt: now.Add(-s.SentAge - transitMargin), ReceivedAt: now.Add(-s.ReceivedAge)}
 }
 
 // Report states the load of the sender at one incarnation of an endpoint. It replaces the earlier ones, so that the
--- a/internal/loadexchanger/trackers.go
+++ b/internal/loadexchanger/trackers.go
@@ -8,11 +8,13 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/loadtracker"
+	"github.com/nutmegdock/nutmegdock/internal/core/ratelimiter"
 )
 
 type endpointTracker struct {
 	loadtracker.Tracker
 	isLeaving bool
+	limiter   ratelimiter.Limiter
 	lastUsed  time.Time
 }
 
@@ -22,16 +24,34 @@
 	all map[fleetconfig.Incarnation]*endpointTracker
 }
 
-// record stores a report, and returns the load of the other hosts at the endpoint and whether one of them knows that it
-// is leaving.
-func (t *trackers) record(h ident.Host, r *Report) (others assigner.Load, isLeaving bool) {
+// record stores a report and the limit that came with it. It returns the load of the other hosts at the endpoint, whether
+// one of them knows that it is leaving, and its limit.
+func (t *trackers) record(h ident.Host, r *Report, limit fleetconfig.RateLimit) (others assigner.Load, isLeaving bool, merged fleetconfig.RateLimit) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	e := t.get(fleetconfig.Incarnation{ID: r.Endpoint, StartTime: r.StartTime})
+	e.isLeaving = e.isLeaving || r.IsLeaving
+	e.limiter.Record(limit)
+	e.Record(h, r.Load, r.Process, r.Serial)
+	return e.Others(h), e.isLeaving, e.limiter.Limit()
+}
+
+// takePermit takes a permit for one request to an endpoint, and returns its limit.
+func (t *trackers) takePermit(p *permitRequest, limit fleetconfig.RateLimit) (ok bool, wait time.Duration, merged fleetconfig.RateLimit) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.get(fleetconfig.Incarnation{ID: p.Endpoint, StartTime: p.StartTime})
+	e.limiter.Record(limit)
+	ok, wait = e.limiter.Take()
+	return ok, wait, e.limiter.Limit()
+}
+
+// get returns the tracker of an endpoint, a new one if there is none. The caller must hold t.mu.
+func (t *trackers) get(key fleetconfig.Incarnation) *endpointTracker {
 	if t.all == nil {
 		t.all = make(map[fleetconfig.Incarnation]*endpointTracker)
 	}
 	now := time.Now()
-	key := fleetconfig.Incarnation{ID: r.Endpoint, StartTime: r.StartTime}
 	e := t.all[key]
 	if e == nil {
 		for other, unused := range t.all {
@@ -44,7 +64,5 @@
 		t.all[key] = e
 	}
 	e.lastUsed = now
-	e.isLeaving = e.isLeaving || r.IsLeaving
-	e.Record(h, r.Load, r.Process, r.Serial)
-	return e.Others(h), e.isLeaving
+	return e
 }
