--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -87,6 +87,9 @@
 	Excluded map[string]bool
 	// Among holds the ids of the endpoints to choose from; nil means all.
 	Among map[string]bool
+	// ConfirmedAfter restricts the choice to endpoints that are known to have had their id after this time, because they
+	// were listed or have responded since; the zero time allows all.
+	ConfirmedAfter time.Time
 	// OnUnreachable is called if the endpoint becomes unreachable while the request is in flight there; nil if the request
 	// cannot continue at another endpoint. It must not call the assigner.
 	OnUnreachable func()
@@ -157,6 +160,8 @@
 	// last responded.
 	down       bool
 	lastActive time.Time
+	// confirmedAt is when the endpoint was first listed or last responded to a request, which shows that it has its id.
+	confirmedAt time.Time
 	// addressReused says that another endpoint responds at its address, so that this one is gone even if its entry
 	// still exists.
 	addressReused bool
@@ -210,7 +215,7 @@
 	for _, e := range all {
 		s := old[e.ID]
 		if s == nil || s.StartTime != e.StartTime || s.Address != e.Address {
-			s = &endpointState{awaitingFirstEvent: make(map[*Assignment]bool), inFlight: make(map[*Assignment]bool), slowdown: 1, lastActive: time.Now()}
+			s = &endpointState{awaitingFirstEvent: make(map[*Assignment]bool), inFlight: make(map[*Assignment]bool), slowdown: 1, lastActive: time.Now(), confirmedAt: time.Now()}
 		}
 		s.Endpoint = e
 		a.endpoints[e.ID] = s
@@ -441,7 +446,7 @@
 		return
 	}
 	now := time.Now()
-	s.lastActive = now
+	s.lastActive, s.confirmedAt = now, now
 	if !isFirst || !s.inFlight[c] {
 		return
 	}
@@ -501,6 +506,7 @@
 		s.breaker.RecordFailure()
 	case Served:
 		s.lastActive = time.Now()
+		s.confirmedAt = s.lastActive
 		s.breaker.RecordSuccess()
 		a.updateServiceTime(c.Endpoint.Pool, time.Since(c.sentAt))
 	case Refused, CallerGone, NotSent:
--- a/internal/core/assigner/holdoff.go
+++ b/internal/core/assigner/holdoff.go
@@ -123,7 +123,7 @@
 	release, ok := s.serves(q, a.pools[q.Pool], now)
 	h := a.holdoffs.Get(s.Incarnation())
 	switch {
-	case !ok || q.Excluded[s.ID]:
+	case !ok || q.Excluded[s.ID] || !q.ConfirmedAfter.IsZero() && !s.confirmedAt.After(q.ConfirmedAfter):
 		return release, notServing
 	case !s.isUsable():
 		return release, unusable
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -491,6 +491,34 @@
 	is.True(repeats <= retrybudget.InitialTokens) // two requests have not added a whole token
 }
 
+// As above. The engines' new entries come while the caller waits.
+func TestRetryingCallerIsServedByEndpointListedAfterRefusals(t *testing.T) {
+	is := is.New(t)
+	const outdated = 10
+	scripts := make([][]step, outdated+1)
+	for i := range scripts {
+		scripts[i] = []step{notRun}
+	}
+	f := startFleet(t, scripts...)
+	f.configure(1)
+	all := f.endpoints
+	f.gateway.Assigner.SetEndpoints(nil)
+	_, _, _, err := f.send("/once/", func(r *http.Request) { r.Header.Set("Left", "6000") })
+	is.NoErr(err)
+	f.gateway.Assigner.SetEndpoints(all[:outdated])
+	time.AfterFunc(300*time.Millisecond, func() {
+		f.mu.Lock()
+		f.steps = []step{response(200, "ok")}
+		f.mu.Unlock()
+		f.gateway.Assigner.SetEndpoints(all)
+	})
+	status, _, _, err := f.send("/once/", func(r *http.Request) { r.Header.Set("Left", "4000") })
+	is.NoErr(err)
+	is.Equal(status, 200)
+	is.Equal(len(f.requests()), 4)              // three refusals, and the endpoint that was listed last
+	is.True(f.gateway.RetryBudget.SpendRetry()) // the wait has not used up the budget
+}
+
 // Sustained overload: a retrying caller is refused as fast as a first attempt. Waiting for capacity would only take
 // it from requests that can still meet their objective.
 func TestRetryingCallerDoesNotWaitForCapacity(t *testing.T) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -38,6 +38,9 @@
 	maxUnreachable = 4
 )
 
+// budgetExhausted means that an endpoint was chosen for a request that waits, but that the retry budget has no token.
+const budgetExhausted assigner.Refusal = "retry-budget"
+
 // requestState is the progress of one request over its attempts.
 type requestState struct {
 	// tried holds the ids of the endpoints that were tried.
@@ -45,6 +48,10 @@
 	// mayHaveRun counts the endpoints that may have run the request, refused those that reported that they did not,
 	// and unreachable those that received nothing.
 	mayHaveRun, refused, unreachable int
+	// refusedAt is set if endpoints have refused the request and it waits for others. Only endpoints that are known to be
+	// there after that time are tried then, each of them with a token of the retry budget: after a loss of power, the
+	// entries of all endpoints are outdated for a while.
+	refusedAt time.Time
 	// lastErr is the failure of the latest attempt.
 	lastErr error
 	// heldResponse is an endpoint's error response, kept for the caller while the request is retried elsewhere.
@@ -114,9 +121,13 @@
 		}
 		query := g.assignerQuery(req, state)
 		choice, refusal := g.assign(attemptCtx, &query)
+		if refusal == "" && !state.refusedAt.IsZero() && !g.RetryBudget.SpendRetry() {
+			g.Assigner.Release(choice, assigner.NotSent)
+			refusal = budgetExhausted
+		}
 		if refusal != "" {
 			cancel()
-			if refusal == assigner.NoEndpoint && g.waitForEndpoints(ctx, req, state) {
+			if (refusal == assigner.NoEndpoint || refusal == budgetExhausted) && g.waitForEndpoints(ctx, req, state) {
 				continue
 			}
 			snapshot := g.Assigner.Snapshot(query)
@@ -162,9 +173,14 @@
 			g.endUnserved(ctx, req, state, reason)
 			return
 		}
-		if !g.mayRetry(ctx, req, state) && !g.mayRetryAfterWait(ctx, req, state) {
-			g.endUnserved(ctx, req, state, "failed")
-			return
+		if !g.mayRetry(ctx, req, state) {
+			if !g.waitForEndpoints(ctx, req, state) {
+				g.endUnserved(ctx, req, state, "failed")
+				return
+			}
+			if state.refused > 0 {
+				state.refusedAt = time.Now()
+			}
 		}
 	}
 }
@@ -238,22 +254,11 @@
 	}
 }
 
-// mayRetryAfterWait waits for endpoints to recover, and reports whether another one may be tried then. If an endpoint has
-// received and refused the request, each further one consumes a token of the retry budget, which is waited for as well.
-func (g *Gateway) mayRetryAfterWait(ctx context.Context, req *request, state *requestState) bool {
-	for g.waitForEndpoints(ctx, req, state) {
-		if state.refused == 0 || g.RetryBudget.SpendRetry() {
-			return true
-		}
-	}
-	return false
-}
-
 // assignerQuery returns the query for an endpoint for the next attempt. A stream that has begun stays on its release.
 func (g *Gateway) assignerQuery(req *request, state *requestState) assigner.Query {
 	query := assigner.Query{
 		Pool: req.pool, Model: req.Model, PromptTokens: req.PromptTokens, Excluded: state.tried, BeginDeadline: g.BeginDeadline,
-		TimeLeft: req.route.Objective - req.earlierTime - time.Since(req.arrivedAt),
+		TimeLeft: req.route.Objective - req.earlierTime - time.Since(req.arrivedAt), ConfirmedAfter: state.refusedAt,
 	}
 	if req.route.MayRepeat() {
 		query.OnUnreachable = state.attempt.disconnect
