--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -468,22 +468,27 @@
 	is.True(status >= 502 && time.Since(startedAt) < 300*time.Millisecond)
 }
 
-// All engines have lost power and have started again under other ids, and their old entries are still in the store: each
-// of them refuses the request. Repeats of callers that wait for endpoints are limited like all others.
-func TestRetryingCallerReachesEndpointsBeyondRetryBudget(t *testing.T) {
-	is := is.New(t)
-	const endpoints = 20
+// startFleetWithRefusingEndpoints returns a fleet whose endpoints refuse the first request each, and to whose gateway a
+// caller that states six seconds has sent a first attempt. The gateway has no endpoints yet.
+func startFleetWithRefusingEndpoints(t *testing.T, endpoints int) *testFleet {
 	scripts := make([][]step, endpoints)
 	for i := range scripts {
 		scripts[i] = []step{notRun}
 	}
 	f := startFleet(t, scripts...)
 	f.configure(1)
-	all := f.endpoints
 	f.gateway.Assigner.SetEndpoints(nil)
 	_, _, _, err := f.send("/once/", func(r *http.Request) { r.Header.Set("Left", "6000") })
-	is.NoErr(err)
-	f.gateway.Assigner.SetEndpoints(all)
+	is.New(t).NoErr(err)
+	return f
+}
+
+// All engines have lost power and have started again under other ids, and their old entries are still in the store: each
+// of them refuses the request. Repeats of callers that wait for endpoints are limited like all others.
+func TestRetryingCallerReachesEndpointsBeyondRetryBudget(t *testing.T) {
+	is := is.New(t)
+	f := startFleetWithRefusingEndpoints(t, 20)
+	f.gateway.Assigner.SetEndpoints(f.endpoints)
 	status, _, _, err := f.send("/once/", func(r *http.Request) { r.Header.Set("Left", "4000") })
 	is.NoErr(err)
 	is.Equal(status, 503)
@@ -495,22 +500,13 @@
 func TestRetryingCallerIsServedByEndpointListedAfterRefusals(t *testing.T) {
 	is := is.New(t)
 	const outdated = 10
-	scripts := make([][]step, outdated+1)
-	for i := range scripts {
-		scripts[i] = []step{notRun}
-	}
-	f := startFleet(t, scripts...)
-	f.configure(1)
-	all := f.endpoints
-	f.gateway.Assigner.SetEndpoints(nil)
-	_, _, _, err := f.send("/once/", func(r *http.Request) { r.Header.Set("Left", "6000") })
-	is.NoErr(err)
-	f.gateway.Assigner.SetEndpoints(all[:outdated])
+	f := startFleetWithRefusingEndpoints(t, outdated+1)
+	f.gateway.Assigner.SetEndpoints(f.endpoints[:outdated])
 	time.AfterFunc(300*time.Millisecond, func() {
 		f.mu.Lock()
 		f.steps = []step{response(200, "ok")}
 		f.mu.Unlock()
-		f.gateway.Assigner.SetEndpoints(all)
+		f.gateway.Assigner.SetEndpoints(f.endpoints)
 	})
 	status, _, _, err := f.send("/once/", func(r *http.Request) { r.Header.Set("Left", "4000") })
 	is.NoErr(err)
