gateway: requests run only in the regions of their route and organisation, and in no evacuated zone

Cause: AllowedRegions of routes and organisations and the operator's evacuation records were read nowhere, so requests reached endpoints in any region and in evacuated zones.

core/zonerestrictor decides, core/evacuationtracker holds the evacuated zones. The assigner, the check of an empty set at arrival and the check before each write ask it.

--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -83,6 +83,8 @@
 	PromptTokens float64
 	// TimeLeft is the rest of the objective; zero or less means that the objective has already passed.
 	TimeLeft time.Duration
+	// MayUse reports whether the request may run in a zone; nil means that it may run in all.
+	MayUse func(z ident.Zone) bool
 	// Excluded holds the ids of endpoints that must not be chosen again.
 	Excluded map[string]bool
 	// Among holds the ids of the endpoints to choose from; nil means all.
@@ -130,6 +132,8 @@
 	NoEndpoint Refusal = "no-endpoint"
 	// Overload means that no endpoint could serve the request in time.
 	Overload Refusal = "overload"
+	// Restricted means that the zones of all endpoints that serve the query must not be used for the request.
+	Restricted Refusal = "restricted"
 	// Paused means that all endpoints that serve the query have asked this host for a pause.
 	Paused Refusal = "paused"
 	// Limited means that the endpoints that serve the query limit the requests that they take, and that all hosts together
@@ -251,9 +255,11 @@
 	for s := range a.eligible(q) {
 		release, state := a.availability(s, q, now)
 		switch {
-		case state == paused && refusal == NoEndpoint:
+		case state == restricted && refusal == NoEndpoint:
+			refusal = Restricted
+		case state == paused && (refusal == NoEndpoint || refusal == Restricted):
 			refusal = Paused
-		case state == limited && (refusal == NoEndpoint || refusal == Paused):
+		case state == limited && refusal != Overload:
 			refusal = Limited
 		}
 		if state != available {
--- a/internal/core/assigner/holdoff.go
+++ b/internal/core/assigner/holdoff.go
@@ -109,6 +109,8 @@
 	available availability = iota
 	// notServing means that the endpoint does not serve what the query requires, or is excluded by it.
 	notServing
+	// restricted means that the endpoint serves the query, but that the request must not run in its zone.
+	restricted
 	// unusable means that the endpoint cannot be reached or fails.
 	unusable
 	leaving
@@ -125,6 +127,8 @@
 	switch {
 	case !ok || q.Excluded[s.ID] || !q.ConfirmedAfter.IsZero() && !s.confirmedAt.After(q.ConfirmedAfter):
 		return release, notServing
+	case q.MayUse != nil && !q.MayUse(s.Zone):
+		return release, restricted
 	case !s.isUsable():
 		return release, unusable
 	case h.leaving:
--- a/internal/core/assigner/snapshot.go
+++ b/internal/core/assigner/snapshot.go
@@ -9,6 +9,8 @@
 	// ServingEndpoints is the number of endpoints that serve what the query requires. UnusableEndpoints is the number of
 	// those that cannot be reached or are failing.
 	ServingEndpoints, UnusableEndpoints int
+	// RestrictedEndpoints is the number of those in zones that must not be used for the request.
+	RestrictedEndpoints int
 	// LeavingEndpoints, PausedEndpoints and LimitedEndpoints are the numbers of those that have said that they leave, asked
 	// for a pause, or limit their requests and have got as many. EarliestResume is the shortest time until one of the latter
 	// two may receive a request; zero if there is none.
@@ -37,6 +39,8 @@
 		switch state {
 		case unusable:
 			out.UnusableEndpoints++
+		case restricted:
+			out.RestrictedEndpoints++
 		case leaving:
 			out.LeavingEndpoints++
 		case paused:
--- a/internal/core/fleetconfig/fleetconfig.go
+++ b/internal/core/fleetconfig/fleetconfig.go
@@ -64,6 +64,8 @@
 	MaxEventGap time.Duration
 	// Priority is the rank of the requests; 0 is the most urgent.
 	Priority int
+	// Regions lists the regions in which the requests may run; empty means all.
+	Regions []ident.Region
 }
 
 // MayRepeat reports whether a request of the route that may have run may be sent again.
@@ -118,6 +120,9 @@
 	Priority int
 	// HasPriority says that the priority is set.
 	HasPriority bool
+	// Regions lists the regions in which the organisation's requests may run, in addition to the restriction of the route;
+	// empty means all.
+	Regions []ident.Region
 }
 
 // Limits holds the limits on requests from callers.
--- a/internal/core/outcome/outcome.go
+++ b/internal/core/outcome/outcome.go
@@ -45,6 +45,7 @@
 	Truncated      Reason = "cut"          // a streamed response ended early
 	OtherWeightSet Reason = "moved"        // the endpoint serves another weight set
 	EndpointClosed Reason = "closed"       // the endpoint accepts no requests now
+	Restricted     Reason = "restricted"   // the request must not run in the zone of the endpoint
 )
 
 // Error is the end of a request without a response.
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -56,4 +56,6 @@
 	ResponseAborted        = Event{1705, log.WarnLevel, "response aborted"}
 	RequestWithdrawn       = Event{1709, log.InfoLevel, "request withdrawn from an engine on an older release before it began"}
 	ProcessFailed          = Event{1753, log.ErrorLevel, "process failed"}
+	ZoneEvacuated          = Event{1760, log.WarnLevel, "zone is evacuated; its endpoints get no requests"}
+	ZoneReturned           = Event{1761, log.InfoLevel, "evacuation of a zone has ended"}
 )
--- a/internal/fleetwatcher/fleetwatcher.go
+++ b/internal/fleetwatcher/fleetwatcher.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/nutmegdock/nutmegdock/internal/core/evacuationtracker"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleettracker"
 	"github.com/nutmegdock/nutmegdock/internal/event"
@@ -44,6 +45,8 @@
 	Operator, Endpoints, Status string
 	// ConfigKey is the key of the configuration, and ReleaseKeyPrefix the prefix of the keys of releases.
 	ConfigKey, ReleaseKeyPrefix string
+	// EvacuationKeyPrefix is the prefix of the keys of evacuated zones; the name of the zone follows.
+	EvacuationKeyPrefix string
 }
 
 // Decoder decodes the records.
@@ -65,6 +68,8 @@
 	OperatorWait, EndpointPause time.Duration
 	// Tracker receives endpoints and releases.
 	Tracker *fleettracker.Tracker
+	// Evacuations receives the evacuated zones; nil if they are not followed.
+	Evacuations *evacuationtracker.Tracker
 	// OnConfig, OnEndpoints, OnRelease and OnPeers are called on changes; each may be nil. OnConfig
 	// reports whether the configuration is newer than the one in force.
 	OnConfig    func(config *fleetconfig.Config) (isNewer bool)
@@ -97,6 +102,9 @@
 func (w *Watcher) AddNewest(resp messages.NewestResponse) {
 	w.Tracker.AddDepartures(resp.Departures)
 	w.applyOperatorValues(resp.Values, true, 0)
+	if w.Evacuations != nil {
+		w.Evacuations.AddNewest(w.evacuatedZones(resp.Values))
+	}
 }
 
 func (w *Watcher) setNewestOperatorValue(key string, value []byte) {
@@ -119,9 +127,19 @@
 	var tasks errgroup.Group
 	operator := w.newWatcher(w.Topics.Operator)
 	operator.Wait, operator.Pause = w.OperatorWait, operatorPause
-	operator.ApplySnapshot = func(values map[string][]byte) { w.applyOperatorValues(values, true, 0) }
+	operator.OnNewEpoch = func(watcher.Epoch) {
+		if w.Evacuations != nil {
+			w.Evacuations.RecordRestore()
+		}
+	}
+	operator.ApplySnapshot = func(values map[string][]byte) {
+		w.applyOperatorValues(values, true, 0)
+		w.replaceEvacuations(values)
+	}
 	operator.ApplyChanges = func(changes []watcher.Change) {
-		w.applyOperatorValues(latestValues(changes), false, longestDelay(changes))
+		values := latestValues(changes)
+		w.applyOperatorValues(values, false, longestDelay(changes))
+		w.applyEvacuations(values)
 	}
 	tasks.Go(func() error { return operator.Run(ctx) })
 	endpoints := w.newWatcher(w.Topics.Endpoints)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/retrybudget"
+	"github.com/nutmegdock/nutmegdock/internal/core/zonerestrictor"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/headercodec"
 	"github.com/nutmegdock/nutmegdock/internal/sender"
@@ -54,6 +55,8 @@
 	// TakePermit takes a permit for one request to an endpoint that limits its requests. If there is none, it returns the
 	// time until there may be one. Nil means that no endpoint limits them.
 	TakePermit func(ctx context.Context, e fleetconfig.Endpoint) (ok bool, wait time.Duration)
+	// Restrictor decides in which zones requests may run.
+	Restrictor zonerestrictor.Restrictor
 	// Sender sends attempts to endpoints.
 	Sender *sender.Sender
 	// RetryBudget limits retries.
@@ -227,6 +230,10 @@
 	if req.Remaining > 0 {
 		timeout = min(timeout, req.Remaining)
 	}
+	if !g.Restrictor.AllowsAny(g.regionLists(req)...) {
+		// No configuration that is in force now lets the request run, so the caller is not invited to retry.
+		return &rejection{status: http.StatusServiceUnavailable, reason: reasonRestricted}
+	}
 	req.deadline = req.arrivedAt.Add(timeout)
 	req.pool = req.route.PickPool(hashFraction(req.ID))
 	req.earlierTime = g.earlierTime(req)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -258,6 +258,7 @@
 func (g *Gateway) assignerQuery(req *request, state *requestState) assigner.Query {
 	query := assigner.Query{
 		Pool: req.pool, Model: req.Model, PromptTokens: req.PromptTokens, Excluded: state.tried, BeginDeadline: g.BeginDeadline,
+		MayUse:   g.zoneFilter(req),
 		TimeLeft: req.route.Objective - req.earlierTime - time.Since(req.arrivedAt), ConfirmedAfter: state.refusedAt,
 	}
 	if req.route.MayRepeat() {
@@ -280,8 +281,11 @@
 	}
 	var o *outcome.Error
 	if errors.As(state.lastErr, &o) && o.Kind == outcome.NotRun {
-		if o.Reason == outcome.Unreachable {
+		switch o.Reason {
+		case outcome.Unreachable:
 			return state.unreachable < maxUnreachable
+		case outcome.Restricted:
+			return true // no endpoint has received the request
 		}
 		return state.refused < maxRefusals && state.mayHaveRun+state.refused < max(req.route.MaxAttempts, 1) && g.RetryBudget.SpendRetry()
 	}
@@ -310,6 +314,9 @@
 	default:
 		remaining := req.Remaining - time.Since(req.arrivedAt)
 		retryAfter := g.RetryAfter(remaining)
+		if reason == reasonRestricted {
+			retryAfter = 0
+		}
 		if state.resumeIn > 0 && state.resumeIn < remaining {
 			retryAfter = state.resumeIn
 		}
@@ -321,7 +328,7 @@
 func refusalFields(snapshot assigner.Snapshot, timeLeft time.Duration) log.Fields {
 	return log.Fields{
 		"left": timeLeft.Milliseconds(), "serving": snapshot.ServingEndpoints, "unusable": snapshot.UnusableEndpoints, "soonest": snapshot.EarliestFirstEvent.Milliseconds(),
-		"leaving": snapshot.LeavingEndpoints, "paused": snapshot.PausedEndpoints, "limited": snapshot.LimitedEndpoints,
+		"restricted": snapshot.RestrictedEndpoints, "leaving": snapshot.LeavingEndpoints, "paused": snapshot.PausedEndpoints, "limited": snapshot.LimitedEndpoints,
 		"reports": snapshot.ReportedEndpoints, "oldest": snapshot.OldestReport.Milliseconds(),
 	}
 }
@@ -359,7 +366,7 @@
 		Address: choice.Endpoint.Address, Method: req.r.Method, Target: req.r.RequestURI, Host: req.r.Host,
 		Header: g.Codec.EndpointHeader(req.r, endpointReq), Body: req.body,
 		Matches:     func(h http.Header) bool { return g.Codec.IsResponseTo(req.ID, h) },
-		BeforeWrite: func() bool { return state.attempt.markSent(&choice.Endpoint) },
+		BeforeWrite: func() outcome.Reason { return g.beforeWrite(req, state, choice) },
 	})
 	if err != nil {
 		return state.recordFailure(ctx, req, err), false
@@ -438,7 +445,11 @@
 func (s *requestState) recordFailure(ctx context.Context, req *request, err error) assigner.Outcome {
 	s.lastErr = err
 	var o *outcome.Error
-	isUnreachable := errors.As(err, &o) && o.Kind == outcome.NotRun
+	isNotRun := errors.As(err, &o) && o.Kind == outcome.NotRun
+	if isNotRun && o.Reason == outcome.Restricted {
+		return assigner.NotSent
+	}
+	isUnreachable := isNotRun
 	if isUnreachable {
 		s.unreachable++
 	} else {
--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -21,11 +21,13 @@
 	"github.com/nutmegdock/nutmegdock/internal/chunkreplicator"
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
 	"github.com/nutmegdock/nutmegdock/internal/core/crashsuspector"
+	"github.com/nutmegdock/nutmegdock/internal/core/evacuationtracker"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleettracker"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/presencetracker"
 	"github.com/nutmegdock/nutmegdock/internal/core/retrybudget"
+	"github.com/nutmegdock/nutmegdock/internal/core/zonerestrictor"
 	"github.com/nutmegdock/nutmegdock/internal/dialer"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/factexchanger"
@@ -111,7 +113,8 @@
 	draining atomic.Bool
 	rpcPool  rpc.Pool
 
-	presence *presencetracker.Tracker
+	presence    *presencetracker.Tracker
+	evacuations *evacuationtracker.Tracker
 	// readStoreSnapshot reads a snapshot from the store itself.
 	readStoreSnapshot func(ctx context.Context, topic string) (watcher.Snapshot, error)
 	// restored signals that this host's entry may be gone from the store, and archiveAgain that the archived weights may
@@ -150,6 +153,7 @@
 	exchanger.Init()
 	h.assigner.OnLoadChange = exchanger.LoadChanged
 	h.initFacts(exchanger)
+	h.initEvacuations(registry)
 	tracker := &fleettracker.Tracker{RolloutTimeout: h.RolloutTimeout}
 	suspensions := &suspensiondetector.Detector{OnSuspension: tracker.RecordSuspension, Logger: h.Logger}
 	suspensions.Check()
@@ -167,10 +171,12 @@
 			return tracker.WithdrawDeadline(m, release)
 		},
 		Logger: h.Logger, Meter: gateway.NewMeter(registry),
+		Restrictor: zonerestrictor.Restrictor{Regions: h.Regions, IsEvacuated: h.evacuations.IsEvacuated},
 		RetryAfter: func(remaining time.Duration) time.Duration { return max(0, remaining/retryAfterDivisor) },
 	}
 	h.suspector.OnQuarantine, h.suspector.OnLift = h.gateway.HandleQuarantine, h.gateway.HandleLift
 	h.FleetWatcher.Tracker = tracker
+	h.FleetWatcher.Evacuations = h.evacuations
 	h.Replicator.Peers = h.chunkPeers
 	h.Replicator.Origin = h.origin
 	relayer := &storerelayer.Relayer{
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -38,8 +38,9 @@
 	Body   []byte
 	// Matches reports whether a response with this header belongs to the request.
 	Matches func(h http.Header) bool
-	// BeforeWrite is called once the endpoint is connected, and reports whether to send the request. Nil means yes.
-	BeforeWrite func() bool
+	// BeforeWrite is called once the endpoint is connected. It returns the reason for not sending the request, or an empty
+	// one. Nil means that the request is sent.
+	BeforeWrite func() outcome.Reason
 }
 
 // Response is a response header with a reader of the body. Close closes its connection.
@@ -81,9 +82,11 @@
 	if err != nil {
 		return nil, newError(ctx, outcome.NotRun, outcome.Unreachable, err)
 	}
-	if attempt.BeforeWrite != nil && !attempt.BeforeWrite() {
-		_ = conn.Close() // nothing was sent
-		return nil, newError(ctx, outcome.NotRun, outcome.Quarantined, errors.New("withdrawn before it was sent"))
+	if attempt.BeforeWrite != nil {
+		if reason := attempt.BeforeWrite(); reason != "" {
+			_ = conn.Close() // nothing was sent
+			return nil, newError(ctx, outcome.NotRun, reason, errors.New("withdrawn before it was sent"))
+		}
 	}
 	stopCancel := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	resp, err := exchange(ctx, conn, attempt)
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -105,7 +105,7 @@
 	address, received := startEndpoint(t, func(*net.TCPConn, *http.Request) { close(closed) })
 	s := &sender.Sender{Dial: (&dialer.Dialer{}).DialContext}
 	_, err := s.Send(context.Background(), sender.Attempt{
-		Address: address, Method: http.MethodGet, Target: "/", Host: "h.example", BeforeWrite: func() bool { return false },
+		Address: address, Method: http.MethodGet, Target: "/", Host: "h.example", BeforeWrite: func() outcome.Reason { return outcome.Quarantined },
 	})
 	var o *outcome.Error
 	is.True(errors.As(err, &o))
