--- a/internal/core/evacuationtracker/evacuationtracker_test.go
+++ b/internal/core/evacuationtracker/evacuationtracker_test.go
@@ -51,7 +51,7 @@
 // The records of evacuations are set and deleted amid snapshots, outages and restores. A zone that the operator evacuates
 // must never be used, except in the time that its record needs to be read; one that is not must be used again.
 func TestStateEvacuations(t *testing.T) {
-	rapidtest.Check(t, func(t *testing.T, rt *rapid.T) {
+	rapidtest.Check(t, func(_ *testing.T, rt *rapid.T) {
 		const keptWithoutRecord = 10 * time.Second
 		var tracker evacuationtracker.Tracker
 		wanted := make(map[ident.Zone]bool) // what the operator wants, as far as the tracker could have read it
--- a/internal/fleetwatcher/evacuation_test.go
+++ b/internal/fleetwatcher/evacuation_test.go
@@ -178,7 +178,7 @@
 }
 
 // run runs the watchers until ctx ends.
-func (f *evacuationFleet) run(t *testing.T, ctx context.Context) (wait func()) {
+func (f *evacuationFleet) run(ctx context.Context, t *testing.T) (wait func()) {
 	var tasks sync.WaitGroup
 	for _, w := range f.watchers {
 		tasks.Go(func() {
@@ -208,7 +208,7 @@
 		store := newEvacuationStore()
 		f := newEvacuationFleet(store, hosts)
 		ctx, cancel := context.WithCancel(t.Context())
-		wait := f.run(t, ctx)
+		wait := f.run(ctx, t)
 		time.Sleep(5 * time.Second)
 		store.write(evacuationPrefix+"z", "{}")
 		f.kill(hostName(0))
@@ -242,7 +242,7 @@
 		store.write("other", "x")
 		f := newEvacuationFleet(store, 4)
 		ctx, cancel := context.WithCancel(t.Context())
-		wait := f.run(t, ctx)
+		wait := f.run(ctx, t)
 		time.Sleep(2 * time.Second)
 		store.write(evacuationPrefix+"z", "{}")
 		is.True(f.timeUntilAll(true) < configTimeout)
@@ -255,7 +255,7 @@
 		is.NoErr(err)
 		started := newEvacuationFleet(store, 1)
 		started.watchers[0].AddNewest(newest)
-		waitStarted := started.run(t, ctx)
+		waitStarted := started.run(ctx, t)
 		time.Sleep(2 * time.Second)
 		is.True(started.trackers[0].IsEvacuated("z"))
 		store.write(evacuationPrefix+"z", "{}") // the operator writes it again
--- a/internal/gateway/restrict_test.go
+++ b/internal/gateway/restrict_test.go
@@ -162,7 +162,7 @@
 // wait, connect, are repeated and resume. No request may reach an endpoint outside of the zones that were allowed when it
 // arrived and are still allowed when it is sent.
 func TestStateRequestsRunOnlyInAllowedZones(t *testing.T) {
-	rapidtest.Check(t, func(t *testing.T, rt *rapid.T) {
+	rapidtest.Check(t, func(_ *testing.T, rt *rapid.T) {
 		type change struct {
 			route, org []ident.Region
 			evacuated  ident.Zone
