Releases that overlap: a nearly complete release is finished and served until the newest arrives

Cause: when a second release was named while the first one was being fetched, the first was given up, even if nearly complete. The origin was also tried only once a second by then.

core/releasescheduler decides what is finished, what is fetched while the newest does not arrive, and whether an engine's turn waits for a newer release. External sources are tried four times as often after repeated failures.

--- a/internal/chunkreplicator/chunkreplicator.go
+++ b/internal/chunkreplicator/chunkreplicator.go
@@ -422,6 +422,21 @@
 	return a, nil
 }
 
+// HeldShare returns the share of the chunks of a release that this host holds; zero if it does not know its manifest.
+func (r *Replicator) HeldShare(s fleetconfig.ServedModel) float64 {
+	r.mu.Lock()
+	d, ok := r.digests[s]
+	r.mu.Unlock()
+	if !ok {
+		return 0
+	}
+	a, ok := r.cache.Artifact(d)
+	if !ok || len(a.Chunks) == 0 {
+		return 0
+	}
+	return 1 - float64(len(r.cache.Missing(a)))/float64(len(a.Chunks))
+}
+
 // evictReleases drops all releases but the most recent ones and next.
 func (r *Replicator) evictReleases(next fleetconfig.ServedModel) {
 	r.mu.Lock()
--- a/internal/core/fetchplanner/nodes.go
+++ b/internal/core/fetchplanner/nodes.go
@@ -17,6 +17,9 @@
 	banDuration         = time.Minute
 	// maxRetryFactor is the maximum delay after repeated failures, in multiples of the first one.
 	maxRetryFactor = 16
+	// maxExternalRetryFactor is the same for external sources. They may be the only ones, and what they have back after an
+	// outage is missing at all hosts.
+	maxExternalRetryFactor = 4
 	// discoveredPeerTTL is how long a peer that is not on the list of peers yet is kept after its last request.
 	discoveredPeerTTL = 10 * time.Second
 )
@@ -75,7 +78,11 @@
 			// An external source may be the only one, so it is never banned.
 			o = Failed
 		}
-		p.externalHealth[f.Source.ExternalIndex].recordOutcome(o, now, p.BusyDelay, p.RetryDelay)
+		h := &p.externalHealth[f.Source.ExternalIndex]
+		h.recordOutcome(o, now, p.BusyDelay, p.RetryDelay)
+		if latestRetry := now.Add(maxExternalRetryFactor * p.RetryDelay); h.retryAt.After(latestRetry) {
+			h.retryAt = latestRetry
+		}
 		return
 	}
 	if n := p.nodes[f.Source.Host]; n != nil {
--- a/internal/core/fleettracker/fleettracker.go
+++ b/internal/core/fleettracker/fleettracker.go
@@ -334,6 +334,19 @@
 	return newest
 }
 
+// Between returns the newest known release of a model with a number above after and below before; zero if there is none.
+func (t *Tracker) Between(m fleetconfig.Model, after, before fleetconfig.Release) fleetconfig.Release {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var newest fleetconfig.Release
+	for _, r := range t.releases[m] {
+		if r.number > after && r.number < before {
+			newest = max(newest, r.number)
+		}
+	}
+	return newest
+}
+
 // PublishedAt returns the earliest time at which a release with a higher number than after may have been published, as far
 // as this host knows; zero if there is none.
 func (t *Tracker) PublishedAt(m fleetconfig.Model, after fleetconfig.Release) time.Time {
--- a/internal/engineagent/engineagent.go
+++ b/internal/engineagent/engineagent.go
@@ -76,7 +76,10 @@
 
 	tracker     *fleettracker.Tracker
 	suspensions *suspensiondetector.Detector
-	updates     chan struct{}
+	// stalled is the newest release, if its fetch has stalled and one before it is fetched instead. Only the goroutine of
+	// reconcile uses it.
+	stalled fleetconfig.ServedModel
+	updates chan struct{}
 	// gateChanged signals that the gate state has been set.
 	gateChanged chan struct{}
 
--- a/internal/engineagent/reconcile.go
+++ b/internal/engineagent/reconcile.go
@@ -13,6 +13,7 @@
 
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/manifest"
+	"github.com/nutmegdock/nutmegdock/internal/core/releasescheduler"
 	"github.com/nutmegdock/nutmegdock/internal/core/rolloutplanner"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 )
@@ -69,19 +70,21 @@
 		// The entry hosts may still have the entry of an earlier incarnation that held a release.
 		h.setGateState(gateState{Closed: true, StartTime: r.StartTime})
 	}
-	a, err := h.fetch(ctx, target, r)
+	next := h.nextRelease(target, served)
+	a, err := h.fetch(ctx, next, served, r)
 	if err != nil {
+		h.recordFetchFailure(next, target, served)
 		return err
 	}
-	if err := h.stage(ctx, target, a, fleetconfig.LayerRange{}); err != nil {
+	if err := h.stage(ctx, next, a, fleetconfig.LayerRange{}); err != nil {
 		return err
 	}
 	if served > 0 {
-		if err := h.awaitTurn(ctx, target, served); err != nil {
+		if err := h.awaitTurn(ctx, next, served); err != nil {
 			return err
 		}
 	}
-	return h.loadStaged(ctx, target, a, fleetconfig.LayerRange{}, r.StartTime)
+	return h.loadStaged(ctx, next, a, fleetconfig.LayerRange{}, r.StartTime)
 }
 
 // updateGate corrects the announced gate state by the engine's report, which shows the effect of a load command whose
@@ -99,8 +102,8 @@
 }
 
 // fetch fetches all chunks of a release to this host. An empty engine loads its first layers meanwhile.
-func (h *Agent) fetch(ctx context.Context, target fleetconfig.ServedModel, r rolloutplanner.Report) (manifest.Artifact, error) {
-	superseded := func() bool { return h.isSuperseded(target) }
+func (h *Agent) fetch(ctx context.Context, target fleetconfig.ServedModel, served fleetconfig.Release, r rolloutplanner.Report) (manifest.Artifact, error) {
+	superseded := h.fetchStop(target, served)
 	a, _, err := h.Replicator.ResolveManifest(ctx, target)
 	if err != nil {
 		return a, err
@@ -222,22 +225,36 @@
 	return h.Engine.WriteStaged(ctx, m, number, data)
 }
 
-// awaitTurn waits for this engine's turn to change over from the served release to s.
+// awaitTurn waits for this engine's turn to change over from the served release to s. A newer release is fetched meanwhile;
+// if it is complete first, or is expected to be in time, it is loaded instead.
 func (h *Agent) awaitTurn(ctx context.Context, s fleetconfig.ServedModel, served fleetconfig.Release) error {
+	var newer *newerFetch
+	defer func() { newer.stop() }()
 	for {
 		h.suspensions.Check()
 		turnShare := rolloutplanner.SwitchShare(h.IP, h.members(served))
 		turnTime := h.tracker.PublishedAt(s.Model, served).Add(time.Duration(turnShare * float64(h.tracker.AssignTime())))
-		if !time.Now().Before(turnTime) {
+		isTurn := !time.Now().Before(turnTime)
+		pause := min(reportInterval, time.Until(turnTime))
+		if newest, ok := h.target(); ok && newest.Release > s.Release {
+			if newer == nil || newer.release != newest {
+				newer.stop()
+				newer = h.startNewerFetch(ctx, newest)
+			}
+			progress := newer.meter.measure()
+			if progress.HeldShare >= 1 {
+				return errSuperseded
+			}
+			isTurn = isTurn && !releasescheduler.AwaitsNewer(progress, time.Until(h.tracker.BeginDeadline(s.Model, served)))
+			pause = newerPollInterval
+		}
+		if isTurn {
 			return nil
 		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-time.After(min(reportInterval, time.Until(turnTime))):
-		}
-		if h.isSuperseded(s) {
-			return errSuperseded
+		case <-time.After(pause):
 		}
 	}
 }
--- a/internal/gatewayserver/replicate.go
+++ b/internal/gatewayserver/replicate.go
@@ -15,6 +15,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/ranker"
+	"github.com/nutmegdock/nutmegdock/internal/core/releasescheduler"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/fleetwatcher"
 	"github.com/nutmegdock/nutmegdock/internal/hostregistrar"
@@ -140,7 +141,7 @@
 			newest, ok := h.targetRelease()
 			return ok && newest.Release > target.Release
 		}
-		_, err := h.Replicator.Fetch(ctx, target, superseded)
+		_, err := h.Replicator.Fetch(ctx, target, h.fetchStop(target, superseded))
 		if err != nil {
 			event.ReleaseFetchFailed.Log(h.Logger.WithError(err), nil)
 			pause = replicationRetryDelay
@@ -151,6 +152,18 @@
 	}
 }
 
+// fetchStop returns a function that reports whether the fetch of a release is given up for a newer one. One that is nearly
+// complete is finished first, so that the engines have it if the origin becomes unavailable.
+func (h *Server) fetchStop(s fleetconfig.ServedModel, superseded func() bool) func() bool {
+	share, changedAt := h.Replicator.HeldShare(s), time.Now()
+	return func() bool {
+		if held := h.Replicator.HeldShare(s); held != share {
+			share, changedAt = held, time.Now()
+		}
+		return superseded() && releasescheduler.Abandons(releasescheduler.Progress{HeldShare: share, Idle: time.Since(changedAt)}, false)
+	}
+}
+
 // archiveAfterRestore writes the archived weights again, because the store has been restored from an older copy, which
 // may lack chunks that were acknowledged. The writes of the hosts are spread over time.
 func (h *Server) archiveAfterRestore(ctx context.Context, held fleetconfig.ServedModel) {
