--- a/internal/chunkreplicator/archive.go
+++ b/internal/chunkreplicator/archive.go
@@ -21,6 +21,9 @@
 	// archiveWriteTimeout bounds the writes of one partition, and archiveRetryDelay is the pause after a failed one.
 	archiveWriteTimeout = 3 * time.Second
 	archiveRetryDelay   = time.Second
+	// archiveWaitInterval is the time between two signs of life of a read that waits for its turn. It is well below
+	// progressTimeout.
+	archiveWaitInterval = 100 * time.Millisecond
 )
 
 var errArchiveSkipped = errors.New("archive is not read for this release")
@@ -62,6 +65,33 @@
 	return r.archived == s
 }
 
+// readsArchive reports whether the release that this host fetches is read from the store. Each zone reads its own copy of
+// it then: the store's link is wide, and the links from its region to the others carry one copy each, which one zone
+// after the other would need twice the time for.
+func (r *Replicator) readsArchive() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.archived.Release > 0 && r.archived == r.fetching
+}
+
+// awaitArchiveRead waits for the token to read a partition, and returns the function that gives it back. Partitions are
+// read one after the other, so that the first chunks are there early: together they would all be complete at the end.
+func (r *Replicator) awaitArchiveRead(ctx context.Context, p weightclient.ProgressFunc) (release func(), err error) {
+	for {
+		select {
+		case r.archiveReads <- struct{}{}:
+			return func() { <-r.archiveReads }, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(archiveWaitInterval):
+			// A read that waits for its turn has not stalled.
+			if err := p(ctx, 0); err != nil {
+				return nil, err
+			}
+		}
+	}
+}
+
 // readExternalChunk reads a chunk that no host holds, from the store if the release is archived there, or else from the
 // origin.
 func (r *Replicator) readExternalChunk(ctx context.Context, k manifest.Chunk, p weightclient.ProgressFunc) ([]byte, error) {
@@ -90,6 +120,14 @@
 	if err != nil {
 		return nil, err
 	}
+	release, err := r.awaitArchiveRead(ctx, p)
+	if err != nil {
+		return nil, err
+	}
+	defer release()
+	if data, ok := r.cache.Chunk(a.Chunks[number].Digest); ok {
+		return data, nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, archiveReadTimeout)
 	defer cancel()
 	found, err := r.Archiver.LoadPartition(ctx, s, r.Archiver.Partition(number), func(n int) {
--- a/internal/chunkreplicator/archive_test.go
+++ b/internal/chunkreplicator/archive_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -103,6 +104,28 @@
 	is.Equal(s.reads, partitions)
 }
 
+// A host reads the partitions one after the other: together they would all be complete only at the end.
+func TestPartitionsOfArchiveAreReadOneAfterTheOther(t *testing.T) {
+	is := is.New(t)
+	s, release := &fakeStore{}, fleetconfig.ServedModel{Model: "m", Release: 3}
+	archive(t, s, release)
+	o := &origin{}
+	o.isDown.Store(true)
+	c := hosts(t, o, 1, 0)[0]
+	c.Archiver = s.archiver()
+	var running, most atomic.Int64
+	read := c.Archiver.ReadPartition
+	c.Archiver.ReadPartition = func(ctx context.Context, partition int, progress func(int)) (map[string][]byte, error) {
+		most.Store(max(most.Load(), running.Add(1)))
+		defer running.Add(-1)
+		time.Sleep(20 * time.Millisecond)
+		return read(ctx, partition, progress)
+	}
+	fetch(t, release, c)
+	is.Equal(most.Load(), int64(1))
+	is.Equal(s.reads, partitions)
+}
+
 // If the archive is unavailable, corrupt or incomplete, the release is read from the origin.
 func TestFaultyArchiveFallsBackToOrigin(t *testing.T) {
 	for name, breakStore := range map[string]func(s *fakeStore){
--- a/internal/chunkreplicator/chunkreplicator.go
+++ b/internal/chunkreplicator/chunkreplicator.go
@@ -111,12 +111,15 @@
 	digests  map[fleetconfig.ServedModel]ident.Digest
 	// recent lists the releases that are held, the most recently added last.
 	recent []fleetconfig.ServedModel
-	// archived is the release that this host has found in the store.
-	archived fleetconfig.ServedModel
+	// archived is the release that this host has found in the store, and fetching the one that it fetches.
+	archived, fetching fleetconfig.ServedModel
+	// archiveReads holds a token while a partition of the archive is read.
+	archiveReads chan struct{}
 }
 
 // Init creates the cache, the fetcher and the RPC clients, and registers the metrics.
 func (r *Replicator) Init(registry prometheus.Registerer) {
+	r.archiveReads = make(chan struct{}, 1)
 	r.releases = make(map[ident.Digest]fleetconfig.ServedModel)
 	r.digests = make(map[fleetconfig.ServedModel]ident.Digest)
 	r.cache = &chunkcache.Cache{Epoch: time.Now().UnixMilli()}
@@ -128,7 +131,7 @@
 	}
 	r.fetcher = &fetcher.Fetcher{
 		Self:    r.peer(fetchplanner.Peer{Host: r.Self, Zone: r.Zone, Region: r.Region, Seed: r.IsSeed}),
-		Sources: []string{""}, Cache: r.cache, Peers: r.peers, FetchManifest: weights.Artifact, Logger: r.Logger,
+		Sources: []string{""}, ReadsSourcesDirectly: r.readsArchive, Cache: r.cache, Peers: r.peers, FetchManifest: weights.Artifact, Logger: r.Logger,
 		Timing: fetcher.Timing{SettleDelay: settleDelay, StallTimeout: progressTimeout, BusyDelay: busyDelay, RetryDelay: retryDelay, ResponseRate: maxUpdateRate, HeartbeatInterval: heartbeatInterval, ProgressTimeout: readerTimeout, MaxFetches: fetches},
 		FetchChunk: func(ctx context.Context, base string, k manifest.Chunk, zone ident.Zone, p weightclient.ProgressFunc) ([]byte, error) {
 			if base == "" {
@@ -408,6 +411,9 @@
 		return a, err
 	}
 	r.evictReleases(s)
+	r.mu.Lock()
+	r.fetching = s
+	r.mu.Unlock()
 	_, r.fetcher.HomeRegion = r.Origin()
 	startTime := time.Now()
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/core/fetchplanner/fetchplanner.go
+++ b/internal/core/fetchplanner/fetchplanner.go
@@ -120,6 +120,9 @@
 	ProgressTimeout time.Duration
 	// Selection selects chunks and holders.
 	Selection SelectionPolicy
+	// ReadsExternalDirectly reports whether each zone reads its own copy from the external sources at present, because they
+	// are faster than another zone. Nil means that it does not.
+	ReadsExternalDirectly func() bool
 	// PriorityClass returns the priority class of a chunk of an artifact, given its index: chunks of a lower class are
 	// read before all others. Nil puts all chunks into one class.
 	PriorityClass func(index int) int
--- a/internal/core/fetchplanner/fetchplanner_test.go
+++ b/internal/core/fetchplanner/fetchplanner_test.go
@@ -318,3 +318,23 @@
 		is.True(hasFetch)
 	})
 }
+
+// After a loss of power the archive is near to the store's region, so a zone that waits for another one gets the weights
+// later than it could read them.
+func TestZoneReadsExternalSourceDirectly(t *testing.T) {
+	for _, isDirect := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			p := &Planner{Self: Peer{Host: "a", Zone: "later", Region: "r2"}, HomeRegion: "r1", ExternalSources: 1, ReadsExternalDirectly: func() bool { return isDirect }}
+			p.SetPeers([]Peer{p.Self, {Host: "b", Zone: "home", Region: "r1"}})
+			p.SetGoal([]Goal{goal(16)}, none)
+			time.Sleep(2 * DefaultSettleDelay)
+			p.ApplyResponse("b", chunkcache.Cursor{}, chunkcache.Delta{Full: true, Added: [][]int{{}}}, []int{0, 0, 0, 0, 0, 0, 0, 0})
+			start, _ := p.Next()
+			is.Equal(len(start) > 0, isDirect)
+			for _, f := range start {
+				is.Equal(f.Source, Source{})
+			}
+		})
+	}
+}
--- a/internal/core/fetchplanner/reader.go
+++ b/internal/core/fetchplanner/reader.go
@@ -59,8 +59,12 @@
 	return true
 }
 
-// upstreamReader returns the reader of the nearest preceding zone that has not failed; nil if there is none.
+// upstreamReader returns the reader of the nearest preceding zone that has not failed; nil if there is none, or if the zone
+// reads its own copy.
 func (p *Planner) upstreamReader(s *stripe, now time.Time) *node {
+	if p.ReadsExternalDirectly != nil && p.ReadsExternalDirectly() {
+		return nil
+	}
 	for _, h := range s.upstream {
 		if !p.hasReaderFailed(s, h, now) {
 			return p.nodes[h]
--- a/internal/fetcher/fetcher.go
+++ b/internal/fetcher/fetcher.go
@@ -54,6 +54,9 @@
 	FetchManifest func(ctx context.Context, base string, d ident.Digest) (manifest.Artifact, error)
 	// FetchChunk reads a chunk from a base address.
 	FetchChunk func(ctx context.Context, base string, c manifest.Chunk, zone ident.Zone, p weightclient.ProgressFunc) ([]byte, error)
+	// ReadsSourcesDirectly reports whether each zone reads its own copy from Sources at present. Nil means that one zone
+	// reads from another where it can.
+	ReadsSourcesDirectly func() bool
 	// PriorityClass returns the rank of a chunk by its number, for a weight set of one artifact. Chunks of lower ranks are
 	// fetched first. Nil gives all chunks the same rank.
 	PriorityClass func(number int) int
@@ -140,7 +143,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.planner = &fetchplanner.Planner{
-		Self: f.Self.Peer, HomeRegion: f.HomeRegion, ExternalSources: len(f.Sources), FetchGoal: goal, PriorityClass: f.PriorityClass,
+		Self: f.Self.Peer, HomeRegion: f.HomeRegion, ExternalSources: len(f.Sources), FetchGoal: goal, PriorityClass: f.PriorityClass, ReadsExternalDirectly: f.ReadsSourcesDirectly,
 		SettleDelay: f.Timing.SettleDelay, StallTimeout: f.Timing.StallTimeout, BusyDelay: f.Timing.BusyDelay, RetryDelay: f.Timing.RetryDelay, ProgressTimeout: f.Timing.ProgressTimeout, MaxFetches: f.Timing.MaxFetches,
 	}
 	f.setPeers(peers)
