assigner: endpoints that fail far more often than their pool get single requests only

Cause: a 5xx counted as a served request, closed the breaker and shortened the service time, so that an endpoint that failed at once seemed idle and attracted requests. Each host knew only its own failures.

--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -18,6 +18,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/breaker"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/outlierejector"
 )
 
 const (
@@ -85,6 +86,12 @@
 	TimeLeft time.Duration
 	// MayUse reports whether the request may run in a zone; nil means that it may run in all.
 	MayUse func(z ident.Zone) bool
+	// IsRepeatable says that another endpoint may run the request if one fails.
+	IsRepeatable bool
+	// AvoidsSuspects excludes endpoints whose last requests have failed.
+	AvoidsSuspects bool
+	// HasFailed says that the request has failed at another endpoint, so that another failure may be its own.
+	HasFailed bool
 	// Excluded holds the ids of endpoints that must not be chosen again.
 	Excluded map[string]bool
 	// Among holds the ids of the endpoints to choose from; nil means all.
@@ -116,6 +123,7 @@
 	Release fleetconfig.Release
 
 	onUnreachable func()
+	hasFailed     bool
 	promptTokens  int
 	sentAt        time.Time
 	hasFirstEvent bool
@@ -139,6 +147,9 @@
 	// Limited means that the endpoints that serve the query limit the requests that they take, and that all hosts together
 	// have sent as many. Some of them may have asked for a pause.
 	Limited Refusal = "limited"
+	// Suspect means that only endpoints whose last requests have failed could serve the request in time, and that the query
+	// avoids them.
+	Suspect Refusal = "suspect-endpoint"
 )
 
 // GateState says whether an engine accepts requests and what it serves, as reported by the host beside it. It arrives
@@ -178,6 +189,7 @@
 	reportedAt time.Time
 	slowdown   float64
 	slowdownAt time.Time
+	outcomes   outlierejector.Member
 }
 
 // Assigner assigns requests to the known endpoints. Set its fields before use.
@@ -189,6 +201,9 @@
 	// OnLoadChange is called when the load of this host at an endpoint changes; it may be nil. It must not call the
 	// assigner.
 	OnLoadChange func(e fleetconfig.Endpoint, load Load)
+	// OnEjection is called when an endpoint that fails far more often than the others of its pool is ejected, and when it is
+	// readmitted. Nil means that none is ejected. It must not call the assigner.
+	OnEjection func(e Ejection)
 
 	mu          sync.Mutex
 	endpoints   map[string]*endpointState
@@ -200,6 +215,7 @@
 	// slowdownMeans holds the mean slowdown of the endpoints of each pool.
 	slowdownMeans map[ident.Pool]*float64
 	serviceTimes  map[ident.Pool]time.Duration
+	ejectors      map[ident.Pool]*outlierejector.Ejector
 }
 
 // SetPools replaces the configured pools.
@@ -226,6 +242,7 @@
 		a.byAddress[e.Address] = append(a.byAddress[e.Address], s)
 	}
 	a.setMembers()
+	a.setEjectors()
 }
 
 // SetGateState records the gate state that the host beside an engine reports.
@@ -259,13 +276,15 @@
 			refusal = Restricted
 		case state == paused && (refusal == NoEndpoint || refusal == Restricted):
 			refusal = Paused
-		case state == limited && refusal != Overload:
+		case state == limited && refusal != Overload && refusal != Suspect:
 			refusal = Limited
 		}
 		if state != available {
 			continue
 		}
-		refusal = Overload
+		if refusal != Suspect {
+			refusal = Overload
+		}
 		load := a.totalLoad(s, now)
 		predicted, ok := a.predict(pool, s, load, q, now)
 		if !ok || !beginsInTime(q, release, now.Add(predicted)) {
@@ -275,9 +294,16 @@
 		if s.Zone != a.Zone {
 			cost += crossZonePenalty
 		}
+		if s.outcomes.IsSuspect(now) {
+			if q.AvoidsSuspects {
+				refusal = Suspect
+				continue
+			}
+			cost += suspectPenalty
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
-			choice = &Assignment{Endpoint: s.Endpoint, Load: load, PredictedFirstEvent: predicted, Release: release, promptTokens: int(q.PromptTokens), sentAt: now, onUnreachable: q.OnUnreachable}
+			choice = &Assignment{Endpoint: s.Endpoint, Load: load, PredictedFirstEvent: predicted, Release: release, promptTokens: int(q.PromptTokens), sentAt: now, onUnreachable: q.OnUnreachable, hasFailed: q.HasFailed}
 		}
 	}
 	if best == nil {
@@ -458,6 +484,7 @@
 	}
 	s.localLoad.PendingPromptTokens = max(0, s.localLoad.PendingPromptTokens-c.promptTokens)
 	delete(s.awaitingFirstEvent, c)
+	a.countOutcome(s, c, false)
 	if c.nominalFirstEvent > 0 {
 		observed := min(maxSlowdown, max(minSlowdown, float64(now.Sub(c.sentAt))/float64(c.nominalFirstEvent)))
 		a.observeSlowdown(s, observed, now)
@@ -484,6 +511,10 @@
 	CallerGone
 	// NotSent means that no connection was tried.
 	NotSent
+	// Errored means that the endpoint responded with a server error.
+	Errored
+	// TimedOut means that the time for the request ended before the endpoint responded.
+	TimedOut
 )
 
 // Release ends the request at its endpoint and records the outcome.
@@ -503,6 +534,10 @@
 		s.localLoad.Requests = max(0, s.localLoad.Requests-1)
 		delete(s.inFlight, c)
 	}
+	a.recordOutcome(s, c, outcome)
+	if outcome == Errored && a.OnEjection == nil {
+		outcome = Served
+	}
 	switch outcome {
 	case Unreachable:
 		a.markUnreachable(s)
@@ -515,7 +550,11 @@
 		s.confirmedAt = s.lastActive
 		s.breaker.RecordSuccess()
 		a.updateServiceTime(c.Endpoint.Pool, time.Since(c.sentAt))
-	case Refused, CallerGone, NotSent:
+	case Errored:
+		// It neither closes the breaker nor counts in the time that a request takes, which would be short.
+		s.lastActive = time.Now()
+		s.confirmedAt = s.lastActive
+	case Refused, CallerGone, NotSent, TimedOut:
 	}
 	a.notifyChanged(s)
 }
--- a/internal/core/assigner/holdoff.go
+++ b/internal/core/assigner/holdoff.go
@@ -117,6 +117,8 @@
 	paused
 	// limited means that the endpoint limits its requests and that there is no permit for another one now.
 	limited
+	// ejected means that the endpoint fails far more often than the others of its pool and may not be tried now.
+	ejected
 )
 
 // availability returns whether an endpoint may receive the request of a query, and the release that it serves. The
@@ -137,6 +139,8 @@
 		return release, paused
 	case h.noPermitUntil.After(now):
 		return release, limited
+	case s.outcomes.IsEjected() && !s.allowsTrial(q, now):
+		return release, ejected
 	default:
 		return release, available
 	}
--- a/internal/core/assigner/report.go
+++ b/internal/core/assigner/report.go
@@ -69,7 +69,10 @@
 			if queried[s.ID] {
 				continue
 			}
-			if _, state := a.availability(s, q, now); state != available {
+			if _, state := a.availability(s, q, now); state != available && state != ejected {
+				continue
+			}
+			if s.outcomes.IsEjected() && !s.outcomes.Offer(now) {
 				continue
 			}
 			queried[s.ID] = true
@@ -79,7 +82,7 @@
 	if !anyZone {
 		add(m.inZone)
 	}
-	if anyZone || len(out) == 0 {
+	if anyZone || !a.hasUnsuspected(out, now) {
 		add(m.all)
 	}
 	return out
--- a/internal/core/assigner/snapshot.go
+++ b/internal/core/assigner/snapshot.go
@@ -16,6 +16,8 @@
 	// two may receive a request; zero if there is none.
 	LeavingEndpoints, PausedEndpoints, LimitedEndpoints int
 	EarliestResume                                      time.Duration
+	// EjectedEndpoints is the number of those that fail far more often than the others of their pool.
+	EjectedEndpoints int
 	// EarliestFirstEvent is the shortest predicted time to the first event at a usable endpoint; zero if there is none.
 	EarliestFirstEvent time.Duration
 	// ReportedEndpoints is the number of endpoints for which a recent report of the other hosts' load is in use, and
@@ -49,6 +51,8 @@
 		case limited:
 			out.LimitedEndpoints++
 			out.addResume(a.holdoffs.Get(s.Incarnation()).noPermitUntil.Sub(now))
+		case ejected:
+			out.EjectedEndpoints++
 		case available, notServing:
 		}
 		if state != available {
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -57,5 +57,7 @@
 	RequestWithdrawn       = Event{1709, log.InfoLevel, "request withdrawn from an engine on an older release before it began"}
 	ProcessFailed          = Event{1753, log.ErrorLevel, "process failed"}
 	ZoneEvacuated          = Event{1760, log.WarnLevel, "zone is evacuated; its endpoints get no requests"}
+	EndpointEjected        = Event{1785, log.WarnLevel, "endpoint fails far more often than the others of its pool; it gets single requests only"}
+	EndpointReadmitted     = Event{1786, log.InfoLevel, "ejected endpoint is in use again"}
 	ZoneReturned           = Event{1761, log.InfoLevel, "evacuation of a zone has ended"}
 )
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -192,6 +192,7 @@
 		return g.assignWithPermit(ctx, query)
 	}
 	among := make(map[string]bool)
+	query.AvoidsSuspects = true
 	var refusal assigner.Refusal
 	for round := range assigner.MaxRounds {
 		candidates := g.Assigner.Candidates(*query, among, round > 0)
@@ -206,9 +207,14 @@
 		}
 	}
 	if query.Among == nil {
+		query.AvoidsSuspects = false
 		// No endpoint could be queried. The assigner knows the reason.
 		return g.assignWithPermit(ctx, query)
 	}
+	if refusal == assigner.Suspect {
+		query.AvoidsSuspects = false
+		return g.assignWithPermit(ctx, query)
+	}
 	return nil, refusal
 }
 
@@ -234,11 +240,21 @@
 func (g *Gateway) tryEndpoint(ctx context.Context, req *request, state *requestState, choice *assigner.Assignment) (isDone bool) {
 	result := assigner.CallerGone // unless sendAttempt returns
 	defer func() { g.Assigner.Release(choice, result) }()
+	sentAt := time.Now()
 	result, isDone = g.sendAttempt(ctx, req, state, choice)
+	if result == assigner.CallerGone && hasTimedOut(ctx, req, state, sentAt) {
+		result = assigner.TimedOut
+	}
 	state.outcome = result
 	return isDone
 }
 
+// hasTimedOut reports whether an attempt ended because the endpoint did not respond in the time for the request. An attempt
+// that had less time than the objective of the route says nothing about the endpoint.
+func hasTimedOut(ctx context.Context, req *request, state *requestState, sentAt time.Time) bool {
+	return errors.Is(ctx.Err(), context.DeadlineExceeded) && req.r.Context().Err() == nil && state.receivedEvents() == 0 && time.Since(sentAt) >= req.route.Objective
+}
+
 // waitForEndpoints waits a moment for endpoints to recover, such as engines that are loading after a power failure,
 // and reports whether to try again. Only callers that retry after a refusal wait, since they do not retry a second
 // time. A request does not wait if an endpoint may have run it, or if too little time would be left for a response.
@@ -258,7 +274,7 @@
 func (g *Gateway) assignerQuery(req *request, state *requestState) assigner.Query {
 	query := assigner.Query{
 		Pool: req.pool, Model: req.Model, PromptTokens: req.PromptTokens, Excluded: state.tried, BeginDeadline: g.BeginDeadline,
-		MayUse:   g.zoneFilter(req),
+		MayUse: g.zoneFilter(req), IsRepeatable: req.route.MayRepeat(), HasFailed: state.mayHaveRun > 0,
 		TimeLeft: req.route.Objective - req.earlierTime - time.Since(req.arrivedAt), ConfirmedAfter: state.refusedAt,
 	}
 	if req.route.MayRepeat() {
@@ -328,7 +344,7 @@
 func refusalFields(snapshot assigner.Snapshot, timeLeft time.Duration) log.Fields {
 	return log.Fields{
 		"left": timeLeft.Milliseconds(), "serving": snapshot.ServingEndpoints, "unusable": snapshot.UnusableEndpoints, "soonest": snapshot.EarliestFirstEvent.Milliseconds(),
-		"restricted": snapshot.RestrictedEndpoints, "leaving": snapshot.LeavingEndpoints, "paused": snapshot.PausedEndpoints, "limited": snapshot.LimitedEndpoints,
+		"restricted": snapshot.RestrictedEndpoints, "leaving": snapshot.LeavingEndpoints, "paused": snapshot.PausedEndpoints, "limited": snapshot.LimitedEndpoints, "ejected": snapshot.EjectedEndpoints,
 		"reports": snapshot.ReportedEndpoints, "oldest": snapshot.OldestReport.Milliseconds(),
 	}
 }
@@ -391,7 +407,7 @@
 		// statuses.
 		state.mayHaveRun++
 		state.lastErr = &outcome.Error{Kind: outcome.Unknown, Reason: outcome.ConnectionLost, Message: "status " + strconv.Itoa(resp.Status)}
-		return assigner.Served, false
+		return outcomeOfStatus(resp.Status), false
 	case resp.Status == http.StatusOK && req.route.Kind == fleetconfig.Stream:
 		return g.forwardStream(ctx, req, state, resp, info)
 	default:
@@ -441,6 +457,14 @@
 	}
 }
 
+// outcomeOfStatus returns the outcome of a complete response for the endpoint.
+func outcomeOfStatus(status int) assigner.Outcome {
+	if status >= http.StatusInternalServerError {
+		return assigner.Errored
+	}
+	return assigner.Served
+}
+
 // recordFailure counts an attempt that got no response and returns its result for the endpoint.
 func (s *requestState) recordFailure(ctx context.Context, req *request, err error) assigner.Outcome {
 	s.lastErr = err
@@ -486,7 +510,7 @@
 	if resp.Status >= http.StatusInternalServerError {
 		state.heldResponse = &bufferedResponse{status: resp.Status, header: resp.Header, body: body}
 		state.lastErr = &outcome.Error{Kind: outcome.Unknown, Reason: outcome.ConnectionLost, Message: "status " + strconv.Itoa(resp.Status)}
-		return assigner.Served, false
+		return outcomeOfStatus(resp.Status), false
 	}
 	g.writeResponse(req, resp.Status, resp.Header, body)
 	return assigner.Served, true
@@ -512,7 +536,7 @@
 		return assigner.CallerGone, false
 	}
 	g.recordResponse(req, nil, resp.Status)
-	return assigner.Served, true
+	return outcomeOfStatus(resp.Status), true
 }
 
 // writeHeader forwards a response header without its hop-by-hop fields. A negative length means that the length of the
--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -89,6 +89,8 @@
 	// RetryRatio and RetryBurst bound the retries of the entire fleet in a time window: the ratio of its requests, and a
 	// number beyond that.
 	RetryRatio, RetryBurst float64
+	// EjectsOutliers says that endpoints that fail far more often than the others of their pool get no requests.
+	EjectsOutliers bool
 	// RolloutTimeout is the time after which requests may no longer begin on an older release.
 	RolloutTimeout time.Duration
 	// Codec parses and writes the headers of requests and responses.
@@ -152,6 +154,10 @@
 	}
 	exchanger.Init()
 	h.assigner.OnLoadChange = exchanger.LoadChanged
+	if h.EjectsOutliers {
+		h.initEjections(registry)
+		exchanger.Outcomes = h.assigner.OutcomeTotals
+	}
 	h.initFacts(exchanger)
 	h.initEvacuations(registry)
 	tracker := &fleettracker.Tracker{RolloutTimeout: h.RolloutTimeout}
--- a/internal/gatewayserver/load.go
+++ b/internal/gatewayserver/load.go
@@ -57,6 +57,9 @@
 
 func (h *Server) handleLoadReply(e fleetconfig.Endpoint, r loadexchanger.Reply) {
 	h.assigner.SetReport(e, r.Load)
+	if r.Outcomes != nil {
+		h.assigner.SetOutcomes(e, *r.Outcomes)
+	}
 	if r.IsLeaving && h.assigner.RecordLeaving(e) {
 		event.EndpointLeaving.Log(h.Logger, log.Fields{"endpoint": e.ID, "born": e.StartTime, "source": "entry host"})
 	}
--- a/internal/loadexchanger/loadexchanger.go
+++ b/internal/loadexchanger/loadexchanger.go
@@ -22,6 +22,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/loadtracker"
+	"github.com/nutmegdock/nutmegdock/internal/core/outcometracker"
 	"github.com/nutmegdock/nutmegdock/internal/core/presencetracker"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/factexchanger"
@@ -53,6 +54,8 @@
 	LoadedEndpoints func() []fleetconfig.Endpoint
 	// IsLeaving reports whether an endpoint has told this host that it is leaving.
 	IsLeaving func(e fleetconfig.Endpoint) bool
+	// Outcomes returns the numbers of requests of this host at an endpoint by outcome. It may be nil or return nil.
+	Outcomes func(e fleetconfig.Endpoint) *outcometracker.Totals
 	// Limit returns what this host knows of the limit that an endpoint has stated, and OnLimit receives what the responder
 	// knows. Both are nil on hosts that send no requests.
 	Limit   func(e fleetconfig.Endpoint) fleetconfig.RateLimit
@@ -166,6 +169,9 @@
 	r := &Report{
 		Endpoint: e.ID, StartTime: e.StartTime, Load: x.LocalLoad(e), Process: x.process, Serial: x.serial, IsLeaving: x.IsLeaving(e), Query: queryID,
 	}
+	if x.Outcomes != nil {
+		r.Outcomes = x.Outcomes(e)
+	}
 	x.reportMu.Unlock()
 	x.send(message{Host: x.Host, Report: r, Limit: x.limitOf(e)}, to)
 }
@@ -291,10 +297,11 @@
 	switch {
 	case m.Report != nil:
 		others, isLeaving, limit := x.trackers.record(m.Host, m.Report, m.Limit.rateLimit())
+		outcomes := x.trackers.recordOutcomes(m.Host, m.Report)
 		if m.Report.Query == 0 {
 			return
 		}
-		reply := &Reply{Query: m.Report.Query, Load: others, IsLeaving: isLeaving}
+		reply := &Reply{Query: m.Report.Query, Load: others, IsLeaving: isLeaving, Outcomes: outcomes}
 		if x.Gate != nil {
 			reply.Gate = x.Gate()
 		}
--- a/internal/loadexchanger/message.go
+++ b/internal/loadexchanger/message.go
@@ -9,6 +9,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/outcometracker"
 	"github.com/nutmegdock/nutmegdock/internal/core/presencetracker"
 	"github.com/nutmegdock/nutmegdock/internal/factexchanger"
 )
@@ -87,6 +88,8 @@
 	IsLeaving bool
 	// Query identifies the reply that the sender waits for; zero if it waits for none.
 	Query uint64
+	// Outcomes holds the numbers of the sender's requests by outcome; nil if it does not count them.
+	Outcomes *outcometracker.Totals
 }
 
 // Reply states the load of all hosts at an endpoint but the one that has sent the query.
@@ -97,6 +100,8 @@
 	IsLeaving bool
 	// Gate is the gate state of the engine, if the sender is beside one and has something to announce.
 	Gate *assigner.GateState
+	// Outcomes holds the outcomes at the endpoint; nil if none are known.
+	Outcomes *outcometracker.Sums
 }
 
 func encode(m message) ([]byte, error) {
--- a/internal/loadexchanger/trackers.go
+++ b/internal/loadexchanger/trackers.go
@@ -8,6 +8,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/loadtracker"
+	"github.com/nutmegdock/nutmegdock/internal/core/outcometracker"
 	"github.com/nutmegdock/nutmegdock/internal/core/ratelimiter"
 )
 
@@ -15,6 +16,7 @@
 	loadtracker.Tracker
 	isLeaving bool
 	limiter   ratelimiter.Limiter
+	outcomes  outcometracker.Tracker
 	lastUsed  time.Time
 }
 
@@ -36,6 +38,25 @@
 	return e.Others(h), e.isLeaving, e.limiter.Limit()
 }
 
+// recordOutcomes stores the outcomes that came with a report, and returns those of all hosts, or nil if none are known.
+func (t *trackers) recordOutcomes(h ident.Host, r *Report) *outcometracker.Sums {
+	if r.Outcomes == nil {
+		return nil
+	}
+	t.mu.Lock()
+	e := t.get(fleetconfig.Incarnation{ID: r.Endpoint, StartTime: r.StartTime})
+	t.mu.Unlock()
+	e.outcomes.Record(h, *r.Outcomes, r.Process, r.Serial)
+	if r.Query == 0 {
+		return nil
+	}
+	sums, ok := e.outcomes.Sums(r.Outcomes.Zone)
+	if !ok {
+		return nil
+	}
+	return &sums
+}
+
 // takePermit takes a permit for one request to an endpoint, and returns its limit.
 func (t *trackers) takePermit(p *permitRequest, limit fleetconfig.RateLimit) (ok bool, wait time.Duration, merged fleetconfig.RateLimit) {
 	t.mu.Lock()
