--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -58,5 +58,7 @@
 	ProcessFailed          = Event{1753, log.ErrorLevel, "process failed"}
 	ReleaseStalled         = Event{1754, log.WarnLevel, "release does not arrive; an earlier one is fetched meanwhile"}
 	ZoneEvacuated          = Event{1760, log.WarnLevel, "zone is evacuated; its endpoints get no requests"}
+	EndpointEjected        = Event{1785, log.WarnLevel, "endpoint fails far more often than the others of its pool; it gets single requests only"}
+	EndpointReadmitted     = Event{1786, log.InfoLevel, "ejected endpoint is in use again"}
 	ZoneReturned           = Event{1761, log.InfoLevel, "evacuation of a zone has ended"}
 )
