Cross-zone load balancing: spare capacity, links and returns decide on the use of other zones

Cause: a constant penalty of 20 ms decided between zones, and once three random endpoints of the own zone were busy, endpoints of all zones were queried at random. Requests left zones that had room, links that were slow or lost replies got as many requests as others, and a zone that was cut off or evacuated got all of its requests back at once.

core/zonebalancer decides from the replies to the queries that requests make anyway: no message and no field is added. Zones that Query.MayUse excludes are not weighted, and each endpoint is checked again as before.

--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -18,6 +18,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/breaker"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/zonebalancer"
 )
 
 const (
@@ -29,9 +30,6 @@
 	// candidatesPerRound is the number of endpoints whose load is queried at a time. More of them find a fast endpoint
 	// among slow ones more often, at two messages each.
 	candidatesPerRound = 3
-	// crossZonePenalty is how much earlier the first event must be in another zone for that zone to be chosen: reports
-	// from hosts of other zones are older, and traffic between regions costs money.
-	crossZonePenalty = 20 * time.Millisecond
 	// objectiveMargin is the part of the objective reserved for the network and the passes of the engine.
 	objectiveMargin = 40 * time.Millisecond
 	// waitSafetyFactor multiplies the predicted wait for other requests before it is compared with the objective,
@@ -189,6 +187,9 @@
 	// OnLoadChange is called when the load of this host at an endpoint changes; it may be nil. It must not call the
 	// assigner.
 	OnLoadChange func(e fleetconfig.Endpoint, load Load)
+	// Balancer decides on the use of other zones. Nil means that their endpoints are queried once those of the own zone
+	// cannot serve a request, and chosen at a fixed margin.
+	Balancer *zonebalancer.Balancer
 
 	mu          sync.Mutex
 	endpoints   map[string]*endpointState
@@ -252,6 +253,8 @@
 	var choice *Assignment
 	var bestCost time.Duration
 	refusal := NoEndpoint
+	// Without queries, there are no reports to rely on.
+	isStrict := a.Balancer != nil && q.Among != nil && a.hasOwnAvailable(q, now)
 	for s := range a.eligible(q) {
 		release, state := a.availability(s, q, now)
 		switch {
@@ -267,14 +270,17 @@
 		}
 		refusal = Overload
 		load := a.totalLoad(s, now)
-		predicted, ok := a.predict(pool, s, load, q, now)
+		var predicted, margin time.Duration
+		var ok bool
+		if s.Zone == a.Zone {
+			predicted, ok = a.predict(pool, s, load, q, now)
+		} else {
+			predicted, margin, ok = a.predictElsewhere(pool, s, load, q, now, isStrict)
+		}
 		if !ok || !beginsInTime(q, release, now.Add(predicted)) {
 			continue
 		}
-		cost := predicted + time.Duration(a.random()*float64(maxCostJitter))
-		if s.Zone != a.Zone {
-			cost += crossZonePenalty
-		}
+		cost := predicted + margin + time.Duration(a.random()*float64(maxCostJitter))
 		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
 			choice = &Assignment{Endpoint: s.Endpoint, Load: load, PredictedFirstEvent: predicted, Release: release, promptTokens: int(q.PromptTokens), sentAt: now, onUnreachable: q.OnUnreachable}
@@ -284,6 +290,9 @@
 		return nil, refusal
 	}
 	choice.nominalFirstEvent = time.Duration(float64(choice.PredictedFirstEvent) / a.currentSlowdown(best, now))
+	if a.Balancer != nil {
+		a.Balancer.RecordAssigned(best.Zone)
+	}
 	best.localLoad.Requests++
 	best.localLoad.PendingPromptTokens += choice.promptTokens
 	best.awaitingFirstEvent[choice] = true
--- a/internal/core/assigner/probe.go
+++ b/internal/core/assigner/probe.go
@@ -30,6 +30,7 @@
 			other.down = true
 		}
 	}
+	a.checkCutOff(s.Zone)
 }
 
 // DueProbes returns the endpoints that should be probed now: those out of use, and those with requests of this host
@@ -63,8 +64,12 @@
 	s.down = !ok
 	if ok {
 		s.lastActive = time.Now()
+		if a.Balancer != nil && changed {
+			a.Balancer.RecordReachable(s.Zone)
+		}
 		return changed
 	}
+	a.checkCutOff(s.Zone)
 	for c := range s.inFlight {
 		if c.onUnreachable != nil {
 			c.onUnreachable()
--- a/internal/core/assigner/report.go
+++ b/internal/core/assigner/report.go
@@ -12,9 +12,10 @@
 // MaxRounds is the number of times that candidates are queried for one attempt before it is refused.
 const MaxRounds = 3
 
-// poolMembers lists the endpoints of a pool: those of this host's zone, and all.
+// poolMembers lists the endpoints of a pool: those of this host's zone, all, and those of each zone.
 type poolMembers struct {
 	inZone, all []*endpointState
+	zones       []zoneMembers
 }
 
 // reportMean is the mean of the reported loads of the other hosts at the endpoints of a pool.
@@ -33,6 +34,7 @@
 			a.members[s.Pool] = m
 		}
 		m.all = append(m.all, s)
+		m.addZone(s)
 		if s.Zone == a.Zone {
 			m.inZone = append(m.inZone, s)
 		}
@@ -41,7 +43,7 @@
 
 // Candidates returns up to candidatesPerRound endpoints that may serve the query, at random and without those of
 // queried, and adds them to queried. It prefers endpoints of this host's zone. Once none of them is left, or if anyZone
-// is set, it takes those of all zones.
+// is set, it takes those of all zones, as the balancer decides.
 //
 // Hosts that see few requests each know the loads at most endpoints only as of long ago. A choice among a few random
 // endpoints whose exact load is queried needs neither their knowledge nor a number of messages that grows with the fleet.
@@ -52,37 +54,18 @@
 	if m == nil {
 		return nil
 	}
-	now := time.Now()
-	var out []fleetconfig.Endpoint
-	add := func(list []*endpointState) {
-		if len(list) == 0 {
-			return
-		}
-		start := min(len(list)-1, int(a.random()*float64(len(list))))
-		// A stride that is coprime to the length visits each endpoint once, in an order that differs between requests.
-		stride := coprimeStride(len(list), a.random())
-		for i := range list {
-			if len(out) >= candidatesPerRound {
-				return
-			}
-			s := list[(start+i*stride)%len(list)]
-			if queried[s.ID] {
-				continue
-			}
-			if _, state := a.availability(s, q, now); state != available {
-				continue
-			}
-			queried[s.ID] = true
-			out = append(out, s.Endpoint)
-		}
+	p := &candidatePicker{a: a, q: q, now: time.Now(), queried: queried}
+	if a.Balancer != nil {
+		p.addByZone(m, anyZone)
+		return p.out
 	}
 	if !anyZone {
-		add(m.inZone)
+		p.add(m.inZone, candidatesPerRound)
 	}
-	if anyZone || len(out) == 0 {
-		add(m.all)
+	if anyZone || len(p.out) == 0 {
+		p.add(m.all, candidatesPerRound)
 	}
-	return out
+	return p.out
 }
 
 // coprimeStride returns a stride below n that is coprime to n, chosen by draw in [0, 1).
@@ -124,6 +107,7 @@
 		return
 	}
 	s.othersLoad, s.reportedAt = others, time.Now()
+	a.recordSpare(s)
 	if a.reportMeans == nil {
 		a.reportMeans = make(map[ident.Pool]*reportMean)
 	}
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -58,4 +58,8 @@
 	ProcessFailed          = Event{1753, log.ErrorLevel, "process failed"}
 	ZoneEvacuated          = Event{1760, log.WarnLevel, "zone is evacuated; its endpoints get no requests"}
 	ZoneReturned           = Event{1761, log.InfoLevel, "evacuation of a zone has ended"}
+	ZoneImpaired           = Event{1790, log.WarnLevel, "zone gets fewer requests from other zones"}
+	ZoneRecovered          = Event{1791, log.InfoLevel, "zone gets all of its requests again"}
+	SpillBegun             = Event{1792, log.InfoLevel, "requests are sent to other zones"}
+	SpillEnded             = Event{1793, log.InfoLevel, "requests stay in their zone again"}
 )
--- a/internal/gatewayserver/evacuation.go
+++ b/internal/gatewayserver/evacuation.go
@@ -19,6 +19,7 @@
 		gauge.WithLabelValues(string(z)).Set(0)
 	}
 	h.evacuations = &evacuationtracker.Tracker{OnChange: func(z ident.Zone, isEvacuated bool) {
+		h.balancer.RecordEvacuation(z, isEvacuated)
 		if isEvacuated {
 			gauge.WithLabelValues(string(z)).Set(1)
 			event.ZoneEvacuated.Log(h.Logger, log.Fields{"zone": string(z)})
--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -27,6 +27,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/presencetracker"
 	"github.com/nutmegdock/nutmegdock/internal/core/retrybudget"
+	"github.com/nutmegdock/nutmegdock/internal/core/zonebalancer"
 	"github.com/nutmegdock/nutmegdock/internal/core/zonerestrictor"
 	"github.com/nutmegdock/nutmegdock/internal/dialer"
 	"github.com/nutmegdock/nutmegdock/internal/event"
@@ -115,6 +116,7 @@
 
 	presence    *presencetracker.Tracker
 	evacuations *evacuationtracker.Tracker
+	balancer    *zonebalancer.Balancer
 	// readStoreSnapshot reads a snapshot from the store itself.
 	readStoreSnapshot func(ctx context.Context, topic string) (watcher.Snapshot, error)
 	// restored signals that this host's entry may be gone from the store, and archiveAgain that the archived weights may
@@ -145,10 +147,12 @@
 	}
 	h.startTime = time.Now()
 	h.presence = &presencetracker.Tracker{Self: self, Zone: h.Zone}
-	h.assigner = &assigner.Assigner{Zone: h.Zone}
+	h.initZones(registry)
+	h.assigner = &assigner.Assigner{Zone: h.Zone, Balancer: h.balancer}
 	exchanger := &loadexchanger.Exchanger{
 		Host: h.Name, Responder: h.loadResponder, LocalLoad: h.assigner.LocalLoad, LoadedEndpoints: h.assigner.LoadedEndpoints,
 		IsLeaving: h.assigner.IsLeaving, Limit: h.assigner.Limit, OnLimit: h.handleLimit, OnReply: h.handleLoadReply, OnGate: h.assigner.SetGateState, Presence: h.presence, Logger: h.Logger,
+		OnRoundTrip: h.handleRoundTrip, OnMissedReply: h.handleMissedReply,
 	}
 	exchanger.Init()
 	h.assigner.OnLoadChange = exchanger.LoadChanged
--- a/internal/loadexchanger/loadexchanger.go
+++ b/internal/loadexchanger/loadexchanger.go
@@ -59,6 +59,10 @@
 	OnLimit func(e fleetconfig.Endpoint, limit fleetconfig.RateLimit)
 	// OnReply receives a reply to a query for an endpoint.
 	OnReply func(e fleetconfig.Endpoint, r Reply)
+	// OnRoundTrip receives the time that a reply for an endpoint has taken, and OnMissedReply an endpoint whose reply was
+	// waited for and has not arrived in time. Both may be nil, and must not call the exchanger.
+	OnRoundTrip   func(e fleetconfig.Endpoint, took time.Duration)
+	OnMissedReply func(e fleetconfig.Endpoint)
 	// OnGate receives the state of an engine from the host beside it.
 	OnGate func(g assigner.GateState)
 	// Presence decides on the beats of an entry host. It is nil on other hosts.
@@ -90,6 +94,7 @@
 type query struct {
 	endpoint  fleetconfig.Endpoint
 	responder netip.AddrPort
+	sentAt    time.Time
 	// replied receives a value with the reply if the query is waited for. It never blocks.
 	replied chan<- struct{}
 	// granted receives the grant of a query for a permit. It never blocks.
@@ -182,7 +187,7 @@
 		if !to.IsValid() {
 			continue
 		}
-		q := &query{endpoint: e, responder: to}
+		q := &query{endpoint: e, responder: to, sentAt: time.Now()}
 		id := rand.Uint64() | 1 // zero means no query
 		ids = append(ids, id)
 		x.mu.Lock()
@@ -222,6 +227,9 @@
 		}
 		if isTimeout {
 			x.silentUntil[q.responder] = time.Now().Add(silentTimeout)
+			if x.OnMissedReply != nil && q.replied != nil {
+				x.OnMissedReply(q.endpoint)
+			}
 		}
 		time.AfterFunc(silentTimeout, func() {
 			x.mu.Lock()
@@ -334,6 +342,9 @@
 	}
 	x.notifyLimit(q.endpoint, limit)
 	x.OnReply(q.endpoint, r)
+	if x.OnRoundTrip != nil {
+		x.OnRoundTrip(q.endpoint, time.Since(q.sentAt))
+	}
 	if r.Gate != nil {
 		x.OnGate(*r.Gate)
 	}
