--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -61,4 +61,8 @@
 	EndpointEjected        = Event{1785, log.WarnLevel, "endpoint fails far more often than the others of its pool; it gets single requests only"}
 	EndpointReadmitted     = Event{1786, log.InfoLevel, "ejected endpoint is in use again"}
 	ZoneReturned           = Event{1761, log.InfoLevel, "evacuation of a zone has ended"}
+	ZoneImpaired           = Event{1790, log.WarnLevel, "zone gets fewer requests from other zones"}
+	ZoneRecovered          = Event{1791, log.InfoLevel, "zone gets all of its requests again"}
+	SpillBegun             = Event{1792, log.InfoLevel, "requests are sent to other zones"}
+	SpillEnded             = Event{1793, log.InfoLevel, "requests stay in their zone again"}
 )
