assigner: requests are admitted by rank, with slots reserved for more urgent ones

Cause: the prediction counted all waiting requests, so a request with a long objective fitted where a more urgent one with a short objective did not. The priority of a route had no effect.

Ranks come from the configuration and are sent as Request-Priority; loads are reported by class. The prediction counts what is ahead of the rank, core/slotreserver sizes the slots that less urgent ranks leave free, and requests whose objective has passed come after all ranks.

--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -18,6 +18,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/breaker"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/slotreserver"
 )
 
 const (
@@ -32,12 +33,6 @@
 	// crossZonePenalty is how much earlier the first event must be in another zone for that zone to be chosen: reports
 	// from hosts of other zones are older, and traffic between regions costs money.
 	crossZonePenalty = 20 * time.Millisecond
-	// objectiveMargin is the part of the objective reserved for the network and the passes of the engine.
-	objectiveMargin = 40 * time.Millisecond
-	// waitSafetyFactor multiplies the predicted wait for other requests before it is compared with the objective,
-	// because the wait is less certain than the request's own prefill time. In replays of overload, fewer requests
-	// start in time with a factor below 1.5 or above 3.
-	waitSafetyFactor = 2.0
 	// defaultServiceTime is the assumed duration of a request at a plain service until one has been observed.
 	defaultServiceTime = 30 * time.Millisecond
 	// maxCostJitter is the largest random part of a cost. It keeps hosts from all choosing the same one of two equal
@@ -45,13 +40,6 @@
 	maxCostJitter = 10 * time.Millisecond
 	// plainQueueFactor is the number of requests that may wait at a plain service, as a multiple of its slots.
 	plainQueueFactor = 2
-	// lateSlotShare is the share of the slots up to which an engine receives requests whose objective has already
-	// passed.
-	lateSlotShare = 0.9
-	// maxLateWait is the longest predicted wait at an engine that receives a request whose objective has already
-	// passed. It admits about one request from each entry host of a zone until the hosts have received each other's
-	// loads.
-	maxLateWait = 120 * time.Millisecond
 	// slowdownWeight is the weight of one observation in the slowdown of an endpoint. slowdownDecayTime is the time
 	// after which the slowdown has halved its distance from one if there is no new observation.
 	slowdownWeight    = 0.25
@@ -81,6 +69,8 @@
 	BeginDeadline func(m fleetconfig.Model, r fleetconfig.Release) time.Time
 	// PromptTokens is the number of prompt tokens.
 	PromptTokens float64
+	// Rank is the priority class of the request; 0 is the most urgent.
+	Rank ident.Rank
 	// TimeLeft is the rest of the objective; zero or less means that the objective has already passed.
 	TimeLeft time.Duration
 	// MayUse reports whether the request may run in a zone; nil means that it may run in all.
@@ -97,14 +87,6 @@
 	OnUnreachable func()
 }
 
-// Load is the load that one entry host has at an endpoint.
-type Load struct {
-	_ struct{} `cbor:",toarray"`
-	// Requests is the number of requests in flight. PendingPromptTokens is the number of prompt tokens of those that
-	// have not received a first event.
-	Requests, PendingPromptTokens int
-}
-
 // Assignment is the endpoint assigned to a request, with the figures behind the decision.
 type Assignment struct {
 	Endpoint fleetconfig.Endpoint
@@ -114,9 +96,12 @@
 	PredictedFirstEvent time.Duration
 	// Release is the release of the weights at the endpoint; zero at a plain service.
 	Release fleetconfig.Release
+	// IsLate says that the objective of the request had passed.
+	IsLate bool
 
 	onUnreachable func()
 	promptTokens  int
+	class         Class
 	sentAt        time.Time
 	hasFirstEvent bool
 	// nominalFirstEvent is the predicted time to the first event at a slowdown of one.
@@ -178,6 +163,8 @@
 	reportedAt time.Time
 	slowdown   float64
 	slowdownAt time.Time
+	// reservationShift decides whether a fractional number of reserved slots is rounded up at this endpoint.
+	reservationShift float64
 }
 
 // Assigner assigns requests to the known endpoints. Set its fields before use.
@@ -200,6 +187,8 @@
 	// slowdownMeans holds the mean slowdown of the endpoints of each pool.
 	slowdownMeans map[ident.Pool]*float64
 	serviceTimes  map[ident.Pool]time.Duration
+	// reservers holds the reservation of slots in each pool.
+	reservers map[ident.Pool]*slotreserver.Reserver
 }
 
 // SetPools replaces the configured pools.
@@ -219,7 +208,7 @@
 	for _, e := range all {
 		s := old[e.ID]
 		if s == nil || s.StartTime != e.StartTime || s.Address != e.Address {
-			s = &endpointState{awaitingFirstEvent: make(map[*Assignment]bool), inFlight: make(map[*Assignment]bool), slowdown: 1, lastActive: time.Now(), confirmedAt: time.Now()}
+			s = &endpointState{awaitingFirstEvent: make(map[*Assignment]bool), inFlight: make(map[*Assignment]bool), slowdown: 1, lastActive: time.Now(), confirmedAt: time.Now(), reservationShift: reservationShift(e.ID)}
 		}
 		s.Endpoint = e
 		a.endpoints[e.ID] = s
@@ -277,15 +266,17 @@
 		}
 		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
-			choice = &Assignment{Endpoint: s.Endpoint, Load: load, PredictedFirstEvent: predicted, Release: release, promptTokens: int(q.PromptTokens), sentAt: now, onUnreachable: q.OnUnreachable}
+			choice = &Assignment{Endpoint: s.Endpoint, Load: load, PredictedFirstEvent: predicted, Release: release, promptTokens: int(q.PromptTokens), class: q.class(), IsLate: q.TimeLeft <= 0, sentAt: now, onUnreachable: q.OnUnreachable}
 		}
 	}
 	if best == nil {
 		return nil, refusal
 	}
 	choice.nominalFirstEvent = time.Duration(float64(choice.PredictedFirstEvent) / a.currentSlowdown(best, now))
-	best.localLoad.Requests++
-	best.localLoad.PendingPromptTokens += choice.promptTokens
+	best.localLoad.add(choice.class, choice.promptTokens)
+	if q.TimeLeft > 0 {
+		a.reserver(q.Pool).Admit(q.Rank)
+	}
 	best.awaitingFirstEvent[choice] = true
 	best.inFlight[choice] = true
 	a.notifyChanged(best)
@@ -326,58 +317,6 @@
 	return release, ok && (release == q.Release || !q.ExactRelease && release > q.Release)
 }
 
-func slotCount(pool *fleetconfig.Pool, s *endpointState) int {
-	if pool != nil && pool.Engine != nil && pool.Engine.Slots > 0 {
-		return pool.Engine.Slots
-	}
-	return max(1, s.Slots)
-}
-
-func prefillTime(e *fleetconfig.EngineProfile, tokens float64) time.Duration {
-	if e.PrefillRate <= 0 {
-		return 0
-	}
-	return time.Duration(tokens / e.PrefillRate * float64(time.Second))
-}
-
-// stepTime returns the duration of one step with n requests in the batch.
-func stepTime(e *fleetconfig.EngineProfile, n int) time.Duration {
-	const perThousand = 1000
-	context := (e.PromptTokens + e.ResponseTokens/2) / perThousand * float64(e.StepTimePerThousandTokens)
-	return e.StepTime + time.Duration(float64(n)*(float64(e.StepTimePerRequest)+context))
-}
-
-// slotReleaseTime returns the mean time until one of n requests in a full batch completes.
-func slotReleaseTime(e *fleetconfig.EngineProfile, n int) time.Duration {
-	return prefillTime(e, e.PromptTokens) + time.Duration(e.ResponseTokens/float64(max(1, n))*float64(stepTime(e, n)))
-}
-
-// predict returns the predicted time to the first event, and whether the request may be assigned to the endpoint.
-func (a *Assigner) predict(pool *fleetconfig.Pool, s *endpointState, load Load, q Query, now time.Time) (time.Duration, bool) {
-	slots := slotCount(pool, s)
-	if pool == nil || pool.Engine == nil {
-		serviceTime := a.serviceTimes[s.Pool]
-		if serviceTime == 0 {
-			serviceTime = defaultServiceTime
-		}
-		serviceTime = time.Duration(float64(serviceTime) * a.currentSlowdown(s, now))
-		wait := serviceTime * time.Duration(max(0, load.Requests+1-slots)) / time.Duration(slots)
-		// Each request in flight adds a little to the wait, so that equal endpoints receive equal shares.
-		wait += serviceTime * time.Duration(load.Requests) / time.Duration(4*slots)
-		return max(wait+serviceTime, s.overdueWait(now)), load.Requests < slots*(1+plainQueueFactor)
-	}
-	e := pool.Engine
-	slowdown := a.currentSlowdown(s, now)
-	passTime := time.Duration(e.StepsPerPass) * stepTime(e, min(slots, load.Requests+1))
-	processingTime := time.Duration(slowdown * float64(passTime/2+prefillTime(e, q.PromptTokens)+passTime))
-	wait := prefillTime(e, float64(load.PendingPromptTokens)) + time.Duration(max(0, load.Requests+1-slots))*slotReleaseTime(e, slots)
-	wait = max(time.Duration(slowdown*float64(wait)), s.overdueWait(now)-processingTime)
-	if q.TimeLeft <= 0 {
-		return processingTime + wait, float64(load.Requests) < lateSlotShare*float64(slots) && wait <= maxLateWait
-	}
-	return processingTime + wait, processingTime+time.Duration(waitSafetyFactor*float64(wait)) <= q.TimeLeft-objectiveMargin
-}
-
 // overdueWait returns the age of the oldest request without a first event that is later than predicted by more than
 // overdueGrace, or zero if there is none.
 func (s *endpointState) overdueWait(now time.Time) time.Duration {
@@ -456,7 +395,7 @@
 	if !isFirst || !s.inFlight[c] {
 		return
 	}
-	s.localLoad.PendingPromptTokens = max(0, s.localLoad.PendingPromptTokens-c.promptTokens)
+	s.localLoad.begin(c.class, c.promptTokens)
 	delete(s.awaitingFirstEvent, c)
 	if c.nominalFirstEvent > 0 {
 		observed := min(maxSlowdown, max(minSlowdown, float64(now.Sub(c.sentAt))/float64(c.nominalFirstEvent)))
@@ -497,10 +436,10 @@
 	// A request that was sent before the endpoint's entry went and returned is not counted in its load.
 	if s.inFlight[c] {
 		if !c.hasFirstEvent {
-			s.localLoad.PendingPromptTokens = max(0, s.localLoad.PendingPromptTokens-c.promptTokens)
+			s.localLoad.begin(c.class, c.promptTokens)
 			delete(s.awaitingFirstEvent, c)
 		}
-		s.localLoad.Requests = max(0, s.localLoad.Requests-1)
+		s.localLoad.remove(c.class)
 		delete(s.inFlight, c)
 	}
 	switch outcome {
--- a/internal/core/assigner/load_test.go
+++ b/internal/core/assigner/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -16,7 +17,7 @@
 	a := &assigner.Assigner{Zone: "z", Random: func() float64 { return 0 }}
 	e := fleetconfig.Endpoint{ID: "e", Pool: "p", Address: "e", Zone: "z", Slots: 10}
 	assign := func() *assigner.Assignment {
-		choice, refusal := a.Assign(assigner.Query{Pool: "p", PromptTokens: 100})
+		choice, refusal := a.Assign(assigner.Query{Pool: "p", PromptTokens: 100, Rank: 2, TimeLeft: time.Second})
 		is.Equal(refusal, assigner.Refusal(""))
 		return choice
 	}
@@ -28,9 +29,13 @@
 	a.RecordFirstEvent(first)
 	a.Release(first, assigner.Served)
 	a.Release(second, assigner.Served)
-	is.Equal(a.LocalLoad(e), assigner.Load{Requests: 1, PendingPromptTokens: 100})
+	want := assigner.Load{Requests: 1, PendingPromptTokens: 100}
+	want.Classes[2] = assigner.ClassLoad{Requests: 1, Waiting: 1, PendingPromptTokens: 100}
+	is.Equal(a.LocalLoad(e), want)
 	a.RecordFirstEvent(third)
-	is.Equal(a.LocalLoad(e), assigner.Load{Requests: 1})
+	want = assigner.Load{Requests: 1}
+	want.Classes[2] = assigner.ClassLoad{Requests: 1}
+	is.Equal(a.LocalLoad(e), want)
 	a.Release(third, assigner.Served)
 	is.Equal(a.LocalLoad(e), assigner.Load{})
 }
--- a/internal/core/assigner/report.go
+++ b/internal/core/assigner/report.go
@@ -19,8 +19,8 @@
 
 // reportMean is the mean of the reported loads of the other hosts at the endpoints of a pool.
 type reportMean struct {
-	requests, pendingPromptTokens float64
-	at                            time.Time
+	loadMean
+	at time.Time
 }
 
 // setMembers rebuilds the lists of endpoints. The caller must hold a.mu.
@@ -124,16 +124,17 @@
 		return
 	}
 	s.othersLoad, s.reportedAt = others, time.Now()
+	a.observeShares(s)
 	if a.reportMeans == nil {
 		a.reportMeans = make(map[ident.Pool]*reportMean)
 	}
 	mean := a.reportMeans[s.Pool]
 	if mean == nil {
-		mean = &reportMean{requests: float64(others.Requests), pendingPromptTokens: float64(others.PendingPromptTokens)}
+		mean = &reportMean{}
+		mean.update(others, 1)
 		a.reportMeans[s.Pool] = mean
 	}
-	mean.requests += reportSmoothing * (float64(others.Requests) - mean.requests)
-	mean.pendingPromptTokens += reportSmoothing * (float64(others.PendingPromptTokens) - mean.pendingPromptTokens)
+	mean.update(others, reportSmoothing)
 	mean.at = s.reportedAt
 }
 
@@ -165,13 +166,10 @@
 func (a *Assigner) totalLoad(s *endpointState, now time.Time) Load {
 	total := s.localLoad
 	if !s.reportedAt.IsZero() && now.Sub(s.reportedAt) <= reportTTL {
-		total.Requests += s.othersLoad.Requests
-		total.PendingPromptTokens += s.othersLoad.PendingPromptTokens
-		return total
+		return total.Plus(s.othersLoad)
 	}
 	if mean := a.reportMeans[s.Pool]; mean != nil && now.Sub(mean.at) <= reportTTL {
-		total.Requests += int(mean.requests)
-		total.PendingPromptTokens += int(mean.pendingPromptTokens)
+		return total.Plus(mean.load())
 	}
 	return total
 }
--- a/internal/core/assigner/snapshot.go
+++ b/internal/core/assigner/snapshot.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 )
 
 // Snapshot holds the state that led to a refusal, for the logs.
@@ -22,6 +24,8 @@
 	// OldestReport the age of the oldest of these.
 	ReportedEndpoints int
 	OldestReport      time.Duration
+	// ReservedSlots is the largest number of slots that an engine keeps free of the request for more urgent ones.
+	ReservedSlots int
 }
 
 // Snapshot returns what this host knows about the endpoints for a query. It changes nothing.
@@ -58,6 +62,9 @@
 			out.ReportedEndpoints++
 			out.OldestReport = max(out.OldestReport, age)
 		}
+		if pool != nil && pool.Engine != nil {
+			out.ReservedSlots = max(out.ReservedSlots, a.reserver(q.Pool).Slots(ident.Rank(q.class()), s.reservationShift))
+		}
 		predicted, _ := a.predict(pool, s, a.totalLoad(s, now), q, now)
 		if out.EarliestFirstEvent == 0 || predicted < out.EarliestFirstEvent {
 			out.EarliestFirstEvent = predicted
--- a/internal/core/fleetconfig/fleetconfig.go
+++ b/internal/core/fleetconfig/fleetconfig.go
@@ -141,15 +141,18 @@
 	Keys map[Key]*Organisation
 
 	routesByHost map[string][]*Route
+	ranks        map[priorityPair]ident.Rank
 }
 
-// SetRoutes sets the routes of the configuration. It must be called before the configuration is used.
+// SetRoutes sets the routes of the configuration and numbers the ranks. It must be called after Keys is set and before the
+// configuration is used.
 func (c *Config) SetRoutes(routes []Route) {
 	c.routesByHost = make(map[string][]*Route)
 	for i := range routes {
 		r := &routes[i]
 		c.routesByHost[r.Host] = append(c.routesByHost[r.Host], r)
 	}
+	c.setRanks()
 }
 
 // FindRoute returns the route of the host with the longest prefix that matches the path, or nil.
--- a/internal/core/ident/ident.go
+++ b/internal/core/ident/ident.go
@@ -86,3 +86,6 @@
 func DeploymentObject(o Organisation, d Deployment) ObjectPath {
 	return ObjectPath("deployment/" + string(o) + "/" + string(d))
 }
+
+// Rank is the priority class of a request; 0 is the most urgent.
+type Rank int
--- a/internal/core/loadtracker/loadtracker.go
+++ b/internal/core/loadtracker/loadtracker.go
@@ -52,8 +52,7 @@
 			continue
 		}
 		if other != h {
-			total.Requests += r.load.Requests
-			total.PendingPromptTokens += r.load.PendingPromptTokens
+			total = total.Plus(r.load)
 		}
 	}
 	return total
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -56,6 +56,7 @@
 	ResponseAborted        = Event{1705, log.WarnLevel, "response aborted"}
 	RequestWithdrawn       = Event{1709, log.InfoLevel, "request withdrawn from an engine on an older release before it began"}
 	ProcessFailed          = Event{1753, log.ErrorLevel, "process failed"}
+	SlotsReserved          = Event{1780, log.InfoLevel, "requests are refused to keep slots free for more urgent ones"}
 	ZoneEvacuated          = Event{1760, log.WarnLevel, "zone is evacuated; its endpoints get no requests"}
 	ZoneReturned           = Event{1761, log.InfoLevel, "evacuation of a zone has ended"}
 )
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,6 +87,7 @@
 	isRefusing     atomic.Bool
 	activeRequests atomic.Int64
 	attempts       attemptList
+	reservations   reservationLog
 	checks         crashChecks
 	mu             sync.Mutex
 	// longestRemaining is the longest remaining time that a caller has stated of late, by route. First attempts state it.
@@ -155,6 +156,7 @@
 	route     *fleetconfig.Route
 	org       *fleetconfig.Organisation
 	pool      ident.Pool
+	rank      ident.Rank
 	config    *fleetconfig.Config
 	body      []byte
 	arrivedAt time.Time
@@ -236,6 +238,7 @@
 	}
 	req.deadline = req.arrivedAt.Add(timeout)
 	req.pool = req.route.PickPool(hashFraction(req.ID))
+	req.rank = req.config.Rank(req.route, req.org)
 	req.earlierTime = g.earlierTime(req)
 	g.RetryBudget.AddRequest()
 	return nil
@@ -314,7 +317,7 @@
 		f["revision"] = int64(req.config.Revision)
 	}
 	if req.route != nil {
-		f["route"] = req.route.Name
+		f["route"], f["rank"] = req.route.Name, int(req.rank)
 	}
 	if req.earlierTime > 0 {
 		f["spent"] = req.earlierTime.Milliseconds()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -42,7 +42,7 @@
 		}
 	},
 	EndpointHeader: func(r *http.Request, h headercodec.EndpointRequest) http.Header {
-		out := http.Header{"Id": r.Header["Id"], "Org": {string(h.Organisation)}, "To": {h.Endpoint}}
+		out := http.Header{"Id": r.Header["Id"], "Org": {string(h.Organisation)}, "To": {h.Endpoint}, "Priority": {strconv.Itoa(h.Priority)}}
 		if h.HasAfter {
 			out.Set("After", strconv.FormatInt(h.After, 10))
 		}
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 )
 
 // Meter counts requests. Use NewMeter.
@@ -16,6 +18,8 @@
 	timeToFirstEvent prometheus.Histogram
 	crashes          prometheus.Counter
 	quarantined      prometheus.Gauge
+	assigned         *prometheus.CounterVec
+	overloads        *prometheus.CounterVec
 }
 
 // NewMeter registers the metrics and returns their meter.
@@ -30,7 +34,9 @@
 		crashes:          prometheus.NewCounter(prometheus.CounterOpts{Name: "nutmegdock_gateway_crashes_total", Help: "Crashes of endpoints that this host has observed."}),
 		quarantined:      prometheus.NewGauge(prometheus.GaugeOpts{Name: "nutmegdock_gateway_quarantined_features", Help: "Features of requests that are quarantined."}),
 	}
-	r.MustRegister(m.responses, m.refusals, m.truncated, m.duration, m.timeToFirstEvent, m.crashes, m.quarantined)
+	m.assigned = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "nutmegdock_gateway_assigned_total", Help: "Attempts that were assigned to an endpoint, by rank and by whether their objective had passed."}, []string{"rank", "late"})
+	m.overloads = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "nutmegdock_gateway_overloads_total", Help: "Refusals for overload, by rank, by whether the objective had passed and by whether slots were reserved for more urgent requests."}, []string{"rank", "late", "reserved"})
+	r.MustRegister(m.responses, m.refusals, m.truncated, m.duration, m.timeToFirstEvent, m.crashes, m.quarantined, m.assigned, m.overloads)
 	return m
 }
 
@@ -64,3 +70,13 @@
 func (m *Meter) AddQuarantined(n int) {
 	m.quarantined.Add(float64(n))
 }
+
+// CountAssigned counts an attempt that was assigned to an endpoint.
+func (m *Meter) CountAssigned(rank ident.Rank, isLate bool) {
+	m.assigned.WithLabelValues(strconv.Itoa(int(rank)), strconv.FormatBool(isLate)).Inc()
+}
+
+// CountOverload counts a refusal for overload.
+func (m *Meter) CountOverload(rank ident.Rank, isLate, isReserved bool) {
+	m.overloads.WithLabelValues(strconv.Itoa(int(rank)), strconv.FormatBool(isLate), strconv.FormatBool(isReserved)).Inc()
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -107,6 +107,7 @@
 	state := &requestState{tried: make(map[string]bool)}
 	state.sequencer.LastID, state.sequencer.LastIDKnown = req.After, req.HasAfter
 	defer g.attempts.remove(&state.attempt)
+	g.recordArrival(req)
 	for {
 		if state.headerSent && state.release > 0 && state.release < g.OldestRelease(req.Model) {
 			// A stream can only resume on the release that it began on, and no request may begin on that any more.
@@ -133,6 +134,8 @@
 			snapshot := g.Assigner.Snapshot(query)
 			state.refusalDetails = refusalFields(snapshot, query.TimeLeft)
 			switch refusal {
+			case assigner.Overload:
+				g.recordOverload(req, query.TimeLeft <= 0, snapshot.ReservedSlots)
 			case assigner.Paused:
 				state.resumeIn = snapshot.EarliestResume
 			case assigner.Limited:
@@ -143,6 +146,7 @@
 			return
 		}
 		state.tried[choice.Endpoint.ID] = true
+		g.Meter.CountAssigned(req.rank, choice.IsLate)
 		state.load, state.predictedFirstEvent = choice.Load, choice.PredictedFirstEvent
 		state.onEvent = func() { g.Assigner.RecordFirstEvent(choice) }
 		g.Logger.WithFields(g.logFields(req)).WithFields(log.Fields{
@@ -259,6 +263,7 @@
 	query := assigner.Query{
 		Pool: req.pool, Model: req.Model, PromptTokens: req.PromptTokens, Excluded: state.tried, BeginDeadline: g.BeginDeadline,
 		MayUse:   g.zoneFilter(req),
+		Rank:     req.rank,
 		TimeLeft: req.route.Objective - req.earlierTime - time.Since(req.arrivedAt), ConfirmedAfter: state.refusedAt,
 	}
 	if req.route.MayRepeat() {
@@ -329,7 +334,7 @@
 	return log.Fields{
 		"left": timeLeft.Milliseconds(), "serving": snapshot.ServingEndpoints, "unusable": snapshot.UnusableEndpoints, "soonest": snapshot.EarliestFirstEvent.Milliseconds(),
 		"restricted": snapshot.RestrictedEndpoints, "leaving": snapshot.LeavingEndpoints, "paused": snapshot.PausedEndpoints, "limited": snapshot.LimitedEndpoints,
-		"reports": snapshot.ReportedEndpoints, "oldest": snapshot.OldestReport.Milliseconds(),
+		"reports": snapshot.ReportedEndpoints, "oldest": snapshot.OldestReport.Milliseconds(), "reserved": snapshot.ReservedSlots,
 	}
 }
 
@@ -343,12 +348,9 @@
 // sendAttempt makes one attempt. It returns the result for the endpoint, and whether the caller has got the complete
 // response.
 func (g *Gateway) sendAttempt(ctx context.Context, req *request, state *requestState, choice *assigner.Assignment) (assigner.Outcome, bool) {
-	endpointReq := headercodec.EndpointRequest{Endpoint: choice.Endpoint.ID, Priority: req.route.Priority}
+	endpointReq := headercodec.EndpointRequest{Endpoint: choice.Endpoint.ID, Priority: endpointPriority(req, choice)}
 	if req.org != nil {
 		endpointReq.Organisation = req.org.Name
-		if req.org.HasPriority {
-			endpointReq.Priority = req.org.Priority
-		}
 	}
 	if req.Remaining > 0 {
 		endpointReq.Remaining = req.Remaining - time.Since(req.arrivedAt)
