--- a/internal/core/assigner/uneven_replay_test.go
+++ b/internal/core/assigner/uneven_replay_test.go
@@ -42,12 +42,9 @@
 	wake         chan struct{}
 }
 
-// passTime returns the duration of a pass with n requests in the batch and some prompt tokens, at a pace of one.
-func passTime(promptTokens, n int) time.Duration {
-	p := billingProfile
-	context := (p.PromptTokens + p.ResponseTokens/2) / 1000 * float64(p.StepTimePerThousandTokens)
-	step := p.StepTime + time.Duration(float64(n)*(float64(p.StepTimePerRequest)+context))
-	return time.Duration(float64(promptTokens)/p.PrefillRate*float64(time.Second)) + time.Duration(p.StepsPerPass)*step
+// prefillPassTime returns the duration of a pass with n requests in the batch and some prompt tokens, at a pace of one.
+func prefillPassTime(promptTokens, n int) time.Duration {
+	return time.Duration(float64(promptTokens)/billingProfile.PrefillRate*float64(time.Second)) + passTime(billingProfile, n)
 }
 
 func (e *unevenEngine) run(start, end time.Time) {
@@ -63,7 +60,7 @@
 				tokens += j.promptTokens
 			}
 		}
-		took := time.Duration(float64(passTime(tokens, len(e.batch))) * e.pace(time.Since(start)))
+		took := time.Duration(float64(prefillPassTime(tokens, len(e.batch))) * e.pace(time.Since(start)))
 		e.passEnds = time.Now().Add(took)
 		isIdle := len(e.batch) == 0
 		e.mu.Unlock()
@@ -151,7 +148,7 @@
 			batch[i].remaining -= billingProfile.StepsPerPass
 			isBegun = isBegun || batch[i].isNew
 		}
-		at = at.Add(time.Duration(float64(passTime(tokens, len(batch))) * e.pace(at.Sub(start))))
+		at = at.Add(time.Duration(float64(prefillPassTime(tokens, len(batch))) * e.pace(at.Sub(start))))
 		if isBegun {
 			return at
 		}
@@ -389,7 +386,7 @@
 			mu.Unlock()
 		}
 		p := billingProfile
-		cost := p.PromptTokens/p.PrefillRate + p.ResponseTokens/float64(p.Slots)*passTime(0, p.Slots).Seconds()/float64(p.StepsPerPass)
+		cost := p.PromptTokens/p.PrefillRate + p.ResponseTokens/float64(p.Slots)*prefillPassTime(0, p.Slots).Seconds()/float64(p.StepsPerPass)
 		interval := cost / r.load / float64(len(engines))
 		for time.Now().Before(end) {
 			time.Sleep(time.Duration(rng.ExpFloat64() * interval * float64(time.Second)))
--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -92,6 +92,8 @@
 	RetryRatio, RetryBurst float64
 	// EjectsOutliers says that endpoints that fail far more often than the others of their pool get no requests.
 	EjectsOutliers bool
+	// BalancesZones says that the use of other zones depends on the spare capacity of the zones and the links between them.
+	BalancesZones bool
 	// RolloutTimeout is the time after which requests may no longer begin on an older release.
 	RolloutTimeout time.Duration
 	// Codec parses and writes the headers of requests and responses.
@@ -150,7 +152,10 @@
 	h.startTime = time.Now()
 	h.presence = &presencetracker.Tracker{Self: self, Zone: h.Zone}
 	h.initZones(registry)
-	h.assigner = &assigner.Assigner{Zone: h.Zone, Balancer: h.balancer}
+	h.assigner = &assigner.Assigner{Zone: h.Zone}
+	if h.BalancesZones {
+		h.assigner.Balancer = h.balancer
+	}
 	exchanger := &loadexchanger.Exchanger{
 		Host: h.Name, Responder: h.loadResponder, LocalLoad: h.assigner.LocalLoad, LoadedEndpoints: h.assigner.LoadedEndpoints,
 		IsLeaving: h.assigner.IsLeaving, Limit: h.assigner.Limit, OnLimit: h.handleLimit, OnReply: h.handleLoadReply, OnGate: h.assigner.SetGateState, Presence: h.presence, Logger: h.Logger,
