gateway: requests are held before their last round, and Retry-After follows the expected capacity

Cause: a refused caller was always told to wait for a third of its time, which makes each retry late, also where a slot was free a moment later, and invites retries during an overload that lasts.

core/requestholder delays the last round of queries by an eighth of the objective at most, in order of rank. core/capacityforecaster derives Retry-After from recent outcomes.

--- a/internal/core/assigner/predict.go
+++ b/internal/core/assigner/predict.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
-	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 )
 
 const (
@@ -28,6 +27,9 @@
 	// maxLateWaiting is the number of requests whose objective has passed and that have had no first event, up to which an
 	// engine receives another one.
 	maxLateWaiting = 1
+	// lateReservationDivisor divides the slots that requests in time need to get those that late ones leave free. In replays
+	// of sustained overload, engines were idle more often without it, and 3 let more requests start late.
+	lateReservationDivisor = 2
 	// maxUrgentShare bounds the share of an engine that is taken to be used by more urgent requests that arrive while a
 	// request waits, so that its wait is predicted to be at most four times as long.
 	maxUrgentShare = 0.75
@@ -122,11 +124,10 @@
 	}
 	e := pool.Engine
 	slowdown := a.currentSlowdown(s, now)
-	passTime := time.Duration(e.StepsPerPass) * stepTime(e, min(slots, load.Requests+1))
-	processingTime := time.Duration(slowdown * float64(passTime/2+prefillTime(e, q.PromptTokens)+passTime))
+	processing := time.Duration(slowdown * float64(processingTime(e, min(slots, load.Requests+1), q.PromptTokens)))
 	wait := aheadOf(load, q.class(), slots).wait(e, slots)
-	wait = max(time.Duration(slowdown*float64(wait)), s.overdueWait(now)-processingTime)
-	predicted := processingTime + wait
+	wait = max(time.Duration(slowdown*float64(wait)), s.overdueWait(now)-processing)
+	predicted := processing + wait
 	if q.TimeLeft <= 0 {
 		return predicted, wait <= maxLateWait && a.admitsLate(s, load, slots)
 	}
@@ -134,18 +135,37 @@
 	if a.reserver(q.Pool).HasLessUrgent(q.Rank) {
 		factor = urgentWaitSafetyFactor
 	}
-	if processingTime+time.Duration(factor*float64(wait)) > q.TimeLeft-objectiveMargin {
+	if processing+time.Duration(factor*float64(wait)) > q.TimeLeft-objectiveMargin {
 		return predicted, false
 	}
-	reserved := a.reserver(q.Pool).Slots(q.Rank, s.reservationShift)
+	reserved := a.reservedSlots(q.class(), s)
 	return predicted, reserved == 0 || load.Requests-load.Classes[lateClass].Requests+1 <= slots-reserved
 }
 
-// admitsLate reports whether an engine may receive a request whose objective has passed: it must leave the slots free that
-// requests still in time need.
+// admitsLate reports whether an engine may receive a request whose objective has passed: it must leave slots free for
+// requests that are still in time.
 func (a *Assigner) admitsLate(s *endpointState, load Load, slots int) bool {
 	if float64(load.Requests) >= lateSlotShare*float64(slots) || load.Classes[lateClass].Waiting > maxLateWaiting {
 		return false
 	}
-	return load.Requests+1 <= slots-a.reserver(s.Pool).Slots(ident.Rank(lateClass), s.reservationShift)
+	return load.Requests+1 <= slots-a.reservedSlots(lateClass, s)/lateReservationDivisor
+}
+
+// ServiceTime returns the predicted time to the first event of a request at an engine of its pool that nothing is ahead at;
+// zero for a plain service.
+func (a *Assigner) ServiceTime(q Query) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	pool := a.pools[q.Pool]
+	if pool == nil || pool.Engine == nil {
+		return 0
+	}
+	return processingTime(pool.Engine, pool.Engine.Slots, q.PromptTokens) + objectiveMargin
+}
+
+// processingTime returns the predicted time to the first event of a request that is admitted at once to a batch of n, at a
+// slowdown of one: it waits for half a pass on average, and then for its own.
+func processingTime(e *fleetconfig.EngineProfile, n int, promptTokens float64) time.Duration {
+	passTime := time.Duration(e.StepsPerPass) * stepTime(e, n)
+	return passTime/2 + prefillTime(e, promptTokens) + passTime
 }
--- a/internal/core/assigner/reserve.go
+++ b/internal/core/assigner/reserve.go
@@ -7,10 +7,13 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/slotreserver"
 )
 
-// RecordArrival counts a request that has arrived for a pool.
-func (a *Assigner) RecordArrival(p ident.Pool, rank ident.Rank) {
+// RecordArrival counts a request that has arrived for a pool. isLate says that its objective has passed.
+func (a *Assigner) RecordArrival(p ident.Pool, rank ident.Rank, isLate bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if isLate {
+		rank = ident.Rank(lateClass)
+	}
 	a.reserver(p).Arrive(rank)
 }
 
@@ -41,6 +44,16 @@
 	return r
 }
 
+// reservedSlots returns the number of slots of an engine that a request of a class must leave free. The caller must hold
+// a.mu.
+func (a *Assigner) reservedSlots(c Class, s *endpointState) int {
+	r := a.reserver(s.Pool)
+	if c != lateClass && r.IsStarved(ident.Rank(c)) {
+		return 0
+	}
+	return r.Slots(ident.Rank(c), s.reservationShift)
+}
+
 // reservationShift returns a number in [0, 1) that depends on the id of the endpoint alone, so that all hosts reserve
 // slots at the same engines.
 func reservationShift(id string) float64 {
--- a/internal/core/assigner/snapshot.go
+++ b/internal/core/assigner/snapshot.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 )
 
 // Snapshot holds the state that led to a refusal, for the logs.
@@ -63,7 +61,7 @@
 			out.OldestReport = max(out.OldestReport, age)
 		}
 		if pool != nil && pool.Engine != nil {
-			out.ReservedSlots = max(out.ReservedSlots, a.reserver(q.Pool).Slots(ident.Rank(q.class()), s.reservationShift))
+			out.ReservedSlots = max(out.ReservedSlots, a.reservedSlots(q.class(), s))
 		}
 		predicted, _ := a.predict(pool, s, a.totalLoad(s, now), q, now)
 		if out.EarliestFirstEvent == 0 || predicted < out.EarliestFirstEvent {
--- a/internal/core/slotreserver/slotreserver.go
+++ b/internal/core/slotreserver/slotreserver.go
@@ -93,26 +93,33 @@
 // fractional: shift in [0, 1) is a constant of the engine, the same at all hosts, that decides which engines round up.
 func (r *Reserver) Slots(rank ident.Rank, shift float64) int {
 	r.decay()
-	var total counts
-	var urgentArrived, load float64
+	var load float64
+	isUrgentPresent := false
 	for i, c := range r.ranks {
-		total.arrived += c.arrived
-		total.admitted += c.admitted
 		if i < int(rank) && c.arrived >= minArrivals {
-			urgentArrived += c.arrived
+			isUrgentPresent = true
 			load += c.share * c.arrived / max(c.admitted, minAdmittedShare*c.arrived)
 		}
 	}
-	if urgentArrived == 0 {
-		return 0
-	}
-	if own := r.of(rank); own.arrived >= minArrivals && own.admitted*total.arrived < minServedShare*total.admitted*own.arrived {
+	if !isUrgentPresent {
 		return 0
 	}
 	load = min(maxLoad, load)
 	return int(slotsPerLoad*load/(1-load) + shift)
 }
 
+// IsStarved reports whether a rank is served so much less often than all ranks together that nothing may be kept free of it.
+func (r *Reserver) IsStarved(rank ident.Rank) bool {
+	r.decay()
+	var total counts
+	for _, c := range r.ranks {
+		total.arrived += c.arrived
+		total.admitted += c.admitted
+	}
+	own := r.of(rank)
+	return own.arrived >= minArrivals && own.admitted*total.arrived < minServedShare*total.admitted*own.arrived
+}
+
 // HasLessUrgent reports whether requests of less urgent ranks have arrived recently.
 func (r *Reserver) HasLessUrgent(rank ident.Rank) bool {
 	r.decay()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/crashsuspector"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/requestholder"
 	"github.com/nutmegdock/nutmegdock/internal/core/retrybudget"
 	"github.com/nutmegdock/nutmegdock/internal/core/zonerestrictor"
 	"github.com/nutmegdock/nutmegdock/internal/event"
@@ -88,6 +89,8 @@
 	activeRequests atomic.Int64
 	attempts       attemptList
 	reservations   reservationLog
+	holder         requestholder.Holder
+	forecasters    forecasters
 	checks         crashChecks
 	mu             sync.Mutex
 	// longestRemaining is the longest remaining time that a caller has stated of late, by route. First attempts state it.
@@ -164,6 +167,8 @@
 	deadline time.Time
 	// earlierTime is the time that the caller has spent on earlier attempts.
 	earlierTime time.Duration
+	// heldFor is how long the request was held before it was tried again.
+	heldFor time.Duration
 	// features are what the request has in common with other requests.
 	features []crashsuspector.Feature
 }
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -20,6 +20,8 @@
 	quarantined      prometheus.Gauge
 	assigned         *prometheus.CounterVec
 	overloads        *prometheus.CounterVec
+	unpromising      prometheus.Counter
+	held             prometheus.Histogram
 }
 
 // NewMeter registers the metrics and returns their meter.
@@ -36,6 +38,9 @@
 	}
 	m.assigned = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "nutmegdock_gateway_assigned_total", Help: "Attempts that were assigned to an endpoint, by rank and by whether their objective had passed."}, []string{"rank", "late"})
 	m.overloads = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "nutmegdock_gateway_overloads_total", Help: "Refusals for overload, by rank, by whether the objective had passed and by whether slots were reserved for more urgent requests."}, []string{"rank", "late", "reserved"})
+	m.unpromising = prometheus.NewCounter(prometheus.CounterOpts{Name: "nutmegdock_gateway_unpromising_total", Help: "Refusals for overload without Retry-After, because no retry is expected to succeed."})
+	m.held = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "nutmegdock_gateway_held_seconds", Help: "Time for which requests were held before their last round of queries.", Buckets: []float64{.01, .02, .05, .1, .15, .2}})
+	r.MustRegister(m.unpromising, m.held)
 	r.MustRegister(m.responses, m.refusals, m.truncated, m.duration, m.timeToFirstEvent, m.crashes, m.quarantined, m.assigned, m.overloads)
 	return m
 }
@@ -80,3 +85,13 @@
 func (m *Meter) CountOverload(rank ident.Rank, isLate, isReserved bool) {
 	m.overloads.WithLabelValues(strconv.Itoa(int(rank)), strconv.FormatBool(isLate), strconv.FormatBool(isReserved)).Inc()
 }
+
+// CountUnpromising counts a refusal without a time to retry after.
+func (m *Meter) CountUnpromising() {
+	m.unpromising.Inc()
+}
+
+// ObserveHeld records for how long a request was held.
+func (m *Meter) ObserveHeld(took time.Duration) {
+	m.held.Observe(took.Seconds())
+}
--- a/internal/gateway/rank.go
+++ b/internal/gateway/rank.go
@@ -1,13 +1,18 @@
 package gateway
 
 import (
+	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
+	"github.com/nutmegdock/nutmegdock/internal/core/capacityforecaster"
+	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/requestholder"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 )
 
@@ -27,11 +32,9 @@
 	return int(req.rank)
 }
 
-// recordArrival counts a request that can still be served in time.
+// recordArrival counts a request.
 func (g *Gateway) recordArrival(req *request) {
-	if req.earlierTime < req.route.Objective {
-		g.Assigner.RecordArrival(req.pool, req.rank)
-	}
+	g.Assigner.RecordArrival(req.pool, req.rank, req.earlierTime >= req.route.Objective)
 }
 
 // reservationLog limits the log lines about the reservation of slots.
@@ -55,10 +58,67 @@
 	return true
 }
 
-// recordOverload counts a refusal for overload, and logs that slots are kept free for more urgent requests.
-func (g *Gateway) recordOverload(req *request, isLate bool, reserved int) {
+// recordAssigned counts an attempt that was assigned to an endpoint.
+func (g *Gateway) recordAssigned(req *request, choice *assigner.Assignment) {
+	g.Meter.CountAssigned(req.rank, choice.IsLate)
+	g.forecasters.of(req.pool).Record(req.rank, choice.IsLate, true)
+}
+
+// recordOverload counts a refusal for overload, and sets when its caller should retry. It logs that slots are kept free for
+// more urgent requests.
+func (g *Gateway) recordOverload(req *request, state *requestState, query assigner.Query, reserved int) {
+	isLate := query.TimeLeft <= 0
 	g.Meter.CountOverload(req.rank, isLate, reserved > 0)
 	if reserved > 0 && !isLate && g.reservations.isDue(req.pool) {
 		event.SlotsReserved.Log(g.Logger.WithFields(g.logFields(req)), log.Fields{"pool": string(req.pool), "rank": int(req.rank), "slots": reserved})
 	}
+	f := g.forecasters.of(req.pool)
+	f.Record(req.rank, isLate, false)
+	if query.Model == "" {
+		return // the forecast is based on engines
+	}
+	longest := g.RetryAfter(req.Remaining - time.Since(req.arrivedAt))
+	state.resumeIn = f.RetryAfter(capacityforecaster.Refused{
+		Rank: req.rank, TimeLeft: query.TimeLeft, ServiceTime: g.Assigner.ServiceTime(query), Longest: longest,
+	})
+	state.noRetry = state.resumeIn == 0
+	if state.noRetry {
+		g.Meter.CountUnpromising()
+	}
+}
+
+// hold delays the last round of an attempt that would be refused for overload, by an eighth of the objective at most. The
+// most urgent request is let go first when a request of this host ends, and those whose objective has passed last.
+func (g *Gateway) hold(ctx context.Context, req *request, query *assigner.Query) {
+	rank := req.rank
+	if query.TimeLeft <= 0 {
+		rank = fleetconfig.MaxRanks
+	}
+	heldAt := time.Now()
+	left := requestholder.Limit(req.route.Objective) - req.heldFor
+	if !g.holder.Hold(ctx, rank, left) {
+		return
+	}
+	took := time.Since(heldAt)
+	req.heldFor += took
+	query.TimeLeft -= took
+	g.Meter.ObserveHeld(took)
+}
+
+// forecasters holds the forecaster of each pool.
+type forecasters struct {
+	mu     sync.Mutex
+	byPool map[ident.Pool]*capacityforecaster.Forecaster
+}
+
+func (f *forecasters) of(p ident.Pool) *capacityforecaster.Forecaster {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.byPool == nil {
+		f.byPool = make(map[ident.Pool]*capacityforecaster.Forecaster)
+	}
+	if f.byPool[p] == nil {
+		f.byPool[p] = &capacityforecaster.Forecaster{Random: rand.Float64}
+	}
+	return f.byPool[p]
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -78,6 +78,8 @@
 	lastEventAt              time.Time
 	// load is the load of the current endpoint when it was chosen.
 	load assigner.Load
+	// noRetry says that a retry has no prospect of success.
+	noRetry bool
 	// resumeIn is the time until the first endpoint takes requests again, if all have asked for a pause or limit them.
 	resumeIn time.Duration
 	// refusalDetails is this host's view of the endpoints when it found none for the request, for the log.
@@ -121,7 +123,7 @@
 			return
 		}
 		query := g.assignerQuery(req, state)
-		choice, refusal := g.assign(attemptCtx, &query)
+		choice, refusal := g.assign(attemptCtx, req, &query)
 		if refusal == "" && !state.refusedAt.IsZero() && !g.RetryBudget.SpendRetry() {
 			g.Assigner.Release(choice, assigner.NotSent)
 			refusal = budgetExhausted
@@ -135,7 +137,7 @@
 			state.refusalDetails = refusalFields(snapshot, query.TimeLeft)
 			switch refusal {
 			case assigner.Overload:
-				g.recordOverload(req, query.TimeLeft <= 0, snapshot.ReservedSlots)
+				g.recordOverload(req, state, query, snapshot.ReservedSlots)
 			case assigner.Paused:
 				state.resumeIn = snapshot.EarliestResume
 			case assigner.Limited:
@@ -146,7 +148,7 @@
 			return
 		}
 		state.tried[choice.Endpoint.ID] = true
-		g.Meter.CountAssigned(req.rank, choice.IsLate)
+		g.recordAssigned(req, choice)
 		state.load, state.predictedFirstEvent = choice.Load, choice.PredictedFirstEvent
 		state.onEvent = func() { g.Assigner.RecordFirstEvent(choice) }
 		g.Logger.WithFields(g.logFields(req)).WithFields(log.Fields{
@@ -190,14 +192,17 @@
 }
 
 // assign chooses an endpoint among a few candidates, whose load it queries first. While none of them can serve the
-// request in time, it tries further ones. It sets the endpoints that query chose from.
-func (g *Gateway) assign(ctx context.Context, query *assigner.Query) (*assigner.Assignment, assigner.Refusal) {
+// request in time, it tries further ones, the last ones after a moment. It sets the endpoints that query chose from.
+func (g *Gateway) assign(ctx context.Context, req *request, query *assigner.Query) (*assigner.Assignment, assigner.Refusal) {
 	if g.QueryLoads == nil {
 		return g.assignWithPermit(ctx, query)
 	}
 	among := make(map[string]bool)
 	var refusal assigner.Refusal
 	for round := range assigner.MaxRounds {
+		if round == assigner.MaxRounds-1 && refusal == assigner.Overload {
+			g.hold(ctx, req, query)
+		}
 		candidates := g.Assigner.Candidates(*query, among, round > 0)
 		if len(candidates) == 0 || ctx.Err() != nil {
 			break
@@ -237,7 +242,10 @@
 // connection. It reports whether the caller has got the complete response.
 func (g *Gateway) tryEndpoint(ctx context.Context, req *request, state *requestState, choice *assigner.Assignment) (isDone bool) {
 	result := assigner.CallerGone // unless sendAttempt returns
-	defer func() { g.Assigner.Release(choice, result) }()
+	defer func() {
+		g.Assigner.Release(choice, result)
+		g.holder.Wake()
+	}()
 	result, isDone = g.sendAttempt(ctx, req, state, choice)
 	state.outcome = result
 	return isDone
@@ -319,7 +327,7 @@
 	default:
 		remaining := req.Remaining - time.Since(req.arrivedAt)
 		retryAfter := g.RetryAfter(remaining)
-		if reason == reasonRestricted {
+		if reason == reasonRestricted || state.noRetry {
 			retryAfter = 0
 		}
 		if state.resumeIn > 0 && state.resumeIn < remaining {
