--- a/internal/core/outcome/outcome.go
+++ b/internal/core/outcome/outcome.go
@@ -46,6 +46,7 @@
 	OtherWeightSet Reason = "moved"        // the endpoint serves another weight set
 	EndpointClosed Reason = "closed"       // the endpoint accepts no requests now
 	Restricted     Reason = "restricted"   // the request must not run in the zone of the endpoint
+	Memory         Reason = "memory"       // too much is buffered for the endpoint
 )
 
 // Error is the end of a request without a response.
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -58,4 +58,8 @@
 	ProcessFailed          = Event{1753, log.ErrorLevel, "process failed"}
 	ZoneEvacuated          = Event{1760, log.WarnLevel, "zone is evacuated; its endpoints get no requests"}
 	ZoneReturned           = Event{1761, log.InfoLevel, "evacuation of a zone has ended"}
+	BufferBoundReached     = Event{1795, log.WarnLevel, "too much is buffered for callers and endpoints; new requests are refused"}
+	BufferBoundCleared     = Event{1796, log.InfoLevel, "new requests are no longer refused because of what is buffered"}
+	CallerReadsSlowly      = Event{1797, log.InfoLevel, "caller does not read its response; the response is read on into a buffer"}
+	EndpointReadsSlowly    = Event{1798, log.InfoLevel, "endpoint does not read its requests; it was passed over"}
 )
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"hash/fnv"
 	"io"
 	"net/http"
@@ -16,6 +15,7 @@
 	"github.com/apex/log"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
+	"github.com/nutmegdock/nutmegdock/internal/core/bufferlimiter"
 	"github.com/nutmegdock/nutmegdock/internal/core/crashsuspector"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
@@ -77,6 +77,9 @@
 	Suspector *crashsuspector.Suspector
 	// Announce sends facts that this host has observed to the other entry hosts. Nil means that this is the only one.
 	Announce func(facts crashsuspector.Facts)
+	// Buffers bounds what is buffered for callers and endpoints. Nil sets no bounds. Its OnPressure must be set to
+	// HandleMemoryPressure.
+	Buffers *bufferlimiter.Limiter
 	// Logger receives the log events of requests.
 	Logger log.Interface
 	// Meter counts requests.
@@ -164,6 +167,8 @@
 	earlierTime time.Duration
 	// features are what the request has in common with other requests.
 	features []crashsuspector.Feature
+	// account holds what is buffered for the request; nil without bounds.
+	account *bufferlimiter.Account
 }
 
 // ServeHTTP serves one request.
@@ -174,14 +179,20 @@
 		w.Header().Set("Connection", "close")
 	}
 	req := &request{CallerRequest: g.Codec.ReadRequest(r), w: w, r: r, arrivedAt: time.Now(), config: g.config.Load()}
+	g.limitWrites(req, req.arrivedAt.Add(maxLateWrite))
 	if rej := g.admit(req); rej != nil {
 		g.refuse(req, *rej)
 		return
 	}
+	g.limitWrites(req, req.deadline.Add(maxLateWrite))
+	var ok bool
+	if req.account, ok = g.Buffers.Open(); !ok {
+		g.refuseForMemory(req)
+		return
+	}
+	defer req.account.Close()
 	if err := g.readBody(req); err != nil {
-		var large *http.MaxBytesError
-		if errors.As(err, &large) {
-			g.refuse(req, rejection{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"})
+		if g.refuseBody(req, err) {
 			return
 		}
 		// The caller closed the connection.
@@ -279,8 +290,13 @@
 	if req.r.ContentLength == 0 {
 		return nil
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(req.w, req.r.Body, limit))
-	req.body = body
+	body := http.MaxBytesReader(req.w, req.r.Body, limit)
+	var err error
+	if req.account == nil {
+		req.body, err = io.ReadAll(body)
+	} else {
+		req.body, err = g.readBodyCharged(req, body)
+	}
 	return err
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -48,6 +48,8 @@
 	// mayHaveRun counts the endpoints that may have run the request, refused those that reported that they did not,
 	// and unreachable those that received nothing.
 	mayHaveRun, refused, unreachable int
+	// heldUp counts the endpoints that were passed over because they have too many bytes to read.
+	heldUp int
 	// refusedAt is set if endpoints have refused the request and it waits for others. Only endpoints that are known to be
 	// there after that time are tried then, each of them with a token of the retry budget: after a loss of power, the
 	// entries of all endpoints are outdated for a while.
@@ -56,6 +58,11 @@
 	lastErr error
 	// heldResponse is an endpoint's error response, kept for the caller while the request is retried elsewhere.
 	heldResponse *bufferedResponse
+	// ready is the complete response for the caller, which is written once the endpoint has been released.
+	ready *bufferedResponse
+	// relay passes the response on to the caller. onDelivered is called when it has been written completely.
+	relay       relay
+	onDelivered func()
 	// sequencer checks and joins the events of a stream across attempts. headerSent is set once the caller has been
 	// sent a response header.
 	sequencer  sequencer.Sequencer
@@ -71,6 +78,8 @@
 	// isFinal is set once no other endpoint can continue the response: a part of a large one has been sent, or the caller
 	// has left.
 	isFinal bool
+	// abortReason is the reason for which the response is ended and what is queued for the caller is discarded.
+	abortReason string
 	// release is the release that the stream began on; zero if it is unknown.
 	release fleetconfig.Release
 	// timeToFirstEvent is the time to the first event of the stream, and maxGap the longest time between two events.
@@ -106,7 +115,11 @@
 func (g *Gateway) runAttempts(ctx context.Context, req *request) {
 	state := &requestState{tried: make(map[string]bool)}
 	state.sequencer.LastID, state.sequencer.LastIDKnown = req.After, req.HasAfter
+	state.relay = relay{w: req.w, ctl: http.NewResponseController(req.w), account: req.account, onSlow: func() {
+		event.CallerReadsSlowly.Log(g.Logger.WithFields(g.logFields(req)), nil)
+	}}
 	defer g.attempts.remove(&state.attempt)
+	defer state.relay.stop()
 	for {
 		if state.headerSent && state.release > 0 && state.release < g.OldestRelease(req.Model) {
 			// A stream can only resume on the release that it began on, and no request may begin on that any more.
@@ -139,6 +152,9 @@
 				// All hosts compete for the next permit, so that it is not the time at which this caller will be served.
 				state.resumeIn = max(snapshot.EarliestResume, g.RetryAfter(req.Remaining-time.Since(req.arrivedAt)))
 			}
+			if state.heldUp > 0 {
+				refusal = assigner.Refusal(reasonMemory)
+			}
 			g.endUnserved(ctx, req, state, string(refusal))
 			return
 		}
@@ -155,6 +171,7 @@
 		cancel()
 		reason := g.endAttempt(ctx, req, state, choice, isDone)
 		if isDone {
+			g.deliver(req, state)
 			return
 		}
 		if state.lastErr != nil {
@@ -286,6 +303,8 @@
 			return state.unreachable < maxUnreachable
 		case outcome.Restricted:
 			return true // no endpoint has received the request
+		case outcome.Memory:
+			return state.heldUp < maxUnreachable
 		}
 		return state.refused < maxRefusals && state.mayHaveRun+state.refused < max(req.route.MaxAttempts, 1) && g.RetryBudget.SpendRetry()
 	}
@@ -300,6 +319,12 @@
 	}
 	switch {
 	case state.headerSent:
+		if state.abortReason != "" {
+			reason = state.abortReason
+		} else {
+			// What has arrived is still of use to the caller. The end of the response is missing.
+			_ = state.relay.finish(req.r.Context())
+		}
 		g.logIncomplete(req, event.ResponseAborted, reason, state.lastErr)
 		g.Meter.CountTruncated(reason)
 		panic(http.ErrAbortHandler)
@@ -361,14 +386,23 @@
 	}
 	state.lastErr, state.responseStatus, state.receivedBefore = nil, 0, state.sequencer.Received()
 	state.isHarmless, state.hasCrashed = false, false
+	endSend, ok := req.account.BeginSend(choice.Endpoint.ID, len(req.body))
+	if !ok {
+		state.heldUp++
+		state.lastErr = &outcome.Error{Kind: outcome.NotRun, Reason: outcome.Memory, Message: "endpoint reads requests slowly"}
+		event.EndpointReadsSlowly.Log(g.Logger.WithFields(g.logFields(req)), log.Fields{"endpoint": choice.Endpoint.ID})
+		return assigner.NotSent, false
+	}
 	sentAt := time.Now()
 	resp, err := g.Sender.Send(ctx, sender.Attempt{
-		Address: choice.Endpoint.Address, Method: req.r.Method, Target: req.r.RequestURI, Host: req.r.Host,
+		OnWritten: endSend,
+		Address:   choice.Endpoint.Address, Method: req.r.Method, Target: req.r.RequestURI, Host: req.r.Host,
 		Header: g.Codec.EndpointHeader(req.r, endpointReq), Body: req.body,
 		Matches:     func(h http.Header) bool { return g.Codec.IsResponseTo(req.ID, h) },
 		BeforeWrite: func() outcome.Reason { return g.beforeWrite(req, state, choice) },
 	})
 	if err != nil {
+		endSend()
 		return state.recordFailure(ctx, req, err), false
 	}
 	defer resp.Close()
@@ -467,8 +501,16 @@
 // forwardBuffered reads the response in full and then forwards it.
 func (g *Gateway) forwardBuffered(ctx context.Context, req *request, state *requestState, resp *sender.Response) (assigner.Outcome, bool) {
 	state.mayHaveRun++
-	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes+1))
-	if err == nil && len(body) > maxBufferedBytes {
+	limited, charged := io.LimitReader(resp, maxBufferedBytes+1), 0
+	body, err := readCharged(limited, resp.Length, func(n int) bool {
+		ok := req.account.GrowResponse(n)
+		if ok {
+			charged += n
+		}
+		return ok
+	})
+	if errors.Is(err, errMemory) && !state.headerSent || err == nil && len(body) > maxBufferedBytes {
+		req.account.AddResponse(-charged) // charged again as it is passed on
 		return g.forwardLarge(ctx, req, state, resp, body)
 	}
 	if err != nil {
@@ -488,7 +530,7 @@
 		state.lastErr = &outcome.Error{Kind: outcome.Unknown, Reason: outcome.ConnectionLost, Message: "status " + strconv.Itoa(resp.Status)}
 		return assigner.Served, false
 	}
-	g.writeResponse(req, resp.Status, resp.Header, body)
+	state.ready = &bufferedResponse{status: resp.Status, header: resp.Header, body: body}
 	return assigner.Served, true
 }
 
@@ -500,7 +542,7 @@
 	}
 	state.headerSent, state.isFinal = true, true
 	g.writeHeader(req, resp.Status, resp.Header, resp.Length)
-	readErr, writeErr := copyBody(req.w, resp, head)
+	readErr, writeErr := copyBody(ctx, &state.relay, resp, head)
 	switch {
 	case readErr != nil:
 		state.lastErr = &outcome.Error{Kind: outcome.Unknown, Reason: outcome.Truncated, Message: readErr.Error()}
@@ -509,12 +551,35 @@
 		}
 		return assigner.Failed, false
 	case writeErr != nil:
+		state.recordWriteError(writeErr)
 		return assigner.CallerGone, false
 	}
-	g.recordResponse(req, nil, resp.Status)
+	state.onDelivered = func() { g.recordResponse(req, nil, resp.Status) }
 	return assigner.Served, true
 }
 
+// recordWriteError records why a response can no longer be passed on to the caller.
+func (s *requestState) recordWriteError(err error) {
+	s.isFinal, s.lastErr = true, err
+	if errors.Is(err, errSlowCaller) {
+		s.abortReason = reasonSlowCaller
+	}
+}
+
+// deliver writes what is left of a complete response to the caller. The endpoint has been released, so that a caller that
+// reads slowly does not occupy it.
+func (g *Gateway) deliver(req *request, state *requestState) {
+	if state.ready != nil {
+		g.writeResponse(req, state.ready.status, state.ready.header, state.ready.body)
+		return
+	}
+	if err := state.relay.finish(req.r.Context()); err != nil {
+		g.logIncomplete(req, event.CallerDisconnected, "answer", err)
+		panic(http.ErrAbortHandler)
+	}
+	state.onDelivered()
+}
+
 // writeHeader forwards a response header without its hop-by-hop fields. A negative length means that the length of the
 // body is unknown.
 func (g *Gateway) writeHeader(req *request, status int, h http.Header, length int64) {
@@ -579,7 +644,6 @@
 	state.mayHaveRun++
 	state.sequencer.DiscardPartial()
 	hasEvents := false
-	ctl := http.NewResponseController(req.w)
 	buf := make([]byte, copyBufferBytes)
 	for {
 		n, err := resp.Read(buf)
@@ -588,8 +652,8 @@
 			g.recordProgress(req, state)
 			if len(out) > 0 {
 				hasEvents = true
-				if writeErr := g.forwardEvents(req, state, resp, info, ctl, out); writeErr != nil {
-					state.isFinal = true
+				if writeErr := g.forwardEvents(ctx, req, state, resp, info, out); writeErr != nil {
+					state.recordWriteError(writeErr)
 					return assigner.CallerGone, false
 				}
 			}
@@ -602,7 +666,7 @@
 			if !state.headerSent {
 				g.startStream(req, state, resp, info)
 			}
-			g.recordResponse(req, state, resp.Status)
+			state.onDelivered = func() { g.recordResponse(req, state, resp.Status) }
 			return assigner.Served, true
 		case errors.Is(err, io.EOF):
 			err = io.ErrUnexpectedEOF
@@ -627,7 +691,7 @@
 }
 
 // forwardEvents sends complete events to the caller.
-func (g *Gateway) forwardEvents(req *request, state *requestState, resp *sender.Response, info headercodec.ResponseInfo, ctl *http.ResponseController, out []byte) error {
+func (g *Gateway) forwardEvents(ctx context.Context, req *request, state *requestState, resp *sender.Response, info headercodec.ResponseInfo, out []byte) error {
 	if !state.headerSent {
 		g.startStream(req, state, resp, info)
 	}
@@ -637,8 +701,5 @@
 		state.maxGap = max(state.maxGap, now.Sub(state.lastEventAt))
 	}
 	state.lastEventAt = now
-	if _, err := req.w.Write(out); err != nil {
-		return err
-	}
-	return ctl.Flush()
+	return state.relay.write(ctx, out)
 }
--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -82,6 +82,9 @@
 	CallerAddress, ReadinessAddress, MetricsAddress string
 	// LinkMbps is the bandwidth of the host's link in Mbit/s.
 	LinkMbps float64
+	// Memory is the number of bytes of memory that the process may use. Zero means that it is not known, and that what is
+	// buffered for callers and endpoints is not bounded.
+	Memory int
 	// ExchangePort is the UDP port on which entry hosts exchange their loads.
 	ExchangePort int
 	// GracePeriod is the time from the cancellation of ctx until the process is killed.
@@ -174,6 +177,7 @@
 		Restrictor: zonerestrictor.Restrictor{Regions: h.Regions, IsEvacuated: h.evacuations.IsEvacuated},
 		RetryAfter: func(remaining time.Duration) time.Duration { return max(0, remaining/retryAfterDivisor) },
 	}
+	h.initBuffers(registry)
 	h.suspector.OnQuarantine, h.suspector.OnLift = h.gateway.HandleQuarantine, h.gateway.HandleLift
 	h.FleetWatcher.Tracker = tracker
 	h.FleetWatcher.Evacuations = h.evacuations
@@ -229,7 +233,7 @@
 	mux.Handle("/", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	tasks.Go(func() error { return h.serve(serveCtx, h.MetricsAddress, mux) })
 	tasks.Go(func() error { return h.serve(serveCtx, h.ReadinessAddress, http.HandlerFunc(h.handleReadiness)) })
-	tasks.Go(func() error { return h.serve(serveCtx, h.CallerAddress, h.gateway) })
+	tasks.Go(func() error { return h.serveCallers(serveCtx) })
 	event.Started.Log(h.Logger, log.Fields{"ip": h.IP, "callers": h.CallerAddress, "metrics": h.MetricsAddress})
 	select {
 	case <-ctx.Done():
@@ -268,9 +272,25 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	err = (&httpserver.Server{Listener: ln, Handler: handler, ShutdownTimeout: serverShutdownTimeout, PassOptions: true}).Run(ctx)
+	return h.serveOn(ctx, ln, handler)
+}
+
+// serveCallers serves the callers. Their connections have bounded send buffers if the memory of the host is known.
+func (h *Server) serveCallers(ctx context.Context) error {
+	ln, err := net.Listen("tcp4", h.CallerAddress)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	if h.Memory > 0 {
+		ln = &sendBufferListener{ln}
+	}
+	return h.serveOn(ctx, ln, h.gateway)
+}
+
+func (h *Server) serveOn(ctx context.Context, ln net.Listener, handler http.Handler) error {
+	err := (&httpserver.Server{Listener: ln, Handler: handler, ShutdownTimeout: serverShutdownTimeout, PassOptions: true}).Run(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
-		event.ShutdownIncomplete.Log(h.Logger.WithField("address", address), nil)
+		event.ShutdownIncomplete.Log(h.Logger.WithField("address", ln.Addr().String()), nil)
 		return nil
 	}
 	return err
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -41,6 +41,9 @@
 	// BeforeWrite is called once the endpoint is connected. It returns the reason for not sending the request, or an empty
 	// one. Nil means that the request is sent.
 	BeforeWrite func() outcome.Reason
+	// OnWritten is called once the endpoint has taken the complete request, or the write has failed. It is not called if
+	// nothing was written. Nil means that nobody is told.
+	OnWritten func()
 }
 
 // Response is a response header with a reader of the body. Close closes its connection.
@@ -119,19 +122,15 @@
 func exchange(ctx context.Context, conn net.Conn, attempt Attempt) (*Response, error) {
 	// The request is written concurrently with the read, since an endpoint may respond before it has read a long
 	// body.
-	request, err := encodeRequest(attempt)
+	header, err := encodeHeader(attempt)
 	if err != nil {
 		return nil, newError(ctx, outcome.NotRun, outcome.Refused, err)
 	}
-	written := make(chan error, 1)
-	if len(request) <= readBufferBytes {
-		_, err := conn.Write(request)
-		written <- err
+	if len(header)+len(attempt.Body) <= readBufferBytes {
+		write(conn, attempt, append(header, attempt.Body...))
 	} else {
-		go func() {
-			_, err := conn.Write(request)
-			written <- err
-		}()
+		// The body is not copied, so that an endpoint that reads it slowly does not hold up a second copy.
+		go write(conn, attempt, header, attempt.Body)
 	}
 	reader := newResponseReader(conn)
 	for range maxSkipped + 1 {
@@ -155,8 +154,17 @@
 	return nil, newError(ctx, outcome.Unknown, outcome.Mismatch, fmt.Errorf("endpoint %s responded to a different request", attempt.Address))
 }
 
-// encodeRequest returns the request in wire format.
-func encodeRequest(attempt Attempt) ([]byte, error) {
+// write writes the parts of a request. If it fails, the read of the response fails as well.
+func write(conn net.Conn, attempt Attempt, parts ...[]byte) {
+	buffers := net.Buffers(parts)
+	_, _ = buffers.WriteTo(conn)
+	if attempt.OnWritten != nil {
+		attempt.OnWritten()
+	}
+}
+
+// encodeHeader returns the request line and the header in wire format.
+func encodeHeader(attempt Attempt) ([]byte, error) {
 	if strings.ContainsAny(attempt.Target, " \r\n") || strings.ContainsAny(attempt.Host, " \r\n") {
 		return nil, fmt.Errorf("invalid request target %q for host %q", attempt.Target, attempt.Host)
 	}
@@ -169,6 +177,5 @@
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(attempt.Body))
 	}
 	b.WriteString("\r\n")
-	b.Write(attempt.Body)
 	return b.Bytes(), nil
 }
