--- a/cmd/gatewayd/main.go
+++ b/cmd/gatewayd/main.go
@@ -32,7 +32,7 @@
 	return (&gatewayserver.Server{
 		Name: cfg.Host, Zone: cfg.Zone, IP: cfg.IP, CallerAddress: cfg.CallerAddress, ReadinessAddress: cfg.ReadinessAddress,
 		MetricsAddress: net.JoinHostPort(cfg.IP, strconv.Itoa(cfg.PortRange[0])), ExchangePort: cfg.PortRange[0],
-		LinkMbps:    cfg.LinkMbps, Memory: cfg.Memory,
+		LinkMbps: cfg.LinkMbps, Memory: cfg.Memory,
 		GracePeriod: cfg.GracePeriod, RetryRatio: cfg.RetryRatio, RetryBurst: cfg.RetryBurst,
 		RolloutTimeout: cfg.RolloutTimeout, Regions: cfg.Regions, IsFirstStart: cfg.IsFirstStart, Codec: translator.New(), Logger: l,
 		Replicator: &chunkreplicator.Replicator{
--- a/internal/core/bufferlimiter/bufferlimiter.go
+++ b/internal/core/bufferlimiter/bufferlimiter.go
@@ -9,9 +9,8 @@
 
 const (
 	// RequestBytes is charged for each request in progress: the connections to the caller and to the endpoint with their
-	// read and write buffers and goroutines, the parsed headers, and up to Headroom of a response. Measured with 300
-	// callers that do not read: about 45 KB of resident memory each.
-	RequestBytes = 48 << 10
+	// read and write buffers, in the kernel as well, their goroutines, the parsed headers, and up to Headroom of a response.
+	RequestBytes = 64 << 10
 	// Headroom is the part of a response that may be buffered without being charged: one read from the endpoint.
 	Headroom = 16 << 10
 )
--- a/internal/core/sequencer/sequencer.go
+++ b/internal/core/sequencer/sequencer.go
@@ -135,6 +135,11 @@
 	return len(bytes.TrimSpace(s.buffer)) > 0
 }
 
+// Buffered returns the number of bytes of the incomplete event.
+func (s *Sequencer) Buffered() int {
+	return len(s.buffer)
+}
+
 // DiscardPartial discards an incomplete event after the connection was interrupted.
 func (s *Sequencer) DiscardPartial() {
 	s.buffer = nil
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -30,6 +30,8 @@
 	ConnectTimeout time.Duration
 	// UserTimeout is how long a peer may leave data unacknowledged at the level of TCP; zero means the default.
 	UserTimeout time.Duration
+	// ReceiveBuffer is the size of the receive buffer in bytes, which the kernel doubles; zero lets it grow as needed.
+	ReceiveBuffer int
 }
 
 // DialContext connects to an IP address and port.
@@ -50,6 +52,9 @@
 			var optErr error
 			err := raw.Control(func(fd uintptr) {
 				optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+				if d.ReceiveBuffer > 0 && optErr == nil {
+					optErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, d.ReceiveBuffer)
+				}
 			})
 			if err != nil {
 				return err
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -21,6 +21,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
+	"github.com/nutmegdock/nutmegdock/internal/core/bufferlimiter"
 	"github.com/nutmegdock/nutmegdock/internal/core/crashsuspector"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
@@ -151,7 +152,10 @@
 		},
 		RetryAfter: func(left time.Duration) time.Duration { return (left / 3).Round(time.Second) },
 		Logger:     &log.Logger{Handler: discard.New(), Level: log.InfoLevel}, Meter: gateway.NewMeter(prometheus.NewRegistry()),
-		Suspector: &crashsuspector.Suspector{},
+		Suspector: &crashsuspector.Suspector{}, Buffers: bufferlimiter.New(int(fleetMemory.Load())),
+	}
+	if f.gateway.Buffers != nil {
+		f.gateway.Buffers.OnPressure = f.gateway.HandleMemoryPressure
 	}
 	f.gateway.Suspector.OnQuarantine, f.gateway.Suspector.OnLift = f.gateway.HandleQuarantine, f.gateway.HandleLift
 	f.Server = httptest.NewServer(f.gateway)
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -67,6 +67,20 @@
 	return data, err
 }
 
+// chargePartial charges the incomplete event that is buffered, and reports whether it may be.
+func (s *requestState) chargePartial(a *bufferlimiter.Account) bool {
+	charge := max(0, s.sequencer.Buffered()-bufferlimiter.Headroom)
+	more := charge - s.chargedPartial
+	if more > 0 && !a.GrowResponse(more) {
+		return false
+	}
+	if more < 0 {
+		a.AddResponse(more)
+	}
+	s.chargedPartial = charge
+	return true
+}
+
 // limitWrites bounds the time for which writes to the caller may block from now on.
 func (g *Gateway) limitWrites(req *request, until time.Time) {
 	if g.Buffers != nil {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -60,6 +60,8 @@
 	heldResponse *bufferedResponse
 	// ready is the complete response for the caller, which is written once the endpoint has been released.
 	ready *bufferedResponse
+	// chargedPartial is the part of an incomplete event that is charged.
+	chargedPartial int
 	// relay passes the response on to the caller. onDelivered is called when it has been written completely.
 	relay       relay
 	onDelivered func()
@@ -660,6 +662,10 @@
 			if seqErr != nil {
 				err = seqErr
 			}
+			if !state.chargePartial(req.account) {
+				state.lastErr = errMemory
+				return assigner.CallerGone, false
+			}
 		}
 		switch {
 		case errors.Is(err, io.EOF) && !state.sequencer.HasPartial() && (hasEvents || resp.IsFramed):
--- a/internal/gatewayserver/memory.go
+++ b/internal/gatewayserver/memory.go
@@ -6,12 +6,14 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/bufferlimiter"
+	"github.com/nutmegdock/nutmegdock/internal/dialer"
 	"github.com/nutmegdock/nutmegdock/internal/gateway"
 )
 
-// callerSendBuffer is the send buffer of a connection to a caller. The kernel doubles it, and would otherwise let it grow to
-// some megabytes for a caller that does not read. At 6 ms of round-trip time it still allows 10 MB/s.
-const callerSendBuffer = 64 << 10
+// callerSendBuffer and endpointReceiveBuffer are the buffers of a connection in the kernel, which doubles them and would
+// otherwise let them grow to some megabytes: with 300 callers that do not read, 166 MB were queued. They are part of
+// bufferlimiter.RequestBytes. At a round-trip time of 6 ms they still allow about 3 MB/s for one response.
+const callerSendBuffer, endpointReceiveBuffer = 16 << 10, 16 << 10
 
 // initBuffers bounds what the gateway buffers, if the memory of the host is known.
 func (h *Server) initBuffers(registry prometheus.Registerer) {
@@ -21,6 +23,7 @@
 	}
 	limiter.OnPressure = h.gateway.HandleMemoryPressure
 	h.gateway.Buffers = limiter
+	h.gateway.Sender.Dial = (&dialer.Dialer{ConnectTimeout: connectTimeout, ReceiveBuffer: endpointReceiveBuffer}).DialContext
 	gateway.RegisterBuffers(registry, limiter)
 }
 
