--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -23,6 +23,9 @@
 
 const (
 	copyBufferBytes = 16 << 10
+	// streamBufferBytes is the size of the buffer for reading a stream, of which there are hundreds at once: about as much
+	// as the sender buffers.
+	streamBufferBytes = 4 << 10
 	// maxBufferedBytes limits the responses that are read in full before their header is sent, so that an incomplete
 	// one can still be reported as a failure.
 	maxBufferedBytes = 1 << 20
@@ -646,7 +649,7 @@
 	state.mayHaveRun++
 	state.sequencer.DiscardPartial()
 	hasEvents := false
-	buf := make([]byte, copyBufferBytes)
+	buf := make([]byte, streamBufferBytes)
 	for {
 		n, err := resp.Read(buf)
 		if n > 0 {
