--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -129,7 +129,9 @@
 	f.oldest.Store(1)
 	var endpoints []fleetconfig.Endpoint
 	for i, script := range scripts {
+		f.mu.Lock() // the endpoints before it serve already
 		f.steps = append(f.steps, script...)
+		f.mu.Unlock()
 		ln, err := net.Listen("tcp4", "127.0.0.1:0")
 		is.New(t).NoErr(err)
 		t.Cleanup(func() { _ = ln.Close() })
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -36,6 +36,8 @@
 	w       http.ResponseWriter
 	ctl     *http.ResponseController
 	account *bufferlimiter.Account
+	// isBody is set for a response that is not a stream, whose parts are not flushed one by one.
+	isBody bool
 	// onSlow is called once, when the response is read on for a caller that does not read.
 	onSlow func()
 
@@ -60,10 +62,11 @@
 // write passes on a part of the response, of which it keeps p. It returns once the endpoint may be read on.
 func (r *relay) write(ctx context.Context, p []byte) error {
 	if r.account == nil {
-		if _, err := r.w.Write(p); err != nil {
-			return err
+		_, err := r.w.Write(p)
+		if err == nil && !r.isBody {
+			err = r.ctl.Flush()
 		}
-		return r.ctl.Flush()
+		return err
 	}
 	r.passedBytes += len(p)
 	hasWaited := !r.returnedAt.IsZero() && time.Since(r.returnedAt) > idleReadTime
@@ -79,13 +82,12 @@
 	return err
 }
 
-// writeCopy is like write, but does not keep p and does not flush each part.
+// writeCopy is like write, but does not keep p.
 func (r *relay) writeCopy(ctx context.Context, p []byte) error {
-	if r.account == nil {
-		_, err := r.w.Write(p)
-		return err
+	if r.account != nil {
+		p = bytes.Clone(p)
 	}
-	return r.write(ctx, bytes.Clone(p))
+	return r.write(ctx, p)
 }
 
 // add queues a part, and reports whether the caller had taken all others.
@@ -198,7 +200,7 @@
 			n := min(len(chunk), relayPieceBytes)
 			_, err := r.w.Write(chunk[:n])
 			chunk = chunk[n:]
-			if err == nil && len(chunk) == 0 && r.isDrained() {
+			if err == nil && len(chunk) == 0 && !r.isBody && r.isDrained() {
 				err = r.ctl.Flush()
 			}
 			if r.recordWritten(n, err); err != nil {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -545,7 +545,7 @@
 		state.lastErr = &outcome.Error{Kind: outcome.Unknown, Reason: outcome.Truncated, Message: "response is not a stream"}
 		return assigner.Failed, false
 	}
-	state.headerSent, state.isFinal = true, true
+	state.headerSent, state.isFinal, state.relay.isBody = true, true, true
 	g.writeHeader(req, resp.Status, resp.Header, resp.Length)
 	readErr, writeErr := copyBody(ctx, &state.relay, resp, head)
 	switch {
