--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -67,6 +67,15 @@
 	return data, err
 }
 
+// failureReason returns the reason of a request for which no further endpoint is tried.
+func (s *requestState) failureReason() string {
+	var o *outcome.Error
+	if errors.As(s.lastErr, &o) && o.Reason == outcome.Memory {
+		return reasonMemory
+	}
+	return "failed"
+}
+
 // chargePartial charges the incomplete event that is buffered, and reports whether it may be.
 func (s *requestState) chargePartial(a *bufferlimiter.Account) bool {
 	charge := max(0, s.sequencer.Buffered()-bufferlimiter.Headroom)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -197,7 +197,7 @@
 		}
 		if !g.mayRetry(ctx, req, state) {
 			if !g.waitForEndpoints(ctx, req, state) {
-				g.endUnserved(ctx, req, state, "failed")
+				g.endUnserved(ctx, req, state, state.failureReason())
 				return
 			}
 			if state.refused > 0 {
@@ -400,11 +400,11 @@
 	}
 	sentAt := time.Now()
 	resp, err := g.Sender.Send(ctx, sender.Attempt{
-		OnWritten: endSend,
-		Address:   choice.Endpoint.Address, Method: req.r.Method, Target: req.r.RequestURI, Host: req.r.Host,
+		Address: choice.Endpoint.Address, Method: req.r.Method, Target: req.r.RequestURI, Host: req.r.Host,
 		Header: g.Codec.EndpointHeader(req.r, endpointReq), Body: req.body,
 		Matches:     func(h http.Header) bool { return g.Codec.IsResponseTo(req.ID, h) },
 		BeforeWrite: func() outcome.Reason { return g.beforeWrite(req, state, choice) },
+		OnWritten:   endSend,
 	})
 	if err != nil {
 		endSend()
@@ -563,12 +563,17 @@
 	return assigner.Served, true
 }
 
-// recordWriteError records why a response can no longer be passed on to the caller.
+// recordWriteError records why an attempt's response can no longer be passed on to the caller.
 func (s *requestState) recordWriteError(err error) {
-	s.isFinal, s.lastErr = true, err
-	if errors.Is(err, errSlowCaller) {
+	switch {
+	case errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded):
+		// Only the attempt has ended. All of its events that were read are queued, so another one can continue the stream.
+		s.lastErr = &outcome.Error{Kind: outcome.Unknown, Reason: outcome.Truncated, Message: err.Error()}
+		return
+	case errors.Is(err, errSlowCaller):
 		s.abortReason = reasonSlowCaller
 	}
+	s.isFinal = true
 }
 
 // deliver writes what is left of a complete response to the caller. The endpoint has been released, so that a caller that
