--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -66,4 +66,8 @@
 	ZoneRecovered          = Event{1791, log.InfoLevel, "zone gets all of its requests again"}
 	SpillBegun             = Event{1792, log.InfoLevel, "requests are sent to other zones"}
 	SpillEnded             = Event{1793, log.InfoLevel, "requests stay in their zone again"}
+	BufferBoundReached     = Event{1795, log.WarnLevel, "too much is buffered for callers and endpoints; new requests are refused"}
+	BufferBoundCleared     = Event{1796, log.InfoLevel, "new requests are no longer refused because of what is buffered"}
+	CallerReadsSlowly      = Event{1797, log.InfoLevel, "caller does not read its response; the response is read on into a buffer"}
+	EndpointReadsSlowly    = Event{1798, log.InfoLevel, "endpoint does not read its requests; it was passed over"}
 )
