--- a/internal/gateway/slowcaller_test.go
+++ b/internal/gateway/slowcaller_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -375,3 +376,40 @@
 	is.Equal(status, 200)
 	f.checkReleased(t)
 }
+
+// Guards against events that are lost or repeated when the endpoint of a stream becomes unreachable while it is left unread
+// for a slow caller: the stream resumes after the last event that was read.
+func TestStreamOfSlowCallerResumesAtAnotherEndpoint(t *testing.T) {
+	const events = 200
+	setMemory(t, hostMemory)
+	is := is.New(t)
+	resumedAfter := make(chan int, 1)
+	f := startFleet(t, []step{func(c *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(c, unframedHeader)
+		for id := 1; id <= events/2; id++ {
+			_, _ = io.WriteString(c, largeEvent(id)) // the connection may be closed meanwhile
+		}
+		_, _ = c.Read(make([]byte, 1)) // keeps the connection open
+	}}, []step{func(c *net.TCPConn, r *http.Request) {
+		after, _ := strconv.Atoi(r.Header.Get("After"))
+		resumedAfter <- after
+		_, _ = io.WriteString(c, unframedHeader)
+		for id := after + 1; id <= events; id++ {
+			_, _ = io.WriteString(c, largeEvent(id)) // the caller misses the event if it fails
+		}
+	}})
+	f.configure(1)
+	c := f.dialSlowly(t, "/stream/")
+	time.Sleep(300 * time.Millisecond) // less than the time for which the endpoint is left unread
+	for _, e := range f.endpoints {
+		if f.gateway.Assigner.LocalLoad(e).Requests > 0 {
+			f.gateway.Assigner.RecordProbe(assigner.Probe{ID: e.ID, Address: e.Address}, false)
+		}
+	}
+	after := <-resumedAfter
+	is.True(after > 0 && after < events/2) // it had been left unread
+	got, isComplete := readEvents(t, c)
+	is.Equal(got, events)
+	is.True(isComplete)
+	f.checkReleased(t)
+}
