assigner: engines' stated pace and the callers' estimates of response lengths enter the prediction

Cause: a host of a large fleet learns an engine's slowdown only from its own requests, which are older than a slow phase of 0.6 s, and the wait for a slot was predicted from the profile's typical response. Plain services had no figure for a slow endpoint at all.

stockd reads the pace of its engine every 100 ms and states it in replies; while it is fresh, it replaces what the host has learned, in pools whose engines state a pace other than one. Length-Hint gives the expected response tokens; loads state those that remain, and slotReleaseTime uses their mean. For plain services, with "health" in Contracts, replies state how long the requests of all hosts took.

--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -82,6 +82,8 @@
 	BeginDeadline func(m fleetconfig.Model, r fleetconfig.Release) time.Time
 	// PromptTokens is the number of prompt tokens.
 	PromptTokens float64
+	// ResponseTokens is the expected number of response tokens; zero if the caller states none.
+	ResponseTokens float64
 	// TimeLeft is the rest of the objective; zero or less means that the objective has already passed.
 	TimeLeft time.Duration
 	// MayUse reports whether the request may run in a zone; nil means that it may run in all.
@@ -110,6 +112,8 @@
 	// Requests is the number of requests in flight. PendingPromptTokens is the number of prompt tokens of those that
 	// have not received a first event.
 	Requests, PendingPromptTokens int
+	// Response is the part that is still to be generated.
+	Response ResponseLoad
 }
 
 // Assignment is the endpoint assigned to a request, with the figures behind the decision.
@@ -124,9 +128,12 @@
 
 	onUnreachable func()
 	hasFailed     bool
-	promptTokens  int
-	sentAt        time.Time
-	hasFirstEvent bool
+	// responseTokens is the expected number of response tokens, and firstEventAt when the first event arrived.
+	responseTokens float64
+	firstEventAt   time.Time
+	promptTokens   int
+	sentAt         time.Time
+	hasFirstEvent  bool
 	// nominalFirstEvent is the predicted time to the first event at a slowdown of one.
 	nominalFirstEvent time.Duration
 }
@@ -190,6 +197,9 @@
 	slowdown   float64
 	slowdownAt time.Time
 	outcomes   outlierejector.Member
+	pace       statedPace
+	// estimated is the number of requests in flight whose response tokens are estimated.
+	estimated int
 }
 
 // Assigner assigns requests to the known endpoints. Set its fields before use.
@@ -216,6 +226,8 @@
 	slowdownMeans map[ident.Pool]*float64
 	serviceTimes  map[ident.Pool]time.Duration
 	ejectors      map[ident.Pool]*outlierejector.Ejector
+	// pacedPools holds the pools whose engines state their pace.
+	pacedPools map[ident.Pool]bool
 }
 
 // SetPools replaces the configured pools.
@@ -303,7 +315,7 @@
 		}
 		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
-			choice = &Assignment{Endpoint: s.Endpoint, Load: load, PredictedFirstEvent: predicted, Release: release, promptTokens: int(q.PromptTokens), sentAt: now, onUnreachable: q.OnUnreachable, hasFailed: q.HasFailed}
+			choice = &Assignment{Endpoint: s.Endpoint, Load: load, PredictedFirstEvent: predicted, Release: release, promptTokens: int(q.PromptTokens), sentAt: now, onUnreachable: q.OnUnreachable, hasFailed: q.HasFailed, responseTokens: q.ResponseTokens}
 		}
 	}
 	if best == nil {
@@ -314,6 +326,9 @@
 	best.localLoad.PendingPromptTokens += choice.promptTokens
 	best.awaitingFirstEvent[choice] = true
 	best.inFlight[choice] = true
+	if choice.responseTokens > 0 {
+		best.estimated++
+	}
 	a.notifyChanged(best)
 	return choice, ""
 }
@@ -373,9 +388,9 @@
 	return e.StepTime + time.Duration(float64(n)*(float64(e.StepTimePerRequest)+context))
 }
 
-// slotReleaseTime returns the mean time until one of n requests in a full batch completes.
-func slotReleaseTime(e *fleetconfig.EngineProfile, n int) time.Duration {
-	return prefillTime(e, e.PromptTokens) + time.Duration(e.ResponseTokens/float64(max(1, n))*float64(stepTime(e, n)))
+// slotReleaseTime returns the mean time until one of n requests in a full batch completes, given the load.
+func slotReleaseTime(e *fleetconfig.EngineProfile, n int, load Load) time.Duration {
+	return prefillTime(e, e.PromptTokens) + time.Duration(meanRemainingTokens(e, load)/float64(max(1, n))*float64(stepTime(e, n)))
 }
 
 // predict returns the predicted time to the first event, and whether the request may be assigned to the endpoint.
@@ -396,7 +411,7 @@
 	slowdown := a.currentSlowdown(s, now)
 	passTime := time.Duration(e.StepsPerPass) * stepTime(e, min(slots, load.Requests+1))
 	processingTime := time.Duration(slowdown * float64(passTime/2+prefillTime(e, q.PromptTokens)+passTime))
-	wait := prefillTime(e, float64(load.PendingPromptTokens)) + time.Duration(max(0, load.Requests+1-slots))*slotReleaseTime(e, slots)
+	wait := prefillTime(e, float64(load.PendingPromptTokens)) + time.Duration(max(0, load.Requests+1-slots))*slotReleaseTime(e, slots, load)
 	wait = max(time.Duration(slowdown*float64(wait)), s.overdueWait(now)-processingTime)
 	if q.TimeLeft <= 0 {
 		return processingTime + wait, float64(load.Requests) < lateSlotShare*float64(slots) && wait <= maxLateWait
@@ -416,10 +431,21 @@
 	return longest
 }
 
-// currentSlowdown returns how many times longer the endpoint takes than its configured figures predict. It approaches
-// the mean of its pool as the last observation ages: a host of a large fleet sees few requests at each endpoint. The
+// currentSlowdown returns how many times longer the endpoint takes than its configured figures predict: as the engine
+// states it, or as this host has learned it. What it has learned approaches the mean of its pool as the last observation ages: a host of a large fleet sees few requests at each endpoint. The
 // caller must hold a.mu.
 func (a *Assigner) currentSlowdown(s *endpointState, now time.Time) float64 {
+	if pace, ok := a.freshPace(s, now); ok {
+		return pace
+	}
+	if pace, ok := a.plainPace(s, now); ok {
+		return pace
+	}
+	return a.learnedSlowdown(s, now)
+}
+
+// learnedSlowdown returns the slowdown that this host has observed. The caller must hold a.mu.
+func (a *Assigner) learnedSlowdown(s *endpointState, now time.Time) float64 {
 	mean := 1.0
 	if m := a.slowdownMeans[s.Pool]; m != nil {
 		mean = *m
@@ -433,7 +459,7 @@
 
 // observeSlowdown records how many times longer than predicted an endpoint took. The caller must hold a.mu.
 func (a *Assigner) observeSlowdown(s *endpointState, observed float64, now time.Time) {
-	s.slowdown = a.currentSlowdown(s, now)*(1-slowdownWeight) + observed*slowdownWeight
+	s.slowdown = a.learnedSlowdown(s, now)*(1-slowdownWeight) + observed*slowdownWeight
 	s.slowdownAt = now
 	if a.slowdownMeans == nil {
 		a.slowdownMeans = make(map[ident.Pool]*float64)
@@ -484,6 +510,7 @@
 	}
 	s.localLoad.PendingPromptTokens = max(0, s.localLoad.PendingPromptTokens-c.promptTokens)
 	delete(s.awaitingFirstEvent, c)
+	c.firstEventAt = now
 	a.countOutcome(s, c, false)
 	if c.nominalFirstEvent > 0 {
 		observed := min(maxSlowdown, max(minSlowdown, float64(now.Sub(c.sentAt))/float64(c.nominalFirstEvent)))
@@ -533,6 +560,9 @@
 		}
 		s.localLoad.Requests = max(0, s.localLoad.Requests-1)
 		delete(s.inFlight, c)
+		if c.responseTokens > 0 {
+			s.estimated--
+		}
 	}
 	a.recordOutcome(s, c, outcome)
 	if outcome == Errored && a.OnEjection == nil {
--- a/internal/core/assigner/report.go
+++ b/internal/core/assigner/report.go
@@ -145,7 +145,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if s := a.endpoints[e.ID]; s != nil && s.StartTime == e.StartTime {
-		return s.localLoad
+		load := s.localLoad
+		load.Response = a.responseLoad(s, time.Now())
+		return load
 	}
 	return Load{}
 }
@@ -167,9 +169,11 @@
 // the mean of recent reports. The caller must hold a.mu.
 func (a *Assigner) totalLoad(s *endpointState, now time.Time) Load {
 	total := s.localLoad
+	total.Response = a.responseLoad(s, now)
 	if !s.reportedAt.IsZero() && now.Sub(s.reportedAt) <= reportTTL {
 		total.Requests += s.othersLoad.Requests
 		total.PendingPromptTokens += s.othersLoad.PendingPromptTokens
+		total.Response = total.Response.Add(s.othersLoad.Response.After(now.Sub(s.reportedAt)))
 		return total
 	}
 	if mean := a.reportMeans[s.Pool]; mean != nil && now.Sub(mean.at) <= reportTTL {
--- a/internal/core/assigner/uneven_replay_test.go
+++ b/internal/core/assigner/uneven_replay_test.go
@@ -111,8 +111,9 @@
 	}
 }
 
-// firstEventAt returns when a request would have its first event, from the engine's state and its future pace.
-func (e *unevenEngine) firstEventAt(start, now time.Time, promptTokens int) time.Time {
+// firstEventAt returns when a request would have its first event, from the engine's state and its future pace, or a time after
+// limit.
+func (e *unevenEngine) firstEventAt(start, now, limit time.Time, promptTokens int) time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	type entry struct {
@@ -152,7 +153,7 @@
 			isBegun = isBegun || batch[i].isNew
 		}
 		at = at.Add(time.Duration(float64(passTime(tokens, len(batch))) * e.pace(at.Sub(start))))
-		if isBegun {
+		if isBegun || at.After(limit) {
 			return at
 		}
 	}
@@ -166,8 +167,10 @@
 	load             float64
 	seconds          float64
 	isFormer, oracle bool
-	pace             func(engine int, at time.Duration) float64
-	fails            func(engine int, at time.Duration, z ident.Zone) bool
+	// oracleMargin is the time that the oracle keeps for requests that join a pass later and make it longer.
+	oracleMargin time.Duration
+	pace         func(engine int, at time.Duration) float64
+	fails        func(engine int, at time.Duration, z ident.Zone) bool
 	// naturalFailures is the share of requests that fail at any endpoint.
 	naturalFailures float64
 	// hasHints says that callers state an estimate of the response tokens. lengthSpread is the ratio of the longest and the
@@ -190,8 +193,7 @@
 const (
 	replayRoundTrip = 2 * time.Millisecond
 	failureTime     = time.Millisecond
-	// paceLag is the age of the pace that responders state: engines are read every 400 ms, on average half of that ago.
-	paceLag = 200 * time.Millisecond
+	paceInterval    = 100 * time.Millisecond
 )
 
 func (r unevenReplay) run(t *testing.T) unevenResult {
@@ -275,29 +277,30 @@
 				outcomes[n].Record(name, *totals, 1, s)
 				sums, hasSums = outcomes[n].Sums(h.Zone)
 			}
-			r.queryEngine(start, engines[n])
 			time.Sleep(replayRoundTrip / 2)
 			h.SetReport(e, others)
 			if hasSums {
 				h.SetOutcomes(e, sums)
 			}
-			r.afterReply(h, e, start, engines[n])
+			if r.pace != nil && !r.isFormer {
+				// The host beside the engine reads the pace every paceInterval.
+				age := time.Since(start) % paceInterval
+				h.SetPace(e, assigner.Pace{Value: float32(engines[n].pace(time.Since(start) - age)), AgeMs: uint32(age.Milliseconds())})
+			}
 		}
+		var oracleMu sync.Mutex // makes the choice and the start of a request one step
 		assign := func(host int, q assigner.Query, promptTokens int) (*assigner.Assignment, int) {
 			if r.oracle {
-				best, bestAt := -1, time.Time{}
 				now := time.Now()
+				best, bestAt := -1, now.Add(q.TimeLeft-r.oracleMargin+1)
 				for i, e := range engines {
 					if q.Excluded[fmt.Sprint(i)] {
 						continue
 					}
-					if at := e.firstEventAt(start, now, promptTokens); best < 0 || at.Before(bestAt) {
+					if at := e.firstEventAt(start, now, bestAt, promptTokens); at.Before(bestAt) {
 						best, bestAt = i, at
 					}
 				}
-				if best < 0 || bestAt.Sub(now) > q.TimeLeft {
-					return nil, -1
-				}
 				return nil, best
 			}
 			q.Among = make(map[string]bool)
@@ -338,9 +341,17 @@
 				q := assigner.Query{
 					Pool: "p", Model: "m", Release: 1, PromptTokens: float64(promptTokens), TimeLeft: objective - time.Since(sentAt), Excluded: excluded, IsRepeatable: true, HasFailed: attempt > 0,
 				}
-				r.setHint(&q, hint)
+				if r.hasHints && !r.isFormer {
+					q.ResponseTokens = hint
+				}
+				if r.oracle {
+					oracleMu.Lock()
+				}
 				choice, target := assign(host, q, promptTokens)
 				if target < 0 {
+					if r.oracle {
+						oracleMu.Unlock()
+					}
 					mu.Lock()
 					out.refused++
 					mu.Unlock()
@@ -365,7 +376,9 @@
 					mu.Unlock()
 					continue
 				}
-				time.Sleep(replayRoundTrip / 2)
+				if !r.oracle {
+					time.Sleep(replayRoundTrip / 2)
+				}
 				engines[target].add(&unevenJob{
 					promptTokens: promptTokens, responseTokens: responseTokens,
 					onFirstEvent: func() {
@@ -382,6 +395,9 @@
 					},
 					onEnd: release,
 				})
+				if r.oracle {
+					oracleMu.Unlock()
+				}
 				return
 			}
 			mu.Lock()
@@ -416,13 +432,6 @@
 	return out
 }
 
-func (r unevenReplay) queryEngine(time.Time, *unevenEngine) {}
-
-func (r unevenReplay) afterReply(*assigner.Assigner, fleetconfig.Endpoint, time.Time, *unevenEngine) {
-}
-
-func (r unevenReplay) setHint(*assigner.Query, float64) {}
-
 func (o unevenResult) String() string {
 	return fmt.Sprintf("in time %.4f, late %.4f, refused %.4f, failed %.4f of %.0f; %d failed attempts, %d ejections", o.inTime/o.total, o.late/o.total, o.refused/o.total, o.failed/o.total, o.total, o.failedAttempts, o.ejections)
 }
--- a/internal/core/loadtracker/loadtracker.go
+++ b/internal/core/loadtracker/loadtracker.go
@@ -54,6 +54,7 @@
 		if other != h {
 			total.Requests += r.load.Requests
 			total.PendingPromptTokens += r.load.PendingPromptTokens
+			total.Response = total.Response.Add(r.load.Response.After(now.Sub(r.at)))
 		}
 	}
 	return total
--- a/internal/core/outcometracker/outcometracker.go
+++ b/internal/core/outcometracker/outcometracker.go
@@ -27,6 +27,8 @@
 	Served, Failed uint32
 	// ServedAge is the time since the last served request was sent.
 	ServedAge Milliseconds
+	// ServedMs is the sum of the times that the served requests took, in milliseconds. It may overflow.
+	ServedMs uint32
 }
 
 // Milliseconds is a duration, in the unit that keeps messages small.
@@ -50,6 +52,8 @@
 	_ struct{} `cbor:",toarray"`
 	// Served and Failed are the decayed numbers of requests.
 	Served, Failed float32
+	// ServedMs is the decayed sum of the times that the served requests took, in milliseconds.
+	ServedMs float32
 	// ServedRun is the number of requests that were served since the last failure, and FailedRun the number of those that
 	// failed since one was served.
 	ServedRun, FailedRun int
@@ -58,10 +62,10 @@
 	FailureAge, RunAge, ServedAge Milliseconds
 }
 
-// Add adds outcomes to counts that are current, given the time since the last of the served requests was sent. Requests that
+// Add adds outcomes to counts that are current, given the time since the last of the served requests was sent and the time that they took together. Requests that
 // were sent before a run of failures do not end it. If requests were served and others failed, both runs end, because their
 // order is not known.
-func (c Counts) Add(served, failed uint32, servedAge Milliseconds) Counts {
+func (c Counts) Add(served, failed uint32, servedAge Milliseconds, servedMs uint32) Counts {
 	if served > 0 {
 		if c.Served == 0 {
 			c.ServedAge = servedAge
@@ -70,6 +74,7 @@
 	}
 	c.Served += float32(served)
 	c.Failed += float32(failed)
+	c.ServedMs += float32(servedMs)
 	switch {
 	case failed > 0 && served > 0:
 		c.ServedRun, c.FailedRun = 0, 0
@@ -95,6 +100,7 @@
 	decay := float32(math.Exp(-float64(d) / float64(window)))
 	c.Served *= decay
 	c.Failed *= decay
+	c.ServedMs *= decay
 	age := NewMilliseconds(d)
 	c.FailureAge = min(maxMilliseconds, c.FailureAge+age)
 	c.RunAge = min(maxMilliseconds, c.RunAge+age)
@@ -133,8 +139,8 @@
 	at     time.Time
 }
 
-func (s *sum) add(served, failed uint32, servedAge Milliseconds, now time.Time) {
-	s.counts = s.counts.After(now.Sub(s.at)).Add(served, failed, servedAge)
+func (s *sum) add(served, failed uint32, servedAge Milliseconds, servedMs uint32, now time.Time) {
+	s.counts = s.counts.After(now.Sub(s.at)).Add(served, failed, servedAge, servedMs)
 	s.at = now
 }
 
@@ -173,8 +179,9 @@
 		zone = &sum{at: now}
 		t.zones[totals.Zone] = zone
 	}
-	zone.add(served, failed, totals.ServedAge, now)
-	t.all.add(served, failed, totals.ServedAge, now)
+	took := totals.ServedMs - last.ServedMs
+	zone.add(served, failed, totals.ServedAge, took, now)
+	t.all.add(served, failed, totals.ServedAge, took, now)
 }
 
 // removeOld drops the hosts that have not reported for hostRetention. The caller must hold t.mu.
--- a/internal/core/outlierejector/outlierejector.go
+++ b/internal/core/outlierejector/outlierejector.go
@@ -23,6 +23,8 @@
 	// recentTime is how recent the outcomes of the others must be that are compared with a failure rate, and how long the
 	// rate must last. Counts of other endpoints are up to 0.3 s old, so that a failure of the whole pool seems to begin at one.
 	recentTime = 500 * time.Millisecond
+	// expectedWeight is the number of requests that the expected time counts for in the mean time of an endpoint.
+	expectedWeight = 0.5
 	// suspectRun is the number of failures in sequence after which other endpoints are preferred.
 	suspectRun = 2
 	// minMeanRate is the least mean failure rate that endpoints are compared with.
@@ -76,6 +78,13 @@
 	return totals
 }
 
+// MeanTime returns the mean time that recent requests of all hosts took. It approaches the expected time as they age.
+func (m *Member) MeanTime(expected time.Duration, now time.Time) time.Duration {
+	c := m.sums.All.After(now.Sub(m.at))
+	sum := float64(c.ServedMs)*float64(time.Millisecond) + expectedWeight*float64(expected)
+	return time.Duration(sum / (float64(c.Served) + expectedWeight))
+}
+
 // IsSuspect reports whether the last requests of this zone or of all hosts at the endpoint have failed a moment ago. Other
 // endpoints are preferred then: this is known before it is certain that the pool does not fail as a whole.
 func (m *Member) IsSuspect(now time.Time) bool {
@@ -167,7 +176,9 @@
 		m.servedSentAt = sentAt
 	}
 	s, age := m.current(now), outcometracker.NewMilliseconds(now.Sub(sentAt))
-	m.sums = outcometracker.Sums{Zone: s.Zone.Add(served, failed, age), All: s.All.Add(served, failed, age)}
+	took := served * uint32(age)
+	m.sums = outcometracker.Sums{Zone: s.Zone.Add(served, failed, age, took), All: s.All.Add(served, failed, age, took)}
+	m.local.ServedMs += took
 	m.at = now
 	m.local.Served += served
 	m.local.Failed += failed
--- a/internal/engineagent/engineagent.go
+++ b/internal/engineagent/engineagent.go
@@ -84,6 +84,7 @@
 	fleet      messages.FleetResponse
 	entryHosts []hostregistrar.Entry
 	gateState  gateState
+	pace       enginePace
 }
 
 // Run serves until ctx ends.
@@ -105,8 +106,9 @@
 	tasks.Go(func() error { return h.serveMetrics(ctx, promhttp.HandlerFor(registry, promhttp.HandlerOpts{})) })
 	tasks.Go(func() error { return h.reconcile(ctx) })
 	tasks.Go(func() error { return h.announcePeriodically(ctx) })
+	tasks.Go(func() error { return h.followPace(ctx) })
 	exchanger := &loadexchanger.Exchanger{
-		Host: ident.Host(h.IP), Conn: h.GateConn, Gate: h.currentGate, Logger: h.Logger,
+		Host: ident.Host(h.IP), Conn: h.GateConn, Gate: h.currentGate, Pace: h.currentPace, Logger: h.Logger,
 	}
 	exchanger.Init()
 	tasks.Go(func() error { return exchanger.Run(ctx) })
--- a/internal/engineagent/reconcile.go
+++ b/internal/engineagent/reconcile.go
@@ -162,7 +162,12 @@
 func (h *Agent) readReport(ctx context.Context) (rolloutplanner.Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return h.Engine.Report(ctx)
+	askedAt := time.Now()
+	r, err := h.Engine.Report(ctx)
+	if err == nil {
+		h.recordPace(r, askedAt)
+	}
+	return r, err
 }
 
 // cacheServedChunks copies the chunks of the release that the engine serves from its staging area to the replicator, so
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -273,7 +273,7 @@
 // assignerQuery returns the query for an endpoint for the next attempt. A stream that has begun stays on its release.
 func (g *Gateway) assignerQuery(req *request, state *requestState) assigner.Query {
 	query := assigner.Query{
-		Pool: req.pool, Model: req.Model, PromptTokens: req.PromptTokens, Excluded: state.tried, BeginDeadline: g.BeginDeadline,
+		Pool: req.pool, Model: req.Model, PromptTokens: req.PromptTokens, ResponseTokens: req.ResponseTokens, Excluded: state.tried, BeginDeadline: g.BeginDeadline,
 		MayUse: g.zoneFilter(req), IsRepeatable: req.route.MayRepeat(), HasFailed: state.mayHaveRun > 0,
 		TimeLeft: req.route.Objective - req.earlierTime - time.Since(req.arrivedAt), ConfirmedAfter: state.refusedAt,
 	}
--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -154,6 +154,9 @@
 	}
 	exchanger.Init()
 	h.assigner.OnLoadChange = exchanger.LoadChanged
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "nutmegdock_gateway_slow_engines", Help: "Engines that have stated a moment ago that they are slow.",
+	}, func() float64 { return float64(h.assigner.SlowEngines()) }))
 	if h.EjectsOutliers {
 		h.initEjections(registry)
 		exchanger.Outcomes = h.assigner.OutcomeTotals
--- a/internal/gatewayserver/load.go
+++ b/internal/gatewayserver/load.go
@@ -57,6 +57,9 @@
 
 func (h *Server) handleLoadReply(e fleetconfig.Endpoint, r loadexchanger.Reply) {
 	h.assigner.SetReport(e, r.Load)
+	if r.Pace != nil {
+		h.assigner.SetPace(e, *r.Pace)
+	}
 	if r.Outcomes != nil {
 		h.assigner.SetOutcomes(e, *r.Outcomes)
 	}
--- a/internal/headercodec/headercodec.go
+++ b/internal/headercodec/headercodec.go
@@ -20,6 +20,8 @@
 	// PromptTokens is the number of prompt tokens, and MaxResponseTokens the maximum number of response tokens; zero if
 	// unknown.
 	PromptTokens, MaxResponseTokens float64
+	// ResponseTokens is the caller's estimate of the number of response tokens; zero if it states none.
+	ResponseTokens float64
 	// PromptParts lists the ids of the parts of the prompt that other requests may share, in order.
 	PromptParts []string
 	// After is the id of the last event that the caller has received. It is valid if HasAfter is set.
--- a/internal/loadexchanger/loadexchanger.go
+++ b/internal/loadexchanger/loadexchanger.go
@@ -70,6 +70,8 @@
 	OnFacts func(m factexchanger.Message, from netip.AddrPort)
 	// Gate returns the gate state to send with replies, or nil. It is nil on entry hosts.
 	Gate func() *assigner.GateState
+	// Pace returns the pace of the engine to state in replies, or nil. It is nil on entry hosts.
+	Pace func() *assigner.Pace
 	// Logger receives the log events of messages that cannot be decoded.
 	Logger log.Interface
 
@@ -305,6 +307,9 @@
 		if x.Gate != nil {
 			reply.Gate = x.Gate()
 		}
+		if x.Pace != nil {
+			reply.Pace = x.Pace()
+		}
 		x.send(message{Host: x.Host, Reply: reply, Limit: newLimitStatement(limit)}, from)
 	case m.Reply != nil:
 		x.handleReply(*m.Reply, m.Limit)
--- a/internal/loadexchanger/message.go
+++ b/internal/loadexchanger/message.go
@@ -102,6 +102,8 @@
 	Gate *assigner.GateState
 	// Outcomes holds the outcomes at the endpoint; nil if none are known.
 	Outcomes *outcometracker.Sums
+	// Pace is the pace of the engine; nil if it states none.
+	Pace *assigner.Pace
 }
 
 func encode(m message) ([]byte, error) {
