--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -70,6 +70,8 @@
 	PromptTokens float64
 	// Rank is the priority class of the request; 0 is the most urgent.
 	Rank ident.Rank
+	// ResponseTokens is the expected number of response tokens; zero if the caller states none.
+	ResponseTokens float64
 	// TimeLeft is the rest of the objective; zero or less means that the objective has already passed.
 	TimeLeft time.Duration
 	// MayUse reports whether the request may run in a zone; nil means that it may run in all.
@@ -106,10 +108,13 @@
 
 	onUnreachable func()
 	hasFailed     bool
-	promptTokens  int
-	class         Class
-	sentAt        time.Time
-	hasFirstEvent bool
+	// responseTokens is the expected number of response tokens, and firstEventAt when the first event arrived.
+	responseTokens float64
+	firstEventAt   time.Time
+	promptTokens   int
+	class          Class
+	sentAt         time.Time
+	hasFirstEvent  bool
 	// nominalFirstEvent is the predicted time to the first event at a slowdown of one.
 	nominalFirstEvent time.Duration
 }
@@ -175,6 +180,9 @@
 	outcomes   outlierejector.Member
 	// reservationShift decides whether a fractional number of reserved slots is rounded up at this endpoint.
 	reservationShift float64
+	pace             statedPace
+	// estimated is the number of requests in flight whose response tokens are estimated.
+	estimated int
 }
 
 // Assigner assigns requests to the known endpoints. Set its fields before use.
@@ -206,6 +214,8 @@
 	ejectors      map[ident.Pool]*outlierejector.Ejector
 	// reservers holds the reservation of slots in each pool.
 	reservers map[ident.Pool]*slotreserver.Reserver
+	// pacedPools holds the pools whose engines state their pace.
+	pacedPools map[ident.Pool]bool
 }
 
 // SetPools replaces the configured pools.
@@ -268,6 +278,9 @@
 	}
 	best.awaitingFirstEvent[choice] = true
 	best.inFlight[choice] = true
+	if choice.responseTokens > 0 {
+		best.estimated++
+	}
 	a.notifyChanged(best)
 	return choice, ""
 }
@@ -316,7 +329,7 @@
 		}
 		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
-			choice = &Assignment{Endpoint: s.Endpoint, Load: load, PredictedFirstEvent: predicted, Release: release, promptTokens: int(q.PromptTokens), class: q.class(), IsLate: q.TimeLeft <= 0, sentAt: now, onUnreachable: q.OnUnreachable, hasFailed: q.HasFailed}
+			choice = &Assignment{Endpoint: s.Endpoint, Load: load, PredictedFirstEvent: predicted, Release: release, promptTokens: int(q.PromptTokens), class: q.class(), IsLate: q.TimeLeft <= 0, sentAt: now, onUnreachable: q.OnUnreachable, hasFailed: q.HasFailed, responseTokens: q.ResponseTokens}
 		}
 	}
 	if best == nil {
@@ -371,10 +384,21 @@
 	return longest
 }
 
-// currentSlowdown returns how many times longer the endpoint takes than its configured figures predict. It approaches
-// the mean of its pool as the last observation ages: a host of a large fleet sees few requests at each endpoint. The
+// currentSlowdown returns how many times longer the endpoint takes than its configured figures predict: as the engine
+// states it, or as this host has learned it. What it has learned approaches the mean of its pool as the last observation ages: a host of a large fleet sees few requests at each endpoint. The
 // caller must hold a.mu.
 func (a *Assigner) currentSlowdown(s *endpointState, now time.Time) float64 {
+	if pace, ok := a.freshPace(s, now); ok {
+		return pace
+	}
+	if pace, ok := a.plainPace(s, now); ok {
+		return pace
+	}
+	return a.learnedSlowdown(s, now)
+}
+
+// learnedSlowdown returns the slowdown that this host has observed. The caller must hold a.mu.
+func (a *Assigner) learnedSlowdown(s *endpointState, now time.Time) float64 {
 	mean := 1.0
 	if m := a.slowdownMeans[s.Pool]; m != nil {
 		mean = *m
@@ -388,7 +412,7 @@
 
 // observeSlowdown records how many times longer than predicted an endpoint took. The caller must hold a.mu.
 func (a *Assigner) observeSlowdown(s *endpointState, observed float64, now time.Time) {
-	s.slowdown = a.currentSlowdown(s, now)*(1-slowdownWeight) + observed*slowdownWeight
+	s.slowdown = a.learnedSlowdown(s, now)*(1-slowdownWeight) + observed*slowdownWeight
 	s.slowdownAt = now
 	if a.slowdownMeans == nil {
 		a.slowdownMeans = make(map[ident.Pool]*float64)
@@ -439,6 +463,7 @@
 	}
 	s.localLoad.begin(c.class, c.promptTokens)
 	delete(s.awaitingFirstEvent, c)
+	c.firstEventAt = now
 	a.countOutcome(s, c, false)
 	if c.nominalFirstEvent > 0 {
 		observed := min(maxSlowdown, max(minSlowdown, float64(now.Sub(c.sentAt))/float64(c.nominalFirstEvent)))
@@ -488,6 +513,9 @@
 		}
 		s.localLoad.remove(c.class)
 		delete(s.inFlight, c)
+		if c.responseTokens > 0 {
+			s.estimated--
+		}
 	}
 	a.recordOutcome(s, c, outcome)
 	if outcome == Errored && a.OnEjection == nil {
--- a/internal/core/assigner/load.go
+++ b/internal/core/assigner/load.go
@@ -28,6 +28,8 @@
 	Requests, PendingPromptTokens int
 	// Classes is the load by class.
 	Classes [classCount]ClassLoad
+	// Response is the part that is still to be generated.
+	Response ResponseLoad
 }
 
 // class returns the class of a request.
@@ -66,6 +68,7 @@
 func (l Load) Plus(other Load) Load {
 	l.Requests += other.Requests
 	l.PendingPromptTokens += other.PendingPromptTokens
+	l.Response = l.Response.Add(other.Response)
 	for i := range l.Classes {
 		l.Classes[i].Requests += other.Classes[i].Requests
 		l.Classes[i].Waiting += other.Classes[i].Waiting
--- a/internal/core/assigner/predict.go
+++ b/internal/core/assigner/predict.go
@@ -56,9 +56,9 @@
 	return e.StepTime + time.Duration(float64(n)*(float64(e.StepTimePerRequest)+context))
 }
 
-// slotReleaseTime returns the mean time until one of n requests in a full batch completes.
-func slotReleaseTime(e *fleetconfig.EngineProfile, n int) time.Duration {
-	return prefillTime(e, e.PromptTokens) + time.Duration(e.ResponseTokens/float64(max(1, n))*float64(stepTime(e, n)))
+// slotReleaseTime returns the mean time until one of n requests in a full batch completes, given the load.
+func slotReleaseTime(e *fleetconfig.EngineProfile, n int, load Load) time.Duration {
+	return prefillTime(e, e.PromptTokens) + time.Duration(meanRemainingTokens(e, load)/float64(max(1, n))*float64(stepTime(e, n)))
 }
 
 // queueAhead is what must happen at an engine before a request is admitted there.
@@ -103,9 +103,9 @@
 }
 
 // wait returns the predicted time for which other requests hold up a request, at a slowdown of one.
-func (q queueAhead) wait(e *fleetconfig.EngineProfile, slots int) time.Duration {
+func (q queueAhead) wait(e *fleetconfig.EngineProfile, slots int, load Load) time.Duration {
 	releases := float64(q.releases) / (1 - q.urgentShare)
-	return prefillTime(e, q.promptTokens) + time.Duration(releases*float64(slotReleaseTime(e, slots)))
+	return prefillTime(e, q.promptTokens) + time.Duration(releases*float64(slotReleaseTime(e, slots, load)))
 }
 
 // predict returns the predicted time to the first event, and whether the request may be assigned to the endpoint.
@@ -125,7 +125,7 @@
 	e := pool.Engine
 	slowdown := a.currentSlowdown(s, now)
 	processing := time.Duration(slowdown * float64(processingTime(e, min(slots, load.Requests+1), q.PromptTokens)))
-	wait := aheadOf(load, q.class(), slots).wait(e, slots)
+	wait := aheadOf(load, q.class(), slots).wait(e, slots, load)
 	wait = max(time.Duration(slowdown*float64(wait)), s.overdueWait(now)-processing)
 	predicted := processing + wait
 	if q.TimeLeft <= 0 {
--- a/internal/core/loadtracker/loadtracker.go
+++ b/internal/core/loadtracker/loadtracker.go
@@ -52,7 +52,9 @@
 			continue
 		}
 		if other != h {
-			total = total.Plus(r.load)
+			load := r.load
+			load.Response = load.Response.After(now.Sub(r.at))
+			total = total.Plus(load)
 		}
 	}
 	return total
