--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -72,6 +72,8 @@
 	Rank ident.Rank
 	// ResponseTokens is the expected number of response tokens; zero if the caller states none.
 	ResponseTokens float64
+	// Organisation identifies the organisation that shares the capacity with others of the rank; zero means none.
+	Organisation ident.OrganisationKey
 	// TimeLeft is the rest of the objective; zero or less means that the objective has already passed.
 	TimeLeft time.Duration
 	// MayUse reports whether the request may run in a zone; nil means that it may run in all.
@@ -183,6 +185,8 @@
 	pace             statedPace
 	// estimated is the number of requests in flight whose response tokens are estimated.
 	estimated int
+	// started holds the requesters whose requests were sent since the last report.
+	started []Requester
 }
 
 // Assigner assigns requests to the known endpoints. Set its fields before use.
@@ -216,6 +220,7 @@
 	reservers map[ident.Pool]*slotreserver.Reserver
 	// pacedPools holds the pools whose engines state their pace.
 	pacedPools map[ident.Pool]bool
+	shares     shares
 }
 
 // SetPools replaces the configured pools.
@@ -275,6 +280,9 @@
 	best.localLoad.add(choice.class, choice.promptTokens)
 	if q.TimeLeft > 0 {
 		a.reserver(q.Pool).Admit(q.Rank)
+		if q.Organisation != 0 && len(best.started) < maxStarted {
+			best.started = append(best.started, q.requester())
+		}
 	}
 	best.awaitingFirstEvent[choice] = true
 	best.inFlight[choice] = true
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -58,6 +58,7 @@
 	ProcessFailed          = Event{1753, log.ErrorLevel, "process failed"}
 	ReleaseStalled         = Event{1754, log.WarnLevel, "release does not arrive; an earlier one is fetched meanwhile"}
 	SlotsReserved          = Event{1780, log.InfoLevel, "requests are refused to keep slots free for more urgent ones"}
+	OrganisationAboveShare = Event{1781, log.InfoLevel, "requests of an organisation above its fair share are refused before those of others"}
 	ZoneEvacuated          = Event{1760, log.WarnLevel, "zone is evacuated; its endpoints get no requests"}
 	EndpointEjected        = Event{1785, log.WarnLevel, "endpoint fails far more often than the others of its pool; it gets single requests only"}
 	EndpointReadmitted     = Event{1786, log.InfoLevel, "ejected endpoint is in use again"}
--- a/internal/loadexchanger/message.go
+++ b/internal/loadexchanger/message.go
@@ -90,6 +90,8 @@
 	Query uint64
 	// Outcomes holds the numbers of the sender's requests by outcome; nil if it does not count them.
 	Outcomes *outcometracker.Totals
+	// Sharing is nil if it would be empty.
+	Sharing *Sharing
 }
 
 // Reply states the load of all hosts at an endpoint but the one that has sent the query.
@@ -104,6 +106,8 @@
 	Outcomes *outcometracker.Sums
 	// Pace is the pace of the engine; nil if it states none.
 	Pace *assigner.Pace
+	// Share is nil if the query names no requester, or while there is no contention.
+	Share *Share
 }
 
 func encode(m message) ([]byte, error) {
--- a/internal/loadexchanger/trackers.go
+++ b/internal/loadexchanger/trackers.go
@@ -10,6 +10,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/loadtracker"
 	"github.com/nutmegdock/nutmegdock/internal/core/outcometracker"
 	"github.com/nutmegdock/nutmegdock/internal/core/ratelimiter"
+	"github.com/nutmegdock/nutmegdock/internal/core/sharetracker"
 )
 
 type endpointTracker struct {
@@ -17,6 +18,7 @@
 	isLeaving bool
 	limiter   ratelimiter.Limiter
 	outcomes  outcometracker.Tracker
+	shares    sharetracker.Tracker
 	lastUsed  time.Time
 }
 
@@ -26,16 +28,16 @@
 	all map[fleetconfig.Incarnation]*endpointTracker
 }
 
-// record stores a report and the limit that came with it. It returns the load of the other hosts at the endpoint, whether
-// one of them knows that it is leaving, and its limit.
-func (t *trackers) record(h ident.Host, r *Report, limit fleetconfig.RateLimit) (others assigner.Load, isLeaving bool, merged fleetconfig.RateLimit) {
+// record stores a report and the limit that came with it. It returns the load of the other hosts at the endpoint, the
+// share that the report asks for, whether one of them knows that it is leaving, and its limit.
+func (t *trackers) record(h ident.Host, r *Report, limit fleetconfig.RateLimit) (others assigner.Load, share *Share, isLeaving bool, merged fleetconfig.RateLimit) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.get(fleetconfig.Incarnation{ID: r.Endpoint, StartTime: r.StartTime})
 	e.isLeaving = e.isLeaving || r.IsLeaving
 	e.limiter.Record(limit)
 	e.Record(h, r.Load, r.Process, r.Serial)
-	return e.Others(h), e.isLeaving, e.limiter.Limit()
+	return e.Others(h), recordSharing(&e.shares, r.Sharing), e.isLeaving, e.limiter.Limit()
 }
 
 // recordOutcomes stores the outcomes that came with a report, and returns those of all hosts, or nil if none are known.
