--- a/internal/core/bufferlimiter/bufferlimiter.go
+++ b/internal/core/bufferlimiter/bufferlimiter.go
@@ -16,8 +16,8 @@
 )
 
 // The bounds are fractions of the memory of the process. The live heap is only a part of the resident memory: the garbage
-// collector lets it grow by 30%, stacks and freed pages come on top, and so do about 25 MB for everything else (chunks of
-// weights, configuration, state of the fleet). With 136 MB, a quarter for buffers keeps the whole below half.
+// collector lets it grow by 30%, and stacks, freed pages and the state that is not counted come on top. A quarter for
+// buffers kept the whole below half of 184 MB with 900 slow callers (docs/design/slow-readers.md).
 const (
 	processDivisor = 4
 	// callerDivisor leaves the largest response that is buffered in full, 1 MiB, on the smallest hosts (136 MB).
