gateway: requests to cold endpoints need permits

Cause: a cold endpoint crashes if it gets well above ColdPerS requests per second. All hosts rate an empty endpoint as the best at the same moment, and nothing bounded what they send together after a start or the evacuation of a zone.

core/coldtracker decides which endpoints are cold for a host. The limiter of the responder has the cold limit as a second source. For a plain service, whose responder is an entry host, core/permitsharer bounds what several responders give together. A permit for a cold endpoint expires, and the gateway checks it when the request is written. The assigner learns the slowdown of cold endpoints apart. Without ColdPerS and ColdStartS no message, permit or decision changes.

--- a/cmd/gatewayd/main.go
+++ b/cmd/gatewayd/main.go
@@ -34,6 +34,7 @@
 		MetricsAddress: net.JoinHostPort(cfg.IP, strconv.Itoa(cfg.PortRange[0])), ExchangePort: cfg.PortRange[0],
 		LinkMbps:    cfg.LinkMbps,
 		GracePeriod: cfg.GracePeriod, RetryRatio: cfg.RetryRatio, RetryBurst: cfg.RetryBurst,
+		ColdOvershoot: cfg.ColdOvershoot, ColdSlack: cfg.ColdSlack,
 		RolloutTimeout: cfg.RolloutTimeout, Regions: cfg.Regions, IsFirstStart: cfg.IsFirstStart, Codec: translator.New(), Logger: l,
 		Replicator: &chunkreplicator.Replicator{
 			Self: ident.Host(cfg.IP), Zone: cfg.Zone, Region: cfg.Region, IP: cfg.IP, IsSeed: true,
--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -114,6 +114,8 @@
 	PredictedFirstEvent time.Duration
 	// Release is the release of the weights at the endpoint; zero at a plain service.
 	Release fleetconfig.Release
+	// PermitAskedAt is when the permit for the request was asked for; zero if it has none.
+	PermitAskedAt time.Time
 
 	onUnreachable func()
 	promptTokens  int
@@ -178,6 +180,8 @@
 	reportedAt time.Time
 	slowdown   float64
 	slowdownAt time.Time
+	// wasCold says that the slowdown was observed while the endpoint was cold.
+	wasCold bool
 }
 
 // Assigner assigns requests to the known endpoints. Set its fields before use.
@@ -189,6 +193,8 @@
 	// OnLoadChange is called when the load of this host at an endpoint changes; it may be nil. It must not call the
 	// assigner.
 	OnLoadChange func(e fleetconfig.Endpoint, load Load)
+	// IsCold reports whether an endpoint is cold; nil means that none is. It must not call the assigner.
+	IsCold func(e fleetconfig.Endpoint) bool
 
 	mu          sync.Mutex
 	endpoints   map[string]*endpointState
@@ -199,7 +205,9 @@
 	reportMeans map[ident.Pool]*reportMean
 	// slowdownMeans holds the mean slowdown of the endpoints of each pool.
 	slowdownMeans map[ident.Pool]*float64
-	serviceTimes  map[ident.Pool]time.Duration
+	// coldSlowdownMeans holds that of its cold endpoints, for pools where one was observed.
+	coldSlowdownMeans map[ident.Pool]*float64
+	serviceTimes      map[ident.Pool]time.Duration
 }
 
 // SetPools replaces the configured pools.
@@ -394,11 +402,9 @@
 // the mean of its pool as the last observation ages: a host of a large fleet sees few requests at each endpoint. The
 // caller must hold a.mu.
 func (a *Assigner) currentSlowdown(s *endpointState, now time.Time) float64 {
-	mean := 1.0
-	if m := a.slowdownMeans[s.Pool]; m != nil {
-		mean = *m
-	}
-	if s.slowdownAt.IsZero() {
+	isCold := a.isCold(s)
+	mean := a.meanSlowdown(s.Pool, isCold)
+	if s.slowdownAt.IsZero() || s.wasCold != isCold {
 		return mean
 	}
 	decayTimes := float64(now.Sub(s.slowdownAt)) / float64(slowdownDecayTime)
@@ -407,8 +413,12 @@
 
 // observeSlowdown records how many times longer than predicted an endpoint took. The caller must hold a.mu.
 func (a *Assigner) observeSlowdown(s *endpointState, observed float64, now time.Time) {
+	if a.isCold(s) {
+		a.observeColdSlowdown(s, observed, now)
+		return
+	}
 	s.slowdown = a.currentSlowdown(s, now)*(1-slowdownWeight) + observed*slowdownWeight
-	s.slowdownAt = now
+	s.slowdownAt, s.wasCold = now, false
 	if a.slowdownMeans == nil {
 		a.slowdownMeans = make(map[ident.Pool]*float64)
 	}
--- a/internal/core/fleetconfig/fleetconfig.go
+++ b/internal/core/fleetconfig/fleetconfig.go
@@ -84,6 +84,10 @@
 	OriginZone ident.Zone
 	// Engine is the profile of the pool's model engines; nil for a plain service.
 	Engine *EngineProfile
+	// ColdRate is the number of requests per second that a cold endpoint of the pool takes, and ColdStart how long an
+	// endpoint stays cold after its start. If either is zero, no endpoint counts as cold.
+	ColdRate  ident.Rate
+	ColdStart time.Duration
 }
 
 // EngineProfile is the capacity and speed profile of a pool's model engines.
@@ -224,8 +228,10 @@
 	Models []ServedModel
 	// Layers is the range of layers that is loaded.
 	Layers LayerRange
-	// WarmupRemaining is the remaining time for which the endpoint is slow after its start.
+	// WarmupRemaining is the remaining time for which the endpoint is cold, counted from ReadAt, when this host read the
+	// entry.
 	WarmupRemaining time.Duration
+	ReadAt          time.Time
 }
 
 // Incarnation identifies one start of an endpoint, which may start again under the same id.
--- a/internal/core/outcome/outcome.go
+++ b/internal/core/outcome/outcome.go
@@ -46,6 +46,7 @@
 	OtherWeightSet Reason = "moved"        // the endpoint serves another weight set
 	EndpointClosed Reason = "closed"       // the endpoint accepts no requests now
 	Restricted     Reason = "restricted"   // the request must not run in the zone of the endpoint
+	NoPermit       Reason = "no-permit"    // the endpoint is cold, and the permit for the request is missing or has expired
 )
 
 // Error is the end of a request without a response.
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -58,4 +58,7 @@
 	ProcessFailed          = Event{1753, log.ErrorLevel, "process failed"}
 	ZoneEvacuated          = Event{1760, log.WarnLevel, "zone is evacuated; its endpoints get no requests"}
 	ZoneReturned           = Event{1761, log.InfoLevel, "evacuation of a zone has ended"}
+	EndpointCold           = Event{1765, log.InfoLevel, "endpoint is cold; requests to it need permits"}
+	EndpointWarm           = Event{1766, log.InfoLevel, "endpoint is no longer cold"}
+	PermitRateChanged      = Event{1767, log.InfoLevel, "rate of the permits for an endpoint has changed"}
 )
--- a/internal/fleetwatcher/fleetwatcher.go
+++ b/internal/fleetwatcher/fleetwatcher.go
@@ -85,9 +85,11 @@
 
 	peers map[string][]byte
 
-	mu sync.Mutex // guards newestOperatorValues
+	mu sync.Mutex // guards the fields below
 	// newestOperatorValues holds the newest configuration and releases as they were read.
 	newestOperatorValues map[string][]byte
+	// operatorReadAt and endpointsReadAt are when the topics were last read.
+	operatorReadAt, endpointsReadAt time.Time
 }
 
 // Newest returns the newest state that this host has seen, for a host that starts.
@@ -127,6 +129,7 @@
 	var tasks errgroup.Group
 	operator := w.newWatcher(w.Topics.Operator)
 	operator.Wait, operator.Pause = w.OperatorWait, operatorPause
+	operator.OnResult = w.recordOperatorRead
 	operator.OnNewEpoch = func(watcher.Epoch) {
 		if w.Evacuations != nil {
 			w.Evacuations.RecordRestore()
@@ -144,7 +147,7 @@
 	tasks.Go(func() error { return operator.Run(ctx) })
 	endpoints := w.newWatcher(w.Topics.Endpoints)
 	endpoints.Pause, endpoints.RelayedPause = w.EndpointPause, relayedEndpointPause
-	endpoints.OnResult = w.Tracker.RecordRead
+	endpoints.OnResult = w.recordEndpointRead
 	endpoints.OnNewEpoch = func(watcher.Epoch) { w.Tracker.RecordRestore() }
 	endpoints.ApplySnapshot = w.resetEndpoints
 	endpoints.ApplyChanges = w.applyEndpoints
@@ -270,5 +273,6 @@
 		w.Logger.WithError(err).WithField("endpoint", id).Debug("skipping endpoint: entry is invalid or incomplete")
 		return e, false
 	}
+	e.ReadAt = time.Now()
 	return e, true
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,10 @@
 	// TakePermit takes a permit for one request to an endpoint that limits its requests. If there is none, it returns the
 	// time until there may be one. Nil means that no endpoint limits them.
 	TakePermit func(ctx context.Context, e fleetconfig.Endpoint) (ok bool, wait time.Duration)
+	// NeedsPermit reports whether requests to an endpoint need a permit because it is cold or may be. PermitLifetime
+	// returns how long after it was asked for such a permit may be used. Nil means that no endpoint is cold.
+	NeedsPermit    func(e fleetconfig.Endpoint) bool
+	PermitLifetime func(e fleetconfig.Endpoint) time.Duration
 	// Restrictor decides in which zones requests may run.
 	Restrictor zonerestrictor.Restrictor
 	// Sender sends attempts to endpoints.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -14,7 +14,6 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
-	"github.com/nutmegdock/nutmegdock/internal/core/ratelimiter"
 	"github.com/nutmegdock/nutmegdock/internal/core/sequencer"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/headercodec"
@@ -217,11 +216,13 @@
 func (g *Gateway) assignWithPermit(ctx context.Context, query *assigner.Query) (*assigner.Assignment, assigner.Refusal) {
 	for {
 		choice, refusal := g.Assigner.Assign(*query)
-		if refusal != "" || g.TakePermit == nil || !ratelimiter.NeedsPermit(g.Assigner.Limit(choice.Endpoint)) {
+		if refusal != "" || g.TakePermit == nil || !g.needsPermit(choice.Endpoint) {
 			return choice, refusal
 		}
+		askedAt := time.Now()
 		ok, wait := g.TakePermit(ctx, choice.Endpoint)
 		if ok {
+			choice.PermitAskedAt = askedAt
 			return choice, ""
 		}
 		g.Assigner.RecordNoPermit(choice.Endpoint, wait)
@@ -284,7 +285,7 @@
 		switch o.Reason {
 		case outcome.Unreachable:
 			return state.unreachable < maxUnreachable
-		case outcome.Restricted:
+		case outcome.Restricted, outcome.NoPermit:
 			return true // no endpoint has received the request
 		}
 		return state.refused < maxRefusals && state.mayHaveRun+state.refused < max(req.route.MaxAttempts, 1) && g.RetryBudget.SpendRetry()
@@ -446,7 +447,7 @@
 	s.lastErr = err
 	var o *outcome.Error
 	isNotRun := errors.As(err, &o) && o.Kind == outcome.NotRun
-	if isNotRun && o.Reason == outcome.Restricted {
+	if isNotRun && (o.Reason == outcome.Restricted || o.Reason == outcome.NoPermit) {
 		return assigner.NotSent
 	}
 	isUnreachable := isNotRun
--- a/internal/gatewayserver/evacuation.go
+++ b/internal/gatewayserver/evacuation.go
@@ -24,6 +24,7 @@
 			event.ZoneEvacuated.Log(h.Logger, log.Fields{"zone": string(z)})
 			return
 		}
+		h.cold.RecordEvacuationEnd(z)
 		gauge.WithLabelValues(string(z)).Set(0)
 		event.ZoneReturned.Log(h.Logger, log.Fields{"zone": string(z)})
 	}}
--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -20,11 +20,13 @@
 
 	"github.com/nutmegdock/nutmegdock/internal/chunkreplicator"
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
+	"github.com/nutmegdock/nutmegdock/internal/core/coldtracker"
 	"github.com/nutmegdock/nutmegdock/internal/core/crashsuspector"
 	"github.com/nutmegdock/nutmegdock/internal/core/evacuationtracker"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleettracker"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/permitsharer"
 	"github.com/nutmegdock/nutmegdock/internal/core/presencetracker"
 	"github.com/nutmegdock/nutmegdock/internal/core/retrybudget"
 	"github.com/nutmegdock/nutmegdock/internal/core/zonerestrictor"
@@ -89,6 +91,8 @@
 	// RetryRatio and RetryBurst bound the retries of the entire fleet in a time window: the ratio of its requests, and a
 	// number beyond that.
 	RetryRatio, RetryBurst float64
+	// ColdOvershoot and ColdSlack bound the requests that a cold endpoint gets from all hosts in one second.
+	ColdOvershoot, ColdSlack float64
 	// RolloutTimeout is the time after which requests may no longer begin on an older release.
 	RolloutTimeout time.Duration
 	// Codec parses and writes the headers of requests and responses.
@@ -115,6 +119,10 @@
 
 	presence    *presencetracker.Tracker
 	evacuations *evacuationtracker.Tracker
+	exchanger   *loadexchanger.Exchanger
+	cold        *coldtracker.Tracker
+	permits     *prometheus.CounterVec
+	sharer      permitsharer.Sharer
 	// readStoreSnapshot reads a snapshot from the store itself.
 	readStoreSnapshot func(ctx context.Context, topic string) (watcher.Snapshot, error)
 	// restored signals that this host's entry may be gone from the store, and archiveAgain that the archived weights may
@@ -151,15 +159,20 @@
 		IsLeaving: h.assigner.IsLeaving, Limit: h.assigner.Limit, OnLimit: h.handleLimit, OnReply: h.handleLoadReply, OnGate: h.assigner.SetGateState, Presence: h.presence, Logger: h.Logger,
 	}
 	exchanger.Init()
+	h.exchanger = exchanger
+	h.initCold(registry, exchanger)
 	h.assigner.OnLoadChange = exchanger.LoadChanged
 	h.initFacts(exchanger)
 	h.initEvacuations(registry)
 	tracker := &fleettracker.Tracker{RolloutTimeout: h.RolloutTimeout}
-	suspensions := &suspensiondetector.Detector{OnSuspension: tracker.RecordSuspension, Logger: h.Logger}
+	suspensions := &suspensiondetector.Detector{OnSuspension: func(d time.Duration) {
+		tracker.RecordSuspension(d)
+		h.cold.RecordSuspension()
+	}, Logger: h.Logger}
 	suspensions.Check()
 	h.gateway = &gateway.Gateway{
 		Suspector: h.suspector, Announce: h.factExchanger.Announce,
-		Codec: h.Codec, Assigner: h.assigner, QueryLoads: exchanger.Query, TakePermit: exchanger.TakePermit, Sender: &sender.Sender{Dial: (&dialer.Dialer{ConnectTimeout: connectTimeout}).DialContext},
+		Codec: h.Codec, Assigner: h.assigner, QueryLoads: exchanger.Query, TakePermit: h.takePermit, NeedsPermit: h.cold.NeedsPermit, PermitLifetime: h.cold.PermitLifetime, Sender: &sender.Sender{Dial: (&dialer.Dialer{ConnectTimeout: connectTimeout}).DialContext},
 		RetryBudget: &retrybudget.Budget{TokensPerRequest: h.RetryRatio * budgetShare, Burst: h.RetryBurst * budgetShare / minBudgetHosts},
 		OldestRelease: func(m fleetconfig.Model) fleetconfig.Release {
 			suspensions.Check()
@@ -200,7 +213,7 @@
 	}
 	h.Replicator.Init(registry)
 	h.FleetWatcher.OnConfig = h.setConfig
-	h.FleetWatcher.OnEndpoints = func() { h.assigner.SetEndpoints(tracker.Endpoints()) }
+	h.FleetWatcher.OnEndpoints = h.setEndpoints
 	h.restored = make(chan struct{}, 1)
 	h.FleetWatcher.OnRestore = h.handleRestore
 	conn, err := net.ListenPacket("udp4", net.JoinHostPort(h.IP, fmt.Sprint(h.ExchangePort)))
@@ -221,6 +234,7 @@
 	tasks.Go(func() error { return h.replicate(serveCtx) })
 	tasks.Go(func() error { return h.probeEndpoints(serveCtx) })
 	tasks.Go(func() error { return h.refreshEndpoints(serveCtx) })
+	tasks.Go(func() error { return h.observeShares(serveCtx) })
 	exchanger.Conn = conn
 	tasks.Go(func() error { return exchanger.Run(serveCtx) })
 	tasks.Go(func() error { return h.factExchanger.Run(serveCtx) })
@@ -291,6 +305,7 @@
 	if !h.gateway.SetConfig(config) {
 		return false
 	}
+	h.cold.SetPools(config.Pools)
 	h.assigner.SetPools(config.Pools)
 	event.ConfigApplied.Log(h.Logger.WithFields(log.Fields{"revision": int64(config.Revision), "pools": len(config.Pools), "keys": len(config.Keys)}), nil)
 	return true
@@ -317,7 +332,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-time.After(refreshInterval):
-			h.assigner.SetEndpoints(h.FleetWatcher.Tracker.Endpoints())
+			h.setEndpoints()
 		}
 	}
 }
--- a/internal/gatewayserver/load.go
+++ b/internal/gatewayserver/load.go
@@ -26,13 +26,18 @@
 		}
 		return netip.AddrPortFrom(address, uint16(h.ExchangePort))
 	}
+	return h.serviceResponder(e, netip.Addr{})
+}
+
+// serviceResponder returns the responder of an endpoint of a plain service if one host is left out.
+func (h *Server) serviceResponder(e fleetconfig.Endpoint, leftOut netip.Addr) netip.AddrPort {
 	h.mu.Lock()
 	entryHosts := h.entryHosts
 	h.mu.Unlock()
 	var best, bestAnywhere netip.AddrPort
 	var score, scoreAnywhere uint64
 	for _, entry := range entryHosts {
-		if !h.presence.IsAlive(entry.Address.Addr()) {
+		if entry.Address.Addr() == leftOut || !h.presence.IsAlive(entry.Address.Addr()) {
 			continue
 		}
 		s := ranker.Score(e.ID, string(entry.Host()))
--- a/internal/loadexchanger/limit_test.go
+++ b/internal/loadexchanger/limit_test.go
@@ -46,7 +46,9 @@
 	conns  map[netip.AddrPort]*packetConn
 	// lossRate is the fraction of the datagrams that are lost.
 	lossRate float64
-	sent     int
+	// isCut reports whether datagrams between two addresses are lost; nil means that none are.
+	isCut func(from, to netip.AddrPort) bool
+	sent  int
 }
 
 type datagram struct {
@@ -93,7 +95,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.sent++
-	if n.random.Float64() < n.lossRate {
+	if n.random.Float64() < n.lossRate || n.isCut != nil && n.isCut(c.address, udp.AddrPort()) {
 		return len(p), nil
 	}
 	d := datagram{data: slices.Clone(p), from: c.address}
@@ -149,6 +151,8 @@
 	endpoints []fleetconfig.Endpoint
 	// ignoresLimits makes hosts send requests without permits, as they did before there were any.
 	ignoresLimits bool
+	// logger receives the log events of hosts that start; nil discards them.
+	logger log.Interface
 
 	mu sync.Mutex
 	// limit is what the first endpoint states now, or nil.
@@ -213,6 +217,9 @@
 		stop()
 	}
 	x.Conn, x.Logger = f.network.listen(address), &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
+	if f.logger != nil {
+		x.Logger = f.logger
+	}
 	x.Init()
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stop[address] = cancel
--- a/internal/loadexchanger/loadexchanger.go
+++ b/internal/loadexchanger/loadexchanger.go
@@ -57,6 +57,17 @@
 	// knows. Both are nil on hosts that send no requests.
 	Limit   func(e fleetconfig.Endpoint) fleetconfig.RateLimit
 	OnLimit func(e fleetconfig.Endpoint, limit fleetconfig.RateLimit)
+	// Cold returns what this host knows itself about an endpoint that may be cold, and OnCold receives what the responder
+	// knows. Both are nil on hosts that send no requests.
+	Cold   func(e fleetconfig.Endpoint) fleetconfig.Coldness
+	OnCold func(e fleetconfig.Endpoint, c fleetconfig.Coldness)
+	// PermitShare returns the part of the permits for a cold endpoint that this process may give. Nil means that it is the
+	// only responder that the endpoint ever has.
+	PermitShare func(endpoint string) float64
+	// Cede gives up this process's part of the permits for a cold endpoint to its successor and returns it; zero if the
+	// successor is another. OnHandover receives the part of the former responder. Both are nil where PermitShare is nil.
+	Cede       func(endpoint string, successor netip.Addr) float64
+	OnHandover func(endpoint string, share float64)
 	// OnReply receives a reply to a query for an endpoint.
 	OnReply func(e fleetconfig.Endpoint, r Reply)
 	// OnGate receives the state of an engine from the host beside it.
@@ -167,7 +178,11 @@
 		Endpoint: e.ID, StartTime: e.StartTime, Load: x.LocalLoad(e), Process: x.process, Serial: x.serial, IsLeaving: x.IsLeaving(e), Query: queryID,
 	}
 	x.reportMu.Unlock()
-	x.send(message{Host: x.Host, Report: r, Limit: x.limitOf(e)}, to)
+	m := message{Host: x.Host, Report: r, Limit: x.limitOf(e), Cold: x.coldClaimOf(e)}
+	if queryID == 0 && m.Cold != nil && m.Cold.Remaining == 0 {
+		m.Cold = nil // only the reply would need it
+	}
+	x.send(m, to)
 }
 
 // Query queries the responders of endpoints for the load of the other hosts there, and returns when all of them have
@@ -290,7 +305,8 @@
 func (x *Exchanger) handle(m message, from netip.AddrPort) {
 	switch {
 	case m.Report != nil:
-		others, isLeaving, limit := x.trackers.record(m.Host, m.Report, m.Limit.rateLimit())
+		others, isLeaving, limits := x.trackers.record(m.Host, m.Report, m.Limit.rateLimit(), m.Cold.coldness(), x.permitShare(m.Report.Endpoint, m.Cold))
+		x.logRateChange(limits.change)
 		if m.Report.Query == 0 {
 			return
 		}
@@ -298,14 +314,17 @@
 		if x.Gate != nil {
 			reply.Gate = x.Gate()
 		}
-		x.send(message{Host: x.Host, Reply: reply, Limit: newLimitStatement(limit)}, from)
+		x.send(message{Host: x.Host, Reply: reply, Limit: newLimitStatement(limits.stated), Cold: newColdStatement(limits.cold)}, from)
 	case m.Reply != nil:
-		x.handleReply(*m.Reply, m.Limit)
+		x.handleReply(*m.Reply, m.Limit, m.Cold)
 	case m.Permit != nil:
-		ok, wait, limit := x.trackers.takePermit(m.Permit, m.Limit.rateLimit())
-		x.send(message{Host: x.Host, Grant: &grant{Query: m.Permit.Query, OK: ok, Wait: wait}, Limit: newLimitStatement(limit)}, from)
+		ok, wait, limits := x.trackers.takePermit(m.Permit, m.Limit.rateLimit(), m.Cold.coldness(), x.permitShare(m.Permit.Endpoint, m.Cold))
+		x.logRateChange(limits.change)
+		x.send(message{Host: x.Host, Grant: &grant{Query: m.Permit.Query, OK: ok, Wait: wait}, Limit: newLimitStatement(limits.stated), Cold: newColdStatement(limits.cold)}, from)
 	case m.Grant != nil:
-		x.handleGrant(*m.Grant, m.Limit)
+		x.handleGrant(*m.Grant, m.Limit, m.Cold)
+	case m.Handover != nil:
+		x.handleHandover(*m.Handover, from)
 	case m.Gate != nil && x.OnGate != nil:
 		x.OnGate(*m.Gate)
 	case m.Facts != nil && x.OnFacts != nil:
@@ -327,12 +346,13 @@
 	return q
 }
 
-func (x *Exchanger) handleReply(r Reply, limit *limitStatement) {
+func (x *Exchanger) handleReply(r Reply, limit *limitStatement, cold *coldStatement) {
 	q := x.endQuery(r.Query)
 	if q == nil {
 		return
 	}
 	x.notifyLimit(q.endpoint, limit)
+	x.notifyCold(q.endpoint, cold)
 	x.OnReply(q.endpoint, r)
 	if r.Gate != nil {
 		x.OnGate(*r.Gate)
--- a/internal/loadexchanger/message.go
+++ b/internal/loadexchanger/message.go
@@ -25,6 +25,9 @@
 	Limit  *limitStatement `cbor:"limit,omitempty"`
 	Permit *permitRequest  `cbor:"permit,omitempty"`
 	Grant  *grant          `cbor:"grant,omitempty"`
+	// Cold is what the sender knows of the endpoint of the load, the reply, the permit or the grant, if it may be cold.
+	Cold     *coldStatement `cbor:"cold,omitempty"`
+	Handover *handover      `cbor:"handover,omitempty"`
 }
 
 // permitRequest asks the responder of an endpoint for a permit for one request. The grant names the query.
--- a/internal/loadexchanger/permit.go
+++ b/internal/loadexchanger/permit.go
@@ -31,7 +31,7 @@
 	if isSilent {
 		return false, unansweredWait
 	}
-	x.send(message{Host: x.Host, Permit: &permitRequest{Endpoint: e.ID, StartTime: e.StartTime, Query: id}, Limit: x.limitOf(e)}, to)
+	x.send(message{Host: x.Host, Permit: &permitRequest{Endpoint: e.ID, StartTime: e.StartTime, Query: id}, Limit: x.limitOf(e), Cold: x.coldClaimOf(e)}, to)
 	timer := time.NewTimer(replyTimeout)
 	defer timer.Stop()
 	select {
@@ -47,12 +47,13 @@
 	return false, unansweredWait
 }
 
-func (x *Exchanger) handleGrant(g grant, limit *limitStatement) {
+func (x *Exchanger) handleGrant(g grant, limit *limitStatement, cold *coldStatement) {
 	q := x.endQuery(g.Query)
 	if q == nil || q.granted == nil {
 		return
 	}
 	x.notifyLimit(q.endpoint, limit)
+	x.notifyCold(q.endpoint, cold)
 	q.granted <- g
 }
 
--- a/internal/loadexchanger/trackers.go
+++ b/internal/loadexchanger/trackers.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
@@ -16,6 +18,19 @@
 	isLeaving bool
 	limiter   ratelimiter.Limiter
 	lastUsed  time.Time
+	// hasColdClaim says that a host has stated that the endpoint may be cold. applies and coldRate are what was logged last
+	// about the limits.
+	hasColdClaim bool
+	applies      string
+	coldRate     ident.Rate
+}
+
+// limits is what a responder knows of the limits of an endpoint.
+type limits struct {
+	stated fleetconfig.RateLimit
+	cold   fleetconfig.Coldness
+	// change holds the log fields of a change of the rate of permits, or nil.
+	change log.Fields
 }
 
 // trackers holds the reported loads at the endpoints that this host responds for.
@@ -24,26 +39,33 @@
 	all map[fleetconfig.Incarnation]*endpointTracker
 }
 
-// record stores a report and the limit that came with it. It returns the load of the other hosts at the endpoint, whether
-// one of them knows that it is leaving, and its limit.
-func (t *trackers) record(h ident.Host, r *Report, limit fleetconfig.RateLimit) (others assigner.Load, isLeaving bool, merged fleetconfig.RateLimit) {
+// record stores a report and the limits that came with it. It returns the load of the other hosts at the endpoint, whether
+// one of them knows that it is leaving, and its limits.
+func (t *trackers) record(h ident.Host, r *Report, limit fleetconfig.RateLimit, cold fleetconfig.Coldness, share float64) (others assigner.Load, isLeaving bool, merged limits) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.get(fleetconfig.Incarnation{ID: r.Endpoint, StartTime: r.StartTime})
 	e.isLeaving = e.isLeaving || r.IsLeaving
-	e.limiter.Record(limit)
+	merged = e.recordLimits(r.Endpoint, r.StartTime, limit, cold, share)
 	e.Record(h, r.Load, r.Process, r.Serial)
-	return e.Others(h), e.isLeaving, e.limiter.Limit()
+	return e.Others(h), e.isLeaving, merged
+}
+
+// recordLimits merges what a host says about the limits of an endpoint, and returns what is known.
+func (e *endpointTracker) recordLimits(id string, startTime int64, limit fleetconfig.RateLimit, cold fleetconfig.Coldness, share float64) limits {
+	e.limiter.Record(limit)
+	known := e.recordCold(cold, share)
+	return limits{stated: e.limiter.Limit(), cold: known, change: e.rateChange(id, startTime)}
 }
 
-// takePermit takes a permit for one request to an endpoint, and returns its limit.
-func (t *trackers) takePermit(p *permitRequest, limit fleetconfig.RateLimit) (ok bool, wait time.Duration, merged fleetconfig.RateLimit) {
+// takePermit takes a permit for one request to an endpoint, and returns its limits.
+func (t *trackers) takePermit(p *permitRequest, limit fleetconfig.RateLimit, cold fleetconfig.Coldness, share float64) (ok bool, wait time.Duration, merged limits) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.get(fleetconfig.Incarnation{ID: p.Endpoint, StartTime: p.StartTime})
-	e.limiter.Record(limit)
+	merged = e.recordLimits(p.Endpoint, p.StartTime, limit, cold, share)
 	ok, wait = e.limiter.Take()
-	return ok, wait, e.limiter.Limit()
+	return ok, wait, merged
 }
 
 // get returns the tracker of an endpoint, a new one if there is none. The caller must hold t.mu.
@@ -61,6 +83,12 @@
 			}
 		}
 		e = &endpointTracker{}
+		for other, known := range t.all {
+			if other.ID == key.ID {
+				e.limiter.ShareCold(&known.limiter)
+				break
+			}
+		}
 		t.all[key] = e
 	}
 	e.lastUsed = now
