--- a/cmd/gatewayd/main.go
+++ b/cmd/gatewayd/main.go
@@ -35,6 +35,7 @@
 		LinkMbps: cfg.LinkMbps, Memory: cfg.Memory,
 		GracePeriod: cfg.GracePeriod, RetryRatio: cfg.RetryRatio, RetryBurst: cfg.RetryBurst,
 		EjectsOutliers: cfg.EjectsOutliers, BalancesZones: cfg.BalancesZones,
+		ColdOvershoot: cfg.ColdOvershoot, ColdSlack: cfg.ColdSlack,
 		RolloutTimeout: cfg.RolloutTimeout, Regions: cfg.Regions, IsFirstStart: cfg.IsFirstStart, Codec: translator.New(), Logger: l,
 		Replicator: &chunkreplicator.Replicator{
 			Self: ident.Host(cfg.IP), Zone: cfg.Zone, Region: cfg.Region, IP: cfg.IP, IsSeed: true,
--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -107,6 +107,8 @@
 	Release fleetconfig.Release
 	// IsLate says that the objective of the request had passed.
 	IsLate bool
+	// PermitAskedAt is when the permit for the request was asked for; zero if it has none.
+	PermitAskedAt time.Time
 
 	onUnreachable func()
 	hasFailed     bool
@@ -187,6 +189,8 @@
 	estimated int
 	// started holds the requesters whose requests were sent since the last report.
 	started []Requester
+	// wasCold says that the slowdown was observed while the endpoint was cold.
+	wasCold bool
 }
 
 // Assigner assigns requests to the known endpoints. Set its fields before use.
@@ -204,6 +208,8 @@
 	// Balancer decides on the use of other zones. Nil means that their endpoints are queried once those of the own zone
 	// cannot serve a request, and chosen at a fixed margin.
 	Balancer *zonebalancer.Balancer
+	// IsCold reports whether an endpoint is cold; nil means that none is. It must not call the assigner.
+	IsCold func(e fleetconfig.Endpoint) bool
 
 	mu          sync.Mutex
 	endpoints   map[string]*endpointState
@@ -221,6 +227,8 @@
 	// pacedPools holds the pools whose engines state their pace.
 	pacedPools map[ident.Pool]bool
 	shares     shares
+	// coldSlowdownMeans holds that of its cold endpoints, for pools where one was observed.
+	coldSlowdownMeans map[ident.Pool]*float64
 }
 
 // SetPools replaces the configured pools.
@@ -407,11 +415,9 @@
 
 // learnedSlowdown returns the slowdown that this host has observed. The caller must hold a.mu.
 func (a *Assigner) learnedSlowdown(s *endpointState, now time.Time) float64 {
-	mean := 1.0
-	if m := a.slowdownMeans[s.Pool]; m != nil {
-		mean = *m
-	}
-	if s.slowdownAt.IsZero() {
+	isCold := a.isCold(s)
+	mean := a.meanSlowdown(s.Pool, isCold)
+	if s.slowdownAt.IsZero() || s.wasCold != isCold {
 		return mean
 	}
 	decayTimes := float64(now.Sub(s.slowdownAt)) / float64(slowdownDecayTime)
@@ -420,8 +426,12 @@
 
 // observeSlowdown records how many times longer than predicted an endpoint took. The caller must hold a.mu.
 func (a *Assigner) observeSlowdown(s *endpointState, observed float64, now time.Time) {
+	if a.isCold(s) {
+		a.observeColdSlowdown(s, observed, now)
+		return
+	}
 	s.slowdown = a.learnedSlowdown(s, now)*(1-slowdownWeight) + observed*slowdownWeight
-	s.slowdownAt = now
+	s.slowdownAt, s.wasCold = now, false
 	if a.slowdownMeans == nil {
 		a.slowdownMeans = make(map[ident.Pool]*float64)
 	}
--- a/internal/core/outcome/outcome.go
+++ b/internal/core/outcome/outcome.go
@@ -47,6 +47,7 @@
 	EndpointClosed Reason = "closed"       // the endpoint accepts no requests now
 	Restricted     Reason = "restricted"   // the request must not run in the zone of the endpoint
 	Memory         Reason = "memory"       // too much is buffered for the endpoint
+	NoPermit       Reason = "no-permit"    // the endpoint is cold, and the permit for the request is missing or has expired
 )
 
 // Error is the end of a request without a response.
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -71,4 +71,7 @@
 	BufferBoundCleared     = Event{1796, log.InfoLevel, "new requests are no longer refused because of what is buffered"}
 	CallerReadsSlowly      = Event{1797, log.InfoLevel, "caller does not read its response; the response is read on into a buffer"}
 	EndpointReadsSlowly    = Event{1798, log.InfoLevel, "endpoint does not read its requests; it was passed over"}
+	EndpointCold           = Event{1765, log.InfoLevel, "endpoint is cold; requests to it need permits"}
+	EndpointWarm           = Event{1766, log.InfoLevel, "endpoint is no longer cold"}
+	PermitRateChanged      = Event{1767, log.InfoLevel, "rate of the permits for an endpoint has changed"}
 )
