--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -201,6 +201,8 @@
 	// slowdownMeans holds the mean slowdown of the endpoints of each pool.
 	slowdownMeans map[ident.Pool]*float64
 	serviceTimes  map[ident.Pool]time.Duration
+	// cutOffChecks holds when each zone was last checked for being cut off.
+	cutOffChecks map[ident.Zone]time.Time
 }
 
 // SetPools replaces the configured pools.
--- a/internal/core/assigner/zones.go
+++ b/internal/core/assigner/zones.go
@@ -16,6 +16,9 @@
 	// elsewhereMargin is the part of the objective that a request at an engine of another zone leaves to the callers of that
 	// zone: as its wait counts waitSafetyFactor times, it is half of that time earlier in the queue.
 	elsewhereMargin = 20 * time.Millisecond
+	// cutOffCheckInterval is the time between two checks whether a zone is cut off. All endpoints of a zone that is are probed
+	// at the same time, and each check visits all endpoints of the fleet.
+	cutOffCheckInterval = 100 * time.Millisecond
 	// plainReserve is the number of requests for which a plain service in another zone must have room.
 	plainReserve = 1
 )
@@ -192,9 +195,14 @@
 
 // checkCutOff tells the balancer if no endpoint of a zone can be reached. The caller must hold a.mu.
 func (a *Assigner) checkCutOff(z ident.Zone) {
-	if a.Balancer == nil || z == a.Zone {
+	now := time.Now()
+	if a.Balancer == nil || z == a.Zone || now.Sub(a.cutOffChecks[z]) < cutOffCheckInterval {
 		return
 	}
+	if a.cutOffChecks == nil {
+		a.cutOffChecks = make(map[ident.Zone]time.Time)
+	}
+	a.cutOffChecks[z] = now
 	for _, s := range a.endpoints {
 		if s.Zone == z && !s.down {
 			return
--- a/internal/core/zonebalancer/zonebalancer.go
+++ b/internal/core/zonebalancer/zonebalancer.go
@@ -207,8 +207,8 @@
 		b.spares[key] = &spare{value: value, at: now}
 		return
 	}
-	s.value = s.current(now) + spareSmoothing*(value-s.current(now))
-	s.at = now
+	known := s.current(now)
+	s.value, s.at = known+spareSmoothing*(value-known), now
 }
 
 // Spare returns the spare capacity of a pool in a zone as a share of its slots, as far as it is known.
