--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -229,6 +229,8 @@
 	shares     shares
 	// coldSlowdownMeans holds that of its cold endpoints, for pools where one was observed.
 	coldSlowdownMeans map[ident.Pool]*float64
+	// cutOffChecks holds when each zone was last checked for being cut off.
+	cutOffChecks map[ident.Zone]time.Time
 }
 
 // SetPools replaces the configured pools.
