requestholder: a test reads its count under the lock

Cause: the race detector reported the read at the end of TestFewRequestsAreHeld. With the fix it passes; loadexchanger, gateway, capacityforecaster, sharetracker and loadtracker pass with the race detector.

--- a/internal/core/requestholder/requestholder_test.go
+++ b/internal/core/requestholder/requestholder_test.go
@@ -81,6 +81,8 @@
 		is.Equal(held, 1)
 		mu.Unlock()
 		time.Sleep(time.Second)
+		mu.Lock()
+		defer mu.Unlock()
 		is.Equal(held, most)
 	})
 }
