--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -403,8 +403,8 @@
 }
 
 // currentSlowdown returns how many times longer the endpoint takes than its configured figures predict: as the engine
-// states it, or as this host has learned it. What it has learned approaches the mean of its pool as the last observation ages: a host of a large fleet sees few requests at each endpoint. The
-// caller must hold a.mu.
+// states it, or as this host has learned it. What it has learned approaches the mean of its pool as the last
+// observation ages: a host of a large fleet sees few requests at each endpoint. The caller must hold a.mu.
 func (a *Assigner) currentSlowdown(s *endpointState, now time.Time) float64 {
 	if pace, ok := a.freshPace(s, now); ok {
 		return pace
