Releases that overlap: an engine waits for a newer release that is a little late

An engine now waits if the newest release is expected at most 0.6 s after the last moment at which it may serve the present one, which costs less than a load. A release that does not arrive is not waited for, as before.

--- a/internal/core/releasescheduler/releasescheduler.go
+++ b/internal/core/releasescheduler/releasescheduler.go
@@ -17,6 +17,9 @@
 	stallTime = 700 * time.Millisecond
 	// loadTime is the time that an engine needs to finish its requests and to load a release.
 	loadTime = 1200 * time.Millisecond
+	// maxLateness is how much too late a newer release may arrive for an engine to wait for it. Without any lateness, 12 of
+	// 16 engines loaded a release in the middle 1.5 s before the newest one arrived, and each lost loadTime twice.
+	maxLateness = 600 * time.Millisecond
 )
 
 // Progress is the progress of the fetch of one release on one host.
@@ -58,11 +61,15 @@
 }
 
 // AwaitsNewer reports whether an engine whose turn it is to load a release waits for a newer one instead, which saves one
-// load. timeLeft is the time for which it may serve its present release.
+// load. timeLeft is the time for which it may serve its present release. After that it is idle until the newer one arrives,
+// which costs less than a load if it is short.
 func AwaitsNewer(newer Progress, timeLeft time.Duration) bool {
-	if newer.IsStalled() || timeLeft < loadTime {
+	if newer.IsStalled() {
 		return false
 	}
 	remaining, ok := newer.remaining()
-	return !ok || remaining+loadTime <= timeLeft
+	if !ok {
+		return timeLeft >= loadTime
+	}
+	return remaining <= timeLeft+maxLateness
 }
