--- a/internal/core/capacityforecaster/capacityforecaster.go
+++ b/internal/core/capacityforecaster/capacityforecaster.go
@@ -17,8 +17,8 @@
 	// callers typically wait before a retry.
 	decayTime = time.Second
 	// minNearShare is the share of the requests of a rank that must be served for a gap to count as near. Below it, a retry
-	// at once takes the place of another request: in replays, 0.5 and 0.8 let up to 2.7% of the served requests start late, as hosts cannot
-	// recognise such retries, and no more in time.
+	// at once takes the place of another request: in replays, 0.5 and 0.8 let up to 2.7% of the served requests start late,
+	// as hosts cannot recognise such retries, and no more in time.
 	minNearShare = 0.9
 	// minLateShare is the share of the requests with a passed objective that must be served for a late retry to have a
 	// prospect.
--- a/internal/core/outcometracker/outcometracker.go
+++ b/internal/core/outcometracker/outcometracker.go
@@ -62,9 +62,9 @@
 	FailureAge, RunAge, ServedAge Milliseconds
 }
 
-// Add adds outcomes to counts that are current, given the time since the last of the served requests was sent and the time that they took together. Requests that
-// were sent before a run of failures do not end it. If requests were served and others failed, both runs end, because their
-// order is not known.
+// Add adds outcomes to counts that are current, given the time since the last of the served requests was sent and the time
+// that they took together. Requests that were sent before a run of failures do not end it. If requests were served and others
+// failed, both runs end, because their order is not known.
 func (c Counts) Add(served, failed uint32, servedAge Milliseconds, servedMs uint32) Counts {
 	if served > 0 {
 		if c.Served == 0 {
