One meter for fetches, one lookup of incarnations, one check of the own zone

The hosts of engines and the entry hosts measured the progress of a fetch each for themselves: both use releasescheduler.Meter. The assigner looked up an endpoint and compared its start time in six places (incarnation), and asked in two ways whether the own zone has an available endpoint. No behaviour, bound or assertion changes.

--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -309,7 +309,7 @@
 	var bestCost time.Duration
 	refusal = NoEndpoint
 	// Without queries, there are no reports to rely on.
-	isStrict := a.Balancer != nil && q.Among != nil && a.hasOwnAvailable(q, now)
+	isStrict := a.Balancer != nil && q.Among != nil && a.hasOwnAvailable(a.eligible(q), q, now)
 	for s := range a.eligible(q) {
 		release, state := a.availability(s, q, now)
 		switch {
--- a/internal/core/assigner/ejection.go
+++ b/internal/core/assigner/ejection.go
@@ -83,7 +83,7 @@
 		return nil
 	}
 	totals := outcometracker.Totals{}
-	if s := a.endpoints[e.ID]; s != nil && s.StartTime == e.StartTime {
+	if s := a.incarnation(e); s != nil {
 		totals = s.outcomes.Totals()
 	}
 	totals.Zone = a.Zone
@@ -94,8 +94,8 @@
 func (a *Assigner) SetOutcomes(e fleetconfig.Endpoint, sums outcometracker.Sums) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	s := a.endpoints[e.ID]
-	if s == nil || s.StartTime != e.StartTime {
+	s := a.incarnation(e)
+	if s == nil {
 		return
 	}
 	if j := a.ejectors[s.Pool]; j != nil {
--- a/internal/core/assigner/explain.go
+++ b/internal/core/assigner/explain.go
@@ -78,7 +78,7 @@
 			break
 		}
 	}
-	isStrict := a.Balancer != nil && a.hasOwnAvailable(q, now)
+	isStrict := a.Balancer != nil && a.hasOwnAvailable(a.eligible(q), q, now)
 	for _, s := range m.all {
 		out.Candidates = append(out.Candidates, a.explainCandidate(s, q, now, isStrict))
 	}
--- a/internal/core/assigner/pace.go
+++ b/internal/core/assigner/pace.go
@@ -31,8 +31,8 @@
 func (a *Assigner) SetPace(e fleetconfig.Endpoint, p Pace) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	s := a.endpoints[e.ID]
-	if s == nil || s.StartTime != e.StartTime || p.Value <= 0 {
+	s := a.incarnation(e)
+	if s == nil || p.Value <= 0 {
 		return
 	}
 	s.pace = statedPace{value: float64(p.Value), at: time.Now().Add(-time.Duration(p.AgeMs) * time.Millisecond)}
--- a/internal/core/assigner/report.go
+++ b/internal/core/assigner/report.go
@@ -98,12 +98,21 @@
 	}
 }
 
+// incarnation returns the state of an incarnation of an endpoint; nil if another one, or none, is listed. The caller must
+// hold a.mu.
+func (a *Assigner) incarnation(e fleetconfig.Endpoint) *endpointState {
+	if s := a.endpoints[e.ID]; s != nil && s.StartTime == e.StartTime {
+		return s
+	}
+	return nil
+}
+
 // SetReport records the load of the other entry hosts at an incarnation of an endpoint.
 func (a *Assigner) SetReport(e fleetconfig.Endpoint, others Load) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	s := a.endpoints[e.ID]
-	if s == nil || s.StartTime != e.StartTime {
+	s := a.incarnation(e)
+	if s == nil {
 		return
 	}
 	s.othersLoad, s.reportedAt = others, time.Now()
@@ -126,7 +135,7 @@
 func (a *Assigner) LocalLoad(e fleetconfig.Endpoint) Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if s := a.endpoints[e.ID]; s != nil && s.StartTime == e.StartTime {
+	if s := a.incarnation(e); s != nil {
 		load := s.localLoad
 		load.Response = a.responseLoad(s, time.Now())
 		return load
--- a/internal/core/assigner/share.go
+++ b/internal/core/assigner/share.go
@@ -91,8 +91,8 @@
 func (a *Assigner) TakeStarted(e fleetconfig.Endpoint) []Requester {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	s := a.endpoints[e.ID]
-	if s == nil || s.StartTime != e.StartTime {
+	s := a.incarnation(e)
+	if s == nil {
 		return nil
 	}
 	out := s.started
--- a/internal/core/assigner/zones.go
+++ b/internal/core/assigner/zones.go
@@ -1,6 +1,8 @@
 package assigner
 
 import (
+	"iter"
+	"slices"
 	"time"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
@@ -93,22 +95,12 @@
 	}
 	p.addByWeight(m, draw, round > 0)
 	p.add(m.inZone, candidatesPerRound-len(p.out))
-	if len(p.out) == 0 && !p.hasOwn(m) {
+	if len(p.out) == 0 && !p.a.hasOwnAvailable(slices.Values(m.inZone), p.q, p.now) {
 		// Endpoints of zones that are to get fewer requests are better than none.
 		p.add(m.all, candidatesPerRound)
 	}
 }
 
-// hasOwn reports whether an endpoint of the own zone may receive the request.
-func (p *candidatePicker) hasOwn(m *poolMembers) bool {
-	for _, s := range m.inZone {
-		if _, state := p.a.availability(s, p.q, p.now); state == available {
-			return true
-		}
-	}
-	return false
-}
-
 // addByWeight picks endpoints of all zones, each zone by its number of endpoints and its spare capacity. Where all zones
 // are full, the own one must not be left out: requests would only change places.
 func (p *candidatePicker) addByWeight(m *poolMembers, draw float64, isOwnIncluded bool) {
@@ -144,10 +136,10 @@
 	}
 }
 
-// hasOwnAvailable reports whether an endpoint of the own zone among those that the query may choose from may receive the
-// request. The caller must hold a.mu.
-func (a *Assigner) hasOwnAvailable(q Query, now time.Time) bool {
-	for s := range a.eligible(q) {
+// hasOwnAvailable reports whether one of the endpoints is in the own zone and may receive the request. The caller must hold
+// a.mu.
+func (a *Assigner) hasOwnAvailable(endpoints iter.Seq[*endpointState], q Query, now time.Time) bool {
+	for s := range endpoints {
 		if s.Zone != a.Zone {
 			continue
 		}
--- a/internal/engineagent/reconcile.go
+++ b/internal/engineagent/reconcile.go
@@ -246,7 +246,7 @@
 				newer.stop()
 				newer = h.startNewerFetch(ctx, newest)
 			}
-			progress := newer.meter.measure()
+			progress := newer.meter.Measure()
 			if progress.HeldShare >= 1 {
 				return errSuperseded
 			}
--- a/internal/engineagent/schedule.go
+++ b/internal/engineagent/schedule.go
@@ -14,28 +14,8 @@
 // newerPollInterval is the time between two checks of the progress of a newer release while an engine waits for its turn.
 const newerPollInterval = 50 * time.Millisecond
 
-// progressMeter measures the progress of the fetch of one release.
-type progressMeter struct {
-	agent             *Agent
-	release           fleetconfig.ServedModel
-	startedAt         time.Time
-	changedAt         time.Time
-	startShare, share float64
-}
-
-func (h *Agent) newProgressMeter(s fleetconfig.ServedModel) *progressMeter {
-	now := time.Now()
-	share := h.Replicator.HeldShare(s)
-	return &progressMeter{agent: h, release: s, startedAt: now, changedAt: now, startShare: share, share: share}
-}
-
-// measure returns the progress until now.
-func (m *progressMeter) measure() releasescheduler.Progress {
-	now := time.Now()
-	if share := m.agent.Replicator.HeldShare(m.release); share != m.share {
-		m.share, m.changedAt = share, now
-	}
-	return releasescheduler.Progress{HeldShare: m.share, StartShare: m.startShare, Elapsed: now.Sub(m.startedAt), Idle: now.Sub(m.changedAt)}
+func (h *Agent) newMeter(s fleetconfig.ServedModel) *releasescheduler.Meter {
+	return releasescheduler.NewMeter(func() float64 { return h.Replicator.HeldShare(s) })
 }
 
 // middleRelease returns the newest release between the served and the newest one that may still be served for some time;
@@ -63,9 +43,9 @@
 
 // fetchStop returns a function that reports whether the fetch of a release is to end because another release comes first.
 func (h *Agent) fetchStop(s fleetconfig.ServedModel, served fleetconfig.Release) func() bool {
-	meter := h.newProgressMeter(s)
+	meter := h.newMeter(s)
 	return func() bool {
-		progress := meter.measure()
+		progress := meter.Measure()
 		newest, ok := h.target()
 		if !ok {
 			return false
@@ -93,14 +73,14 @@
 // newerFetch is the fetch of a newer release while an engine waits for its turn to load another one.
 type newerFetch struct {
 	release fleetconfig.ServedModel
-	meter   *progressMeter
+	meter   *releasescheduler.Meter
 	cancel  context.CancelFunc
 	done    chan struct{}
 }
 
 func (h *Agent) startNewerFetch(ctx context.Context, s fleetconfig.ServedModel) *newerFetch {
 	ctx, cancel := context.WithCancel(ctx)
-	f := &newerFetch{release: s, meter: h.newProgressMeter(s), cancel: cancel, done: make(chan struct{})}
+	f := &newerFetch{release: s, meter: h.newMeter(s), cancel: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(f.done)
 		h.Replicator.SetFetchOrder(nil)
--- a/internal/gatewayserver/replicate.go
+++ b/internal/gatewayserver/replicate.go
@@ -155,12 +155,10 @@
 // fetchStop returns a function that reports whether the fetch of a release is given up for a newer one. One that is nearly
 // complete is finished first, so that the engines have it if the origin becomes unavailable.
 func (h *Server) fetchStop(s fleetconfig.ServedModel, superseded func() bool) func() bool {
-	share, changedAt := h.Replicator.HeldShare(s), time.Now()
+	meter := releasescheduler.NewMeter(func() float64 { return h.Replicator.HeldShare(s) })
 	return func() bool {
-		if held := h.Replicator.HeldShare(s); held != share {
-			share, changedAt = held, time.Now()
-		}
-		return superseded() && releasescheduler.Abandons(releasescheduler.Progress{HeldShare: share, Idle: time.Since(changedAt)}, false)
+		progress := meter.Measure() // also before a newer release is known, so that the idle time is that of the fetch
+		return superseded() && releasescheduler.Abandons(progress, false)
 	}
 }
 
