--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -248,11 +248,27 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
+	best, choice, refusal := a.choose(q, now)
+	if best == nil {
+		return nil, refusal
+	}
+	choice.nominalFirstEvent = time.Duration(float64(choice.PredictedFirstEvent) / a.currentSlowdown(best, now))
+	if a.Balancer != nil {
+		a.Balancer.RecordAssigned(best.Zone)
+	}
+	best.localLoad.Requests++
+	best.localLoad.PendingPromptTokens += choice.promptTokens
+	best.awaitingFirstEvent[choice] = true
+	best.inFlight[choice] = true
+	a.notifyChanged(best)
+	return choice, ""
+}
+
+// choose returns the endpoint for a query, or nil and a refusal. It changes nothing. The caller must hold a.mu.
+func (a *Assigner) choose(q Query, now time.Time) (best *endpointState, choice *Assignment, refusal Refusal) {
 	pool := a.pools[q.Pool]
-	var best *endpointState
-	var choice *Assignment
 	var bestCost time.Duration
-	refusal := NoEndpoint
+	refusal = NoEndpoint
 	// Without queries, there are no reports to rely on.
 	isStrict := a.Balancer != nil && q.Among != nil && a.hasOwnAvailable(q, now)
 	for s := range a.eligible(q) {
@@ -287,18 +303,9 @@
 		}
 	}
 	if best == nil {
-		return nil, refusal
-	}
-	choice.nominalFirstEvent = time.Duration(float64(choice.PredictedFirstEvent) / a.currentSlowdown(best, now))
-	if a.Balancer != nil {
-		a.Balancer.RecordAssigned(best.Zone)
+		return nil, nil, refusal
 	}
-	best.localLoad.Requests++
-	best.localLoad.PendingPromptTokens += choice.promptTokens
-	best.awaitingFirstEvent[choice] = true
-	best.inFlight[choice] = true
-	a.notifyChanged(best)
-	return choice, ""
+	return best, choice, ""
 }
 
 // beginsInTime reports whether a request that is expected to begin at a time may be sent to an engine with the release.
--- a/internal/core/zonebalancer/zonebalancer.go
+++ b/internal/core/zonebalancer/zonebalancer.go
@@ -266,8 +266,10 @@
 func (b *Balancer) Margin(z ident.Zone) (margin, roundTrip time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	l := b.link(z)
-	return trafficMargin + l.roundTrip, l.roundTrip
+	if l := b.links[z]; l != nil {
+		roundTrip = l.roundTrip
+	}
+	return trafficMargin + roundTrip, roundTrip
 }
 
 // RecordAssigned counts a request that is sent to a zone.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -210,6 +210,25 @@
 	if g.isRefusing.Load() {
 		return &rejection{status: http.StatusServiceUnavailable, reason: "leaving", retryAfter: shutdownRetryDelay}
 	}
+	if rej := g.resolve(req); rej != nil {
+		return rej
+	}
+	timeout := req.route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if req.Remaining > 0 {
+		timeout = min(timeout, req.Remaining)
+	}
+	req.deadline = req.arrivedAt.Add(timeout)
+	req.earlierTime = g.earlierTime(req)
+	g.RetryBudget.AddRequest()
+	return nil
+}
+
+// resolve sets the route, organisation and pool of a request, and returns a rejection if there are none or if it may run in
+// no zone. It changes nothing else.
+func (g *Gateway) resolve(req *request) *rejection {
 	if req.config == nil {
 		return &rejection{status: http.StatusServiceUnavailable, reason: "no-configuration", retryAfter: startupRetryDelay}
 	}
@@ -223,21 +242,11 @@
 			return &rejection{status: http.StatusUnauthorized, reason: "unknown-key"}
 		}
 	}
-	timeout := req.route.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	if req.Remaining > 0 {
-		timeout = min(timeout, req.Remaining)
-	}
 	if !g.Restrictor.AllowsAny(g.regionLists(req)...) {
 		// No configuration that is in force now lets the request run, so the caller is not invited to retry.
 		return &rejection{status: http.StatusServiceUnavailable, reason: reasonRestricted}
 	}
-	req.deadline = req.arrivedAt.Add(timeout)
 	req.pool = req.route.PickPool(hashFraction(req.ID))
-	req.earlierTime = g.earlierTime(req)
-	g.RetryBudget.AddRequest()
 	return nil
 }
 
--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -230,6 +230,7 @@
 	tasks.Go(func() error { return h.factExchanger.Run(serveCtx) })
 	tasks.Go(func() error { return h.recorder.Run(serveCtx) })
 	mux := http.NewServeMux()
+	mux.HandleFunc(messages.ExplainPath, h.gateway.ServeExplanation)
 	mux.Handle("/", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	tasks.Go(func() error { return h.serve(serveCtx, h.MetricsAddress, mux) })
 	tasks.Go(func() error { return h.serve(serveCtx, h.ReadinessAddress, http.HandlerFunc(h.handleReadiness)) })
--- a/pkg/cmd/explain/explain.go
+++ b/pkg/cmd/explain/explain.go
@@ -4,6 +4,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net/http"
 	"strconv"
 
 	"github.com/nutmegdock/nutmegdock/internal/adminapi"
@@ -14,8 +16,16 @@
 
 // Args holds the command-line arguments.
 type Args struct {
-	Name string   `arg:"positional,required" help:"ORGANISATION/DEPLOYMENT, or with --logs the ID of a request"`
+	Name string   `arg:"positional,required" help:"ORGANISATION/DEPLOYMENT, with --logs the ID of a request, or with --request HOST/PATH of a request"`
 	Logs []string `arg:"--logs,separate" help:"log file to search; can be repeated"`
+
+	Request    bool     `arg:"--request" help:"show where a running gatewayd would send a request now; sends none"`
+	GatewayURL string   `arg:"--gateway,env:NUTMEGDOCK_GATEWAY" help:"with --request: URL of the metrics server of an entry host"`
+	Key        string   `arg:"--key,env:NUTMEGDOCK_KEY" help:"with --request: key of the organisation"`
+	Model      string   `arg:"--model" help:"with --request: model of the request"`
+	Tokens     float64  `arg:"--tokens" help:"with --request: number of prompt tokens"`
+	Prefix     []string `arg:"--prefix,separate" help:"with --request: id of a part of the prompt; can be repeated"`
+	RequestID  string   `arg:"--id" help:"with --request: id of the request, which decides among the pools of a route"`
 }
 
 // Example returns the example that the help shows.
@@ -27,7 +37,11 @@
 type Options struct {
 	Args
 	Status func(ctx context.Context) (adminapi.Status, error)
-	Print  func(v any, header []string, rows [][]string) error
+	// HTTP sends the query of --request, and Out receives its explanation unless JSON is set.
+	HTTP  *http.Client
+	Out   io.Writer
+	JSON  bool
+	Print func(v any, header []string, rows [][]string) error
 }
 
 // HostStatus reports whether an endpoint host serves a deployment, and why.
@@ -39,7 +53,10 @@
 
 // Command returns a function that runs the command.
 func Command(f *factory.Factory, a Args) func(ctx context.Context) error {
-	opts := &Options{Args: a, Print: f.Print}
+	opts := &Options{Args: a, Print: f.Print, HTTP: &http.Client{Timeout: explanationTimeout}, Out: f.Out, JSON: f.JSON}
+	if a.Request {
+		return func(ctx context.Context) error { return explainRequestRun(ctx, opts) }
+	}
 	if len(a.Logs) > 0 {
 		return func(context.Context) error { return explainLogsRun(opts) }
 	}
--- a/pkg/cmd/root/args.go
+++ b/pkg/cmd/root/args.go
@@ -57,7 +57,7 @@
 	History      *history.Args     `arg:"subcommand:history" help:"show the audit trail of changes"`
 	Undo         *undo.Args        `arg:"subcommand:undo" help:"revert a change"`
 	Status       *status.Args      `arg:"subcommand:status" help:"show hosts, weight sets and configuration"`
-	Explain      *explain.Args     `arg:"subcommand:explain" help:"show why hosts serve a deployment or not"`
+	Explain      *explain.Args     `arg:"subcommand:explain" help:"show why hosts serve a deployment or not, or where a request would go"`
 	Settings     *settingsArgs     `arg:"subcommand:settings" help:"check settings files of the daemons"`
 	Dev          *dev.Args         `arg:"subcommand:dev" help:"run a complete system on loopback"`
 	Version      *version.Args     `arg:"subcommand:version" help:"show the version of this program"`
