--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -110,6 +110,8 @@
 	// PermitAskedAt is when the permit for the request was asked for; zero if it has none.
 	PermitAskedAt time.Time
 
+	// state is that of the endpoint, which may have no entry any more.
+	state         *endpointState
 	onUnreachable func()
 	hasFailed     bool
 	// responseTokens is the expected number of response tokens, and firstEventAt when the first event arrived.
@@ -167,6 +169,8 @@
 	// last responded.
 	down       bool
 	lastActive time.Time
+	// heardAt is when the endpoint last sent something to this host, other than accepting a connection.
+	heardAt time.Time
 	// confirmedAt is when the endpoint was first listed or last responded to a request, which shows that it has its id.
 	confirmedAt time.Time
 	// addressReused says that another endpoint responds at its address, so that this one is gone even if its entry
@@ -347,7 +351,7 @@
 		}
 		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
-			choice = &Assignment{Endpoint: s.Endpoint, Load: load, PredictedFirstEvent: predicted, Release: release, promptTokens: int(q.PromptTokens), class: q.class(), IsLate: q.TimeLeft <= 0, sentAt: now, onUnreachable: q.OnUnreachable, hasFailed: q.HasFailed, responseTokens: q.ResponseTokens}
+			choice = &Assignment{Endpoint: s.Endpoint, state: s, Load: load, PredictedFirstEvent: predicted, Release: release, promptTokens: int(q.PromptTokens), class: q.class(), IsLate: q.TimeLeft <= 0, sentAt: now, onUnreachable: q.OnUnreachable, hasFailed: q.HasFailed, responseTokens: q.ResponseTokens}
 		}
 	}
 	if best == nil {
@@ -472,11 +476,12 @@
 	isFirst := !c.hasFirstEvent
 	// It counts even if the endpoint has no entry any more.
 	c.hasFirstEvent = true
+	now := time.Now()
+	c.state.heardAt = now
 	s := a.endpoints[c.Endpoint.ID]
 	if s == nil || s.StartTime != c.Endpoint.StartTime {
 		return
 	}
-	now := time.Now()
 	s.lastActive, s.confirmedAt = now, now
 	if !isFirst || !s.inFlight[c] {
 		return
@@ -521,6 +526,9 @@
 func (a *Assigner) Release(c *Assignment, outcome Outcome) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if outcome == Served || outcome == Errored || outcome == Refused {
+		c.state.heardAt = time.Now()
+	}
 	s := a.endpoints[c.Endpoint.ID]
 	if s == nil || s.StartTime != c.Endpoint.StartTime {
 		return
--- a/internal/core/assigner/probe.go
+++ b/internal/core/assigner/probe.go
@@ -77,3 +77,13 @@
 	}
 	return changed
 }
+
+// Silence returns for how long the endpoint of a request has sent nothing to this host; zero if it has never sent anything.
+func (a *Assigner) Silence(c *Assignment) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if c.state.heardAt.IsZero() {
+		return 0
+	}
+	return time.Since(c.state.heardAt)
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -90,6 +90,8 @@
 	// timeToFirstEvent is the time to the first event of the stream, and maxGap the longest time between two events.
 	timeToFirstEvent, maxGap time.Duration
 	lastEventAt              time.Time
+	// sentAt is when the current attempt began.
+	sentAt time.Time
 	// load is the load of the current endpoint when it was chosen.
 	load assigner.Load
 	// noRetry says that a retry has no prospect of success.
@@ -192,6 +194,7 @@
 				f["release"] = int64(choice.Release)
 			}
 			f["header"], f["events"] = state.responseStatus > 0, state.receivedEvents()
+			f["since"], f["silent"] = time.Since(state.sentAt).Milliseconds(), g.Assigner.Silence(choice).Milliseconds()
 			if state.hasCrashed {
 				f["features"] = featureList(req.features)
 			}
@@ -278,9 +281,9 @@
 		g.Assigner.Release(choice, result)
 		g.holder.Wake()
 	}()
-	sentAt := time.Now()
+	state.sentAt = time.Now()
 	result, isDone = g.sendAttempt(ctx, req, state, choice)
-	if result == assigner.CallerGone && hasTimedOut(ctx, req, state, sentAt) {
+	if result == assigner.CallerGone && hasTimedOut(ctx, req, state) {
 		result = assigner.TimedOut
 	}
 	state.outcome = result
@@ -289,8 +292,8 @@
 
 // hasTimedOut reports whether an attempt ended because the endpoint did not respond in the time for the request. An attempt
 // that had less time than the objective of the route says nothing about the endpoint.
-func hasTimedOut(ctx context.Context, req *request, state *requestState, sentAt time.Time) bool {
-	return errors.Is(ctx.Err(), context.DeadlineExceeded) && req.r.Context().Err() == nil && state.receivedEvents() == 0 && time.Since(sentAt) >= req.route.Objective
+func hasTimedOut(ctx context.Context, req *request, state *requestState) bool {
+	return errors.Is(ctx.Err(), context.DeadlineExceeded) && req.r.Context().Err() == nil && state.receivedEvents() == 0 && time.Since(state.sentAt) >= req.route.Objective
 }
 
 // waitForEndpoints waits a moment for endpoints to recover, such as engines that are loading after a power failure,
