gateway: run.go split into route, attempt, stream and response

No change of behaviour: run.go keeps the loop over the attempts of a request, route.go chooses an endpoint, attempt.go makes one attempt, stream.go and response.go forward what it returns.

--- /dev/null
+++ b/internal/gateway/stream.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
+	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
+	"github.com/nutmegdock/nutmegdock/internal/headercodec"
+	"github.com/nutmegdock/nutmegdock/internal/sender"
+)
+
+// receivedEvents returns the number of complete events that the current attempt has received.
+func (s *requestState) receivedEvents() int {
+	return s.sequencer.Received() - s.receivedBefore
+}
+
+// forwardStream forwards the events of a stream as they arrive.
+func (g *Gateway) forwardStream(ctx context.Context, req *request, state *requestState, resp *sender.Response, info headercodec.ResponseInfo) (assigner.Outcome, bool) {
+	state.mayHaveRun++
+	state.sequencer.DiscardPartial()
+	hasEvents := false
+	buf := make([]byte, streamBufferBytes)
+	for {
+		n, err := resp.Read(buf)
+		if n > 0 {
+			out, seqErr := state.sequencer.Feed(buf[:n])
+			g.recordProgress(req, state)
+			if len(out) > 0 {
+				hasEvents = true
+				if writeErr := g.forwardEvents(ctx, req, state, resp, info, out); writeErr != nil {
+					state.recordWriteError(writeErr)
+					return assigner.CallerGone, false
+				}
+			}
+			if seqErr != nil {
+				err = seqErr
+			}
+			if !state.chargePartial(req.account) {
+				state.lastErr = errMemory
+				return assigner.CallerGone, false
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF) && !state.sequencer.HasPartial() && (hasEvents || resp.IsFramed):
+			if !state.headerSent {
+				g.startStream(req, state, resp, info)
+			}
+			state.onDelivered = func() { g.recordResponse(req, state, resp.Status) }
+			return assigner.Served, true
+		case errors.Is(err, io.EOF):
+			err = io.ErrUnexpectedEOF
+		case err == nil:
+			continue
+		}
+		state.lastErr = &outcome.Error{Kind: outcome.Unknown, Reason: outcome.Truncated, Message: err.Error()}
+		if ctx.Err() != nil {
+			return assigner.CallerGone, false
+		}
+		return assigner.Failed, false
+	}
+}
+
+// startStream sends the response header when the first event has arrived, or the end of an empty stream.
+func (g *Gateway) startStream(req *request, state *requestState, resp *sender.Response, info headercodec.ResponseInfo) {
+	state.headerSent = true
+	state.release = info.Release
+	state.timeToFirstEvent = time.Since(req.arrivedAt)
+	g.Meter.ObserveFirstEvent(state.timeToFirstEvent)
+	g.writeHeader(req, resp.Status, resp.Header, -1)
+}
+
+// forwardEvents sends complete events to the caller.
+func (g *Gateway) forwardEvents(ctx context.Context, req *request, state *requestState, resp *sender.Response, info headercodec.ResponseInfo, out []byte) error {
+	if !state.headerSent {
+		g.startStream(req, state, resp, info)
+	}
+	now := time.Now()
+	state.onEvent()
+	if !state.lastEventAt.IsZero() {
+		state.maxGap = max(state.maxGap, now.Sub(state.lastEventAt))
+	}
+	state.lastEventAt = now
+	return state.relay.write(ctx, out)
+}
