Requests leave endpoints that stand still

Cause: an endpoint that is silent was probed by opening a connection, which the system of a host accepts although its processes stand still. So nothing moved a request before its caller left.

Why it works: core/stalldetector decides on what a host sends, not on what its system accepts. The process beside an engine is asked over UDP while the engine is silent; if both send nothing, the host stands still 0.2 s after the last event. core/relocator moves a repeatable request at the last moment at which another endpoint can serve it in time, by rank, within the retry budget, and only once the gateway has found one with room. One that no endpoint can serve before its caller leaves is answered with 504 then. A health check or a reply brings the endpoint back.

--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -20,6 +20,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/outlierejector"
 	"github.com/nutmegdock/nutmegdock/internal/core/slotreserver"
+	"github.com/nutmegdock/nutmegdock/internal/core/stalldetector"
 	"github.com/nutmegdock/nutmegdock/internal/core/zonebalancer"
 )
 
@@ -80,7 +81,7 @@
 	MayUse func(z ident.Zone) bool
 	// IsRepeatable says that another endpoint may run the request if one fails.
 	IsRepeatable bool
-	// AvoidsSuspects excludes endpoints whose last requests have failed.
+	// AvoidsSuspects excludes endpoints whose last requests have failed, and those whose hosts do not reply.
 	AvoidsSuspects bool
 	// HasFailed says that the request has failed at another endpoint, so that another failure may be its own.
 	HasFailed bool
@@ -117,6 +118,7 @@
 	// responseTokens is the expected number of response tokens, and firstEventAt when the first event arrived.
 	responseTokens float64
 	firstEventAt   time.Time
+	lastEventAt    time.Time
 	promptTokens   int
 	class          Class
 	sentAt         time.Time
@@ -141,8 +143,10 @@
 	// Limited means that the endpoints that serve the query limit the requests that they take, and that all hosts together
 	// have sent as many. Some of them may have asked for a pause.
 	Limited Refusal = "limited"
-	// Suspect means that only endpoints whose last requests have failed could serve the request in time, and that the query
-	// avoids them.
+	// Stalled means that the reachable endpoints that serve the query stand still.
+	Stalled Refusal = "stalled"
+	// Suspect means that only endpoints whose last requests have failed, or whose hosts do not reply, could serve the request
+	// in time, and that the query avoids them.
 	Suspect Refusal = "suspect-endpoint"
 )
 
@@ -169,8 +173,9 @@
 	// last responded.
 	down       bool
 	lastActive time.Time
-	// heardAt is when the endpoint last sent something to this host, other than accepting a connection.
-	heardAt time.Time
+	// stall decides whether the endpoint stands still, and isReportedStill is what was last reported of it.
+	stall           stalldetector.Detector
+	isReportedStill bool
 	// confirmedAt is when the endpoint was first listed or last responded to a request, which shows that it has its id.
 	confirmedAt time.Time
 	// addressReused says that another endpoint responds at its address, so that this one is gone even if its entry
@@ -233,6 +238,10 @@
 	shares     shares
 	// coldSlowdownMeans holds that of its cold endpoints, for pools where one was observed.
 	coldSlowdownMeans map[ident.Pool]*float64
+	// departed holds endpoints that are no longer listed and have requests in flight.
+	departed map[*endpointState]bool
+	// nextStallCheck is when the next check for endpoints that stand still is planned.
+	nextStallCheck time.Time
 	// cutOffChecks holds when each zone was last checked for being cut off.
 	cutOffChecks map[ident.Zone]time.Time
 }
@@ -255,11 +264,20 @@
 		s := old[e.ID]
 		if s == nil || s.StartTime != e.StartTime || s.Address != e.Address {
 			s = &endpointState{awaitingFirstEvent: make(map[*Assignment]bool), inFlight: make(map[*Assignment]bool), slowdown: 1, lastActive: time.Now(), confirmedAt: time.Now(), reservationShift: reservationShift(e.ID)}
+			s.stall = a.departedStall(e)
 		}
 		s.Endpoint = e
 		a.endpoints[e.ID] = s
 		a.byAddress[e.Address] = append(a.byAddress[e.Address], s)
 	}
+	for id, s := range old {
+		if a.endpoints[id] != s && len(s.inFlight) > 0 {
+			if a.departed == nil {
+				a.departed = make(map[*endpointState]bool)
+			}
+			a.departed[s] = true
+		}
+	}
 	a.setMembers()
 	a.setEjectors()
 }
@@ -317,9 +335,11 @@
 	for s := range a.eligible(q) {
 		release, state := a.availability(s, q, now)
 		switch {
-		case state == restricted && refusal == NoEndpoint:
+		case state == restricted && (refusal == NoEndpoint || refusal == Stalled):
 			refusal = Restricted
-		case state == paused && (refusal == NoEndpoint || refusal == Restricted):
+		case state == stalled && refusal == NoEndpoint:
+			refusal = Stalled
+		case state == paused && (refusal == NoEndpoint || refusal == Stalled || refusal == Restricted):
 			refusal = Paused
 		case state == limited && refusal != Overload && refusal != Suspect:
 			refusal = Limited
@@ -342,7 +362,7 @@
 			continue
 		}
 		cost := predicted + margin + time.Duration(a.random()*float64(maxCostJitter))
-		if s.outcomes.IsSuspect(now) {
+		if s.isSuspect(now) {
 			if q.AvoidsSuspects {
 				refusal = Suspect
 				continue
@@ -477,7 +497,8 @@
 	// It counts even if the endpoint has no entry any more.
 	c.hasFirstEvent = true
 	now := time.Now()
-	c.state.heardAt = now
+	c.lastEventAt = now
+	c.state.stall.RecordHeard(now)
 	s := a.endpoints[c.Endpoint.ID]
 	if s == nil || s.StartTime != c.Endpoint.StartTime {
 		return
@@ -527,9 +548,12 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if outcome == Served || outcome == Errored || outcome == Refused {
-		c.state.heardAt = time.Now()
+		c.state.stall.RecordHeard(time.Now())
 	}
 	s := a.endpoints[c.Endpoint.ID]
+	if s != c.state {
+		delete(c.state.inFlight, c)
+	}
 	if s == nil || s.StartTime != c.Endpoint.StartTime {
 		return
 	}
--- a/internal/core/assigner/ejection.go
+++ b/internal/core/assigner/ejection.go
@@ -12,7 +12,7 @@
 // trialReportAge is the age up to which a reported load shows that an ejected endpoint has no request of another host.
 const trialReportAge = 100 * time.Millisecond
 
-// suspectPenalty is the cost of an endpoint whose last requests have failed. It exceeds every prediction, so that the endpoint
+// suspectPenalty is the cost of an endpoint whose last requests have failed or whose host does not reply. It exceeds every prediction, so that the endpoint
 // is chosen only if no other one of the candidates can serve the request.
 const suspectPenalty = time.Hour
 
@@ -119,13 +119,19 @@
 // hasUnsuspected reports whether one of the endpoints has not failed its last requests. The caller must hold a.mu.
 func (a *Assigner) hasUnsuspected(endpoints []fleetconfig.Endpoint, now time.Time) bool {
 	for _, e := range endpoints {
-		if s := a.endpoints[e.ID]; !s.outcomes.IsEjected() && !s.outcomes.IsSuspect(now) {
+		if s := a.endpoints[e.ID]; !s.outcomes.IsEjected() && !s.isSuspect(now) {
 			return true
 		}
 	}
 	return false
 }
 
+// isSuspect reports whether other endpoints are preferred: the last requests of the endpoint have failed, or its host does not
+// reply.
+func (s *endpointState) isSuspect(now time.Time) bool {
+	return s.outcomes.IsSuspect(now) || s.stall.IsDoubtful(now)
+}
+
 // allowsTrial reports whether an ejected endpoint may get the request of a query, as the only one of all hosts. The caller
 // must hold a.mu.
 func (s *endpointState) allowsTrial(q Query, now time.Time) bool {
--- a/internal/core/assigner/explain.go
+++ b/internal/core/assigner/explain.go
@@ -48,6 +48,8 @@
 		return string(Paused)
 	case limited:
 		return string(Limited)
+	case stalled:
+		return "stalled"
 	case ejected:
 		return "ejected"
 	default:
--- a/internal/core/assigner/holdoff.go
+++ b/internal/core/assigner/holdoff.go
@@ -113,6 +113,8 @@
 	restricted
 	// unusable means that the endpoint cannot be reached or fails.
 	unusable
+	// stalled means that the endpoint stands still.
+	stalled
 	leaving
 	paused
 	// limited means that the endpoint limits its requests and that there is no permit for another one now.
@@ -133,6 +135,8 @@
 		return release, restricted
 	case !s.isUsable():
 		return release, unusable
+	case s.stall.IsStill():
+		return release, stalled
 	case h.leaving:
 		return release, leaving
 	case h.pausedUntil.After(now):
--- a/internal/core/assigner/probe.go
+++ b/internal/core/assigner/probe.go
@@ -1,6 +1,10 @@
 package assigner
 
-import "time"
+import (
+	"time"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+)
 
 const (
 	// probeAfterSilence is how long an endpoint with requests of this host may stay silent before it is probed. It
@@ -14,6 +18,9 @@
 // Probe is an endpoint to open a test connection to, without a request.
 type Probe struct {
 	ID, Address string
+	// Pool is set if the endpoint stands still. Then a health check must follow: the system of a host accepts connections
+	// even if its processes do nothing.
+	Pool ident.Pool
 }
 
 // markUnreachable takes an endpoint out of use after a failed connection. If the endpoint is in another zone, it also
@@ -34,7 +41,7 @@
 }
 
 // DueProbes returns the endpoints that should be probed now: those out of use, and those with requests of this host
-// that have been silent for probeAfterSilence. An endpoint that is leaving or has asked for a pause is not probed.
+// that have been silent for probeAfterSilence or stand still. An endpoint that is leaving or has asked for a pause is not probed.
 func (a *Assigner) DueProbes() []Probe {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -44,6 +51,10 @@
 		if s.addressReused || a.holdoffs.Get(s.Incarnation()).leaving || a.pauseRemaining(s, now) > 0 {
 			continue
 		}
+		if !s.down && s.stall.IsStill() {
+			out = append(out, Probe{ID: id, Address: s.Address, Pool: s.Pool})
+			continue
+		}
 		if s.down || s.localLoad.Requests > 0 && now.Sub(s.lastActive) > probeAfterSilence {
 			out = append(out, Probe{ID: id, Address: s.Address})
 		}
@@ -82,8 +93,5 @@
 func (a *Assigner) Silence(c *Assignment) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if c.state.heardAt.IsZero() {
-		return 0
-	}
-	return time.Since(c.state.heardAt)
+	return c.state.stall.Silence(time.Now())
 }
--- a/internal/core/assigner/snapshot.go
+++ b/internal/core/assigner/snapshot.go
@@ -16,6 +16,8 @@
 	// two may receive a request; zero if there is none.
 	LeavingEndpoints, PausedEndpoints, LimitedEndpoints int
 	EarliestResume                                      time.Duration
+	// StalledEndpoints is the number of those that stand still.
+	StalledEndpoints int
 	// EjectedEndpoints is the number of those that fail far more often than the others of their pool.
 	EjectedEndpoints int
 	// EarliestFirstEvent is the shortest predicted time to the first event at a usable endpoint; zero if there is none.
@@ -53,6 +55,8 @@
 		case limited:
 			out.LimitedEndpoints++
 			out.addResume(a.holdoffs.Get(s.Incarnation()).noPermitUntil.Sub(now))
+		case stalled:
+			out.StalledEndpoints++
 		case ejected:
 			out.EjectedEndpoints++
 		case available, notServing:
--- a/internal/core/fleetconfig/fleetconfig.go
+++ b/internal/core/fleetconfig/fleetconfig.go
@@ -62,6 +62,9 @@
 	// MaxEventGap is the maximum time promised to callers between two events of a stream; zero means that none is
 	// promised.
 	MaxEventGap time.Duration
+	// MaxEventWait is the time without an event after which callers leave a stream, also before its first one; zero if they
+	// wait until its timeout.
+	MaxEventWait time.Duration
 	// Priority is the rank of the requests; 0 is the most urgent.
 	Priority int
 	// Regions lists the regions in which the requests may run; empty means all.
--- a/internal/core/retrybudget/retrybudget.go
+++ b/internal/core/retrybudget/retrybudget.go
@@ -8,6 +8,8 @@
 	defaultBurst            = 10
 	// InitialTokens is the number of tokens in a new bucket: the retries that are allowed before any live request.
 	InitialTokens = 4
+	// roundingError covers that ten additions of a tenth can be slightly less than one.
+	roundingError = 1e-9
 )
 
 // Budget is a token bucket that live requests fill and retries drain. Set its fields before use.
@@ -54,13 +56,19 @@
 	b.tokens = min(burst, b.tokens)
 }
 
+// Retries returns the number of retries that may be made now.
+func (b *Budget) Retries() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.initialize()
+	return int(b.tokens + roundingError)
+}
+
 // SpendRetry consumes one token for a retry. It returns false if there is none; the retry must not be made then.
 func (b *Budget) SpendRetry() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.initialize()
-	// Ten additions of a tenth can be slightly less than one because of rounding.
-	const roundingError = 1e-9
 	if b.tokens < 1-roundingError {
 		return false
 	}
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -52,6 +52,9 @@
 	QuarantineWriteFailed  = Event{1773, log.WarnLevel, "records of quarantined features could not be written; will be retried"}
 	SettingsReloaded       = Event{1751, log.InfoLevel, "settings reloaded"}
 	SettingsRejected       = Event{1752, log.WarnLevel, "reloaded settings are invalid and were ignored"}
+	EndpointStandsStill    = Event{1756, log.WarnLevel, "endpoint stands still; it gets no requests, and those there move to others"}
+	EndpointResumed        = Event{1757, log.InfoLevel, "endpoint no longer stands still"}
+	RequestMoved           = Event{1758, log.InfoLevel, "request moves from an endpoint that stands still to another one"}
 	CallerDisconnected     = Event{1704, log.InfoLevel, "caller disconnected before the response was complete"}
 	ResponseAborted        = Event{1705, log.WarnLevel, "response aborted"}
 	RequestWithdrawn       = Event{1709, log.InfoLevel, "request withdrawn from an engine on an older release before it began"}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -20,9 +20,11 @@
 
 // tryEndpoint makes one attempt, and then releases the endpoint, even if the attempt panics to abort the caller's
 // connection. It reports whether the caller has got the complete response.
-func (g *Gateway) tryEndpoint(ctx context.Context, req *request, state *requestState, choice *assigner.Assignment) (isDone bool) {
+func (g *Gateway) tryEndpoint(ctx context.Context, cancel context.CancelFunc, req *request, state *requestState, choice *assigner.Assignment) (isDone bool) {
 	result := assigner.CallerGone // unless sendAttempt returns
+	g.beginRelocation(ctx, cancel, req, state, choice)
 	defer func() {
+		state.next, state.isAbandoned = state.relocation.end()
 		g.Assigner.Release(choice, result)
 		g.holder.Wake()
 	}()
--- a/internal/gateway/attemptlist.go
+++ b/internal/gateway/attemptlist.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 
@@ -15,7 +16,8 @@
 // attempt is one attempt of a request that may still crash its endpoint.
 type attempt struct {
 	features []crashsuspector.Feature
-	cancel   func()
+	// cancel ends the attempt. The endpoint of the next one may become unreachable before that begins.
+	cancel atomic.Pointer[context.CancelFunc]
 	// sentTo is the endpoint that the request has been written to, or nil.
 	sentTo atomic.Pointer[fleetconfig.Endpoint]
 	// isQuarantined is set if one of the features has become quarantined since the attempt began.
@@ -36,7 +38,7 @@
 // disconnect cancels the attempt because its endpoint has become unreachable.
 func (a *attempt) disconnect() {
 	a.isDisconnected.Store(true)
-	a.cancel()
+	(*a.cancel.Load())()
 }
 
 // attemptList holds the attempts in progress that may still crash their endpoints.
@@ -81,7 +83,7 @@
 	for a := l.first; a != nil; a = a.next {
 		for _, has := range a.features {
 			if has == f {
-				a.cancel()
+				(*a.cancel.Load())()
 				a.isQuarantined.Store(true)
 			}
 		}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -122,10 +122,11 @@
 
 // beginAttempt begins a new attempt of a request, and reports whether it may be made. The attempt is listed before the
 // verdict is asked for, so that a feature that becomes quarantined later cancels it.
-func (g *Gateway) beginAttempt(req *request, state *requestState, cancel func()) bool {
+func (g *Gateway) beginAttempt(req *request, state *requestState, cancel context.CancelFunc) bool {
 	a := &state.attempt
 	g.attempts.remove(a)
-	a.features, a.cancel = req.features, cancel
+	a.features = req.features
+	a.cancel.Store(&cancel)
 	a.sentTo.Store(nil)
 	a.isQuarantined.Store(false)
 	a.isDisconnected.Store(false)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,6 +54,9 @@
 	// QueryLoads queries the load of the other entry hosts at endpoints, and passes the replies to the assigner. It bounds
 	// the time that it takes. Nil means that this is the only entry host.
 	QueryLoads func(ctx context.Context, endpoints []fleetconfig.Endpoint, asker loadexchanger.Asker)
+	// AskHost asks the process beside an endpoint whether its host runs, and passes the reply to the assigner. It does not
+	// wait for it. It must be set if CheckStalls is called.
+	AskHost func(e fleetconfig.Endpoint)
 	// TakePermit takes a permit for one request to an endpoint that limits its requests. If there is none, it returns the
 	// time until there may be one. Nil means that no endpoint limits them.
 	TakePermit func(ctx context.Context, e fleetconfig.Endpoint) (ok bool, wait time.Duration)
@@ -96,6 +99,7 @@
 	isRefusing     atomic.Bool
 	activeRequests atomic.Int64
 	attempts       attemptList
+	relocations    relocationList
 	reservations   poolLog
 	shareLines     poolLog
 	holder         requestholder.Holder
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -23,6 +23,7 @@
 	unpromising      prometheus.Counter
 	held             prometheus.Histogram
 	aboveShare       *prometheus.CounterVec
+	relocations      *prometheus.CounterVec
 }
 
 // NewMeter registers the metrics and returns their meter.
@@ -42,7 +43,8 @@
 	m.unpromising = prometheus.NewCounter(prometheus.CounterOpts{Name: "nutmegdock_gateway_unpromising_total", Help: "Refusals for overload without Retry-After, because no retry is expected to succeed."})
 	m.held = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "nutmegdock_gateway_held_seconds", Help: "Time for which requests were held before their last round of queries.", Buckets: []float64{.01, .02, .05, .1, .15, .2}})
 	m.aboveShare = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "nutmegdock_gateway_above_share_total", Help: "Refusals for overload of organisations that had more than their fair share of the rank, by rank."}, []string{"rank"})
-	r.MustRegister(m.unpromising, m.held, m.aboveShare)
+	m.relocations = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "nutmegdock_gateway_relocations_total", Help: "Attempts to move a request from an endpoint that stands still, by the reason why it stays; empty if it moved."}, []string{"reason"})
+	r.MustRegister(m.unpromising, m.held, m.aboveShare, m.relocations)
 	r.MustRegister(m.responses, m.refusals, m.truncated, m.duration, m.timeToFirstEvent, m.crashes, m.quarantined, m.assigned, m.overloads)
 	return m
 }
@@ -102,3 +104,8 @@
 func (m *Meter) CountAboveShare(rank ident.Rank) {
 	m.aboveShare.WithLabelValues(strconv.Itoa(int(rank))).Inc()
 }
+
+// CountRelocation counts an attempt to move a request from an endpoint that stands still. An empty reason means that it moved.
+func (m *Meter) CountRelocation(reason string) {
+	m.relocations.WithLabelValues(reason).Inc()
+}
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -15,6 +15,16 @@
 // assign chooses an endpoint among a few candidates, whose load it queries first. While none of them can serve the
 // request in time, it tries further ones, the last ones after a moment. It sets the endpoints that query chose from.
 func (g *Gateway) assign(ctx context.Context, req *request, query *assigner.Query) (*assigner.Assignment, assigner.Refusal) {
+	return g.assignAfter(ctx, query, func() { g.hold(ctx, req, query) })
+}
+
+// assignWithoutHold is assign for a request that keeps its place at another endpoint meanwhile.
+func (g *Gateway) assignWithoutHold(ctx context.Context, query *assigner.Query) (*assigner.Assignment, assigner.Refusal) {
+	return g.assignAfter(ctx, query, func() {})
+}
+
+// assignAfter is assign with the function that delays the last round.
+func (g *Gateway) assignAfter(ctx context.Context, query *assigner.Query, hold func()) (*assigner.Assignment, assigner.Refusal) {
 	if g.QueryLoads == nil {
 		return g.assignWithPermit(ctx, query)
 	}
@@ -23,7 +33,7 @@
 	var refusal assigner.Refusal
 	for round := range assigner.MaxRounds {
 		if round == assigner.MaxRounds-1 && refusal == assigner.Overload {
-			g.hold(ctx, req, query)
+			hold()
 		}
 		candidates := g.Assigner.Candidates(*query, among, round > 0)
 		if len(candidates) == 0 || ctx.Err() != nil {
@@ -131,7 +141,7 @@
 func refusalFields(snapshot assigner.Snapshot, timeLeft time.Duration) log.Fields {
 	return log.Fields{
 		"left": timeLeft.Milliseconds(), "serving": snapshot.ServingEndpoints, "unusable": snapshot.UnusableEndpoints, "soonest": snapshot.EarliestFirstEvent.Milliseconds(),
-		"restricted": snapshot.RestrictedEndpoints, "leaving": snapshot.LeavingEndpoints, "paused": snapshot.PausedEndpoints, "limited": snapshot.LimitedEndpoints, "ejected": snapshot.EjectedEndpoints,
+		"stalled": snapshot.StalledEndpoints, "restricted": snapshot.RestrictedEndpoints, "leaving": snapshot.LeavingEndpoints, "paused": snapshot.PausedEndpoints, "limited": snapshot.LimitedEndpoints, "ejected": snapshot.EjectedEndpoints,
 		"reports": snapshot.ReportedEndpoints, "oldest": snapshot.OldestReport.Milliseconds(), "reserved": snapshot.ReservedSlots,
 	}
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -72,6 +72,11 @@
 	attempt                attempt
 	outcome                assigner.Outcome
 	isHarmless, hasCrashed bool
+	// relocation moves the current attempt if its endpoint stands still. next is the endpoint that it moves to, or nil, and
+	// isAbandoned is set if it was ended instead.
+	relocation  *relocation
+	next        *assigner.Assignment
+	isAbandoned bool
 	// isFinal is set once no other endpoint can continue the response: a part of a large one has been sent, or the caller
 	// has left.
 	isFinal bool
@@ -110,6 +115,11 @@
 	defer g.attempts.remove(&state.attempt)
 	g.recordArrival(req)
 	defer state.relay.stop()
+	defer func() {
+		if next := state.takeNext(); next != nil {
+			g.Assigner.Release(next, assigner.NotSent)
+		}
+	}()
 	for {
 		if state.headerSent && state.release > 0 && state.release < g.OldestRelease(req.Model) {
 			// A stream can only resume on the release that it began on, and no request may begin on that any more.
@@ -122,33 +132,22 @@
 			g.endUnserved(ctx, req, state, reasonQuarantined)
 			return
 		}
-		query := g.assignerQuery(req, state)
-		choice, refusal := g.assign(attemptCtx, req, &query)
-		if refusal == "" && !state.refusedAt.IsZero() && !g.RetryBudget.SpendRetry() {
-			g.Assigner.Release(choice, assigner.NotSent)
-			refusal = budgetExhausted
-		}
-		if refusal != "" {
-			cancel()
-			if (refusal == assigner.NoEndpoint || refusal == budgetExhausted) && g.waitForEndpoints(ctx, req, state) {
-				continue
-			}
-			snapshot := g.Assigner.Snapshot(query)
-			state.refusalDetails = refusalFields(snapshot, query.TimeLeft)
-			switch refusal {
-			case assigner.Overload:
-				g.recordOverload(req, state, query, snapshot.ReservedSlots)
-			case assigner.Paused:
-				state.resumeIn = snapshot.EarliestResume
-			case assigner.Limited:
-				// All hosts compete for the next permit, so that it is not the time at which this caller will be served.
-				state.resumeIn = max(snapshot.EarliestResume, g.RetryAfter(req.Remaining-time.Since(req.arrivedAt)))
+		choice := state.takeNext()
+		if choice == nil {
+			query := g.assignerQuery(req, state)
+			var refusal assigner.Refusal
+			if choice, refusal = g.assign(attemptCtx, req, &query); refusal == "" && !state.refusedAt.IsZero() && !g.RetryBudget.SpendRetry() {
+				g.Assigner.Release(choice, assigner.NotSent)
+				refusal = budgetExhausted
 			}
-			if state.heldUp > 0 {
-				refusal = assigner.Refusal(reasonMemory)
+			if refusal != "" {
+				cancel()
+				if (refusal == assigner.NoEndpoint || refusal == budgetExhausted) && g.waitForEndpoints(ctx, req, state) {
+					continue
+				}
+				g.endUnassigned(ctx, req, state, query, refusal)
+				return
 			}
-			g.endUnserved(ctx, req, state, string(refusal))
-			return
 		}
 		state.tried[choice.Endpoint.ID] = true
 		g.recordAssigned(req, choice)
@@ -159,7 +158,7 @@
 			"first": choice.PredictedFirstEvent.Milliseconds(), "attempt": len(state.tried),
 		}).Debug("request sent")
 		state.stopWithdrawal = g.withdrawAtCutoff(req, choice, cancel)
-		isDone := g.tryEndpoint(attemptCtx, req, state, choice)
+		isDone := g.tryEndpoint(attemptCtx, cancel, req, state, choice)
 		state.stopWithdrawal()
 		cancel()
 		reason := g.endAttempt(ctx, req, state, choice, isDone)
@@ -180,10 +179,16 @@
 			}
 			event.AttemptFailed.Log(g.Logger.WithFields(f), nil)
 		}
+		if reason == "" && state.isAbandoned && ctx.Err() == nil {
+			reason = reasonStalled
+		}
 		if reason != "" {
 			g.endUnserved(ctx, req, state, reason)
 			return
 		}
+		if state.next != nil && ctx.Err() == nil && !state.isFinal {
+			continue
+		}
 		if !g.mayRetry(ctx, req, state) {
 			if !g.waitForEndpoints(ctx, req, state) {
 				g.endUnserved(ctx, req, state, state.failureReason())
@@ -196,6 +201,32 @@
 	}
 }
 
+// takeNext returns the endpoint that the request moves to, or nil.
+func (s *requestState) takeNext() *assigner.Assignment {
+	next := s.next
+	s.next = nil
+	return next
+}
+
+// endUnassigned ends a request for which no endpoint was found.
+func (g *Gateway) endUnassigned(ctx context.Context, req *request, state *requestState, query assigner.Query, refusal assigner.Refusal) {
+	snapshot := g.Assigner.Snapshot(query)
+	state.refusalDetails = refusalFields(snapshot, query.TimeLeft)
+	switch refusal {
+	case assigner.Overload:
+		g.recordOverload(req, state, query, snapshot.ReservedSlots)
+	case assigner.Paused:
+		state.resumeIn = snapshot.EarliestResume
+	case assigner.Limited:
+		// All hosts compete for the next permit, so that it is not the time at which this caller will be served.
+		state.resumeIn = max(snapshot.EarliestResume, g.RetryAfter(req.Remaining-time.Since(req.arrivedAt)))
+	}
+	if state.heldUp > 0 {
+		refusal = assigner.Refusal(reasonMemory)
+	}
+	g.endUnserved(ctx, req, state, string(refusal))
+}
+
 // endUnserved ends a request for which no further attempt is made.
 func (g *Gateway) endUnserved(ctx context.Context, req *request, state *requestState, reason string) {
 	if req.r.Context().Err() != nil {
@@ -217,6 +248,8 @@
 		g.writeResponse(req, state.heldResponse.status, state.heldResponse.header, state.heldResponse.body)
 	case reason == reasonQuarantined || reason == reasonSuspect:
 		g.refuse(req, g.suspectRejection(req, state, reason))
+	case reason == reasonStalled:
+		g.refuse(req, rejection{status: http.StatusGatewayTimeout, reason: reason, cause: errorText(state.lastErr)})
 	case state.mayHaveRun > 0 && ctx.Err() != nil:
 		g.refuse(req, rejection{status: http.StatusGatewayTimeout, reason: "deadline", cause: errorText(state.lastErr)})
 	case state.mayHaveRun > 0:
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -67,6 +67,7 @@
 func (g *Gateway) startStream(req *request, state *requestState, resp *sender.Response, info headercodec.ResponseInfo) {
 	state.headerSent = true
 	state.release = info.Release
+	state.relocation.setRelease(info.Release)
 	state.timeToFirstEvent = time.Since(req.arrivedAt)
 	g.Meter.ObserveFirstEvent(state.timeToFirstEvent)
 	g.writeHeader(req, resp.Status, resp.Header, -1)
--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -170,7 +170,7 @@
 	exchanger := &loadexchanger.Exchanger{
 		Host: h.Name, Responder: h.loadResponder, LocalLoad: h.assigner.LocalLoad, LoadedEndpoints: h.assigner.LoadedEndpoints,
 		IsLeaving: h.assigner.IsLeaving, Limit: h.assigner.Limit, OnLimit: h.handleLimit, OnReply: h.handleLoadReply, TakeStarted: h.assigner.TakeStarted, OnShare: h.handleShare, OnGate: h.assigner.SetGateState, Presence: h.presence, Logger: h.Logger,
-		OnRoundTrip: h.handleRoundTrip, OnMissedReply: h.handleMissedReply,
+		OnQuery: h.assigner.RecordQuestion, OnRoundTrip: h.handleRoundTrip, OnMissedReply: h.handleMissedReply,
 	}
 	exchanger.Init()
 	h.exchanger = exchanger
@@ -179,6 +179,9 @@
 	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "nutmegdock_gateway_slow_engines", Help: "Engines that have stated a moment ago that they are slow.",
 	}, func() float64 { return float64(h.assigner.SlowEngines()) }))
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "nutmegdock_gateway_stalled_endpoints", Help: "Endpoints that stand still.",
+	}, func() float64 { return float64(h.assigner.StalledEndpoints()) }))
 	if h.EjectsOutliers {
 		h.initEjections(registry)
 		exchanger.Outcomes = h.assigner.OutcomeTotals
@@ -193,7 +196,7 @@
 	suspensions.Check()
 	h.gateway = &gateway.Gateway{
 		Suspector: h.suspector, Announce: h.factExchanger.Announce,
-		Codec: h.Codec, Assigner: h.assigner, QueryLoads: exchanger.QueryFor, TakePermit: h.takePermit, NeedsPermit: h.cold.NeedsPermit, PermitLifetime: h.cold.PermitLifetime, Sender: &sender.Sender{Dial: (&dialer.Dialer{ConnectTimeout: connectTimeout}).DialContext},
+		Codec: h.Codec, Assigner: h.assigner, QueryLoads: exchanger.QueryFor, AskHost: exchanger.Ask, TakePermit: h.takePermit, NeedsPermit: h.cold.NeedsPermit, PermitLifetime: h.cold.PermitLifetime, Sender: &sender.Sender{Dial: (&dialer.Dialer{ConnectTimeout: connectTimeout}).DialContext},
 		RetryBudget: &retrybudget.Budget{TokensPerRequest: h.RetryRatio * budgetShare, Burst: h.RetryBurst * budgetShare / minBudgetHosts},
 		OldestRelease: func(m fleetconfig.Model) fleetconfig.Release {
 			suspensions.Check()
@@ -255,6 +258,7 @@
 	tasks.Go(func() error { return h.Replicator.Run(serveCtx) })
 	tasks.Go(func() error { return h.replicate(serveCtx) })
 	tasks.Go(func() error { return h.probeEndpoints(serveCtx) })
+	tasks.Go(func() error { return h.checkStalls(serveCtx) })
 	tasks.Go(func() error { return h.refreshEndpoints(serveCtx) })
 	tasks.Go(func() error { return h.observeShares(serveCtx) })
 	exchanger.Conn = conn
--- a/internal/gatewayserver/load.go
+++ b/internal/gatewayserver/load.go
@@ -62,6 +62,7 @@
 }
 
 func (h *Server) handleLoadReply(e fleetconfig.Endpoint, r loadexchanger.Reply) {
+	h.assigner.RecordReply(e)
 	h.assigner.SetReport(e, r.Load)
 	if r.Pace != nil {
 		h.assigner.SetPace(e, *r.Pace)
--- a/internal/gatewayserver/probe.go
+++ b/internal/gatewayserver/probe.go
@@ -2,31 +2,79 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"net"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/dialer"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 )
 
+// healthTimeout bounds a health check of an endpoint that stands still. The check waits there until the endpoint goes on.
+const healthTimeout = time.Second
+
+// probing holds the endpoints that are probed now.
+type probing struct {
+	mu  sync.Mutex
+	ids map[string]bool
+}
+
+// begin reports whether an endpoint is not probed yet, and marks it as probed until end is called.
+func (p *probing) begin(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ids == nil {
+		p.ids = make(map[string]bool)
+	}
+	isNew := !p.ids[id]
+	p.ids[id] = true
+	return isNew
+}
+
+func (p *probing) end(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.ids, id)
+}
+
+// checkStalls looks for endpoints that stand still until ctx ends.
+func (h *Server) checkStalls(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(h.gateway.CheckStalls()):
+		}
+	}
+}
+
 // probeEndpoints periodically connects to the endpoints that are out of use or silent, so that no request has to find
 // out whether they are reachable.
 func (h *Server) probeEndpoints(ctx context.Context) error {
 	dial := &dialer.Dialer{ConnectTimeout: connectTimeout}
+	var running probing
+	var wait sync.WaitGroup
+	defer wait.Wait()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-time.After(probeInterval):
 		}
-		var wait sync.WaitGroup
 		for _, p := range h.assigner.DueProbes() {
-			wait.Go(func() { h.probeEndpoint(ctx, dial, p) })
+			if running.begin(p.ID) {
+				wait.Go(func() {
+					defer running.end(p.ID)
+					h.probeEndpoint(ctx, dial, p)
+				})
+			}
 		}
-		wait.Wait()
 	}
 }
 
@@ -36,11 +84,17 @@
 		return
 	}
 	if err == nil {
-		_ = conn.Close()
+		defer conn.Close()
 	}
-	if !h.assigner.RecordProbe(p, err == nil) {
-		return
+	if h.assigner.RecordProbe(p, err == nil) {
+		h.logProbe(p, err)
+	}
+	if err == nil && p.Pool != "" && h.checkHealth(ctx, conn, p.Pool) {
+		h.assigner.RecordHealth(p)
 	}
+}
+
+func (h *Server) logProbe(p assigner.Probe, err error) {
 	fields := log.Fields{"endpoint": p.ID, "address": p.Address}
 	if err != nil {
 		fields["cause"] = err.Error()
@@ -49,3 +103,21 @@
 	}
 	event.EndpointReachable.Log(h.Logger, fields)
 }
+
+// checkHealth reports whether an endpoint responds to a health check in time. Any response shows that it runs.
+func (h *Server) checkHealth(ctx context.Context, conn net.Conn, pool ident.Pool) bool {
+	config := h.gateway.Config()
+	if config == nil || config.Pools[pool] == nil || config.Pools[pool].HealthPath == "" {
+		return false
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if err := conn.SetDeadline(time.Now().Add(healthTimeout)); err != nil {
+		return false
+	}
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", config.Pools[pool].HealthPath, conn.RemoteAddr()); err != nil {
+		return false
+	}
+	_, err := io.ReadFull(conn, make([]byte, 1))
+	return err == nil
+}
--- a/internal/loadexchanger/loadexchanger.go
+++ b/internal/loadexchanger/loadexchanger.go
@@ -75,7 +75,8 @@
 	// successor is another. OnHandover receives the part of the former responder. Both are nil where PermitShare is nil.
 	Cede       func(endpoint string, successor netip.Addr) float64
 	OnHandover func(endpoint string, share float64)
-	// OnReply receives a reply to a query for an endpoint.
+	// OnQuery receives an endpoint whose responder is queried; it may be nil. OnReply receives a reply to a query for an endpoint.
+	OnQuery func(e fleetconfig.Endpoint)
 	OnReply func(e fleetconfig.Endpoint, r Reply)
 	// OnRoundTrip receives the time that a reply for an endpoint has taken, and OnMissedReply an endpoint whose reply was
 	// waited for and has not arrived in time. Both may be nil, and must not call the exchanger.
@@ -115,6 +116,8 @@
 	endpoint  fleetconfig.Endpoint
 	responder netip.AddrPort
 	sentAt    time.Time
+	// isUntimed says that the time until the reply is no measure of the network.
+	isUntimed bool
 	// asker is the request that the query is made for; nil if there is none.
 	asker *Asker
 	// replied receives a value with the reply if the query is waited for. It never blocks.
@@ -231,6 +234,9 @@
 		}
 		x.queries[id] = q
 		x.mu.Unlock()
+		if x.OnQuery != nil {
+			x.OnQuery(e)
+		}
 		x.sendReport(e, id, asker)
 	}
 	timer := time.NewTimer(replyTimeout)
@@ -249,6 +255,29 @@
 	x.endQueries(ids, time.Since(now) >= replyTimeout)
 }
 
+// Ask queries the responder of an endpoint and does not wait for the reply.
+func (x *Exchanger) Ask(e fleetconfig.Endpoint) {
+	to := x.Responder(e)
+	if !to.IsValid() {
+		return
+	}
+	id := rand.Uint64() | 1 // zero means no query
+	x.mu.Lock()
+	x.queries[id] = &query{endpoint: e, responder: to, sentAt: time.Now(), isUntimed: true}
+	x.mu.Unlock()
+	x.sendReport(e, id, nil)
+	x.forgetQuery(id)
+}
+
+// forgetQuery drops a query without a reply after silentTimeout.
+func (x *Exchanger) forgetQuery(id uint64) {
+	time.AfterFunc(silentTimeout, func() {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		delete(x.queries, id)
+	})
+}
+
 // endQueries gives up the queries that have not been replied to. Their responders count as silent if the time for
 // replies has passed. A late reply is still recorded, for as long as its query is kept.
 func (x *Exchanger) endQueries(ids []uint64, isTimeout bool) {
@@ -265,11 +294,7 @@
 				x.OnMissedReply(q.endpoint)
 			}
 		}
-		time.AfterFunc(silentTimeout, func() {
-			x.mu.Lock()
-			defer x.mu.Unlock()
-			delete(x.queries, id)
-		})
+		x.forgetQuery(id)
 	}
 }
 
@@ -385,7 +410,7 @@
 	x.notifyLimit(q.endpoint, limit)
 	x.notifyCold(q.endpoint, cold)
 	x.OnReply(q.endpoint, r)
-	if x.OnRoundTrip != nil {
+	if x.OnRoundTrip != nil && !q.isUntimed {
 		x.OnRoundTrip(q.endpoint, time.Since(q.sentAt))
 	}
 	x.notifyShare(q, r.Share)
