httpserver: the close of a caller is noticed behind bytes of a next request

What callers saw: a caller that had sent a byte beyond its request (a line end, a second request) and left, left its work running until the time limit.

Cause: while a handler runs, net/http reads one byte to notice the end of the connection. Once it has read one, it does not look again until the handler returns. All entrances have it: gatewayd, entryd and endpointd.

Evidence: TestByteAfterRequestHidesCloseOfCaller failed before, after a line end and after a second request: the handler ran its full 2 s; without the byte it was told at once.

Why it works: closewatcher goes on reading after that byte, up to 4 KiB, hands the bytes to the server at its next read, and ends the context of the connection at its end. A connection without such a byte is handled as before.

--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/nutmegdock/nutmegdock/internal/closewatcher"
 )
 
 const (
@@ -30,8 +32,10 @@
 
 // Run serves until ctx ends, then stops listening and waits for the requests in flight.
 func (s *Server) Run(ctx context.Context) error {
+	listener := &closewatcher.Listener{Listener: s.Listener}
 	srv := &http.Server{
 		Handler:           s.Handler,
+		ConnContext:       listener.ConnContext,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -44,7 +48,7 @@
 		defer cancel()
 		shutdownErr <- srv.Shutdown(shutdownCtx)
 	})
-	err := srv.Serve(s.Listener)
+	err := srv.Serve(listener)
 	if stop() {
 		// Serve returned before ctx ended, so no shutdown is in progress.
 		return fmt.Errorf("serve %s: %w", s.Listener.Addr(), err)
