sender: the end of a request closes the connection to the endpoint

What callers saw: a caller that did not read its response and closed its sending side kept its engine until the engine gave up, on deployments without bounds on memory.

Cause: the goroutine that reads the response was blocked in the write to the caller. The end of the context only set a deadline on the connection to the endpoint, which stayed open until that goroutine returned.

Why it works: the end of the context closes the connection itself, whatever the goroutine is blocked in.

--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -13,7 +13,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
 )
@@ -78,7 +77,7 @@
 	return r.conn.Close()
 }
 
-// Send sends the request and returns the header of its response. The connection is interrupted when ctx ends. Its
+// Send sends the request and returns the header of its response. The connection is closed when ctx ends. Its
 // error is an outcome.Error.
 func (s *Sender) Send(ctx context.Context, attempt Attempt) (*Response, error) {
 	conn, err := s.Dial(ctx, "tcp", attempt.Address)
@@ -91,7 +90,8 @@
 			return nil, newError(ctx, outcome.NotRun, reason, errors.New("withdrawn before it was sent"))
 		}
 	}
-	stopCancel := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	// The connection is closed at once, since the goroutine that reads it may be blocked in a write to the caller.
+	stopCancel := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	resp, err := exchange(ctx, conn, attempt)
 	if err != nil {
 		stopCancel()
