assigner: endpoints whose hosts do not reply are no candidates

A host without requests at an engine whose host stood still queried it for new requests again and again, and each cost one of three candidates. Such an endpoint is asked at most every 250 ms by requests, and stands still after 150 ms without a reply. One that sends while the process beside it does not reply counts as sound: then only its own silence speaks against it.

--- a/internal/core/assigner/stall.go
+++ b/internal/core/assigner/stall.go
@@ -75,7 +75,7 @@
 	if hasStoodStill {
 		s.stall.Forget(now)
 	}
-	if len(s.inFlight) == 0 && !s.stall.IsStill() && !s.isReportedStill {
+	if len(s.inFlight) == 0 && !s.stall.IsStill() && !s.isReportedStill && !s.stall.IsDoubtful(now) {
 		return
 	}
 	waitingSince, owedSince := s.expectations()
--- a/internal/core/assigner/zones.go
+++ b/internal/core/assigner/zones.go
@@ -68,7 +68,7 @@
 		if _, state := p.a.availability(s, p.q, p.now); state != available && state != ejected {
 			continue
 		}
-		if s.outcomes.IsEjected() && !s.outcomes.Offer(p.now) {
+		if s.outcomes.IsEjected() && !s.outcomes.Offer(p.now) || !s.stall.IsDue(p.now) {
 			continue
 		}
 		p.queried[s.ID] = true
--- a/internal/core/stalldetector/stalldetector.go
+++ b/internal/core/stalldetector/stalldetector.go
@@ -22,6 +22,8 @@
 	// endpointSilence is for how long a response is overdue at an endpoint that stands still by itself. A sound one may fall
 	// silent for a second or so.
 	endpointSilence = 1500 * time.Millisecond
+	// idleHostSilence replaces hostSilence where this host expects no response, so that nothing else speaks against the endpoint.
+	idleHostSilence = 150 * time.Millisecond
 	// doubtDelay is how long a question waits for its reply before other endpoints are preferred.
 	doubtDelay = 15 * time.Millisecond
 	// minOverdue is how much later than expected a response must be before an endpoint counts as standing still.
@@ -40,6 +42,8 @@
 	verdict                   verdict
 	// hostRanAt is when the process beside the endpoint replied after the host had stood still.
 	hostRanAt time.Time
+	// isAlone says that the endpoint sends while the process beside it does not reply, so that questions say nothing.
+	isAlone bool
 }
 
 // verdict says what stands still.
@@ -53,6 +57,9 @@
 
 // RecordHeard records that the endpoint has sent something, which shows that it runs.
 func (d *Detector) RecordHeard(now time.Time) {
+	if d.verdict == host || d.questions >= minQuestions && now.Sub(d.firstAskedAt) >= hostSilence {
+		d.isAlone = true
+	}
 	d.heardAt, d.verdict = now, nothing
 	d.forgetQuestions()
 }
@@ -71,6 +78,7 @@
 	if d.verdict == host {
 		d.verdict, d.hostRanAt = nothing, now
 	}
+	d.isAlone = false
 	d.forgetQuestions()
 	d.lastAskedAt = now
 }
@@ -103,20 +111,22 @@
 	if d.IsStill() {
 		return now.Sub(d.lastAskedAt) >= VerdictInterval
 	}
-	if waitingSince.IsZero() || now.Sub(latest(d.heardAt, waitingSince)) < QuestionSilence {
+	switch {
+	case d.isAlone:
+		return now.Sub(d.lastAskedAt) >= VerdictInterval
+	case d.IsDoubtful(now):
+		return now.Sub(d.lastAskedAt) >= QuestionInterval
+	case waitingSince.IsZero() || now.Sub(latest(d.heardAt, waitingSince)) < QuestionSilence:
 		return false
+	default:
+		return now.Sub(d.lastAskedAt) >= QuestionSilence // the last question had a reply, or waits for it
 	}
-	interval := QuestionInterval
-	if d.questions == 0 {
-		interval = QuestionSilence // the last question had a reply
-	}
-	return now.Sub(d.lastAskedAt) >= interval
 }
 
 // NextCheck returns the time until the next question may be due.
 func (d *Detector) NextCheck(now, waitingSince time.Time) time.Duration {
 	switch {
-	case d.IsStill() || d.questions > 0:
+	case d.IsStill() || d.IsDoubtful(now):
 		return QuestionInterval
 	case waitingSince.IsZero():
 		return QuestionSilence
@@ -128,7 +138,13 @@
 // IsDoubtful reports whether other endpoints should be preferred: the last question has no reply, and the endpoint has sent
 // nothing since the first one.
 func (d *Detector) IsDoubtful(now time.Time) bool {
-	return d.questions > 0 && now.Sub(d.firstAskedAt) >= doubtDelay
+	return d.questions > 0 && !d.isAlone && now.Sub(d.firstAskedAt) >= doubtDelay
+}
+
+// IsDue reports whether a request may ask the process beside the endpoint. While its host is doubtful, that costs the request time
+// and a candidate.
+func (d *Detector) IsDue(now time.Time) bool {
+	return !d.IsDoubtful(now) || now.Sub(d.lastAskedAt) >= VerdictInterval
 }
 
 // IsStill reports whether the endpoint stands still by the last check.
@@ -141,13 +157,18 @@
 // requests, as one that loads weights does. An endpoint that stands still does so until it sends something, or the process
 // beside it replies.
 func (d *Detector) Check(now, owedSince time.Time, canHold bool) (isStill bool) {
-	if d.IsStill() || owedSince.IsZero() {
-		return d.IsStill()
+	isSilent := func(min time.Duration) bool {
+		return d.questions >= minQuestions && !d.isAlone && now.Sub(d.firstAskedAt) >= min
 	}
 	overdue := now.Sub(latest(owedSince, latest(d.heardAt, d.hostRanAt)))
 	switch {
+	case d.IsStill():
+	case owedSince.IsZero():
+		if isSilent(idleHostSilence) {
+			d.verdict = host
+		}
 	case overdue < minOverdue:
-	case d.questions >= minQuestions && now.Sub(d.firstAskedAt) >= hostSilence:
+	case isSilent(hostSilence):
 		d.verdict = host
 	case overdue >= endpointSilence && !canHold:
 		d.verdict = endpoint
