--- a/internal/core/stalldetector/stalldetector.go
+++ b/internal/core/stalldetector/stalldetector.go
@@ -12,9 +12,10 @@
 	// QuestionSilence is for how long an endpoint that owes a response sends nothing before the process beside it is asked
 	// whether the host runs. It is a quarter of the shortest time that callers wait for an event.
 	QuestionSilence = 100 * time.Millisecond
-	// QuestionInterval is the time between two questions until there is a verdict, and VerdictInterval that after it.
+	// QuestionInterval is the time between two questions until there is a verdict.
 	QuestionInterval = 25 * time.Millisecond
-	VerdictInterval  = 250 * time.Millisecond
+	// verdictInterval is the time between two questions after it.
+	verdictInterval = 250 * time.Millisecond
 	// hostSilence is for how long questions get no reply from a host that stands still, and minQuestions their least number:
 	// a link that loses one packet in thirty loses as many in sequence less than once in ten thousand times.
 	hostSilence  = 100 * time.Millisecond
@@ -109,11 +110,11 @@
 // the earliest, when the first of the requests in flight was sent; the zero time if there is none.
 func (d *Detector) NeedsQuestion(now, waitingSince time.Time) bool {
 	if d.IsStill() {
-		return now.Sub(d.lastAskedAt) >= VerdictInterval
+		return now.Sub(d.lastAskedAt) >= verdictInterval
 	}
 	switch {
 	case d.isAlone:
-		return now.Sub(d.lastAskedAt) >= VerdictInterval
+		return now.Sub(d.lastAskedAt) >= verdictInterval
 	case d.IsDoubtful(now):
 		return now.Sub(d.lastAskedAt) >= QuestionInterval
 	case waitingSince.IsZero() || now.Sub(latest(d.heardAt, waitingSince)) < QuestionSilence:
@@ -144,7 +145,7 @@
 // IsDue reports whether a request may ask the process beside the endpoint. While its host is doubtful, that costs the request time
 // and a candidate.
 func (d *Detector) IsDue(now time.Time) bool {
-	return !d.IsDoubtful(now) || now.Sub(d.lastAskedAt) >= VerdictInterval
+	return !d.IsDoubtful(now) || now.Sub(d.lastAskedAt) >= verdictInterval
 }
 
 // IsStill reports whether the endpoint stands still by the last check.
@@ -157,8 +158,8 @@
 // requests, as one that loads weights does. An endpoint that stands still does so until it sends something, or the process
 // beside it replies.
 func (d *Detector) Check(now, owedSince time.Time, canHold bool) (isStill bool) {
-	isSilent := func(min time.Duration) bool {
-		return d.questions >= minQuestions && !d.isAlone && now.Sub(d.firstAskedAt) >= min
+	isSilent := func(least time.Duration) bool {
+		return d.questions >= minQuestions && !d.isAlone && now.Sub(d.firstAskedAt) >= least
 	}
 	overdue := now.Sub(latest(owedSince, latest(d.heardAt, d.hostRanAt)))
 	switch {
