gatewayserver: a pool without a health path is checked at its root

An endpoint that stands still comes back once it responds to a health check; without a path in the configuration none was sent, so that an endpoint without further requests stayed out of use. Any response shows that it runs. Found by reading; no deployment so far lacks the path.

--- a/internal/gatewayserver/probe.go
+++ b/internal/gatewayserver/probe.go
@@ -1,6 +1,7 @@
 package gatewayserver
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -107,15 +108,16 @@
 // checkHealth reports whether an endpoint responds to a health check in time. Any response shows that it runs.
 func (h *Server) checkHealth(ctx context.Context, conn net.Conn, pool ident.Pool) bool {
 	config := h.gateway.Config()
-	if config == nil || config.Pools[pool] == nil || config.Pools[pool].HealthPath == "" {
+	if config == nil || config.Pools[pool] == nil {
 		return false
 	}
+	path := cmp.Or(config.Pools[pool].HealthPath, "/")
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	if err := conn.SetDeadline(time.Now().Add(healthTimeout)); err != nil {
 		return false
 	}
-	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", config.Pools[pool].HealthPath, conn.RemoteAddr()); err != nil {
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", path, conn.RemoteAddr()); err != nil {
 		return false
 	}
 	_, err := io.ReadFull(conn, make([]byte, 1))
