Two tests that hung while the machine was busy

The caller now leaves once the endpoint has the request.

The known red tests of loadexchanger hung twice: the network of the tests hands out the datagrams of a host that was frozen under its lock, and blocks when there are more than a socket's buffer holds, while the reader waits for the lock (dump: one chan send, one Mutex.Lock). It drops them like those that arrive then.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -136,15 +136,16 @@
 func TestCallerDisconnectIsNotACrash(t *testing.T) {
 	is := is.New(t)
 	closed := make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
 	f := startCrashFleet(t, 1, func(f *testFleet) []step {
 		return []step{func(c *net.TCPConn, r *http.Request) {
 			f.stopListening(c)
+			cancel()
 			noResponse(c, r)
 			close(closed)
 		}}
 	})
-	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
-	defer cancel()
 	_, _, _, err := f.send("/once/", func(r *http.Request) { *r = *r.WithContext(ctx) })
 	is.True(err != nil)
 	<-closed
--- a/internal/loadexchanger/limit_test.go
+++ b/internal/loadexchanger/limit_test.go
@@ -127,7 +127,10 @@
 	c.isFrozen = isFrozen
 	if !isFrozen {
 		for _, d := range c.frozen {
-			c.received <- d
+			select {
+			case c.received <- d:
+			default: // the buffer of the socket is full
+			}
 		}
 		c.frozen = nil
 	}
