--- a/internal/core/relocator/replay_test.go
+++ b/internal/core/relocator/replay_test.go
@@ -383,6 +383,9 @@
 					if size[0] > 8 && !isFull && (share != 0.4 || duration != 2500*time.Millisecond || load != 1) {
 						continue
 					}
+					if size[0] == 8 && share == 1 && duration == 2500*time.Millisecond && load == 1 {
+						continue // TestRequestsWaitWhereAllEnginesStandStill
+					}
 					r := replay{hosts: size[0], engines: size[1], share: share, load: load, duration: duration}
 					t.Run(fmt.Sprintf("%d hosts, %.1f still for %s, load %.1f", size[0], share, duration, load), func(t *testing.T) { r.check(t) })
 				}
@@ -391,6 +394,12 @@
 	}
 }
 
+// With no other endpoint, requests must be served as often as without moves.
+func TestRequestsWaitWhereAllEnginesStandStill(t *testing.T) {
+	r := replay{hosts: 8, engines: 16, share: 1, load: 1, duration: 2500 * time.Millisecond}
+	r.check(t)
+}
+
 func (r *replay) check(t *testing.T) {
 	got := (&replay{hosts: r.hosts, engines: r.engines, share: r.share, load: r.load, duration: r.duration, isMoving: true}).run(t)
 	former := r.run(t)
