gateway: error of the next endpoint got into a stream that resumes

A stream that had begun and broke off is resumed at another endpoint. Each response with status 200 was read as its continuation, and each event without an id was passed on. An error page with status 200, an error event without an id, or the text of a whole response therefore reached the caller in the middle of the stream, and a 200 with an empty body ended it as if it were complete. The same text behind the header of a new stream passed for its first event.

A response continues a stream only if it has the content type of the first response, and a signature if that one had it. Once events have ids, what has no id must be a comment or a retry interval; before that, each of its lines must be a comment or a field. Anything else is a failed attempt, so that the stream goes on at a further endpoint or its connection is broken off.

The codec of the tests reads the signature now, as that of the platform does.

--- a/internal/core/sequencer/sequencer.go
+++ b/internal/core/sequencer/sequencer.go
@@ -13,6 +13,8 @@
 const (
 	// maxEventBytes is the maximum size of one event. It bounds the buffer for a stream that never ends an event.
 	maxEventBytes = 1 << 20
+	// maxErrorTextBytes is how much of a part that is no event is reported.
+	maxErrorTextBytes = 80
 	// maxUnnumberedBytes is the maximum size of the events without an id between two events with one.
 	maxUnnumberedBytes = 1 << 20
 )
@@ -47,6 +49,18 @@
 	return fmt.Sprintf("stream events without an id exceed %d bytes", e.Bytes)
 }
 
+// NoEventError reports a part of a stream that is none of its events.
+type NoEventError struct {
+	// Text is the beginning of the part, and After the id of the event before it, or zero if there is none.
+	Text  string
+	After int64
+}
+
+// Error includes the text and the id.
+func (e *NoEventError) Error() string {
+	return fmt.Sprintf("stream has %q after event %d, which is no event of it", e.Text, e.After)
+}
+
 // Sequencer tracks one stream. The zero value accepts any id for the first event.
 type Sequencer struct {
 	// LastID is the id of the last event that the caller has received; zero means none.
@@ -87,10 +101,14 @@
 }
 
 // accept reports whether an event is to be forwarded. It returns an error if events are missing before it, or if too many
-// without an id precede it.
+// without an id precede it. Once events have ids, one without an id is not of the stream: it would be the error text of an
+// endpoint.
 func (s *Sequencer) accept(ev []byte) (bool, error) {
 	id, ok := eventID(ev)
 	if !ok {
+		if s.LastIDKnown && !eventscanner.IsComment(ev) || !eventscanner.HasFields(ev) {
+			return false, &NoEventError{Text: string(ev[:min(len(ev), maxErrorTextBytes)]), After: s.LastID}
+		}
 		if s.unnumberedBytes += len(ev); s.unnumberedBytes > maxUnnumberedBytes {
 			return false, &UnnumberedError{Bytes: maxUnnumberedBytes}
 		}
--- a/internal/core/sequencer/sequencer_test.go
+++ b/internal/core/sequencer/sequencer_test.go
@@ -104,3 +104,41 @@
 	is.True(unnumbered != nil)
 	is.True(forwarded <= unnumbered.Bytes)
 }
+
+// The text of an error that an endpoint writes into a stream is none of its events.
+func TestErrorTextIsNoEvent(t *testing.T) {
+	const response = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+	for _, c := range []struct {
+		name, first, text string
+		isError           bool
+	}{
+		{"response first", "", response, true},
+		{"object first", "", "{\"error\": \"failed\"}\n\n", true},
+		{"text first", "", "engine failed\n\n", true},
+		{"event without an id first", "", "data: x\n\n", false},
+		{"event without a value first", "", "data\n\n", false},
+		{"response", event(1), response, true},
+		{"object", event(1), "{\"error\": \"failed\"}\n\n", true},
+		{"text", event(1), "engine failed\n\n", true},
+		{"event without an id", event(1), "event: error\ndata: x\n\n", true},
+		{"event with an invalid id", event(1), "id: x\ndata: x\n\n", true},
+		{"line of text with a colon", event(1), "error: failed\n\n", true},
+		{"comment", event(1), ": comment\n\n", false},
+		{"retry interval", event(1), "retry: 1000\n\n", false},
+		{"empty lines", event(1), "\n\n", false},
+		{"event with a further field", event(1), "version: 7\nid: 2\ndata: x\n\n", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var s sequencer.Sequencer
+			out, err := s.Feed([]byte(c.first + c.text + event(9)))
+			var noEvent *sequencer.NoEventError
+			is.Equal(errors.As(err, &noEvent), c.isError)
+			if c.isError {
+				is.Equal(string(out), c.first)
+				return
+			}
+			is.True(strings.HasPrefix(string(out), c.first+c.text))
+		})
+	}
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -58,7 +58,7 @@
 		pause, _ := time.ParseDuration(h.Get("Pause"))
 		limit, err := strconv.ParseFloat(h.Get("Limit"), 64)
 		return headercodec.ResponseInfo{
-			NotRun: status == http.StatusServiceUnavailable && h.Get("Not-Run") != "", Release: fleetconfig.Release(release),
+			NotRun: status == http.StatusServiceUnavailable && h.Get("Not-Run") != "", Signed: h.Get("Signed") != "", Release: fleetconfig.Release(release),
 			IsLeaving: h.Get("Leaving") != "", Pause: pause, IsLimited: err == nil, RateLimit: ident.Rate(limit),
 		}
 	},
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -64,6 +64,9 @@
 	// sent a response header.
 	sequencer  sequencer.Sequencer
 	headerSent bool
+	// contentType is that of the response with which the stream began, and isSigned is set if it was signed.
+	contentType ContentType
+	isSigned    bool
 	// responseStatus is the status of the response to the current attempt, or zero before its header has arrived.
 	// receivedBefore is the number of events that earlier attempts received.
 	responseStatus, receivedBefore int
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"net/http"
+	"strings"
 	"time"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
@@ -20,6 +23,10 @@
 // forwardStream forwards the events of a stream as they arrive.
 func (g *Gateway) forwardStream(ctx context.Context, req *request, state *requestState, resp *sender.Response, info headercodec.ResponseInfo) (assigner.Outcome, bool) {
 	state.mayHaveRun++
+	if err := state.checkContinues(resp, info); err != nil {
+		state.lastErr = &outcome.Error{Kind: outcome.Unknown, Reason: outcome.Mismatch, Message: err.Error()}
+		return assigner.Failed, false
+	}
 	state.sequencer.DiscardPartial()
 	hasEvents := false
 	buf := make([]byte, streamBufferBytes)
@@ -63,9 +70,40 @@
 	}
 }
 
+// DifferentStreamError reports a successful response that does not continue the stream that has begun.
+type DifferentStreamError struct {
+	Got, Want ContentType
+	// LacksSignature is set if the stream began with a signed response and this one has no signature.
+	LacksSignature bool
+}
+
+// Error names both content types.
+func (e *DifferentStreamError) Error() string {
+	return fmt.Sprintf("response with content type %q does not continue a stream with %q, lacks signature: %t", e.Got, e.Want, e.LacksSignature)
+}
+
+// ContentType is a media type without its parameters, in lower case.
+type ContentType string
+
+func contentType(h http.Header) ContentType {
+	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return ContentType(strings.ToLower(strings.TrimSpace(name)))
+}
+
+// checkContinues returns an error if the header of a stream has been sent and the response is not one of its kind.
+func (s *requestState) checkContinues(resp *sender.Response, info headercodec.ResponseInfo) error {
+	got := contentType(resp.Header)
+	lacksSignature := s.isSigned && !info.Signed
+	if s.headerSent && (got != s.contentType || lacksSignature) {
+		return &DifferentStreamError{Got: got, Want: s.contentType, LacksSignature: lacksSignature}
+	}
+	return nil
+}
+
 // startStream sends the response header when the first event has arrived, or the end of an empty stream.
 func (g *Gateway) startStream(req *request, state *requestState, resp *sender.Response, info headercodec.ResponseInfo) {
 	state.headerSent = true
+	state.contentType, state.isSigned = contentType(resp.Header), info.Signed
 	state.release = info.Release
 	state.relocation.setRelease(info.Release)
 	state.timeToFirstEvent = time.Since(req.arrivedAt)
