enginecontroller: a lost load command stays known after a refused one

What a caller would see: a request at an endpoint whose gate has been opened for the served set is cut off, with weights changed, when a load command that got no response seconds before is executed at last.

Cause: only the last load command was looked at. After a command without a response, a later one that could not be sent replaced it, and the state of the engine, read before the lost command arrived, was taken for final.

The controller now keeps the highest fencing token of the commands without a response until a later one succeeds. While the engine's token is lower, the gate stays closed and the served set is loaded again with a higher token, which makes the engine refuse the lost command.

--- a/internal/core/enginecontroller/enginecontroller.go
+++ b/internal/core/enginecontroller/enginecontroller.go
@@ -66,6 +66,8 @@
 	retries         int
 	retryAt         time.Time
 	highestFence    ident.FencingToken
+	// lostFence is the highest fencing token of the load commands that got no response since the last successful one.
+	lostFence ident.FencingToken
 }
 
 // RecordState records the engine's state and the time at which it was requested. It ignores a state that was requested
@@ -96,8 +98,13 @@
 	// A state that was requested before the command ended may not show the effect of the command.
 	c.reading.valid = false
 	if r == LoadDone {
+		// The engine refuses all earlier commands from now on.
+		c.lostFence = 0
 		return
 	}
+	if r == LoadResponseLost {
+		c.lostFence = max(c.lostFence, c.lastCommand.fencingToken)
+	}
 	c.retryAt = now.Add(min(maxRetryDelay, minRetryDelay<<min(c.retries, 8)))
 	c.retries++
 }
@@ -186,9 +193,10 @@
 	return c.loadAfterBackoff(now, target, target.Set)
 }
 
-// mayArriveLate reports whether a load command that got no response may still reach the engine.
+// mayArriveLate reports whether a load command that got no response may still reach the engine. It may as long as the
+// engine's fencing token is lower, whatever became of the commands after it.
 func (c *Controller) mayArriveLate() bool {
-	return c.lastCommand != nil && c.lastCommand.result == LoadResponseLost && c.reading.state.FencingToken < c.lastCommand.fencingToken
+	return c.reading.state.FencingToken < c.lostFence
 }
 
 // supersedeLostCommand loads the set that the engine already serves with a higher fencing token, so that the engine
--- a/internal/core/enginecontroller/enginecontroller_test.go
+++ b/internal/core/enginecontroller/enginecontroller_test.go
@@ -220,3 +220,26 @@
 		is.Equal(h.engine.set, ident.WeightSet("a"))
 	})
 }
+
+// Guards against a lost load command that is forgotten once a later one has been refused: the gate opened for the set
+// that the engine still served, and the lost command replaced its weights seconds later.
+func TestLostLoadIsSupersededAfterLaterRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := &fakeHost{engine: &fakeEngine{enforcesFence: true, incarnation: 1}, verified: map[ident.WeightSet]bool{"a": true, "b": true}}
+		h.target = Target{Set: "a", Offset: 1, AcceptedSets: []ident.WeightSet{"a"}}
+		h.runFor(3 * time.Second)
+		h.commandDelay, h.loseResponses = 8*time.Second, true
+		h.target = Target{Set: "b", Offset: 2, AcceptedSets: []ident.WeightSet{"a"}}
+		h.runFor(500 * time.Millisecond) // the load command for b is in transit
+		h.commandDelay, h.loseResponses, h.refuseCommands = 0, false, 1
+		h.target = Target{Set: "a", Offset: 3, AcceptedSets: []ident.WeightSet{"a"}}
+		h.runFor(5 * time.Second)
+		is.Equal(h.refuseCommands, 0)
+		is.True(h.gate.Status().Open)
+		loads := h.engine.loads
+		h.runFor(5 * time.Second) // the load command for b arrives
+		is.Equal(h.engine.loads, loads)
+		is.Equal(h.engine.set, ident.WeightSet("a"))
+	})
+}
--- a/internal/core/enginecontroller/fake_test.go
+++ b/internal/core/enginecontroller/fake_test.go
@@ -114,9 +114,11 @@
 	currentCommand *sentCommand
 	requests       []*fakeRequest
 	// commandDelay, loseResponses and dropCommands are the faults of the next load commands.
-	commandDelay    time.Duration
-	loseResponses   bool
-	dropCommands    bool
+	commandDelay  time.Duration
+	loseResponses bool
+	dropCommands  bool
+	// refuseCommands is the number of load commands that are refused because no connection can be opened.
+	refuseCommands  int
 	intactResponses int
 }
 
@@ -198,6 +200,11 @@
 		c.loadedAt = c.arrivesAt.Add(time.Second)
 		c.respond = func(r LoadResult) { h.controller.RecordLoadResult(time.Now(), r) }
 		h.currentCommand = c
+		if h.refuseCommands > 0 {
+			h.refuseCommands--
+			c.end(LoadRefused)
+			return
+		}
 		if h.dropCommands || now.Before(h.engine.unreachableUntil) {
 			c.end(LoadResponseLost)
 			return
