--- a/cmd/stockd/main.go
+++ b/cmd/stockd/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -36,7 +37,13 @@
 	return (&engineagent.Agent{
 		IP: cfg.IP, Zone: cfg.Zone, Address: cfg.EngineAddress, GateConn: conn, Pool: cfg.Pool, Regions: cfg.Regions,
 		MetricsPort: cfg.PortRange[0] + 2, RolloutTimeout: cfg.RolloutTimeout, Logger: l,
-		Engine: engineagent.Engine{Report: engine.QueryState, WriteStaged: engine.StageChunk, ReadStaged: engine.ReadStagedChunk, Load: engine.IssueLoadCommand},
+		Engine: engineagent.Engine{
+			Report: engine.QueryState, WriteStaged: engine.StageChunk, ReadStaged: engine.ReadStagedChunk, Load: engine.IssueLoadCommand,
+			IsAnswer: func(err error) bool {
+				var answer *engineclient.Error
+				return errors.As(err, &answer)
+			},
+		},
 		Replicator: &chunkreplicator.Replicator{
 			Self: ident.Host(cfg.IP), Zone: cfg.Zone, Region: cfg.Region, IP: cfg.IP,
 			ControlPort: cfg.PortRange[0] + 1, DataPort: cfg.PortRange[0] + 3, ReadManifest: engine.FetchManifest, ReadChunk: engine.FetchChunk,
--- a/internal/engineagent/engineagent.go
+++ b/internal/engineagent/engineagent.go
@@ -50,6 +50,9 @@
 	// Load commands the engine to load the given layers of a release, whose chunks are staged. The engine refuses the
 	// command unless it has accepted exactly loadCommands of them before.
 	Load func(ctx context.Context, s fleetconfig.ServedModel, layers fleetconfig.LayerRange, loadCommands int64) error
+	// IsAnswer reports whether an error is an answer of the engine, so that the call has no effect later; nil means that
+	// none is.
+	IsAnswer func(err error) bool
 }
 
 // Agent manages one engine from the host beside it. Set its fields before Run.
@@ -82,12 +85,17 @@
 	updates chan struct{}
 	// gateChanged signals that the gate state has been set.
 	gateChanged chan struct{}
+	meter       *meter
 
 	mu         sync.Mutex
 	fleet      messages.FleetResponse
 	entryHosts []hostregistrar.Entry
 	gateState  gateState
 	pace       enginePace
+	// staged holds what is known of the staged chunks, by their number.
+	staged map[int]stagedChunk
+	// unanswered is the last load command without an answer; the zero value if there is none.
+	unanswered openCommand
 }
 
 // Run serves until ctx ends.
@@ -97,6 +105,7 @@
 	h.suspensions = &suspensiondetector.Detector{OnSuspension: h.tracker.RecordSuspension, Logger: h.Logger}
 	h.suspensions.Check()
 	registry := prometheus.NewRegistry()
+	h.meter = newMeter(registry)
 	h.Replicator.Peers = h.peers
 	h.Replicator.Origin = func() (string, ident.Region) {
 		f := h.currentFleet()
--- a/internal/engineagent/reconcile.go
+++ b/internal/engineagent/reconcile.go
@@ -169,6 +169,7 @@
 	r, err := h.Engine.Report(ctx)
 	if err == nil {
 		h.recordPace(r, askedAt)
+		h.recordLateCommand(r)
 	}
 	return r, err
 }
@@ -185,7 +186,7 @@
 	}
 	cached := 0
 	for i, c := range a.Chunks {
-		data, err := h.readStaged(ctx, s.Model, i)
+		data, _, err := h.readStaged(ctx, s, i)
 		if err != nil {
 			return err
 		}
@@ -197,12 +198,6 @@
 	return nil
 }
 
-func (h *Agent) readStaged(ctx context.Context, m fleetconfig.Model, number int) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	return h.Engine.ReadStaged(ctx, m, number)
-}
-
 // isSuperseded reports whether a newer release than s is known.
 func (h *Agent) isSuperseded(s fleetconfig.ServedModel) bool {
 	newest, ok := h.target()
@@ -213,21 +208,20 @@
 func (h *Agent) stage(ctx context.Context, s fleetconfig.ServedModel, a manifest.Artifact, layers fleetconfig.LayerRange) error {
 	from, to := layers.ChunkRange(h.currentFleet().Layers, len(a.Chunks))
 	for i := from; i < to; i++ {
-		if err := h.stageChunk(ctx, s.Model, i, a.Chunks[i]); err != nil {
+		if err := h.stageChunk(ctx, s, i, a.Chunks[i]); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (h *Agent) stageChunk(ctx context.Context, m fleetconfig.Model, number int, c manifest.Chunk) error {
+func (h *Agent) stageChunk(ctx context.Context, s fleetconfig.ServedModel, number int, c manifest.Chunk) error {
 	data, ok := h.Replicator.HeldChunk(c.Digest)
 	if !ok {
-		return fmt.Errorf("stage chunk %d of %s: this host does not hold it", number, m)
+		return fmt.Errorf("stage chunk %d of release %d of %s: this host does not hold it", number, s.Release, s.Model)
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	return h.Engine.WriteStaged(ctx, m, number, data)
+	_, err := h.writeStaged(ctx, s, number, data)
+	return err
 }
 
 // awaitTurn waits for this engine's turn to change over from the served release to s. A newer release is fetched meanwhile;
@@ -282,12 +276,13 @@
 	from, to := layers.ChunkRange(h.currentFleet().Layers, len(a.Chunks))
 	for i := from; i < to; i++ {
 		c := a.Chunks[i]
-		data, err := h.readStaged(ctx, s.Model, i)
+		data, read, err := h.readStaged(ctx, s, i)
 		if err == nil && manifest.DigestOf(data) == c.Digest {
+			h.recordRead(i, read)
 			continue
 		}
 		event.StagedChunkCorrupt.Log(h.Logger.WithField("chunk", strconv.Itoa(i)), nil)
-		if err := h.stageChunk(ctx, s.Model, i, c); err != nil {
+		if err := h.stageChunk(ctx, s, i, c); err != nil {
 			return err
 		}
 	}
@@ -310,14 +305,9 @@
 			return err
 		}
 	}
-	f := log.Fields{"model": string(s.Model), "release": int64(s.Release), "orders": r.LoadCommands, "running": r.Running}
-	if layers != (fleetconfig.LayerRange{}) {
-		f["from"], f["to"] = layers.From, layers.To
-	}
-	if err := h.issueLoad(ctx, s, layers, r.LoadCommands); err != nil {
+	if _, err := h.issueLoad(ctx, s, layers, from, to, r); err != nil {
 		return fmt.Errorf("command engine to load release %d of %s: %w", s.Release, s.Model, err)
 	}
-	event.ReleaseLoadIssued.Log(h.Logger.WithFields(f), nil)
 	return h.awaitLoaded(ctx, s, layers, r.StartTime)
 }
 
@@ -341,12 +331,6 @@
 	return r.Layers.CoversAll(h.currentFleet().Layers) || layers != fleetconfig.LayerRange{} && r.Layers == layers
 }
 
-func (h *Agent) issueLoad(ctx context.Context, s fleetconfig.ServedModel, layers fleetconfig.LayerRange, loadCommands int64) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	return h.Engine.Load(ctx, s, layers, loadCommands)
-}
-
 // awaitLoaded waits until the engine holds the layers of the release, and announces a complete release to the entry
 // hosts.
 func (h *Agent) awaitLoaded(ctx context.Context, s fleetconfig.ServedModel, layers fleetconfig.LayerRange, engineStart int64) error {
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -47,6 +47,8 @@
 	ReleaseArchiveFailed   = Event{1743, log.WarnLevel, "release is not archived in the store yet"}
 	ArchiveReadFailed      = Event{1744, log.InfoLevel, "archived release cannot be read from the store; reading it from the origin"}
 	EarlyLoadFailed        = Event{1745, log.WarnLevel, "engine could not load its first layers early; loading waits for all chunks"}
+	EngineCallUnanswered   = Event{1748, log.WarnLevel, "call to the engine ended without an answer; it may still take effect"}
+	UnansweredLoadAccepted = Event{1749, log.WarnLevel, "engine has accepted a load command whose answer did not arrive"}
 	QuarantineRestored     = Event{1771, log.WarnLevel, "quarantined features learned from the store"}
 	QuarantineUnreadable   = Event{1772, log.WarnLevel, "record of a quarantined feature does not parse"}
 	QuarantineWriteFailed  = Event{1773, log.WarnLevel, "records of quarantined features could not be written; will be retried"}
