sender: a request is not written after its deadline

What a caller would see: an attempt that is made for nobody, and a 504 that says that the request may have run, if the process was suspended between connecting to the endpoint and writing.

Cause: the context was checked before the endpoint was connected. After a suspension the goroutine that writes may run before the one that closes the connection at the end of the context.

The deadline is compared with the time right before the write. An attempt that is too late counts as not run, and not against the endpoint, also if the timer of its context has not fired yet. A suspension between this check and the write itself remains possible; it is the time of one system call.

TestRequestIsNotWrittenAfterItsDeadline failed before: the outcome was unknown instead of not-run.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -172,7 +172,8 @@
 	} else {
 		s.mayHaveRun++
 	}
-	if req.r.Context().Err() != nil || ctx.Err() != nil {
+	// A deadline may have passed before its context has ended.
+	if req.r.Context().Err() != nil || ctx.Err() != nil || isNotRun && o.Reason == outcome.Deadline {
 		return assigner.CallerGone
 	}
 	if isUnreachable {
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
 )
@@ -90,6 +91,11 @@
 			return nil, newError(ctx, outcome.NotRun, reason, errors.New("withdrawn before it was sent"))
 		}
 	}
+	// The process may have been suspended since the context was checked, and its timers may not have fired yet.
+	if deadline, ok := ctx.Deadline(); ok && !time.Now().Before(deadline) {
+		_ = conn.Close() // nothing was sent
+		return nil, &outcome.Error{Kind: outcome.NotRun, Reason: outcome.Deadline, Message: fmt.Sprintf("deadline passed %s before the request was sent", time.Since(deadline))}
+	}
 	// The connection is closed at once, since the goroutine that reads it may be blocked in a write to the caller.
 	stopCancel := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	resp, err := exchange(ctx, conn, attempt)
