gateway: the stated remaining time is that of the write

What a caller would see: nothing by itself. Endpoints were told that the caller waits longer than it does, by the time that connecting took or for which the process was suspended, and worked for callers that had stopped waiting.

Cause: the header was built before the endpoint was connected.

The sender calls a function for the header right before it writes the request.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -50,9 +50,6 @@
 	if req.org != nil {
 		endpointReq.Organisation = req.org.Name
 	}
-	if req.Remaining > 0 {
-		endpointReq.Remaining = req.Remaining - time.Since(req.arrivedAt)
-	}
 	if state.headerSent {
 		endpointReq.Release = state.release
 	}
@@ -71,7 +68,13 @@
 	sentAt := time.Now()
 	resp, err := g.Sender.Send(ctx, sender.Attempt{
 		Address: choice.Endpoint.Address, Method: req.r.Method, Target: req.r.RequestURI, Host: req.r.Host,
-		Header: g.Codec.EndpointHeader(req.r, endpointReq), Body: req.body,
+		Header: func() http.Header {
+			if req.Remaining > 0 {
+				endpointReq.Remaining = req.Remaining - time.Since(req.arrivedAt)
+			}
+			return g.Codec.EndpointHeader(req.r, endpointReq)
+		},
+		Body:        req.body,
 		Matches:     func(h http.Header) bool { return g.Codec.IsResponseTo(req.ID, h) },
 		BeforeWrite: func() outcome.Reason { return g.beforeWrite(req, state, choice) },
 		OnWritten:   endSend,
--- a/internal/gateway/restrict_test.go
+++ b/internal/gateway/restrict_test.go
@@ -41,6 +41,8 @@
 	id   ident.RequestID
 	zone ident.Zone
 	at   time.Time
+	// left is the remaining time in milliseconds that the request states.
+	left string
 }
 
 // zoneFleet is a gateway with endpoints in several zones, which respond in ways that a random number selects.
@@ -96,7 +98,7 @@
 		return // the request was withdrawn before it was sent
 	}
 	f.mu.Lock()
-	f.arrivals = append(f.arrivals, zoneArrival{ident.RequestID(r.Header.Get("Id")), f.zones[address], time.Now()})
+	f.arrivals = append(f.arrivals, zoneArrival{ident.RequestID(r.Header.Get("Id")), f.zones[address], time.Now(), r.Header.Get("Left")})
 	f.mu.Unlock()
 	time.Sleep(20 * time.Millisecond)
 	switch f.behaviour() {
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -34,7 +34,9 @@
 	// Target is the path and query as received from the caller, without normalisation.
 	Target string
 	Host   string
-	Header http.Header
+	// Header returns the header. It is called right before the request is written, so that it states the remaining time of
+	// that moment. Nil means an empty header.
+	Header func() http.Header
 	Body   []byte
 	// Matches reports whether a response with this header belongs to the request.
 	Matches func(h http.Header) bool
@@ -176,8 +178,10 @@
 	}
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", attempt.Method, attempt.Target, attempt.Host)
-	if err := attempt.Header.Write(&b); err != nil {
-		return nil, err
+	if attempt.Header != nil {
+		if err := attempt.Header().Write(&b); err != nil {
+			return nil, err
+		}
 	}
 	if len(attempt.Body) > 0 || attempt.Method != http.MethodGet && attempt.Method != http.MethodHead {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(attempt.Body))
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -54,7 +54,7 @@
 func send(ctx context.Context, address string, body []byte) (*sender.Response, error) {
 	s := &sender.Sender{Dial: (&dialer.Dialer{}).DialContext}
 	return s.Send(ctx, sender.Attempt{
-		Address: address, Method: http.MethodPost, Target: "/a%2Fb/?q=1", Host: "h.example", Header: http.Header{"Id": {"1"}}, Body: body,
+		Address: address, Method: http.MethodPost, Target: "/a%2Fb/?q=1", Host: "h.example", Header: func() http.Header { return http.Header{"Id": {"1"}} }, Body: body,
 		Matches: func(h http.Header) bool { return h.Get("Id") == "1" },
 	})
 }
