--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
 )
@@ -33,7 +34,9 @@
 	// Target is the path and query as received from the caller, without normalisation.
 	Target string
 	Host   string
-	Header http.Header
+	// Header returns the header. It is called right before the request is written, so that it states the remaining time of
+	// that moment. Nil means an empty header.
+	Header func() http.Header
 	Body   []byte
 	// Matches reports whether a response with this header belongs to the request.
 	Matches func(h http.Header) bool
@@ -90,6 +93,11 @@
 			return nil, newError(ctx, outcome.NotRun, reason, errors.New("withdrawn before it was sent"))
 		}
 	}
+	// The process may have been suspended since the context was checked, and its timers may not have fired yet.
+	if deadline, ok := ctx.Deadline(); ok && !time.Now().Before(deadline) {
+		_ = conn.Close() // nothing was sent
+		return nil, &outcome.Error{Kind: outcome.NotRun, Reason: outcome.Deadline, Message: fmt.Sprintf("deadline passed %s before the request was sent", time.Since(deadline))}
+	}
 	// The connection is closed at once, since the goroutine that reads it may be blocked in a write to the caller.
 	stopCancel := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	resp, err := exchange(ctx, conn, attempt)
@@ -170,8 +178,10 @@
 	}
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", attempt.Method, attempt.Target, attempt.Host)
-	if err := attempt.Header.Write(&b); err != nil {
-		return nil, err
+	if attempt.Header != nil {
+		if err := attempt.Header().Write(&b); err != nil {
+			return nil, err
+		}
 	}
 	if len(attempt.Body) > 0 || attempt.Method != http.MethodGet && attempt.Method != http.MethodHead {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(attempt.Body))
