engineagent: a load rests on reads of the staging area that are at most 2.5 s old

Cause: chunks were read back, any time passed (slow calls, a suspended process, a call without an answer), and the load command went out on the strength of the old reads. The class: a check whose result is used as if it were fresh.

The agent executes the steps of core/loadverifier: a command is sent only while the reads of the chunks that it adds are fresh, the age is looked at again when the answer is there, reads after the acceptance prove what the ones before it cannot, and layers that nothing proves are dropped and loaded again with the gate closed. The gate opens once all layers are proven. A restart of the engine forgets what was staged, since its host may have lost power.

Measured: TestChunkCorruptAfterItWasReadSlowly, TestUnansweredCommandIsAcceptedLate, TestUnansweredWriteIsCarriedOutLate, TestReplacedChunkIsStillWrong, TestAgentIsSuspendedBeforeCommand and TestAgentIsSuspendedWhileItSendsCommand failed before and pass; TestReleaseWithoutFaultsNeedsOneCommand passes.

The fake engine of the older tests counts the chunks of the layers that a command adds, not of those that the engine keeps, and answers that a chunk is missing instead of failing; the test of the gate waits for the open gate, since a closed one names a release too.

--- a/internal/core/loadverifier/chunk.go
+++ b/internal/core/loadverifier/chunk.go
@@ -83,3 +83,8 @@
 		c.mayRepair, c.maySpoil = false, false
 	}
 }
+
+// forgetStaged forgets what is staged: with the engine, its host may have lost power.
+func (c *chunk) forgetStaged() {
+	c.isStaged, c.read = false, Call{Sent: never, Ended: never}
+}
--- a/internal/core/loadverifier/engine.go
+++ b/internal/core/loadverifier/engine.go
@@ -84,7 +84,8 @@
 			v.chunks[i].mayRepair, v.chunks[i].maySpoil, v.chunks[i].openSent = true, true, c.Sent
 		}
 	}
-	e.accepted, e.hasFormer = r.LoadCommands, true
+	// A gate opens only once no command can be accepted late. Nothing is known about a former agent without a state.
+	e.accepted, e.hasFormer = r.LoadCommands, isKnown && v.inherited.Closed
 	e.last = newAcceptance(never, c.Ended, v.chunks)
 	if isKnown && v.inherited.Closed {
 		return
@@ -103,6 +104,7 @@
 	e := &v.engine
 	for i := range v.chunks {
 		v.chunks[i].forgetOpen(e.call.Sent)
+		v.chunks[i].forgetStaged()
 	}
 	v.commands = slices.DeleteFunc(v.commands, func(o command) bool { return o.call.Sent < e.call.Sent || o.accepted > 0 })
 	for i := range v.commands {
--- a/internal/engineagent/announce.go
+++ b/internal/engineagent/announce.go
@@ -37,7 +37,9 @@
 	StartTime int64
 	Model     fleetconfig.Model
 	Release   fleetconfig.Release
-	setAt     time.Time
+	// OpenWrites says that writes have had no answer, so that they may be carried out later.
+	OpenWrites bool
+	setAt      time.Time
 }
 
 func (h *Agent) setGateState(g gateState) {
--- a/internal/engineagent/calls.go
+++ b/internal/engineagent/calls.go
@@ -10,33 +10,18 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
+	"github.com/nutmegdock/nutmegdock/internal/core/loadverifier"
 	"github.com/nutmegdock/nutmegdock/internal/core/rolloutplanner"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 )
 
-// callResult says how a call to the engine ended.
-type callResult string
-
-const (
-	callDone callResult = "done"
-	// callRefused means that the engine has refused the call, or that the call was not sent: it has no effect later.
-	callRefused callResult = "refused"
-	// callOpen means that there was no answer, so that the engine may carry the call out later.
-	callOpen callResult = "open"
-)
-
-// call is a call to the engine that has ended. Its times count from the start of the agent, suspensions included.
-type call struct {
-	sentAt, endedAt time.Duration
-	result          callResult
-}
-
 // meter counts the calls to the engine.
 type meter struct {
 	commands   *prometheus.CounterVec
 	unanswered *prometheus.CounterVec
 	late       prometheus.Counter
 	rewritten  prometheus.Counter
+	suspect    prometheus.Counter
 	readAge    prometheus.Histogram
 }
 
@@ -46,12 +31,13 @@
 		unanswered: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "nutmegdock_load_unanswered_total", Help: "Calls to the engine that ended without an answer."}, []string{"call"}),
 		late:       prometheus.NewCounter(prometheus.CounterOpts{Name: "nutmegdock_load_late_total", Help: "Load commands without an answer that a report of the engine showed as accepted."}),
 		rewritten:  prometheus.NewCounter(prometheus.CounterOpts{Name: "nutmegdock_load_rewritten_total", Help: "Chunks of loaded layers that were written after they had been read back last."}),
+		suspect:    prometheus.NewCounter(prometheus.CounterOpts{Name: "nutmegdock_load_suspect_total", Help: "Layers that the engine had to drop and load again."}),
 		readAge: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "nutmegdock_load_read_age_seconds", Help: "Age of the oldest read of a chunk of the loaded layers when the load command ended.",
 			Buckets: []float64{0.05, 0.1, 0.25, 0.5, 1, 2, 2.5, 3, 5, 10},
 		}),
 	}
-	r.MustRegister(m.commands, m.unanswered, m.late, m.rewritten, m.readAge)
+	r.MustRegister(m.commands, m.unanswered, m.late, m.rewritten, m.suspect, m.readAge)
 	return m
 }
 
@@ -67,23 +53,25 @@
 	sentAt                  time.Duration
 }
 
+// resultNames holds the names of results in logs and metrics.
+var resultNames = map[loadverifier.Result]string{loadverifier.Done: "done", loadverifier.Refused: "refused", loadverifier.Open: "open"}
+
 // call calls the engine once, and logs a call that ends without an answer.
-func (h *Agent) call(ctx context.Context, kind string, f log.Fields, do func(ctx context.Context) error) (call, error) {
+func (h *Agent) call(ctx context.Context, kind string, f log.Fields, do func(ctx context.Context) error) (loadverifier.Call, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	c := call{sentAt: h.suspensions.Elapsed(), result: callDone}
+	c := loadverifier.Call{Sent: h.suspensions.Elapsed()}
 	err := do(ctx)
-	c.endedAt = h.suspensions.Elapsed()
-	if err == nil {
-		return c, nil
-	}
-	c.result = callOpen
-	if h.isRefusal(err) {
-		c.result = callRefused
-		return c, err
+	c.Ended = h.suspensions.Elapsed()
+	switch {
+	case err == nil:
+	case h.isRefusal(err):
+		c.Result = loadverifier.Refused
+	default:
+		c.Result = loadverifier.Open
+		h.meter.unanswered.WithLabelValues(kind).Inc()
+		event.EngineCallUnanswered.Log(h.Logger.WithError(err).WithFields(f), log.Fields{"call": kind, "sent": c.Sent.Milliseconds(), "took": (c.Ended - c.Sent).Milliseconds()})
 	}
-	h.meter.unanswered.WithLabelValues(kind).Inc()
-	event.EngineCallUnanswered.Log(h.Logger.WithError(err).WithFields(f), log.Fields{"call": kind, "sent": c.sentAt.Milliseconds(), "took": (c.endedAt - c.sentAt).Milliseconds()})
 	return c, err
 }
 
@@ -95,7 +83,7 @@
 }
 
 // readStaged reads a chunk back from the staging area.
-func (h *Agent) readStaged(ctx context.Context, s fleetconfig.ServedModel, number int) (data []byte, c call, err error) {
+func (h *Agent) readStaged(ctx context.Context, s fleetconfig.ServedModel, number int) (data []byte, c loadverifier.Call, err error) {
 	c, err = h.call(ctx, "read", chunkFields(s, number), func(ctx context.Context) error {
 		data, err = h.Engine.ReadStaged(ctx, s.Model, number)
 		return err
@@ -104,12 +92,12 @@
 }
 
 // writeStaged writes a chunk to the staging area.
-func (h *Agent) writeStaged(ctx context.Context, s fleetconfig.ServedModel, number int, data []byte) (call, error) {
+func (h *Agent) writeStaged(ctx context.Context, s fleetconfig.ServedModel, number int, data []byte) (loadverifier.Call, error) {
 	c, err := h.call(ctx, "write", chunkFields(s, number), func(ctx context.Context) error {
 		return h.Engine.WriteStaged(ctx, s.Model, number, data)
 	})
-	if c.result != callRefused {
-		h.recordChunk(number, func(chunk *stagedChunk) { chunk.writtenAt = c.endedAt })
+	if c.Result != loadverifier.Refused {
+		h.recordChunk(number, func(chunk *stagedChunk) { chunk.writtenAt = c.Ended })
 	}
 	return c, err
 }
@@ -119,8 +107,8 @@
 }
 
 // recordRead records that a chunk was read back with the right bytes.
-func (h *Agent) recordRead(number int, c call) {
-	h.recordChunk(number, func(chunk *stagedChunk) { chunk.readAt, chunk.isRead = c.sentAt, true })
+func (h *Agent) recordRead(number int, c loadverifier.Call) {
+	h.recordChunk(number, func(chunk *stagedChunk) { chunk.readAt, chunk.isRead = c.Sent, true })
 }
 
 func (h *Agent) recordChunk(number int, change func(*stagedChunk)) {
@@ -134,20 +122,20 @@
 	h.staged[number] = chunk
 }
 
-// issueLoad issues a load command for layers whose chunks are those from from to before to.
-func (h *Agent) issueLoad(ctx context.Context, s fleetconfig.ServedModel, layers fleetconfig.LayerRange, from, to int, r rolloutplanner.Report) (call, error) {
-	f := log.Fields{"model": string(s.Model), "release": int64(s.Release), "orders": r.LoadCommands, "running": r.Running}
-	if layers != (fleetconfig.LayerRange{}) {
-		f["from"], f["to"] = layers.From, layers.To
+// issueLoad issues a load command that adds layers with the given chunks.
+func (h *Agent) issueLoad(ctx context.Context, s fleetconfig.ServedModel, step loadverifier.Step, chunks []int) (loadverifier.Call, error) {
+	f := log.Fields{"model": string(s.Model), "release": int64(s.Release), "orders": step.Accepted, "running": h.report.Running}
+	if step.Layers != (fleetconfig.LayerRange{}) {
+		f["from"], f["to"] = step.Layers.From, step.Layers.To
 	}
-	c, err := h.call(ctx, "command", f, func(ctx context.Context) error { return h.Engine.Load(ctx, s, layers, r.LoadCommands) })
-	h.meter.commands.WithLabelValues(string(c.result)).Inc()
-	f["result"], f["sent"], f["answered"] = string(c.result), c.sentAt.Milliseconds(), c.endedAt.Milliseconds()
-	h.addReadTimes(f, from, to, c)
+	c, err := h.call(ctx, "command", f, func(ctx context.Context) error { return h.Engine.Load(ctx, s, step.Layers, step.Accepted) })
+	h.meter.commands.WithLabelValues(resultNames[c.Result]).Inc()
+	f["result"], f["sent"], f["answered"] = resultNames[c.Result], c.Sent.Milliseconds(), c.Ended.Milliseconds()
+	h.addReadTimes(f, chunks, c)
 	event.ReleaseLoadIssued.Log(h.Logger.WithFields(f), nil)
-	if c.result == callOpen {
+	if c.Result == loadverifier.Open {
 		h.mu.Lock()
-		h.unanswered = openCommand{startTime: r.StartTime, loadCommands: r.LoadCommands, sentAt: c.sentAt}
+		h.unanswered = openCommand{startTime: h.report.StartTime, loadCommands: step.Accepted, sentAt: c.Sent}
 		h.mu.Unlock()
 	}
 	return c, err
@@ -156,12 +144,12 @@
 // addReadTimes adds to the fields of a load command when the first and the last of its chunks were read back, how old the
 // oldest read was when the command was sent and when it ended, and the number of chunks that were written after their last
 // read. All times are in milliseconds.
-func (h *Agent) addReadTimes(f log.Fields, from, to int, c call) {
+func (h *Agent) addReadTimes(f log.Fields, chunks []int, c loadverifier.Call) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var first, last time.Duration
 	read, rewritten := 0, 0
-	for i := from; i < to; i++ {
+	for _, i := range chunks {
 		chunk := h.staged[i]
 		if chunk.writtenAt > chunk.readAt || !chunk.isRead {
 			rewritten++
@@ -175,14 +163,14 @@
 		last = max(last, chunk.readAt)
 		read++
 	}
-	f["chunks"], f["read"], f["rewritten"] = to-from, read, rewritten
+	f["chunks"], f["read"], f["rewritten"] = len(chunks), read, rewritten
 	h.meter.rewritten.Add(float64(rewritten))
 	if read == 0 {
 		return
 	}
 	f["first"], f["last"] = first.Milliseconds(), last.Milliseconds()
-	f["oldest"], f["age"] = (c.sentAt - first).Milliseconds(), (c.endedAt - first).Milliseconds()
-	h.meter.readAge.Observe((c.endedAt - first).Seconds())
+	f["oldest"], f["age"] = (c.Sent - first).Milliseconds(), (c.Ended - first).Milliseconds()
+	h.meter.readAge.Observe((c.Ended - first).Seconds())
 }
 
 // recordLateCommand logs that a report shows a load command as accepted whose answer has not arrived.
--- a/internal/engineagent/engineagent.go
+++ b/internal/engineagent/engineagent.go
@@ -22,6 +22,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleettracker"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/loadverifier"
 	"github.com/nutmegdock/nutmegdock/internal/core/rolloutplanner"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/fleetwatcher"
@@ -45,7 +46,7 @@
 	Report func(ctx context.Context) (rolloutplanner.Report, error)
 	// WriteStaged writes a chunk to the engine's staging area, by its number in the manifest.
 	WriteStaged func(ctx context.Context, m fleetconfig.Model, number int, data []byte) error
-	// ReadStaged reads a chunk back from the staging area.
+	// ReadStaged reads a chunk back from the staging area; nil without an error if it is not there.
 	ReadStaged func(ctx context.Context, m fleetconfig.Model, number int) ([]byte, error)
 	// Load commands the engine to load the given layers of a release, whose chunks are staged. The engine refuses the
 	// command unless it has accepted exactly loadCommands of them before.
@@ -82,7 +83,13 @@
 	// stalled is the newest release, if its fetch has stalled and one before it is fetched instead. Only the goroutine of
 	// reconcile uses it.
 	stalled fleetconfig.ServedModel
-	updates chan struct{}
+	// verifier decides what is written, read back and loaded, and whether the engine's layers are proven. verified is the
+	// release that it was last told to load, and report the engine's last report. They are used by the goroutine of reconcile,
+	// and while that waits for the chunks of an empty engine, by the one that loads its first layers.
+	verifier loadverifier.Verifier
+	verified fleetconfig.ServedModel
+	report   rolloutplanner.Report
+	updates  chan struct{}
 	// gateChanged signals that the gate state has been set.
 	gateChanged chan struct{}
 	meter       *meter
