--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -158,8 +158,7 @@
 	StartTime int64  `cbor:"born"`
 	// Closed says that the engine accepts no requests until it has loaded other weights.
 	Closed bool `cbor:"closed,omitempty"`
-	// Model and Release are what the engine serves. If Closed is set, the engine must not be used while it serves them, until
-	// the host beside it says otherwise.
+	// Model and Release are what the engine serves, unless Closed is set.
 	Model   fleetconfig.Model   `cbor:"model,omitempty"`
 	Release fleetconfig.Release `cbor:"release,omitempty"`
 }
@@ -412,18 +411,9 @@
 		// The engine's entry may be older than the reported gate state.
 		release, ok = max(release, s.gateState.Release), true
 	}
-	if s.isUnproven(q.Model, release) {
-		return 0, false
-	}
 	return release, ok && (release == q.Release || !q.ExactRelease && release > q.Release)
 }
 
-// isUnproven reports whether the host beside the engine has last closed the gate for the release that the engine serves. The
-// host may stand still before it has proven the layers, so that this does not end with gateStateTTL.
-func (s *endpointState) isUnproven(m fleetconfig.Model, r fleetconfig.Release) bool {
-	return s.gateState.Closed && s.gateState.Model == m && r > 0 && s.gateState.Release == r
-}
-
 // overdueWait returns the age of the oldest request without a first event that is later than predicted by more than
 // overdueGrace, or zero if there is none.
 func (s *endpointState) overdueWait(now time.Time) time.Duration {
