--- a/internal/core/assigner/replay_test.go
+++ b/internal/core/assigner/replay_test.go
@@ -491,6 +491,39 @@
 	})
 }
 
+// The host beside an engine stands still after a load command. The closed gate lapsed, and the engine was used with layers
+// that nobody had verified.
+func TestEngineWithUnprovenReleaseIsNotUsed(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		gate assigner.GateState
+		want assigner.Refusal
+	}{
+		{"closed for the release that the engine serves", assigner.GateState{StartTime: 1, Closed: true, Model: "m", Release: 2}, assigner.NoEndpoint},
+		{"closed for another release", assigner.GateState{StartTime: 1, Closed: true, Model: "m", Release: 3}, ""},
+		{"closed without a release", assigner.GateState{StartTime: 1, Closed: true}, ""},
+		{"then another incarnation at the address", assigner.GateState{StartTime: 2, Model: "m", Release: 2}, assigner.NoEndpoint},
+		{"open again", assigner.GateState{StartTime: 1, Model: "m", Release: 2}, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				a := &assigner.Assigner{Zone: "z"}
+				a.SetPools(map[ident.Pool]*fleetconfig.Pool{"p": {Name: "p", Engine: engineProfile}})
+				e := fleetconfig.Endpoint{ID: "e", Pool: "p", StartTime: 1, Address: "10.0.0.1:80", Models: []fleetconfig.ServedModel{{Model: "m", Release: 2}}}
+				a.SetEndpoints([]fleetconfig.Endpoint{e})
+				a.SetGateState(assigner.GateState{Address: e.Address, StartTime: 1, Closed: true, Model: "m", Release: 2})
+				c.gate.Address = e.Address
+				a.SetGateState(c.gate)
+				time.Sleep(time.Minute)
+				a.SetEndpoints([]fleetconfig.Endpoint{e})
+				_, refusal := assign(a)
+				is.Equal(refusal, c.want)
+			})
+		})
+	}
+}
+
 // The first engine restarts after a power failure while every host has waiting callers that retried. They must not all
 // be sent to that engine.
 func TestRetryingCallersDoNotFloodTheFirstEngine(t *testing.T) {
--- a/internal/core/loadverifier/state_test.go
+++ b/internal/core/loadverifier/state_test.go
@@ -16,7 +16,7 @@
 // however late calls are carried out, and has to serve once the disturbances end.
 func TestStateLoadsAreVerified(t *testing.T) {
 	rapidtest.Check(t, func(_ *testing.T, rt *rapid.T) {
-		s := drawSimulation(rt)
+		s := drawSimulation(rt, sizes)
 		s.mayTakeBad = true
 		s.timing = s.disturbed
 		s.reportLag = func() time.Duration { return s.draw("report lag", 0, 500) }
@@ -44,8 +44,17 @@
 // While every call is answered within half a second, an engine must not take a chunk that has been corrupt for too long even
 // with the gate closed.
 func TestStateAnsweredCallsTakeNoCorruptChunk(t *testing.T) {
+	checkAnsweredCalls(t, sizes)
+}
+
+// A layer of so many chunks that not all of them can be read back within the users' tolerance must be loaded in the end.
+func TestStateLayersOfManyChunksAreServed(t *testing.T) {
+	checkAnsweredCalls(t, [][2]int{{2, 64}})
+}
+
+func checkAnsweredCalls(t *testing.T, sizes [][2]int) {
 	rapidtest.Check(t, func(_ *testing.T, rt *rapid.T) {
-		s := drawSimulation(rt)
+		s := drawSimulation(rt, sizes)
 		s.timing = func() timing {
 			d := s.draw("call", 1, []int{2, 30, 500}[rapid.IntRange(0, 2).Draw(rt, "pace")])
 			return timing{effect: d * time.Duration(rapid.IntRange(0, 4).Draw(rt, "effect")) / 4, end: d}
@@ -67,8 +76,11 @@
 	})
 }
 
-func drawSimulation(rt *rapid.T) *simulation {
-	size := rapid.SampledFrom([][2]int{{2, 3}, {3, 10}, {5, 5}, {16, 64}}).Draw(rt, "layers and chunks")
+// sizes are numbers of layers and of chunks.
+var sizes = [][2]int{{2, 3}, {3, 10}, {5, 5}, {16, 64}}
+
+func drawSimulation(rt *rapid.T, sizes [][2]int) *simulation {
+	size := rapid.SampledFrom(sizes).Draw(rt, "layers and chunks")
 	s := newSimulation(rt, size[0], size[1])
 	if rapid.Bool().Draw(rt, "early ranges") {
 		s.ranges = append(rolloutplanner.EarlyLayerRanges(size[0]), fleetconfig.LayerRange{})
