engineagent: a newer release is loaded although an older one cannot be proven

The newer release no longer depends on the proof, and an attempt is begun anew only if the release or the range changes.

--- a/internal/core/loadverifier/loadverifier.go
+++ b/internal/core/loadverifier/loadverifier.go
@@ -52,12 +52,17 @@
 // the same release is kept.
 func (v *Verifier) Begin(s fleetconfig.ServedModel, layers, chunks int, want fleetconfig.LayerRange) {
 	isFirst := len(v.chunks) == 0
-	if s != v.served || chunks != len(v.chunks) || max(1, layers) != v.layers {
+	isSame := s == v.served && chunks == len(v.chunks) && max(1, layers) == v.layers
+	if !isSame {
 		v.beginRelease(chunks)
 	}
 	v.served, v.layers, v.hasLayers = s, max(1, layers), layers > 0
+	former := v.want
 	v.want = v.spanOf(want)
-	v.attempt = attempt{start: v.seen, previous: v.seen}
+	if !isSame || v.want != former {
+		// A caller that begins again after an error must not lose the failures that lead to a smaller range.
+		v.attempt = attempt{start: v.seen, previous: v.seen}
+	}
 	if isFirst && v.engine.reported {
 		early := v.engine
 		v.engine = engineState{}
--- a/internal/engineagent/reconcile.go
+++ b/internal/engineagent/reconcile.go
@@ -64,9 +64,14 @@
 		return nil
 	}
 	if served > 0 && (served >= target.Release || h.verified == current) && !h.isProven(r) {
-		if err := h.prove(ctx, current); err != nil || served >= target.Release {
+		err := h.prove(ctx, current)
+		if served >= target.Release {
 			return err
 		}
+		if err != nil {
+			// The newer release replaces all layers, so that it does not depend on the proof.
+			event.WeightsNotServed.Log(h.Logger.WithError(err), nil)
+		}
 	}
 	if served >= target.Release {
 		return nil
