Review case 1: idle channels use up the descriptors of the entry hosts

Cause: idle channels are kept for two minutes whatever IdleTimeoutMs says, and an accept error of the control server ends the process.

--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -20,6 +20,7 @@
 type play func(o stage.Options, isTroubled bool) (outcome, error)
 
 var plays = map[string]play{
+	"idle":    playIdle,
 	"silence": playSilence,
 }
 
--- a/review/stage/process.go
+++ b/review/stage/process.go
@@ -9,8 +9,13 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
+// fileDescriptors is FileDescriptors of a machine.
+const fileDescriptors = 4200
+
 // Process runs a program as the platform does: one that ends is started again after a short delay.
 type Process struct {
 	Name string
@@ -20,6 +25,7 @@
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
+	ends   int
 	isOver bool
 	// held delays the next start until it is closed; nil for no delay.
 	held chan struct{}
@@ -75,9 +81,13 @@
 			p.record.Add("%s cannot be started: %v", p.Name, err)
 			return
 		}
+		p.limitDescriptors(cmd.Process.Pid)
 		p.record.Add("%s is started", p.Name)
 		err = cmd.Wait()
 		p.record.Add("%s has ended: %v", p.Name, err)
+		p.mu.Lock()
+		p.ends++
+		p.mu.Unlock()
 		if err := p.writeSettings(path, false); err != nil {
 			p.record.Add("%v", err)
 			return
@@ -92,6 +102,21 @@
 	}
 }
 
+// limitDescriptors sets the limit that the platform sets for a process.
+func (p *Process) limitDescriptors(pid int) {
+	limit := &unix.Rlimit{Cur: fileDescriptors, Max: fileDescriptors}
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, limit, nil); err != nil {
+		p.record.Add("the descriptors of %s are not limited: %v", p.Name, err)
+	}
+}
+
+// Ends returns how often the process has ended.
+func (p *Process) Ends() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ends
+}
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(s syscall.Signal) {
 	p.mu.Lock()
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -40,7 +41,7 @@
 	EventInterval = 50 * time.Millisecond
 	PlainWork     = 15 * time.Millisecond
 
-	storePort, servicePort, frontPort, readinessPort = 8007, 8740, 8005, 8002
+	storePort, servicePort, innerPort, frontPort, readinessPort = 8007, 8740, 8741, 8005, 8002
 	// hostsPerKind bounds the hosts of one kind, whose addresses are checked before the start.
 	hostsPerKind = 9
 	// restartDelay is the time after which the platform starts a process again.
@@ -83,13 +84,14 @@
 	origin  origin.Origin
 	release atomic.Int64
 	servers []*http.Server
+	fronts  map[*backend.Backend]*front
 	mu      sync.Mutex
 	version int64
 }
 
 // Start starts a deployment. The configuration and version 1 of the weights are there from the start.
 func Start(o Options) (*Stage, error) {
-	s := &Stage{Options: o}
+	s := &Stage{Options: o, fronts: make(map[*backend.Backend]*front)}
 	s.release.Store(1)
 	var err error
 	if s.prefix, err = freePrefix(); err != nil {
@@ -114,6 +116,9 @@
 			o.Engine(i, b)
 		}
 		s.Engines = append(s.Engines, b)
+		if err := s.addFront(b); err != nil {
+			return s, err
+		}
 		if err := b.Start(fmt.Sprintf("engine-%d", i), 1); err != nil {
 			return s, err
 		}
@@ -161,6 +166,9 @@
 	for _, srv := range s.servers {
 		_ = srv.Close()
 	}
+	for _, f := range s.fronts {
+		_ = f.ln.Close() // it may be closed
+	}
 }
 
 // freePrefix returns the first two numbers of loopback addresses that no other program uses.
@@ -177,7 +185,7 @@
 func isFree(prefix string) bool {
 	for kind := kindGateway; kind <= kindStore; kind++ {
 		for i := range hostsPerKind {
-			for _, port := range []int{storePort, servicePort, frontPort, readinessPort, 7700, 7701, 7702, 7703} {
+			for _, port := range []int{storePort, servicePort, innerPort, frontPort, readinessPort, 7700, 7701, 7702, 7703} {
 				ln, err := net.Listen("tcp4", fmt.Sprintf("%s.%d.%d:%d", prefix, kind, 1+i, port))
 				if err != nil {
 					return false
@@ -257,7 +265,7 @@
 	if kind == kindGateway {
 		text += fmt.Sprintf("Front = %q\nReadinessAddress = %q\n", s.Front(i), s.address(kindGateway, i, readinessPort))
 	}
-	text += "[Limits]\nCpuShare = 0.4\nCpuCores = 1\nMemoryMb = 284\nFileDescriptors = 4200\nLinkMbps = 1000.0\nDiskMb = 0\n"
+	text += fmt.Sprintf("[Limits]\nCpuShare = 0.4\nCpuCores = 1\nMemoryMb = 284\nFileDescriptors = %d\nLinkMbps = 1000.0\nDiskMb = 0\n", fileDescriptors)
 	text += "[Bounds]\nSeedLagS = 3\nAddressReuseS = 2\nStabilityWindowMs = 3000\nAckMs = 4000\nCatchUpS = 4\nDrainMs = 2000\nGracePeriodS = 8\nLossSlackMs = 200\n"
 	text += "ConfigApplyMs = 2000\nRollbackSlackMs = 250\nOuterBoundMs = 5000\nRevokeWhenPartitioned = false\nRevocationMs = 5000\nRetryBudgetRatio = 0.2\nRetryWindowS = 10\n"
 	text += "RetryBudgetSlack = 100\nRecoveryS = 12\nPassMs = 120\nRetryAfterS = 0\nversion_ms = 8000\nversion_all_ms = 0\n"
@@ -293,7 +301,7 @@
 			map[string]any{"Name": originPool, "Origin": s.address(kindStore, 1, servicePort), "Zone": "zone-0"},
 		},
 		"Tenants": []any{map[string]any{"Name": organisation, "ApiKeys": []string{Key}}},
-		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 5000, "IdleTimeoutMs": 30000},
+		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 	})
 }
 
@@ -312,18 +320,24 @@
 	s.Store.PutRecord(wirenames.TopicOperator, key, data)
 }
 
+// Ready asks an entry host whether it is ready, as the platform does.
+func (s *Stage) Ready(client *http.Client, i int) bool {
+	resp, err := client.Get("http://" + s.address(kindGateway, i, readinessPort) + wirenames.PathReadiness)
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, resp.Body) // without it, the channel is not kept
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
 // AwaitReady waits until all entry hosts say that they are ready.
 func (s *Stage) AwaitReady(timeout time.Duration) error {
 	client := &http.Client{Timeout: time.Second}
 	for end := time.Now().Add(timeout); ; time.Sleep(50 * time.Millisecond) {
 		ready := 0
 		for i := range s.Gateways {
-			resp, err := client.Get("http://" + s.address(kindGateway, i, readinessPort) + wirenames.PathReadiness)
-			if err != nil {
-				continue
-			}
-			_ = resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
+			if s.Ready(client, i) {
 				ready++
 			}
 		}
