Review case 2: a failed probe breaks off all streams at an engine that leaves

Cause: one failed connection counts as the end of all requests in progress at the engine. Change: a script that takes away one engine of four and stops an entry host.

--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -21,6 +21,7 @@
 
 var plays = map[string]play{
 	"idle":    playIdle,
+	"leave":   playLeave,
 	"silence": playSilence,
 }
 
