--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -20,6 +20,7 @@
 type play func(o stage.Options, isTroubled bool) (outcome, error)
 
 var plays = map[string]play{
+	"drill":   playDrill,
 	"idle":    playIdle,
 	"leave":   playLeave,
 	"silence": playSilence,
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -42,6 +42,8 @@
 	PlainWork     = 15 * time.Millisecond
 
 	storePort, servicePort, innerPort, frontPort, readinessPort = 8007, 8740, 8741, 8005, 8002
+	// heartbeatInterval is HeartbeatIntervalMs.
+	heartbeatInterval, heartbeatJitter = 1200 * time.Millisecond, 100 * time.Millisecond
 	// hostsPerKind bounds the hosts of one kind, whose addresses are checked before the start.
 	hostsPerKind = 9
 	// restartDelay is the time after which the platform starts a process again.
@@ -83,16 +85,26 @@
 	prefix  string
 	origin  origin.Origin
 	release atomic.Int64
+	isAway  atomic.Bool
 	servers []*http.Server
 	fronts  map[*backend.Backend]*front
 	mu      sync.Mutex
 	version int64
+	entries map[string]writtenEntry
+	// left holds the ids of the servers whose entries are removed.
+	left map[string]bool
 }
 
 // Start starts a deployment. The configuration and version 1 of the weights are there from the start.
 func Start(o Options) (*Stage, error) {
-	s := &Stage{Options: o, fronts: make(map[*backend.Backend]*front)}
+	s := &Stage{Options: o, fronts: make(map[*backend.Backend]*front), left: make(map[string]bool), entries: make(map[string]writtenEntry)}
 	s.release.Store(1)
+	s.Store.Fault = func(string) keyedlog.Fault {
+		if s.isAway.Load() {
+			return keyedlog.Fault{Status: http.StatusServiceUnavailable}
+		}
+		return keyedlog.Fault{}
+	}
 	var err error
 	if s.prefix, err = freePrefix(); err != nil {
 		return nil, err
@@ -122,6 +134,7 @@
 		if err := b.Start(fmt.Sprintf("engine-%d", i), 1); err != nil {
 			return s, err
 		}
+		time.Sleep(s.startGap())
 	}
 	for i := range o.Plain {
 		b := s.newBackend(kindPlain, i, PlainPool, PlainSlots, PlainWork)
@@ -129,6 +142,7 @@
 		if err := b.Start(fmt.Sprintf("plain-%d", i), 0); err != nil {
 			return s, err
 		}
+		time.Sleep(s.startGap())
 	}
 	for i := range o.Gateways {
 		s.Gateways = append(s.Gateways, s.newProcess("gatewayd", "frontend", kindGateway, i))
@@ -150,6 +164,50 @@
 	b.Silence(d)
 }
 
+// putEntry writes the entry of a server, unless the server has left. An entry without news is written each
+// HeartbeatIntervalMs: the stand-in writes more often.
+func (s *Stage) putEntry(key string, value []byte) {
+	var entry map[string]any
+	_ = json.Unmarshal(value, &entry) // the empty value of a server that has ended is news
+	delete(entry, "Sequence")
+	news := fmt.Sprint(entry)
+	s.mu.Lock()
+	last := s.entries[key]
+	isWritten := !s.left[key] && (last.news != news || time.Since(last.at) >= heartbeatInterval-heartbeatJitter)
+	if isWritten {
+		s.entries[key] = writtenEntry{news: news, at: time.Now()}
+	}
+	s.mu.Unlock()
+	if isWritten {
+		s.Store.PutRecord(wirenames.TopicEndpoints, key, value)
+	}
+}
+
+// writtenEntry is what a server has written last.
+type writtenEntry struct {
+	news string
+	at   time.Time
+}
+
+// SetStoreAway makes the store answer 503, or end that.
+func (s *Stage) SetStoreAway(isAway bool) {
+	s.isAway.Store(isAway)
+}
+
+// Leave removes the entry of a server, which goes on serving.
+func (s *Stage) Leave(b *backend.Backend) {
+	s.mu.Lock()
+	s.left[b.ID()] = true
+	s.mu.Unlock()
+	s.Store.PutRecord(wirenames.TopicEndpoints, b.ID(), nil)
+	s.Record.Add("the entry of %s is removed; it goes on serving", b.ID())
+}
+
+// startGap is the time between the starts of two servers, so that they write their entries at different times.
+func (s *Stage) startGap() time.Duration {
+	return heartbeatInterval / time.Duration(max(1, s.Options.Engines+s.Plain))
+}
+
 // Processes returns all processes of the system.
 func (s *Stage) Processes() []*Process {
 	return append(append([]*Process(nil), s.Gateways...), s.Stocks...)
@@ -229,7 +287,7 @@
 	address := s.address(kind, i, servicePort)
 	return &backend.Backend{
 		ListenAddress: address, PublicAddress: address, Pool: pool, Zone: s.zone(i), SlotCount: slots, WorkDuration: work,
-		PutEntry: func(key string, value []byte) { s.Store.PutRecord(wirenames.TopicEndpoints, key, value) },
+		PutEntry: s.putEntry,
 		OnRequest: func(id, endpointID, _ string, isMisdirected bool) {
 			s.Record.Add("reaches %s: request %s, for another server %t", endpointID, id, isMisdirected)
 		},
@@ -252,7 +310,7 @@
 // settings returns a settings file with the figures of bks-helm.
 func (s *Stage) settings(name, class string, kind, i int) string {
 	text := fmt.Sprintf("NodeName = %q\nRole = %q\nMachineClass = %q\nIp = %q\nZone = %q\nRegion = \"r\"\nInternalPortRange = [7700, 7715]\n", name, class, class, s.ip(kind, i), s.zone(i))
-	text += "Discovery = \"platform\"\nEntry = \"virtual_ip\"\nHeartbeatIntervalMs = 400\n"
+	text += "Discovery = \"platform\"\nEntry = \"virtual_ip\"\nHeartbeatIntervalMs = 1200\n"
 	text += "Contracts = [\"base\", \"drain\", \"config\", \"cost\", \"retry\", \"recover\", \"engine\", \"stream\", \"tenants\", \"platform\", \"chunks\"]\n"
 	if kind == kindEngine {
 		text += fmt.Sprintf("app = %q\nService = %q\n", s.address(kindEngine, i, servicePort), EnginePool)
