--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -20,10 +20,11 @@
 type play func(o stage.Options, isTroubled bool) (outcome, error)
 
 var plays = map[string]play{
-	"drill":   playDrill,
-	"idle":    playIdle,
-	"leave":   playLeave,
-	"silence": playSilence,
+	"drill":    playDrill,
+	"idle":     playIdle,
+	"leave":    playLeave,
+	"manifest": playManifest,
+	"silence":  playSilence,
 }
 
 func main() {
