Review case 1: an engine with a layer from a spoilt chunk is used after its agent was killed

Cause: an agent that starts does not learn that the layers beside it are not proven. Change: a script that lets a chunk turn bad and kills the agent after its load command; it takes the place of the case of an engine that is silent, the others move by one.

--- a/review/cases/leave.go
+++ b/review/cases/leave.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"syscall"
@@ -11,6 +12,10 @@
 )
 
 const (
+	// streamEvents is the length of each stream, and silence for how long an engine is silent.
+	streamEvents, silence = 70, time.Second
+	// graceTime is GracePeriodS of the deployment.
+	graceTime = 8 * time.Second
 	// leavingStreams is the number of streams in progress.
 	leavingStreams = 56
 	// servingTime is how long an engine that leaves takes new channels after its report: DrainMs and a little longer.
@@ -21,7 +26,7 @@
 // then, and finishes the streams in progress. It falls silent for a second meanwhile and goes on. An entry host with such
 // streams is stopped.
 func playLeave(o stage.Options, isTroubled bool) (outcome, error) {
-	o.Gateways, o.Engines, o.Plain, o.Zones = 2, 4, 1, 1
+	o.Gateways, o.Engines, o.Plain, o.Zones, o.HasFronts = 2, 4, 1, 1, true
 	s, err := stage.Start(o)
 	if s != nil {
 		defer s.Stop()
@@ -62,3 +67,23 @@
 	wg.Wait()
 	return judgeLost(s, answers, stoppedAt)
 }
+
+// judgeLost counts the requests that were passed on and have no complete answer around the stop of their entry host.
+func judgeLost(s *stage.Stage, answers []stage.Answer, stoppedAt time.Time) (outcome, error) {
+	lost, ran := 0, 0
+	for _, a := range answers {
+		runs := s.Record.Runs(a.ID)
+		if len(runs) == 0 {
+			continue
+		}
+		ran++
+		if !a.IsComplete && a.DoneAt.Sub(stoppedAt) < graceTime+time.Second && a.DoneAt.Sub(a.SentAt) < 6*time.Second {
+			lost++
+			s.Record.Add("request %s was passed on to %s and has no complete answer %s after it was sent", a.ID, runs[0].EndpointID, a.DoneAt.Sub(a.SentAt))
+		}
+	}
+	if ran == 0 {
+		return outcome{}, fmt.Errorf("none of %d requests ran", len(answers))
+	}
+	return outcome{isBroken: lost > 0, text: fmt.Sprintf("%d of %d requests that were passed on have no complete answer", lost, ran)}, nil
+}
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -24,7 +24,7 @@
 	"idle":     playIdle,
 	"leave":    playLeave,
 	"manifest": playManifest,
-	"silence":  playSilence,
+	"proof":    playProof,
 }
 
 func main() {
--- a/review/stage/client.go
+++ b/review/stage/client.go
@@ -101,25 +101,3 @@
 	c.Record.Add("request %s is answered: status %d, signature %q, complete %t, %d bytes, error %v", a.ID, a.Status, a.Signature, a.IsComplete, len(a.Body), err)
 	return a
 }
-
-// Occupy sends streaming requests to a server, past the system: anyone may call a model engine. They last until ctx ends.
-func Occupy(ctx context.Context, address string, requests, events int) {
-	client := &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true}}
-	for i := range requests {
-		go func() {
-			req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/brief/x", strings.NewReader("events="+strconv.Itoa(events)))
-			if err != nil {
-				return
-			}
-			req.Header.Set(wirenames.HeaderAttemptID, fmt.Sprintf("other-%d", i))
-			req.Header.Set(wirenames.HeaderModel, Model)
-			req.Header.Set(wirenames.HeaderDeadlineRemaining, "60000")
-			resp, err := client.Do(req)
-			if err != nil {
-				return
-			}
-			_, _ = io.Copy(io.Discard, resp.Body) // ends with ctx
-			_ = resp.Body.Close()
-		}()
-	}
-}
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -67,6 +67,8 @@
 	Gateways, Engines, Plain, Zones int
 	// Origin wraps the handler of the origin of weights; nil for none.
 	Origin func(next http.Handler) http.Handler
+	// HasFronts is set if engines may stop taking new channels while they finish requests.
+	HasFronts bool
 	// Engine changes the stand-in of an engine before it starts; nil for no change.
 	Engine func(i int, b *backend.Backend)
 	// Record receives what happens.
@@ -95,9 +97,13 @@
 	left map[string]bool
 }
 
-// Start starts a deployment. The configuration and version 1 of the weights are there from the start.
-func Start(o Options) (*Stage, error) {
+// Start starts a deployment. The configuration and version 1 of the weights are there from the start. It calls prepare with
+// the stage before anything runs.
+func Start(o Options, prepare ...func(s *Stage)) (*Stage, error) {
 	s := &Stage{Options: o, fronts: make(map[*backend.Backend]*front), left: make(map[string]bool), entries: make(map[string]writtenEntry)}
+	for _, p := range prepare {
+		p(s)
+	}
 	s.release.Store(1)
 	s.Store.Fault = func(string) keyedlog.Fault {
 		if s.isAway.Load() {
@@ -128,8 +134,10 @@
 			o.Engine(i, b)
 		}
 		s.Engines = append(s.Engines, b)
-		if err := s.addFront(b); err != nil {
-			return s, err
+		if o.HasFronts {
+			if err := s.addFront(b); err != nil {
+				return s, err
+			}
 		}
 		if err := b.Start(fmt.Sprintf("engine-%d", i), 1); err != nil {
 			return s, err
