--- a/review/cases/idle.go
+++ b/review/cases/idle.go
@@ -90,7 +90,8 @@
 		kept[n] = stage.NewClient(s.Record)
 	}
 	platform := &http.Client{Timeout: time.Second}
-	end := time.Now().Add(usersTime)
+	startTime := time.Now()
+	end := startTime.Add(usersTime)
 	wg.Go(func() {
 		for time.Now().Before(end) {
 			at := time.Now()
@@ -109,7 +110,7 @@
 			a := client.Do(ctx, s.Front(i), stage.Request{Method: http.MethodGet, Target: "/read/x", TimeLimit: 600 * time.Millisecond})
 			add(event{at: a.SentAt, isGood: a.Status != 0})
 		})
-		time.Sleep(time.Second / newUsers)
+		time.Sleep(time.Until(startTime.Add(time.Duration(n+1) * time.Second / newUsers)))
 	}
 	wg.Wait()
 	return events
--- a/review/stage/process.go
+++ b/review/stage/process.go
@@ -13,15 +13,14 @@
 	"golang.org/x/sys/unix"
 )
 
-// fileDescriptors is FileDescriptors of a machine.
-const fileDescriptors = 4200
-
 // Process runs a program as the platform does: one that ends is started again after a short delay.
 type Process struct {
 	Name string
 
 	program, dir, settings string
 	record                 *Record
+	// descriptors is the number that the process may have open.
+	descriptors uint64
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -104,7 +103,7 @@
 
 // limitDescriptors sets the limit that the platform sets for a process.
 func (p *Process) limitDescriptors(pid int) {
-	limit := &unix.Rlimit{Cur: fileDescriptors, Max: fileDescriptors}
+	limit := &unix.Rlimit{Cur: p.descriptors, Max: p.descriptors}
 	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, limit, nil); err != nil {
 		p.record.Add("the descriptors of %s are not limited: %v", p.Name, err)
 	}
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -44,6 +44,8 @@
 	storePort, servicePort, innerPort, frontPort, readinessPort = 8007, 8740, 8741, 8005, 8002
 	// heartbeatInterval is HeartbeatIntervalMs.
 	heartbeatInterval, heartbeatJitter = 1200 * time.Millisecond, 100 * time.Millisecond
+	// gatewayDescriptors and stockDescriptors are FileDescriptors of the two classes of machines.
+	gatewayDescriptors, stockDescriptors = 4200, 2048
 	// hostsPerKind bounds the hosts of one kind, whose addresses are checked before the start.
 	hostsPerKind = 9
 	// restartDelay is the time after which the platform starts a process again.
@@ -309,9 +311,12 @@
 }
 
 func (s *Stage) newProcess(program, class string, kind, i int) *Process {
-	name := fmt.Sprintf("%s-%d", class, i)
+	name, descriptors := fmt.Sprintf("%s-%d", class, i), uint64(gatewayDescriptors)
+	if kind == kindEngine {
+		descriptors = stockDescriptors
+	}
 	return &Process{
-		Name: name, program: filepath.Join(s.Programs, program), dir: s.Dir, settings: s.settings(name, class, kind, i), record: s.Record,
+		Name: name, descriptors: descriptors, program: filepath.Join(s.Programs, program), dir: s.Dir, settings: s.settings(name, class, kind, i), record: s.Record,
 	}
 }
 
@@ -331,7 +336,11 @@
 	if kind == kindGateway {
 		text += fmt.Sprintf("Front = %q\nReadinessAddress = %q\n", s.Front(i), s.address(kindGateway, i, readinessPort))
 	}
-	text += fmt.Sprintf("[Limits]\nCpuShare = 0.4\nCpuCores = 1\nMemoryMb = 284\nFileDescriptors = %d\nLinkMbps = 1000.0\nDiskMb = 0\n", fileDescriptors)
+	if kind == kindGateway {
+		text += fmt.Sprintf("[Limits]\nCpuShare = 0.4\nCpuCores = 1\nMemoryMb = 284\nFileDescriptors = %d\nLinkMbps = 1000.0\nDiskMb = 0\n", gatewayDescriptors)
+	} else {
+		text += fmt.Sprintf("[Limits]\nCpuShare = 0.48\nCpuCores = 1\nMemoryMb = 152\nFileDescriptors = %d\nLinkMbps = 7.6\nDiskMb = 0\n", stockDescriptors)
+	}
 	text += "[Bounds]\nSeedLagS = 3\nAddressReuseS = 2\nStabilityWindowMs = 3000\nAckMs = 4000\nCatchUpS = 4\nDrainMs = 2000\nGracePeriodS = 8\nLossSlackMs = 200\n"
 	text += "ConfigApplyMs = 2000\nRollbackSlackMs = 250\nOuterBoundMs = 5000\nRevokeWhenPartitioned = false\nRevocationMs = 5000\nRetryBudgetRatio = 0.2\nRetryWindowS = 10\n"
 	text += "RetryBudgetSlack = 100\nRecoveryS = 12\nPassMs = 120\nRetryAfterS = 0\nversion_ms = 8000\nversion_all_ms = 0\n"
