A corrupt manifest of a release is replaced instead of kept for good

Two answers of the origin had one changed digit each.

Cause: a manifest that was read from the origin has nothing to be verified against, but was kept and passed to other hosts because it had the right form. No chunk ever matched the corrupt digest, so that no host completed the release, and requests may not begin on the one before once the rollout timeout is over.

Change: core/manifestverifier decides, without I/O, which manifest a host uses. An entry is proven by content that matches it, and stays then. After two reads of one chunk that do not match, the manifest is read from the origin again, and the chunk only after that. A host without a new chunk for 0.5 s compares its manifest with other hosts and takes the entries that they have proven. It works because a corrupt chunk matches when it is read again, and a corrupt digest is matched by nothing. The same cause: manifests of hosts and of the archive are provisional too, the archive is written with proven ones only, manifests that lack entries or state another chunk size are compared with the configuration, early loads follow a replaced manifest, and entryd publishes the digest of an artifact's name only after a manifest that matches it was read.

--- a/internal/chunkreplicator/archive.go
+++ b/internal/chunkreplicator/archive.go
@@ -40,6 +40,9 @@
 	ctx, cancel := context.WithTimeout(ctx, archiveReadTimeout)
 	defer cancel()
 	a, err := r.Archiver.LoadManifest(ctx, s)
+	if err == nil {
+		err = r.checkShape(a)
+	}
 	if err != nil {
 		event.ArchiveReadFailed.Log(r.Logger.WithError(err), nil)
 		return a, err
@@ -142,7 +145,7 @@
 		if i < 0 || i >= len(a.Chunks) {
 			continue
 		}
-		if err := r.cache.PutChunk(a.Chunks[i].Digest, data); err != nil {
+		if err := r.AddChunk(a.Chunks[i], data); err != nil {
 			event.ArchiveReadFailed.Log(r.Logger.WithError(err).WithField("chunk", i), nil)
 		}
 	}
@@ -185,6 +188,9 @@
 }
 
 func (r *Replicator) archivePartition(ctx context.Context, s fleetconfig.ServedModel, a manifest.Artifact, partition int) error {
+	if missing := len(r.cache.Missing(a)); missing > 0 {
+		return fmt.Errorf("archive release %d of %s: no content has matched %d of %d entries of the manifest", s.Release, s.Model, missing, len(a.Chunks))
+	}
 	ctx, cancel := context.WithTimeout(ctx, archiveWriteTimeout)
 	defer cancel()
 	return r.Archiver.SavePartition(ctx, s, a, partition, func(i int) ([]byte, bool) { return r.cache.Chunk(a.Chunks[i].Digest) })
--- a/internal/chunkreplicator/chunkreplicator.go
+++ b/internal/chunkreplicator/chunkreplicator.go
@@ -7,10 +7,8 @@
 	"errors"
 	"fmt"
 	"maps"
-	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -70,6 +68,8 @@
 	seedRoundDelay = 60 * time.Millisecond
 	// maxManifestPeers is the number of other hosts that one manifest query goes to.
 	maxManifestPeers = 3
+	// fetchCheckInterval is the time between two checks whether a fetch is superseded, and of its manifest.
+	fetchCheckInterval = 100 * time.Millisecond
 	// maxReleases is the number of releases that are held: the one being served and the next one.
 	maxReleases = 2
 )
@@ -91,6 +91,8 @@
 	Peers func() []fetchplanner.Peer
 	// Origin returns the address of the origin and its region; empty if none is known.
 	Origin func() (string, ident.Region)
+	// Shape returns the shape of a release as the configuration states it. Nil means that it is unknown.
+	Shape func() manifest.Shape
 	// ReadManifest reads a manifest from the origin, and ReadChunk a chunk by its number in the manifest.
 	ReadManifest func(ctx context.Context, origin string, s fleetconfig.ServedModel) (manifest.Artifact, error)
 	ReadChunk    func(ctx context.Context, origin string, s fleetconfig.ServedModel, number int, p weightclient.ProgressFunc) ([]byte, error)
@@ -105,10 +107,14 @@
 	cache   *chunkcache.Cache
 	fetcher *fetcher.Fetcher
 	rpcPool *rpc.Pool
+	// manifestReads and replacedEntries are metrics.
+	manifestReads, replacedEntries prometheus.Counter
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// releases maps the digest of each manifest of a release, also of those that were replaced, to the release.
 	releases map[ident.Digest]fleetconfig.ServedModel
-	digests  map[fleetconfig.ServedModel]ident.Digest
+	// manifests holds the current manifest of each release.
+	manifests map[fleetconfig.ServedModel]*heldManifest
 	// recent lists the releases that are held, the most recently added last.
 	recent []fleetconfig.ServedModel
 	// archived is the release that this host has found in the store, and fetching the one that it fetches.
@@ -121,7 +127,7 @@
 func (r *Replicator) Init(registry prometheus.Registerer) {
 	r.archiveReads = make(chan struct{}, 1)
 	r.releases = make(map[ident.Digest]fleetconfig.ServedModel)
-	r.digests = make(map[fleetconfig.ServedModel]ident.Digest)
+	r.manifests = make(map[fleetconfig.ServedModel]*heldManifest)
 	r.cache = &chunkcache.Cache{Epoch: time.Now().UnixMilli()}
 	r.rpcPool = &rpc.Pool{Dial: r.Dial}
 	weights := &weightclient.Client{HTTP: r.HTTPClient}
@@ -149,6 +155,9 @@
 		},
 	}
 	r.fetcher.Register(registry)
+	r.manifestReads = prometheus.NewCounter(prometheus.CounterOpts{Name: "nutmegdock_manifest_reads_total", Help: "Reads of a manifest from the origin."})
+	r.replacedEntries = prometheus.NewCounter(prometheus.CounterOpts{Name: "nutmegdock_manifest_replaced_entries_total", Help: "Entries of manifests that no content matched and that were replaced."})
+	registry.MustRegister(r.manifestReads, r.replacedEntries)
 }
 
 // peer adds the addresses of the control server and the chunk server. A host is identified by its IP address, since an
@@ -224,13 +233,17 @@
 	return nil
 }
 
-// readChunkFromOrigin reads a chunk from the origin of weights.
+// readChunkFromOrigin reads a chunk from the origin of weights. Content that does not match is counted, since the manifest
+// may be corrupt.
 func (r *Replicator) readChunkFromOrigin(ctx context.Context, k manifest.Chunk, p weightclient.ProgressFunc) ([]byte, error) {
 	origin, _ := r.Origin()
 	s, number, ok := r.locate(k.Digest)
 	if origin == "" || !ok {
 		return nil, fmt.Errorf("read chunk %.12s: origin or release is unknown", k.Digest)
 	}
+	if !r.mayRead(s, number) {
+		return nil, fmt.Errorf("read chunk %d of release %d of %s: the manifest is read again first", number, s.Release, s.Model)
+	}
 	ctx, cancel := context.WithTimeout(ctx, originChunkTimeout)
 	defer cancel()
 	startTime := time.Now()
@@ -240,12 +253,19 @@
 		}
 		return p(ctx, received)
 	})
+	var sizeErr *bodyreader.SizeError
+	if errors.As(err, &sizeErr) || err == nil && !matches(k, data) {
+		r.recordMismatch(s, number, k, len(data))
+	}
 	if err != nil {
 		if ctx.Err() != nil || !errors.Is(err, context.Canceled) {
 			event.OriginFetchFailed.Log(r.Logger.WithError(err).WithFields(log.Fields{"chunk": number, "took": time.Since(startTime).Milliseconds()}), nil)
 		}
 		return nil, err
 	}
+	if ident.Bytes(len(data)) != k.Size {
+		return nil, &weightclient.TruncatedError{URL: origin, Got: ident.Bytes(len(data)), Want: k.Size}
+	}
 	return data, nil
 }
 
@@ -253,11 +273,8 @@
 func (r *Replicator) locate(d ident.Digest) (fleetconfig.ServedModel, int, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for manifestDigest, s := range r.releases {
-		a, ok := r.cache.Artifact(manifestDigest)
-		if !ok {
-			continue
-		}
+	for s, held := range r.manifests {
+		a, _ := held.verifier.Manifest()
 		for i, k := range a.Chunks {
 			if k.Digest == d {
 				return s, i, true
@@ -267,130 +284,12 @@
 	return fleetconfig.ServedModel{}, 0, false
 }
 
-// HasManifest reports whether this host holds the manifest of a release.
-func (r *Replicator) HasManifest(s fleetconfig.ServedModel) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	_, ok := r.digests[s]
-	return ok
-}
-
-// ResolveManifest returns the manifest of a release and the digest of the manifest.
-func (r *Replicator) ResolveManifest(ctx context.Context, s fleetconfig.ServedModel) (manifest.Artifact, ident.Digest, error) {
-	r.mu.Lock()
-	d, ok := r.digests[s]
-	r.mu.Unlock()
-	if ok {
-		if a, ok := r.cache.Artifact(d); ok {
-			return a, d, nil
-		}
-	}
-	a, err := r.fetchManifest(ctx, s)
-	if err != nil {
-		return a, "", err
-	}
-	data, err := a.Encode()
-	if err != nil {
-		return a, "", fmt.Errorf("encode manifest of %s: %w", s.Model, err)
-	}
-	d = manifest.DigestOf(data)
-	r.cache.PutArtifact(d, a)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if _, ok := r.digests[s]; !ok {
-		r.recent = append(r.recent, s)
-	}
-	r.digests[s], r.releases[d] = d, s
-	return a, d, nil
-}
-
-// fetchManifest reads a manifest from other hosts, the archive or the origin. All hosts need a new manifest at the same
-// moment, and the origin accepts few connections, so a host that is not a seed host queries the seed hosts of its zone
-// first.
-func (r *Replicator) fetchManifest(ctx context.Context, s fleetconfig.ServedModel) (manifest.Artifact, error) {
-	if !r.IsSeed {
-		for range maxSeedRounds {
-			a, err := r.queryManifestFromPeers(ctx, s, func(p fetchplanner.Peer) bool { return p.Seed && p.Zone == r.Zone })
-			if err == nil {
-				return a, nil
-			}
-			select {
-			case <-ctx.Done():
-				return a, ctx.Err()
-			case <-time.After(seedRoundDelay):
-			}
-		}
-	}
-	if a, err := r.readManifestFromArchive(ctx, s); err == nil {
-		return a, nil
-	}
-	a, err := r.readManifestFromOrigin(ctx, s)
-	if err == nil {
-		return a, nil
-	}
-	a, peerErr := r.queryManifestFromPeers(ctx, s, func(fetchplanner.Peer) bool { return true })
-	if peerErr != nil {
-		return a, errors.Join(err, peerErr)
-	}
-	return a, nil
-}
-
-func (r *Replicator) readManifestFromOrigin(ctx context.Context, s fleetconfig.ServedModel) (manifest.Artifact, error) {
-	origin, _ := r.Origin()
-	if origin == "" {
-		return manifest.Artifact{}, fmt.Errorf("read manifest of release %d of %s: no origin is known", s.Release, s.Model)
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	return r.ReadManifest(ctx, origin, s)
-}
-
-// queryManifestFromPeers queries a few random other hosts for a manifest.
-func (r *Replicator) queryManifestFromPeers(ctx context.Context, s fleetconfig.ServedModel, filter func(p fetchplanner.Peer) bool) (manifest.Artifact, error) {
-	peers := slices.DeleteFunc(r.Peers(), func(p fetchplanner.Peer) bool { return !filter(p) })
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	err := fmt.Errorf("read manifest of release %d of %s: no other host is known", s.Release, s.Model)
-	for _, p := range peers[:min(maxManifestPeers, len(peers))] {
-		if p.Host == r.Self {
-			continue
-		}
-		var a manifest.Artifact
-		if a, err = r.queryManifest(ctx, r.peer(p).ControlAddress, s); err == nil {
-			return a, nil
-		}
+// AddChunk adds a chunk that was read elsewhere. It fails if the content does not match the entry of the manifest.
+func (r *Replicator) AddChunk(c manifest.Chunk, data []byte) error {
+	if !matches(c, data) {
+		return &chunkcache.CorruptError{Digest: c.Digest}
 	}
-	return manifest.Artifact{}, err
-}
-
-func (r *Replicator) queryManifest(ctx context.Context, control string, s fleetconfig.ServedModel) (manifest.Artifact, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	q := messages.ManifestQuery{Model: string(s.Model), Release: int64(s.Release)}
-	a, err := rpc.Call[messages.ManifestResponse](ctx, r.rpcPool.Client(control), messages.ManifestMethod, q)
-	if err != nil {
-		return a.Manifest, err
-	}
-	if !a.Known {
-		return a.Manifest, fmt.Errorf("host %s has no manifest of release %d of %s", control, s.Release, s.Model)
-	}
-	return a.Manifest, a.Manifest.Validate()
-}
-
-// handleManifest returns a manifest that this host holds.
-func (r *Replicator) handleManifest(_ context.Context, q messages.ManifestQuery) (messages.ManifestResponse, error) {
-	r.mu.Lock()
-	d, ok := r.digests[fleetconfig.ServedModel{Model: fleetconfig.Model(q.Model), Release: fleetconfig.Release(q.Release)}]
-	r.mu.Unlock()
-	if !ok {
-		return messages.ManifestResponse{}, nil
-	}
-	a, ok := r.cache.Artifact(d)
-	return messages.ManifestResponse{Known: ok, Manifest: a}, nil
-}
-
-// AddChunk adds a chunk that was read elsewhere. It fails if the chunk does not match its digest.
-func (r *Replicator) AddChunk(d ident.Digest, data []byte) error {
-	return r.cache.PutChunk(d, data)
+	return r.cache.PutChunk(c.Digest, data)
 }
 
 // HeldChunk returns a chunk that this host holds.
@@ -404,39 +303,49 @@
 	r.fetcher.PriorityClass = f
 }
 
-// Fetch fetches all missing chunks of a release. It is cancelled when superseded returns true.
+// Fetch fetches all missing chunks of a release, and returns its manifest, of which every entry is proven then. It is
+// cancelled when superseded returns true. If the manifest turns out to be corrupt, the fetch goes on with the one that
+// replaces it.
 func (r *Replicator) Fetch(ctx context.Context, s fleetconfig.ServedModel, superseded func() bool) (manifest.Artifact, error) {
-	a, d, err := r.ResolveManifest(ctx, s)
-	if err != nil || len(r.cache.Missing(a)) == 0 {
-		return a, err
-	}
-	r.evictReleases(s)
-	r.mu.Lock()
-	r.fetching = s
-	r.mu.Unlock()
-	_, r.fetcher.HomeRegion = r.Origin()
 	startTime := time.Now()
-	ctx, cancel := context.WithCancel(ctx)
+	for {
+		a, d, err := r.ResolveManifest(ctx, s)
+		if err != nil || len(r.cache.Missing(a)) == 0 {
+			return a, err
+		}
+		r.evictReleases(s)
+		r.mu.Lock()
+		r.fetching = s
+		r.mu.Unlock()
+		_, r.fetcher.HomeRegion = r.Origin()
+		if err := r.fetchUsing(ctx, s, d, superseded); err != nil {
+			return a, fmt.Errorf("fetch release %d of %s: %w", s.Release, s.Model, err)
+		}
+		if r.isCurrent(s, d) {
+			event.ChunksFetched.Log(r.Logger.WithFields(log.Fields{
+				"model": string(s.Model), "release": int64(s.Release), "took": time.Since(startTime).Milliseconds(),
+			}), nil)
+		}
+	}
+}
+
+// fetchUsing fetches the chunks of a release that a manifest lists. It returns early, without an error, if the manifest is
+// replaced.
+func (r *Replicator) fetchUsing(ctx context.Context, s fleetconfig.ServedModel, d ident.Digest, superseded func() bool) error {
+	fetchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go cancelWhenSuperseded(ctx, superseded, cancel)
-	if err := r.fetcher.Fetch(ctx, []ident.Digest{d}); err != nil {
-		return a, fmt.Errorf("fetch release %d of %s: %w", s.Release, s.Model, err)
+	go r.verifyManifest(fetchCtx, s)
+	go cancelWhen(fetchCtx, func() bool { return superseded() || !r.isCurrent(s, d) }, cancel)
+	err := r.fetcher.Fetch(fetchCtx, []ident.Digest{d})
+	if err != nil && ctx.Err() == nil && !r.isCurrent(s, d) {
+		return nil
 	}
-	event.ChunksFetched.Log(r.Logger.WithFields(log.Fields{
-		"model": string(s.Model), "release": int64(s.Release), "took": time.Since(startTime).Milliseconds(),
-	}), nil)
-	return a, nil
+	return err
 }
 
 // HeldShare returns the share of the chunks of a release that this host holds; zero if it does not know its manifest.
 func (r *Replicator) HeldShare(s fleetconfig.ServedModel) float64 {
-	r.mu.Lock()
-	d, ok := r.digests[s]
-	r.mu.Unlock()
-	if !ok {
-		return 0
-	}
-	a, ok := r.cache.Artifact(d)
+	a, _, ok := r.manifestOf(s)
 	if !ok || len(a.Chunks) == 0 {
 		return 0
 	}
@@ -447,27 +356,30 @@
 func (r *Replicator) evictReleases(next fleetconfig.ServedModel) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var keep []ident.Digest
 	for i, s := range r.recent {
-		if s == next || i >= len(r.recent)-maxReleases {
-			keep = append(keep, r.digests[s])
+		if s != next && i < len(r.recent)-maxReleases {
+			delete(r.manifests, s)
+		}
+	}
+	var keep []ident.Digest
+	for d, s := range r.releases {
+		if r.manifests[s] == nil {
+			delete(r.releases, d)
 			continue
 		}
-		delete(r.releases, r.digests[s])
-		delete(r.digests, s)
+		keep = append(keep, d)
 	}
 	r.recent = r.recent[max(0, len(r.recent)-maxReleases):]
 	r.cache.Retain(keep)
 }
 
-func cancelWhenSuperseded(ctx context.Context, superseded func() bool, cancel func()) {
-	const interval = 100 * time.Millisecond
+func cancelWhen(ctx context.Context, isOver func() bool, cancel func()) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(interval):
-			if superseded() {
+		case <-time.After(fetchCheckInterval):
+			if isOver() {
 				cancel()
 				return
 			}
--- a/internal/chunkreplicator/chunkreplicator_test.go
+++ b/internal/chunkreplicator/chunkreplicator_test.go
@@ -39,8 +39,10 @@
 type origin struct {
 	reads, manifests atomic.Int64
 	isDown           atomic.Bool
-	// corrupt is the number of chunks still to be returned corrupt.
-	corrupt atomic.Int64
+	// corrupt is the number of chunks still to be returned corrupt, and corruptManifests that of manifests. spoil corrupts
+	// one; nil changes the digest of the first chunk.
+	corrupt, corruptManifests atomic.Int64
+	spoil                     func(a *manifest.Artifact)
 }
 
 var errDown = errors.New("origin is down")
@@ -55,6 +57,13 @@
 		a.Chunks = append(a.Chunks, manifest.Chunk{Digest: manifest.DigestOf(content(s, i)), Size: chunkBytes})
 		a.Size += chunkBytes
 	}
+	switch {
+	case o.corruptManifests.Add(-1) < 0:
+	case o.spoil != nil:
+		o.spoil(&a)
+	default:
+		a.Chunks[0].Digest = manifest.DigestOf([]byte("corrupt"))
+	}
 	return a, nil
 }
 
@@ -93,7 +102,8 @@
 		out = append(out, &chunkreplicator.Replicator{
 			Self: p.Host, Zone: p.Zone, Region: p.Region, IP: string(p.Host), IsSeed: p.Seed, ControlPort: ports[0], DataPort: ports[1],
 			Origin: func() (string, ident.Region) { return "origin", "r" }, ReadManifest: o.manifest, ReadChunk: o.chunk,
-			Dial: (&dialer.Dialer{}).DialContext, HTTPClient: (&dialer.Dialer{}).Client(),
+			Shape: func() manifest.Shape { return manifest.Shape{Chunks: chunks, ChunkBytes: chunkBytes} },
+			Dial:  (&dialer.Dialer{}).DialContext, HTTPClient: (&dialer.Dialer{}).Client(),
 			Logger: &log.Logger{Handler: discard.New(), Level: log.InfoLevel},
 		})
 	}
--- a/internal/core/manifest/manifest.go
+++ b/internal/core/manifest/manifest.go
@@ -31,6 +31,26 @@
 	Chunks  []Chunk     `json:"chunks"`
 }
 
+// Shape is the number of chunks of an artifact and the size of each, as the configuration states them. Zero fields are
+// unknown.
+type Shape struct {
+	Chunks     int
+	ChunkBytes ident.Bytes
+}
+
+// Check returns an Error if the artifact differs from the shape.
+func (s Shape) Check(a Artifact) error {
+	if s.Chunks > 0 && len(a.Chunks) != s.Chunks {
+		return &Error{Artifact: a.Name, Reason: fmt.Sprintf("has %d chunks, the configuration states %d", len(a.Chunks), s.Chunks)}
+	}
+	for i, c := range a.Chunks {
+		if s.ChunkBytes > 0 && c.Size != s.ChunkBytes {
+			return &Error{Artifact: a.Name, Reason: fmt.Sprintf("chunk %d has %d bytes, the configuration states %d", i, c.Size, s.ChunkBytes)}
+		}
+	}
+	return nil
+}
+
 // Error reports an invalid manifest.
 type Error struct {
 	// Artifact is the name of the artifact, or the requested digest if the name could not be read.
--- a/internal/engineagent/engineagent.go
+++ b/internal/engineagent/engineagent.go
@@ -23,6 +23,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/fleettracker"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/loadverifier"
+	"github.com/nutmegdock/nutmegdock/internal/core/manifest"
 	"github.com/nutmegdock/nutmegdock/internal/core/rolloutplanner"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/fleetwatcher"
@@ -118,6 +119,10 @@
 		f := h.currentFleet()
 		return f.OriginAddress, f.OriginRegion
 	}
+	h.Replicator.Shape = func() manifest.Shape {
+		f := h.currentFleet()
+		return manifest.Shape{Chunks: f.Chunks, ChunkBytes: f.ChunkBytes}
+	}
 	h.Replicator.Init(registry)
 	tasks, ctx := errgroup.WithContext(ctx)
 	tasks.Go(func() error { return h.watchFleet(ctx) })
--- a/internal/engineagent/reconcile.go
+++ b/internal/engineagent/reconcile.go
@@ -111,9 +111,10 @@
 		h.Replicator.SetFetchOrder(nil)
 		return h.Replicator.Fetch(ctx, target, superseded)
 	}
+	chunks := len(a.Chunks)
 	h.Replicator.SetFetchOrder(func(number int) int {
 		return slices.IndexFunc(append(earlyRanges, fleetconfig.LayerRange{To: layers}), func(layerRange fleetconfig.LayerRange) bool {
-			_, to := layerRange.ChunkRange(layers, len(a.Chunks))
+			_, to := layerRange.ChunkRange(layers, chunks)
 			return number < to
 		})
 	})
@@ -122,7 +123,7 @@
 	var early sync.WaitGroup
 	early.Go(func() {
 		for _, layerRange := range earlyRanges {
-			if err := h.loadEarly(earlyCtx, target, a, layerRange); err != nil {
+			if err := h.loadEarly(earlyCtx, target, layerRange); err != nil {
 				if earlyCtx.Err() == nil {
 					event.EarlyLoadFailed.Log(h.Logger.WithError(err), nil)
 				}
@@ -130,7 +131,7 @@
 			}
 		}
 	})
-	_, err = h.Replicator.Fetch(ctx, target, superseded)
+	a, err = h.Replicator.Fetch(ctx, target, superseded)
 	if err != nil {
 		stop()
 	}
@@ -139,22 +140,24 @@
 }
 
 // loadEarly waits for the chunks of the given layers, and has the engine load them.
-func (h *Agent) loadEarly(ctx context.Context, s fleetconfig.ServedModel, a manifest.Artifact, layers fleetconfig.LayerRange) error {
-	from, to := layers.ChunkRange(h.currentFleet().Layers, len(a.Chunks))
-	for i := from; i < to; i++ {
-		for {
-			if _, ok := h.Replicator.HeldChunk(a.Chunks[i].Digest); ok {
-				break
-			}
-			select {
-			case <-ctx.Done():
-				return ctx.Err()
-			case <-time.After(chunkPollInterval):
-			}
+func (h *Agent) loadEarly(ctx context.Context, s fleetconfig.ServedModel, layers fleetconfig.LayerRange) error {
+	for {
+		// The manifest may be replaced until the chunks are there.
+		a, _, err := h.Replicator.ResolveManifest(ctx, s)
+		if err != nil {
+			return err
+		}
+		from, to := layers.ChunkRange(h.currentFleet().Layers, len(a.Chunks))
+		if h.Replicator.HoldsChunks(a.Chunks[from:to]) {
+			h.begin(s, a, layers)
+			return h.execute(ctx, s, a, false)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(chunkPollInterval):
 		}
 	}
-	h.begin(s, a, layers)
-	return h.execute(ctx, s, a, false)
 }
 
 func (h *Agent) readReport(ctx context.Context) (rolloutplanner.Report, error) {
@@ -185,7 +188,7 @@
 		if err != nil {
 			return err
 		}
-		if h.Replicator.AddChunk(c.Digest, data) == nil {
+		if h.Replicator.AddChunk(c, data) == nil {
 			cached++
 		}
 	}
--- a/internal/entryhost/admin.go
+++ b/internal/entryhost/admin.go
@@ -34,7 +34,7 @@
 		Publish:    p.Publish,
 		View:       s.follower.View,
 		ResolveArtifact: func(ctx context.Context, name, version string) (ident.Digest, error) {
-			return store.Resolve(ctx, s.Settings.StoreURL, name, version)
+			return store.ResolveArtifact(ctx, s.Settings.StoreURL, name, version)
 		},
 		Reports:       s.reports.Reports,
 		RecordAttempt: attempts.Record,
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -50,6 +50,9 @@
 	ReleaseArchived        = Event{1742, log.InfoLevel, "release archived in the store"}
 	ReleaseArchiveFailed   = Event{1743, log.WarnLevel, "release is not archived in the store yet"}
 	ArchiveReadFailed      = Event{1744, log.InfoLevel, "archived release cannot be read from the store; reading it from the origin"}
+	OriginChunkMismatch    = Event{1762, log.WarnLevel, "content of a chunk from the origin does not match the manifest"}
+	ManifestReplaced       = Event{1763, log.WarnLevel, "entries of a manifest that no content matched were replaced"}
+	ManifestNotRead        = Event{1764, log.WarnLevel, "manifest that may be corrupt could not be read again; will be retried"}
 	EarlyLoadFailed        = Event{1745, log.WarnLevel, "engine could not load its first layers early; loading waits for all chunks"}
 	EngineCallUnanswered   = Event{1748, log.WarnLevel, "call to the engine ended without an answer; it may still take effect"}
 	UnansweredLoadAccepted = Event{1749, log.WarnLevel, "engine has accepted a load command whose answer did not arrive"}
--- a/internal/fleetwatcher/snapshot.go
+++ b/internal/fleetwatcher/snapshot.go
@@ -39,8 +39,11 @@
 		return messages.FleetResponse{}
 	}
 	model := config.Pools[pool].Engine.Models[0]
-	layers := config.Pools[pool].Engine.Layers
-	resp := messages.FleetResponse{Known: true, Model: string(model), NewestRelease: int64(max(1, tracker.Newest(model))), Layers: layers}
+	profile := config.Pools[pool].Engine
+	layers := profile.Layers
+	resp := messages.FleetResponse{
+		Known: true, Model: string(model), NewestRelease: int64(max(1, tracker.Newest(model))), Layers: layers, Chunks: profile.Chunks, ChunkBytes: profile.ChunkBytes,
+	}
 	resp.OriginAddress, resp.OriginRegion = WeightOrigin(config, regions)
 	for _, e := range tracker.Endpoints() {
 		if e.Pool != pool {
--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -218,6 +218,7 @@
 	h.FleetWatcher.Evacuations = h.evacuations
 	h.Replicator.Peers = h.chunkPeers
 	h.Replicator.Origin = h.origin
+	h.Replicator.Shape = h.manifestShape
 	relayer := h.newRelayer(suspensions.Elapsed)
 	h.relayer = relayer
 	h.presence.State = h.sourceState
--- a/internal/gatewayserver/replicate.go
+++ b/internal/gatewayserver/replicate.go
@@ -12,6 +12,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/fetchplanner"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/manifest"
 	"github.com/nutmegdock/nutmegdock/internal/core/ranker"
 	"github.com/nutmegdock/nutmegdock/internal/core/releasescheduler"
 	"github.com/nutmegdock/nutmegdock/internal/event"
@@ -59,6 +60,15 @@
 	return fleetwatcher.WeightOrigin(h.gateway.Config(), h.Regions)
 }
 
+// manifestShape returns the shape of a release of the model.
+func (h *Server) manifestShape() manifest.Shape {
+	p := h.enginePool()
+	if p == nil {
+		return manifest.Shape{}
+	}
+	return manifest.Shape{Chunks: p.Engine.Chunks, ChunkBytes: p.Engine.ChunkBytes}
+}
+
 func (h *Server) chunkPeers() []fetchplanner.Peer {
 	p := h.enginePool()
 	if p == nil {
--- a/internal/messages/records.go
+++ b/internal/messages/records.go
@@ -95,6 +95,9 @@
 	ReleaseAgeMs  int64 `json:"age,omitempty"`
 	// Layers is the number of layers of the model.
 	Layers int `json:"layers,omitempty"`
+	// Chunks and ChunkBytes are the shape of a release of the model.
+	Chunks     int         `json:"chunks,omitempty"`
+	ChunkBytes ident.Bytes `json:"size,omitempty"`
 	// Seeds are the entry hosts.
 	Seeds []hostregistrar.Entry `json:"seeds,omitempty"`
 	// Engines are the engines of the pool.
--- a/internal/messages/weights.go
+++ b/internal/messages/weights.go
@@ -68,10 +68,16 @@
 type ManifestQuery struct {
 	Model   string `json:"model"`
 	Release int64  `json:"release"`
+	// Held is the digest of the manifest that the sender uses; empty if it has none.
+	Held ident.Digest `json:"held,omitempty"`
 }
 
 // ManifestResponse contains the manifest. Known is false if the host does not have it.
 type ManifestResponse struct {
 	Known    bool              `json:"known"`
 	Manifest manifest.Artifact `json:"manifest"`
+	// IsSame is true, and the manifest omitted, if the host uses the one that the query names.
+	IsSame bool `json:"same,omitempty"`
+	// Matched lists the numbers of the chunks that the host holds: content has matched their digests.
+	Matched []int `json:"matched,omitempty"`
 }
--- a/internal/weightclient/endless_test.go
+++ b/internal/weightclient/endless_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/nutmegdock/nutmegdock/internal/bodyreader"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/manifest"
 	"github.com/nutmegdock/nutmegdock/internal/weightclient"
 )
@@ -126,3 +127,29 @@
 		is.Equal(len(data), chunkBytes)
 	})
 }
+
+// A corrupt digest of a name must not be published: no content would ever match it.
+func TestCorruptDigestOfNameIsNotResolved(t *testing.T) {
+	is := is.New(t)
+	data, err := manifest.Artifact{Name: "m", Version: "1", Size: chunkBytes, Chunks: []manifest.Chunk{testChunk}}.Encode()
+	is.NoErr(err)
+	for _, d := range []ident.Digest{manifest.DigestOf(data), manifest.DigestOf([]byte("corrupt"))} {
+		dial := func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go func() {
+				defer far.Close()
+				request := make([]byte, 4<<10)
+				n, _ := far.Read(request)
+				body := data
+				if strings.Contains(string(request[:n]), "/names/") {
+					body = []byte(d)
+				}
+				_, _ = io.WriteString(far, bodyStart+string(body))
+			}()
+			return near, nil
+		}
+		c := &weightclient.Client{HTTP: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}}
+		_, err := c.ResolveArtifact(t.Context(), "http://p", "m", "1")
+		is.Equal(err == nil, d == manifest.DigestOf(data))
+	}
+}
--- a/internal/weightclient/weightclient.go
+++ b/internal/weightclient/weightclient.go
@@ -47,6 +47,19 @@
 	return ident.Digest(data), err
 }
 
+// ResolveArtifact returns the digest that Resolve returns, once the source has delivered a manifest that matches it. A
+// digest by itself has nothing to be compared with.
+func (c *Client) ResolveArtifact(ctx context.Context, base, name, version string) (ident.Digest, error) {
+	d, err := c.Resolve(ctx, base, name, version)
+	if err != nil {
+		return "", err
+	}
+	if _, err := c.Artifact(ctx, base, d); err != nil {
+		return "", fmt.Errorf("verify digest of %s version %s: %w", name, version, err)
+	}
+	return d, nil
+}
+
 // Artifact fetches a manifest and verifies it against its digest.
 func (c *Client) Artifact(ctx context.Context, base string, d ident.Digest) (manifest.Artifact, error) {
 	data, err := c.get(ctx, base+"/artifacts/"+string(d), maxManifestBytes)
