An open attempt ends on its own connection's evidence only

What callers saw: while an entry host was stopped and an engine drained, 9 to 13 of 56 streams ended in the middle of the answer, although the engine was only silent for a second. The same with streams that moved from an engine that stood still to one that refused them.

Cause: an open attempt was given up on indirect evidence, before another endpoint had the request. A failed probe cancelled all attempts at its endpoint, also if that took no new connections because it was leaving; a move cancelled the attempt before the next endpoint had accepted the request.

TestAttemptIsKeptAfterFailedProbe failed in six of eight cases before.

Change: core/attemptkeeper decides, without I/O, when an attempt ends. A failed probe or a standstill starts the search for another endpoint; the request is sent there while the attempt is kept, which ends once the other one has begun to respond. If that one refuses or fails, or if the first one sends something, the attempt goes on. Requests that may not be repeated stay. Each further endpoint costs a token of the retry budget and counts in the attempts of the route. It works because a connection that is open says itself when its endpoint is gone. A response that is too large to buffer is not moved once it has begun.

In TestStreamOfSlowCallerResumesAtAnotherEndpoint the probe fails after 450 ms instead of 300 ms: a probe is made after 400 ms of silence, and only then counts as evidence. OnUnreachable of the assigner's query became OnSuspect of the assigner, in its test too.

--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -92,9 +92,6 @@
 	// ConfirmedAfter restricts the choice to endpoints that are known to have had their id after this time, because they
 	// were listed or have responded since; the zero time allows all.
 	ConfirmedAfter time.Time
-	// OnUnreachable is called if the endpoint becomes unreachable while the request is in flight there; nil if the request
-	// cannot continue at another endpoint. It must not call the assigner.
-	OnUnreachable func()
 }
 
 // Assignment is the endpoint assigned to a request, with the figures behind the decision.
@@ -112,9 +109,8 @@
 	PermitAskedAt time.Time
 
 	// state is that of the endpoint, which may have no entry any more.
-	state         *endpointState
-	onUnreachable func()
-	hasFailed     bool
+	state     *endpointState
+	hasFailed bool
 	// responseTokens is the expected number of response tokens, and firstEventAt when the first event arrived.
 	responseTokens float64
 	firstEventAt   time.Time
@@ -211,6 +207,9 @@
 	// OnLoadChange is called when the load of this host at an endpoint changes; it may be nil. It must not call the
 	// assigner.
 	OnLoadChange func(e fleetconfig.Endpoint, load Load)
+	// OnSuspect is called for each request in flight at an endpoint that cannot be reached and is silent. Nil means that nobody
+	// is told. It must not call the assigner.
+	OnSuspect func(c *Assignment)
 	// OnEjection is called when an endpoint that fails far more often than the others of its pool is ejected, and when it is
 	// readmitted. Nil means that none is ejected. It must not call the assigner.
 	OnEjection func(e Ejection)
@@ -371,7 +370,7 @@
 		}
 		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
-			choice = &Assignment{Endpoint: s.Endpoint, state: s, Load: load, PredictedFirstEvent: predicted, Release: release, promptTokens: int(q.PromptTokens), class: q.class(), IsLate: q.TimeLeft <= 0, sentAt: now, onUnreachable: q.OnUnreachable, hasFailed: q.HasFailed, responseTokens: q.ResponseTokens}
+			choice = &Assignment{Endpoint: s.Endpoint, state: s, Load: load, PredictedFirstEvent: predicted, Release: release, promptTokens: int(q.PromptTokens), class: q.class(), IsLate: q.TimeLeft <= 0, sentAt: now, hasFailed: q.HasFailed, responseTokens: q.ResponseTokens}
 		}
 	}
 	if best == nil {
--- a/internal/core/assigner/probe.go
+++ b/internal/core/assigner/probe.go
@@ -62,8 +62,9 @@
 	return out
 }
 
-// RecordProbe records the result of a probe and reports whether the reachability of the endpoint changed. It notifies
-// the requests in flight at an endpoint that has become unreachable.
+// RecordProbe records the result of a probe and reports whether the reachability of the endpoint changed. It calls OnSuspect
+// for the requests in flight at an endpoint that cannot be reached and is silent. Their own connections may be intact: the
+// endpoint may take no new ones because it is leaving or full.
 func (a *Assigner) RecordProbe(p Probe, ok bool) (changed bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -81,9 +82,9 @@
 		return changed
 	}
 	a.checkCutOff(s.Zone)
-	for c := range s.inFlight {
-		if c.onUnreachable != nil {
-			c.onUnreachable()
+	if a.OnSuspect != nil && time.Since(s.lastActive) > probeAfterSilence {
+		for c := range s.inFlight {
+			a.OnSuspect(c)
 		}
 	}
 	return changed
--- a/internal/core/assigner/replay_test.go
+++ b/internal/core/assigner/replay_test.go
@@ -372,9 +372,9 @@
 		}
 		a.SetEndpoints(all)
 		lost := false
+		a.OnSuspect = func(*assigner.Assignment) { lost = true }
 		_, refusal := a.Assign(assigner.Query{
 			Pool: "p", Model: "m", Release: 1, TimeLeft: objective, Excluded: map[string]bool{"0": true, "2": true, "3": true},
-			OnUnreachable: func() { lost = true },
 		})
 		is.Equal(refusal, assigner.Refusal(""))
 		time.Sleep(time.Second)
--- a/internal/core/relocator/relocator.go
+++ b/internal/core/relocator/relocator.go
@@ -12,15 +12,15 @@
 	"slices"
 	"time"
 
+	"github.com/nutmegdock/nutmegdock/internal/core/attemptkeeper"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 )
 
 const (
 	// Interval is the time between two decisions.
 	Interval = 25 * time.Millisecond
-	// RetryInterval is the least time between two attempts to find another endpoint for a request. Slots become free at the ends
-	// of passes, a few times in this period.
-	RetryInterval = 150 * time.Millisecond
+	// RetryInterval is the least time between two attempts to find another endpoint for a request.
+	RetryInterval = attemptkeeper.RetryInterval
 	// searchTime is the time that it takes to find an endpoint and to reach it.
 	searchTime = 20 * time.Millisecond
 )
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -50,6 +50,7 @@
 	ReleaseArchived        = Event{1742, log.InfoLevel, "release archived in the store"}
 	ReleaseArchiveFailed   = Event{1743, log.WarnLevel, "release is not archived in the store yet"}
 	ArchiveReadFailed      = Event{1744, log.InfoLevel, "archived release cannot be read from the store; reading it from the origin"}
+	MoveFailed             = Event{1768, log.InfoLevel, "request stays at its endpoint; the other one has refused it or failed"}
 	OriginChunkMismatch    = Event{1762, log.WarnLevel, "content of a chunk from the origin does not match the manifest"}
 	ManifestReplaced       = Event{1763, log.WarnLevel, "entries of a manifest that no content matched were replaced"}
 	ManifestNotRead        = Event{1764, log.WarnLevel, "manifest that may be corrupt could not be read again; will be retried"}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -19,17 +19,22 @@
 )
 
 // tryEndpoint makes one attempt, and then releases the endpoint, even if the attempt panics to abort the caller's
-// connection. It reports whether the caller has got the complete response.
-func (g *Gateway) tryEndpoint(ctx context.Context, cancel context.CancelFunc, req *request, state *requestState, choice *assigner.Assignment) (isDone bool) {
+// connection. It reports whether the caller has got the complete response. requestCtx ends with the request.
+func (g *Gateway) tryEndpoint(requestCtx, ctx context.Context, cancel context.CancelFunc, req *request, state *requestState, choice *assigner.Assignment) (isDone bool) {
 	result := assigner.CallerGone // unless sendAttempt returns
-	g.beginRelocation(ctx, cancel, req, state, choice)
+	isOver := true
+	g.beginRelocation(requestCtx, cancel, req, state, choice)
 	defer func() {
-		state.next, state.isAbandoned = state.relocation.end()
 		g.Assigner.Release(choice, result)
 		g.holder.Wake()
+		state.check = nil
+		if result == assigner.Failed && !state.isHarmless && state.attempt.sentTo.Load() != nil {
+			state.check = g.checkCrash(&choice.Endpoint, req.features)
+		}
+		state.relocation.end(state, isOver)
 	}()
-	state.sentAt = time.Now()
 	result, isDone = g.sendAttempt(ctx, req, state, choice)
+	isOver = isDone || state.isFinal || state.attempt.isQuarantined.Load() || requestCtx.Err() != nil
 	if result == assigner.CallerGone && hasTimedOut(ctx, req, state) {
 		result = assigner.TimedOut
 	}
@@ -46,24 +51,63 @@
 // sendAttempt makes one attempt. It returns the result for the endpoint, and whether the caller has got the complete
 // response.
 func (g *Gateway) sendAttempt(ctx context.Context, req *request, state *requestState, choice *assigner.Assignment) (assigner.Outcome, bool) {
-	endpointReq := headercodec.EndpointRequest{Endpoint: choice.Endpoint.ID, Priority: endpointPriority(req, choice)}
-	if req.org != nil {
-		endpointReq.Organisation = req.org.Name
+	state.lastErr, state.responseStatus, state.receivedBefore = nil, 0, state.sequencer.Received()
+	state.isHarmless, state.hasCrashed = false, false
+	resp := state.response
+	if resp == nil {
+		position := streamPosition{after: state.sequencer.LastID, hasAfter: state.sequencer.LastIDKnown}
+		if state.headerSent {
+			position.release = state.release
+		}
+		var err error
+		if resp, err = g.exchange(ctx, req, choice, state.attempt, position); err != nil {
+			return state.recordFailure(ctx, req, err), false
+		}
+		state.relocation.recordProgress(state)
 	}
-	if state.headerSent {
-		endpointReq.Release = state.release
+	defer resp.Close()
+	state.responseStatus = resp.Status
+	info := g.Codec.ReadResponse(resp.Status, resp.Header)
+	switch {
+	case info.NotRun || impliesNotRun(resp.Status):
+		var err error
+		var result assigner.Outcome
+		if result, err = refusal(resp.Status, info); info.NotRun {
+			state.refused++
+		} else {
+			state.mayHaveRun++
+		}
+		state.lastErr = err
+		return result, false
+	case resp.Status == http.StatusOK && req.route.Kind == fleetconfig.Stream:
+		return g.forwardStream(ctx, req, state, resp, info)
+	default:
+		// Without events, the request has begun once its response header is there.
+		state.stopWithdrawal()
+		return g.forwardBuffered(ctx, req, state, resp)
 	}
-	if state.sequencer.LastIDKnown {
-		endpointReq.After, endpointReq.HasAfter = state.sequencer.LastID, true
+}
+
+// streamPosition is the event after which an endpoint continues a stream, and the release that it began on; zero if it has
+// not begun.
+type streamPosition struct {
+	after    int64
+	hasAfter bool
+	release  fleetconfig.Release
+}
+
+// exchange sends a request to an endpoint and returns the header of its response. Its error is an outcome.Error.
+func (g *Gateway) exchange(ctx context.Context, req *request, choice *assigner.Assignment, a *attempt, p streamPosition) (*sender.Response, error) {
+	endpointReq := headercodec.EndpointRequest{
+		Endpoint: choice.Endpoint.ID, Priority: endpointPriority(req, choice), Release: p.release, After: p.after, HasAfter: p.hasAfter,
+	}
+	if req.org != nil {
+		endpointReq.Organisation = req.org.Name
 	}
-	state.lastErr, state.responseStatus, state.receivedBefore = nil, 0, state.sequencer.Received()
-	state.isHarmless, state.hasCrashed = false, false
 	endSend, ok := req.account.BeginSend(choice.Endpoint.ID, len(req.body))
 	if !ok {
-		state.heldUp++
-		state.lastErr = &outcome.Error{Kind: outcome.NotRun, Reason: outcome.Memory, Message: "endpoint reads requests slowly"}
 		event.EndpointReadsSlowly.Log(g.Logger.WithFields(g.logFields(req)), log.Fields{"endpoint": choice.Endpoint.ID})
-		return assigner.NotSent, false
+		return nil, &outcome.Error{Kind: outcome.NotRun, Reason: outcome.Memory, Message: "endpoint reads requests slowly"}
 	}
 	sentAt := time.Now()
 	resp, err := g.Sender.Send(ctx, sender.Attempt{
@@ -76,40 +120,34 @@
 		},
 		Body:        req.body,
 		Matches:     func(h http.Header) bool { return g.Codec.IsResponseTo(req.ID, h) },
-		BeforeWrite: func() outcome.Reason { return g.beforeWrite(req, state, choice) },
+		BeforeWrite: func() outcome.Reason { return g.beforeWrite(req, a, choice) },
 		OnWritten:   endSend,
 	})
 	if err != nil {
 		endSend()
-		return state.recordFailure(ctx, req, err), false
+		return nil, err
 	}
-	defer resp.Close()
-	state.responseStatus = resp.Status
-	info := g.Codec.ReadResponse(resp.Status, resp.Header)
-	if !info.IsOtherEndpoint {
+	if info := g.Codec.ReadResponse(resp.Status, resp.Header); !info.IsOtherEndpoint {
 		g.recordHoldoff(req, choice.Endpoint, info)
 		g.recordLimit(req, choice.Endpoint, info, sentAt)
 	}
+	return resp, nil
+}
+
+// refusal returns the outcome for the endpoint, and the error, of a response that states or implies that the request has not
+// run.
+func refusal(status int, info headercodec.ResponseInfo) (assigner.Outcome, error) {
+	err := &outcome.Error{Kind: outcome.NotRun, Reason: outcome.Refused, Message: "status " + strconv.Itoa(status)}
 	switch {
-	case info.NotRun:
-		state.refused++
-		state.lastErr = &outcome.Error{Kind: outcome.NotRun, Reason: outcome.Refused, Message: "status " + strconv.Itoa(resp.Status)}
-		if info.IsOtherEndpoint {
-			return assigner.AddressReused, false
-		}
-		return assigner.Refused, false
-	case impliesNotRun(resp.Status):
+	case !info.NotRun:
 		// The endpoint does not confirm that it did not run the request, but callers would conclude so from these
 		// statuses.
-		state.mayHaveRun++
-		state.lastErr = &outcome.Error{Kind: outcome.Unknown, Reason: outcome.ConnectionLost, Message: "status " + strconv.Itoa(resp.Status)}
-		return outcomeOfStatus(resp.Status), false
-	case resp.Status == http.StatusOK && req.route.Kind == fleetconfig.Stream:
-		return g.forwardStream(ctx, req, state, resp, info)
+		err.Kind, err.Reason = outcome.Unknown, outcome.ConnectionLost
+		return outcomeOfStatus(status), err
+	case info.IsOtherEndpoint:
+		return assigner.AddressReused, err
 	default:
-		// Without events, the request has begun once its response header is there.
-		state.stopWithdrawal()
-		return g.forwardBuffered(ctx, req, state, resp)
+		return assigner.Refused, err
 	}
 }
 
@@ -164,23 +202,39 @@
 // recordFailure counts an attempt that got no response and returns its result for the endpoint.
 func (s *requestState) recordFailure(ctx context.Context, req *request, err error) assigner.Outcome {
 	s.lastErr = err
-	var o *outcome.Error
-	isNotRun := errors.As(err, &o) && o.Kind == outcome.NotRun
-	if isNotRun && (o.Reason == outcome.Restricted || o.Reason == outcome.NoPermit) {
-		return assigner.NotSent
-	}
-	isUnreachable := isNotRun
-	if isUnreachable {
+	switch result, isNotRun := failureOutcome(ctx, req, err); {
+	case isReason(err, outcome.Memory):
+		s.heldUp++
+		return result
+	case result == assigner.NotSent:
+		return result
+	case isNotRun:
 		s.unreachable++
-	} else {
+		return result
+	default:
 		s.mayHaveRun++
+		return result
 	}
+}
+
+// failureOutcome returns the outcome for the endpoint of an attempt that got no response, and whether it was not run.
+func failureOutcome(ctx context.Context, req *request, err error) (result assigner.Outcome, isNotRun bool) {
+	var o *outcome.Error
+	isNotRun = errors.As(err, &o) && o.Kind == outcome.NotRun
+	switch {
+	case isNotRun && (o.Reason == outcome.Restricted || o.Reason == outcome.NoPermit || o.Reason == outcome.Memory):
+		return assigner.NotSent, true
 	// A deadline may have passed before its context has ended.
-	if req.r.Context().Err() != nil || ctx.Err() != nil || isNotRun && o.Reason == outcome.Deadline {
-		return assigner.CallerGone
-	}
-	if isUnreachable {
-		return assigner.Unreachable
+	case req.r.Context().Err() != nil || ctx.Err() != nil || isNotRun && o.Reason == outcome.Deadline:
+		return assigner.CallerGone, isNotRun
+	case isNotRun:
+		return assigner.Unreachable, true
+	default:
+		return assigner.Failed, false
 	}
-	return assigner.Failed
+}
+
+func isReason(err error, r outcome.Reason) bool {
+	var o *outcome.Error
+	return errors.As(err, &o) && o.Reason == r
 }
--- a/internal/gateway/attemptlist.go
+++ b/internal/gateway/attemptlist.go
@@ -16,14 +16,12 @@
 // attempt is one attempt of a request that may still crash its endpoint.
 type attempt struct {
 	features []crashsuspector.Feature
-	// cancel ends the attempt. The endpoint of the next one may become unreachable before that begins.
-	cancel atomic.Pointer[context.CancelFunc]
+	// cancel ends the attempt.
+	cancel context.CancelFunc
 	// sentTo is the endpoint that the request has been written to, or nil.
 	sentTo atomic.Pointer[fleetconfig.Endpoint]
 	// isQuarantined is set if one of the features has become quarantined since the attempt began.
 	isQuarantined atomic.Bool
-	// isDisconnected is set if the attempt was cancelled because its endpoint had become unreachable.
-	isDisconnected atomic.Bool
 
 	previous, next *attempt
 	isListed       bool
@@ -35,12 +33,6 @@
 	return !a.isQuarantined.Load()
 }
 
-// disconnect cancels the attempt because its endpoint has become unreachable.
-func (a *attempt) disconnect() {
-	a.isDisconnected.Store(true)
-	(*a.cancel.Load())()
-}
-
 // attemptList holds the attempts in progress that may still crash their endpoints.
 type attemptList struct {
 	mu    sync.Mutex
@@ -83,7 +75,7 @@
 	for a := l.first; a != nil; a = a.next {
 		for _, has := range a.features {
 			if has == f {
-				(*a.cancel.Load())()
+				a.cancel()
 				a.isQuarantined.Store(true)
 			}
 		}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -12,7 +12,6 @@
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
 	"github.com/nutmegdock/nutmegdock/internal/core/crashsuspector"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/event"
@@ -122,16 +121,10 @@
 
 // beginAttempt begins a new attempt of a request, and reports whether it may be made. The attempt is listed before the
 // verdict is asked for, so that a feature that becomes quarantined later cancels it.
-func (g *Gateway) beginAttempt(req *request, state *requestState, cancel context.CancelFunc) bool {
-	a := &state.attempt
-	g.attempts.remove(a)
-	a.features = req.features
-	a.cancel.Store(&cancel)
-	a.sentTo.Store(nil)
-	a.isQuarantined.Store(false)
-	a.isDisconnected.Store(false)
+func (g *Gateway) beginAttempt(req *request, cancel context.CancelFunc) (*attempt, bool) {
+	a := &attempt{features: req.features, cancel: cancel}
 	g.attempts.add(a)
-	return g.Suspector.Verdict(req.features) != crashsuspector.Quarantined
+	return a, g.Suspector.Verdict(req.features) != crashsuspector.Quarantined
 }
 
 // recordProgress records that the request does not crash its endpoint once the attempt has received enough events.
@@ -143,16 +136,15 @@
 
 func (g *Gateway) recordHarmless(req *request, state *requestState) {
 	state.isHarmless = true
-	g.attempts.remove(&state.attempt)
+	g.attempts.remove(state.attempt)
 	g.announce(g.Suspector.RecordSuccess(req.features))
 }
 
 // endAttempt finds out whether the endpoint has crashed on the attempt. It returns the reason why the request is not sent
 // to another endpoint, if there is one.
-func (g *Gateway) endAttempt(ctx context.Context, req *request, state *requestState, choice *assigner.Assignment, isDone bool) (reason string) {
-	a := &state.attempt
+func (g *Gateway) endAttempt(ctx context.Context, req *request, state *requestState, isDone bool) (reason string) {
+	a := state.attempt
 	defer g.attempts.remove(a)
-	isLost := state.outcome == assigner.Failed || a.isDisconnected.Load()
 	switch {
 	case state.isHarmless:
 		return ""
@@ -163,14 +155,10 @@
 		return ""
 	case a.isQuarantined.Load():
 		return reasonQuarantined
-	case !isLost || a.sentTo.Load() == nil:
-		return ""
-	}
-	check := g.checkCrash(&choice.Endpoint, req.features)
-	if a.isDisconnected.Load() {
-		// The endpoint does not respond to connections, so the retry does not wait for one.
+	case state.check == nil:
 		return ""
 	}
+	check := state.check
 	select {
 	case <-check.done:
 	case <-ctx.Done():
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -159,6 +159,7 @@
 	if f.gateway.Buffers != nil {
 		f.gateway.Buffers.OnPressure = f.gateway.HandleMemoryPressure
 	}
+	a.OnSuspect = f.gateway.HandleSuspect
 	f.gateway.Suspector.OnQuarantine, f.gateway.Suspector.OnLift = f.gateway.HandleQuarantine, f.gateway.HandleLift
 	f.Server = httptest.NewServer(f.gateway)
 	t.Cleanup(f.Close)
--- a/internal/gateway/relocation.go
+++ b/internal/gateway/relocation.go
@@ -9,64 +9,123 @@
 	"github.com/apex/log"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
-	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
+	"github.com/nutmegdock/nutmegdock/internal/core/attemptkeeper"
 	"github.com/nutmegdock/nutmegdock/internal/core/relocator"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 )
 
 // reasonStalled is the reason of a request that ends because its endpoint stands still and none can serve it in time.
-const reasonStalled = "stalled"
+// reasonResumed is that of an attempt that stays where it is because its endpoint has sent something, reasonFailed that of
+// one that stays because the other endpoint has refused or failed.
+const (
+	reasonStalled = "stalled"
+	reasonResumed = "resumed"
+	reasonFailed  = "failed"
+)
 
-// relocation moves an attempt in flight to another endpoint if its own stands still. The other endpoint is found first, so that
-// a request for which there is none stays where it is.
+// relocation has an attempt that is open continued at another endpoint if its own stands still or cannot be reached. The
+// attempt is kept until the other endpoint has begun to respond.
 type relocation struct {
 	gateway *Gateway
 	req     *request
 	choice  *assigner.Assignment
-	// ctx ends with the attempt, and cancel ends it.
-	ctx    context.Context
-	cancel context.CancelFunc
-	// query is the one for another endpoint, and canMove says that one may run the request.
-	query   assigner.Query
-	canMove bool
-	// lastEventAt is when the caller got the last event of an earlier attempt; the zero time if it got none.
-	lastEventAt time.Time
+	// requestCtx ends with the request, and cancel ends the attempt.
+	requestCtx context.Context
+	cancel     context.CancelFunc
+	// query is the one for another endpoint.
+	query assigner.Query
 
 	mu sync.Mutex
-	// isOver is set once the attempt has ended, and isSeeking while another endpoint is sought.
-	isOver, isSeeking bool
-	soughtAt          time.Time
-	// next is the endpoint to continue at, and isAbandoned is set if the request cannot be served any more.
-	next        *assigner.Assignment
+	// keeper decides when the attempt ends, and position is where another endpoint continues. lastEventAt is when the caller
+	// got the last event; the zero time if it got none.
+	keeper      attemptkeeper.Keeper
+	position    streamPosition
+	lastEventAt time.Time
+	// kind is that of a stream that has begun.
+	hasStarted bool
+	kind       streamKind
+	// candidate is the attempt at another endpoint that has not responded yet, and sought is closed when the search has ended.
+	candidate *candidate
+	sought    chan struct{}
+	// next is the attempt that the request continues with, and isAbandoned is set if it cannot be served any more. failures
+	// are the results of candidates that did not take over.
+	next        *candidate
 	isAbandoned bool
+	failures    []candidateFailure
 }
 
 // beginRelocation makes an attempt known to CheckStalls until its end method is called.
-func (g *Gateway) beginRelocation(ctx context.Context, cancel context.CancelFunc, req *request, state *requestState, choice *assigner.Assignment) {
+func (g *Gateway) beginRelocation(requestCtx context.Context, cancel context.CancelFunc, req *request, state *requestState, choice *assigner.Assignment) {
 	query := g.assignerQuery(req, state)
 	query.Excluded, query.HasFailed = maps.Clone(state.tried), true
 	r := &relocation{
-		gateway: g, req: req, choice: choice, ctx: ctx, cancel: cancel, query: query,
-		canMove: req.route.MayRepeat() && state.mayHaveRun+1 < req.route.MaxAttempts, lastEventAt: state.lastEventAt,
+		gateway: g, req: req, choice: choice, requestCtx: requestCtx, cancel: cancel, query: query, lastEventAt: state.lastEventAt,
+		position:   streamPosition{after: state.sequencer.LastID, hasAfter: state.sequencer.LastIDKnown},
+		hasStarted: state.headerSent, kind: state.kind,
+	}
+	if state.headerSent {
+		r.position.release = state.release
+	}
+	if req.route.MayRepeat() && !state.isFinal {
+		r.keeper.Spares = req.route.MaxAttempts - 1 - state.mayHaveRun
 	}
 	state.relocation = r
 	g.relocations.add(r)
 }
 
-// end ends the attempt, and returns the endpoint to continue at, if there is one, and whether the request was abandoned.
-func (r *relocation) end() (next *assigner.Assignment, isAbandoned bool) {
+// end ends the attempt. If another endpoint has the request, it waits for its response. isOver says that the request does
+// not go on.
+func (r *relocation) end(state *requestState, isOver bool) {
 	r.gateway.relocations.remove(r)
+	r.mu.Lock()
+	how := r.keeper.RecordEnd(isOver || r.isAbandoned)
+	candidate, sought := r.candidate, r.sought
+	r.mu.Unlock()
+	switch {
+	case how == attemptkeeper.Await:
+		<-sought // which ends with the request
+	case how != attemptkeeper.Continue && candidate != nil:
+		candidate.cancel()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	state.next, state.isAbandoned = r.next, r.isAbandoned
+	for _, f := range r.failures {
+		f.addTo(state)
+	}
+}
+
+// setStarted records that the stream has begun. It can only continue on the same release.
+func (r *relocation) setStarted(state *requestState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.query.Release, r.query.ExactRelease = state.release, state.release > 0
+	r.position.release = state.release
+	r.hasStarted, r.kind = true, state.kind
+}
+
+// recordProgress records that the endpoint has sent a part of the response. An attempt at another endpoint is ended, since
+// this one goes on.
+func (r *relocation) recordProgress(state *requestState) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.isOver = true
-	return r.next, r.isAbandoned
+	r.position.after, r.position.hasAfter = state.sequencer.LastID, state.sequencer.LastIDKnown
+	if r.keeper.RecordProgress() {
+		r.gateway.Meter.CountRelocation(reasonResumed)
+		if r.candidate != nil {
+			r.candidate.cancel()
+		}
+	}
 }
 
-// setRelease records that the stream has begun. It can only continue on the same release.
-func (r *relocation) setRelease(release fleetconfig.Release) {
+// keep records that no other endpoint can continue the response.
+func (r *relocation) keep() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.query.Release, r.query.ExactRelease = release, release > 0
+	r.keeper.Spares = 0
+	if r.keeper.RecordProgress() && r.candidate != nil {
+		r.candidate.cancel()
+	}
 }
 
 // describe returns what the decision on the request is based on.
@@ -75,7 +134,7 @@
 	defer r.mu.Unlock()
 	return relocator.Request{
 		Index: index, Rank: r.req.rank, WasLate: r.choice.IsLate, FirstEvent: s.FirstEvent, NextEvent: s.NextEvent, Completion: s.Completion,
-		CanMove:  r.canMove && r.next == nil && !r.isSeeking && now.Sub(r.soughtAt) >= relocator.RetryInterval,
+		CanMove:  r.keeper.CanSeek(now),
 		TimeLeft: r.timeLeft(s.LastEventAt, now), EventLeft: r.eventLeft(s.LastEventAt, now), DeadlineLeft: r.req.deadline.Sub(now),
 	}
 }
@@ -109,52 +168,55 @@
 	}
 }
 
-// seek finds another endpoint, spends a retry, and ends the attempt.
+// seek looks for another endpoint, spends a retry, and sends the request there.
 func (r *relocation) seek(lastEventAt time.Time) {
 	g := r.gateway
 	r.mu.Lock()
-	if r.isOver || r.isSeeking {
+	if !r.keeper.Seek(time.Now()) {
 		r.mu.Unlock()
 		return
 	}
-	r.isSeeking, r.soughtAt = true, time.Now()
+	sought := make(chan struct{})
+	r.sought = sought
+	defer close(sought)
 	query := r.query
-	query.TimeLeft = r.timeLeft(lastEventAt, r.soughtAt)
+	query.Excluded = maps.Clone(query.Excluded)
+	query.TimeLeft = r.timeLeft(lastEventAt, time.Now())
 	r.mu.Unlock()
-	next, refusal := g.assignWithoutHold(r.ctx, &query)
+	next, refusal := g.assignWithoutHold(r.requestCtx, &query)
 	if refusal == "" && !g.RetryBudget.SpendRetry() {
 		g.Assigner.Release(next, assigner.NotSent)
-		next, refusal = nil, budgetExhausted
+		refusal = budgetExhausted
 	}
 	if refusal != "" {
 		g.Meter.CountRelocation(string(refusal))
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.keeper.RecordFailed(false)
+		return
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.isSeeking = false
-	switch {
-	case next == nil:
-	case r.isOver:
-		g.Assigner.Release(next, assigner.NotSent)
-	default:
-		r.next = next
-		g.Meter.CountRelocation("")
-		event.RequestMoved.Log(g.Logger.WithFields(g.logFields(r.req)), log.Fields{
-			"endpoint": r.choice.Endpoint.ID, "to": next.Endpoint.ID, "silent": g.Assigner.Silence(r.choice).Milliseconds(), "left": query.TimeLeft.Milliseconds(),
-		})
-		r.cancel()
-	}
+	r.try(next, query.TimeLeft)
 }
 
 // abandon ends the attempt because the request cannot be served in time any more.
 func (r *relocation) abandon() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.isOver || r.next != nil {
+	if r.next != nil {
 		return
 	}
 	r.isAbandoned = true
 	r.cancel()
+	if r.candidate != nil {
+		r.candidate.cancel()
+	}
+}
+
+// HandleSuspect looks for another endpoint for a request whose endpoint cannot be reached and is silent.
+func (g *Gateway) HandleSuspect(c *assigner.Assignment) {
+	if r := g.relocations.of(c); r != nil {
+		go r.seek(time.Time{})
+	}
 }
 
 // relocationList holds the attempts in flight.
--- /dev/null
+++ b/internal/gateway/relocation_test.go
@@ -0,0 +1,89 @@
+package gateway_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
+)
+
+// silentStream returns a step that sends events, is silent, and goes on with the rest unless its connection was closed.
+// begun is closed when it is silent.
+func silentStream(silence time.Duration, begun, resumed chan struct{}) step {
+	return func(c *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(c, responseHeader+events(1, 3))
+		close(begun)
+		_ = c.SetReadDeadline(time.Now().Add(silence))
+		if _, err := c.Read(make([]byte, 1)); err == io.EOF {
+			return
+		}
+		close(resumed)
+		_, _ = io.WriteString(c, events(4, 6)+"0\r\n\r\n")
+	}
+}
+
+// failProbe records a failed connection to the endpoint that has a request.
+func (f *testFleet) failProbe() {
+	for _, e := range f.endpoints {
+		if f.gateway.Assigner.LocalLoad(e).Requests > 0 {
+			f.gateway.Assigner.RecordProbe(assigner.Probe{ID: e.ID, Address: e.Address}, false)
+		}
+	}
+}
+
+// Guards against streams and requests that are broken off because somebody else's connection to their endpoint failed: each
+// is kept until another endpoint has begun to respond.
+func TestAttemptIsKeptAfterFailedProbe(t *testing.T) {
+	wholeStream := events(1, 6)
+	for name, c := range map[string]struct {
+		path string
+		// others are the responses of the other endpoints to the request.
+		others []step
+		// wantsMove says that the response comes from another endpoint.
+		wantsMove bool
+		requests  int
+	}{
+		"no other endpoint":                {"/stream/", nil, false, 1},
+		"other endpoint is full":           {"/stream/", []step{notRun}, false, 2},
+		"other endpoint resets":            {"/stream/", []step{reset}, false, 2},
+		"other endpoint fails":             {"/stream/", []step{response(http.StatusInternalServerError, "no")}, false, 2},
+		"other endpoint has another kind":  {"/stream/", []step{rawResponse("HTTP/1.1 200 OK\r\nContent-Type: text/html\r\nContent-Length: 1\r\n\r\nx")}, false, 2},
+		"other endpoint responds too late": {"/stream/", []step{noResponse}, false, 2},
+		"other endpoint takes it":          {"/stream/", []step{streamOf(4, 6, true)}, true, 2},
+		"stream that may not be repeated":  {"/fixed/", []step{streamOf(4, 6, true)}, false, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			begun, resumed := make(chan struct{}), make(chan struct{})
+			steps := append([]step{silentStream(900*time.Millisecond, begun, resumed)}, c.others...)
+			f := startFleet(t, append(make([][]step, len(c.others)), steps)...)
+			f.configure(1)
+			go func() {
+				<-begun
+				time.Sleep(500 * time.Millisecond) // the silence after which an endpoint is probed
+				f.failProbe()
+			}()
+			status, body, _, err := f.send(c.path, nil)
+			is.NoErr(err) // the response is complete
+			is.Equal(status, http.StatusOK)
+			is.Equal(strings.Count(body, "id: "), strings.Count(wholeStream, "id: "))
+			select {
+			case <-resumed:
+				is.True(!c.wantsMove)
+			default:
+				is.True(c.wantsMove)
+			}
+			is.Equal(len(f.requests()), c.requests)
+			time.Sleep(20 * time.Millisecond)
+			for _, e := range f.endpoints {
+				is.Equal(f.gateway.Assigner.LocalLoad(e).Requests, 0)
+			}
+		})
+	}
+}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -64,6 +64,7 @@
 		return assigner.Failed, false
 	}
 	state.headerSent, state.isFinal, state.relay.isBody = true, true, true
+	state.relocation.keep()
 	g.writeHeader(req, resp.Status, resp.Header, resp.Length)
 	readErr, writeErr := copyBody(ctx, &state.relay, resp, head)
 	switch {
--- a/internal/gateway/restrict.go
+++ b/internal/gateway/restrict.go
@@ -43,13 +43,13 @@
 // beforeWrite returns the reason for not sending an attempt to an endpoint that it is connected to, or an empty one. The
 // zone of the endpoint may have been evacuated, or the allowed regions narrowed, since the endpoint was chosen. The
 // endpoint may have become cold, or a permit may be too old.
-func (g *Gateway) beforeWrite(req *request, state *requestState, choice *assigner.Assignment) outcome.Reason {
+func (g *Gateway) beforeWrite(req *request, a *attempt, choice *assigner.Assignment) outcome.Reason {
 	switch {
 	case !g.mayUse(req, choice.Endpoint.Zone):
 		return outcome.Restricted
 	case !g.isPermitted(choice):
 		return outcome.NoPermit
-	case !state.attempt.markSent(&choice.Endpoint):
+	case !a.markSent(&choice.Endpoint):
 		return outcome.Quarantined
 	default:
 		return ""
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -104,9 +104,6 @@
 	if req.org != nil {
 		query.Organisation = req.org.Name.Key()
 	}
-	if req.route.MayRepeat() {
-		query.OnUnreachable = state.attempt.disconnect
-	}
 	if req.Model != "" {
 		query.Release = g.OldestRelease(req.Model)
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -11,6 +11,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/sequencer"
 	"github.com/nutmegdock/nutmegdock/internal/event"
+	"github.com/nutmegdock/nutmegdock/internal/sender"
 )
 
 const (
@@ -64,22 +65,25 @@
 	// sent a response header.
 	sequencer  sequencer.Sequencer
 	headerSent bool
-	// contentType is that of the response with which the stream began, and isSigned is set if it was signed.
-	contentType ContentType
-	isSigned    bool
+	// kind is that of the response with which the stream began.
+	kind streamKind
 	// responseStatus is the status of the response to the current attempt, or zero before its header has arrived.
 	// receivedBefore is the number of events that earlier attempts received.
 	responseStatus, receivedBefore int
 	// attempt is the current attempt, and outcome its outcome for the endpoint. isHarmless is set if the attempt does not
 	// crash its endpoint, and hasCrashed if the endpoint has crashed.
-	attempt                attempt
+	attempt                *attempt
 	outcome                assigner.Outcome
 	isHarmless, hasCrashed bool
-	// relocation moves the current attempt if its endpoint stands still. next is the endpoint that it moves to, or nil, and
-	// isAbandoned is set if it was ended instead.
+	// check finds out whether the endpoint of the attempt has crashed; nil if it did not lose the request.
+	check *crashCheck
+	// relocation looks for another endpoint if that of the current attempt may be gone. next is the attempt that takes the
+	// place of the current one, or nil, and isAbandoned is set if the request was ended instead.
 	relocation  *relocation
-	next        *assigner.Assignment
+	next        *candidate
 	isAbandoned bool
+	// response is that of the current attempt if it began as a candidate.
+	response *sender.Response
 	// isFinal is set once no other endpoint can continue the response: a part of a large one has been sent, or the caller
 	// has left.
 	isFinal bool
@@ -115,12 +119,16 @@
 	state.relay = relay{w: req.w, ctl: http.NewResponseController(req.w), account: req.account, onSlow: func() {
 		event.CallerReadsSlowly.Log(g.Logger.WithFields(g.logFields(req)), nil)
 	}}
-	defer g.attempts.remove(&state.attempt)
+	defer func() {
+		if state.attempt != nil {
+			g.attempts.remove(state.attempt)
+		}
+	}()
 	g.recordArrival(req)
 	defer state.relay.stop()
 	defer func() {
-		if next := state.takeNext(); next != nil {
-			g.Assigner.Release(next, assigner.NotSent)
+		if state.next != nil {
+			g.endCandidate(state.next, assigner.CallerGone)
 		}
 	}()
 	for {
@@ -129,13 +137,20 @@
 			g.endUnserved(ctx, req, state, "release-over")
 			return
 		}
-		attemptCtx, cancel := context.WithCancel(ctx)
-		if !g.beginAttempt(req, state, cancel) {
-			cancel()
-			g.endUnserved(ctx, req, state, reasonQuarantined)
-			return
+		next := state.takeNext()
+		if next == nil {
+			next = &candidate{}
+			next.ctx, next.cancel = context.WithCancel(ctx)
+			mayBegin := false
+			if next.attempt, mayBegin = g.beginAttempt(req, next.cancel); !mayBegin {
+				state.attempt = next.attempt
+				next.cancel()
+				g.endUnserved(ctx, req, state, reasonQuarantined)
+				return
+			}
 		}
-		choice := state.takeNext()
+		state.attempt, state.response = next.attempt, next.response
+		attemptCtx, cancel, choice := next.ctx, next.cancel, next.choice
 		if choice == nil {
 			query := g.assignerQuery(req, state)
 			var refusal assigner.Refusal
@@ -145,6 +160,7 @@
 			}
 			if refusal != "" {
 				cancel()
+				g.attempts.remove(state.attempt)
 				if (refusal == assigner.NoEndpoint || refusal == budgetExhausted) && g.waitForEndpoints(ctx, req, state) {
 					continue
 				}
@@ -160,11 +176,16 @@
 			"endpoint": choice.Endpoint.ID, "load": choice.Load.Requests, "unread": choice.Load.PendingPromptTokens,
 			"first": choice.PredictedFirstEvent.Milliseconds(), "attempt": len(state.tried),
 		}).Debug("request sent")
-		state.stopWithdrawal = g.withdrawAtCutoff(req, choice, cancel)
-		isDone := g.tryEndpoint(attemptCtx, cancel, req, state, choice)
+		if state.stopWithdrawal = next.stopWithdrawal; state.stopWithdrawal == nil {
+			state.stopWithdrawal = g.withdrawAtCutoff(req, choice, cancel)
+		}
+		if state.sentAt = next.sentAt; state.sentAt.IsZero() {
+			state.sentAt = time.Now()
+		}
+		isDone := g.tryEndpoint(ctx, attemptCtx, cancel, req, state, choice)
 		state.stopWithdrawal()
 		cancel()
-		reason := g.endAttempt(ctx, req, state, choice, isDone)
+		reason := g.endAttempt(ctx, req, state, isDone)
 		if isDone {
 			g.deliver(req, state)
 			return
@@ -204,8 +225,8 @@
 	}
 }
 
-// takeNext returns the endpoint that the request moves to, or nil.
-func (s *requestState) takeNext() *assigner.Assignment {
+// takeNext returns the attempt that takes the place of the last one, or nil.
+func (s *requestState) takeNext() *candidate {
 	next := s.next
 	s.next = nil
 	return next
--- a/internal/gateway/slowcaller_test.go
+++ b/internal/gateway/slowcaller_test.go
@@ -400,7 +400,7 @@
 	}})
 	f.configure(1)
 	c := f.dialSlowly(t, "/stream/")
-	time.Sleep(300 * time.Millisecond) // less than the time for which the endpoint is left unread
+	time.Sleep(450 * time.Millisecond) // less than the time for which the endpoint is left unread
 	for _, e := range f.endpoints {
 		if f.gateway.Assigner.LocalLoad(e).Requests > 0 {
 			f.gateway.Assigner.RecordProbe(assigner.Probe{ID: e.ID, Address: e.Address}, false)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -23,9 +23,11 @@
 // forwardStream forwards the events of a stream as they arrive.
 func (g *Gateway) forwardStream(ctx context.Context, req *request, state *requestState, resp *sender.Response, info headercodec.ResponseInfo) (assigner.Outcome, bool) {
 	state.mayHaveRun++
-	if err := state.checkContinues(resp, info); err != nil {
-		state.lastErr = &outcome.Error{Kind: outcome.Unknown, Reason: outcome.Mismatch, Message: err.Error()}
-		return assigner.Failed, false
+	if state.headerSent {
+		if err := state.kind.check(resp, info); err != nil {
+			state.lastErr = &outcome.Error{Kind: outcome.Unknown, Reason: outcome.Mismatch, Message: err.Error()}
+			return assigner.Failed, false
+		}
 	}
 	state.sequencer.DiscardPartial()
 	hasEvents := false
@@ -35,6 +37,7 @@
 		if n > 0 {
 			out, seqErr := state.sequencer.Feed(buf[:n])
 			g.recordProgress(req, state)
+			state.relocation.recordProgress(state)
 			if len(out) > 0 {
 				hasEvents = true
 				if writeErr := g.forwardEvents(ctx, req, state, resp, info, out); writeErr != nil {
@@ -90,12 +93,18 @@
 	return ContentType(strings.ToLower(strings.TrimSpace(name)))
 }
 
-// checkContinues returns an error if the header of a stream has been sent and the response is not one of its kind.
-func (s *requestState) checkContinues(resp *sender.Response, info headercodec.ResponseInfo) error {
+// streamKind is what all responses that make up one stream have in common.
+type streamKind struct {
+	contentType ContentType
+	isSigned    bool
+}
+
+// check returns an error if a response cannot continue a stream of this kind.
+func (k streamKind) check(resp *sender.Response, info headercodec.ResponseInfo) error {
 	got := contentType(resp.Header)
-	lacksSignature := s.isSigned && !info.Signed
-	if s.headerSent && (got != s.contentType || lacksSignature) {
-		return &DifferentStreamError{Got: got, Want: s.contentType, LacksSignature: lacksSignature}
+	lacksSignature := k.isSigned && !info.Signed
+	if got != k.contentType || lacksSignature {
+		return &DifferentStreamError{Got: got, Want: k.contentType, LacksSignature: lacksSignature}
 	}
 	return nil
 }
@@ -103,9 +112,9 @@
 // startStream sends the response header when the first event has arrived, or the end of an empty stream.
 func (g *Gateway) startStream(req *request, state *requestState, resp *sender.Response, info headercodec.ResponseInfo) {
 	state.headerSent = true
-	state.contentType, state.isSigned = contentType(resp.Header), info.Signed
+	state.kind = streamKind{contentType: contentType(resp.Header), isSigned: info.Signed}
 	state.release = info.Release
-	state.relocation.setRelease(info.Release)
+	state.relocation.setStarted(state)
 	state.timeToFirstEvent = time.Since(req.arrivedAt)
 	g.Meter.ObserveFirstEvent(state.timeToFirstEvent)
 	g.writeHeader(req, resp.Status, resp.Header, -1)
--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -213,6 +213,7 @@
 		RetryAfter: func(remaining time.Duration) time.Duration { return max(0, remaining/retryAfterDivisor) },
 	}
 	h.initBuffers(registry)
+	h.assigner.OnSuspect = h.gateway.HandleSuspect
 	h.suspector.OnQuarantine, h.suspector.OnLift = h.gateway.HandleQuarantine, h.gateway.HandleLift
 	h.FleetWatcher.Tracker = tracker
 	h.FleetWatcher.Evacuations = h.evacuations
