An agent reads no more of an engine's response than is due

Cause: the client of the engine allowed every response 8 MiB, eight reads of staged chunks side by side, on hosts of 152 MB. A faulty engine that sends bytes without end could make its agent hold most of that.

--- a/internal/engineagent/calls.go
+++ b/internal/engineagent/calls.go
@@ -9,7 +9,9 @@
 	"github.com/apex/log"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/nutmegdock/nutmegdock/internal/bodyreader"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/loadverifier"
 	"github.com/nutmegdock/nutmegdock/internal/core/rolloutplanner"
 	"github.com/nutmegdock/nutmegdock/internal/event"
@@ -83,9 +85,13 @@
 }
 
 // readStaged reads a chunk back from the staging area.
-func (h *Agent) readStaged(ctx context.Context, s fleetconfig.ServedModel, number int) (data []byte, c loadverifier.Call, err error) {
+func (h *Agent) readStaged(ctx context.Context, s fleetconfig.ServedModel, number int, size ident.Bytes) (data []byte, c loadverifier.Call, err error) {
 	c, err = h.call(ctx, "read", chunkFields(s, number), func(ctx context.Context) error {
-		data, err = h.Engine.ReadStaged(ctx, s.Model, number)
+		data, err = h.Engine.ReadStaged(ctx, s.Model, number, size)
+		var sizeErr *bodyreader.SizeError
+		if errors.As(err, &sizeErr) {
+			data, err = nil, nil // the engine has answered, with something that is not the chunk
+		}
 		return err
 	})
 	return data, c, err
--- a/internal/engineagent/engineagent.go
+++ b/internal/engineagent/engineagent.go
@@ -47,8 +47,9 @@
 	Report func(ctx context.Context) (rolloutplanner.Report, error)
 	// WriteStaged writes a chunk to the engine's staging area, by its number in the manifest.
 	WriteStaged func(ctx context.Context, m fleetconfig.Model, number int, data []byte) error
-	// ReadStaged reads a chunk back from the staging area; nil without an error if it is not there.
-	ReadStaged func(ctx context.Context, m fleetconfig.Model, number int) ([]byte, error)
+	// ReadStaged reads a chunk of the given size back from the staging area; nil without an error if it is not there. It returns
+	// a bodyreader.SizeError if the engine sends more.
+	ReadStaged func(ctx context.Context, m fleetconfig.Model, number int, size ident.Bytes) ([]byte, error)
 	// Load commands the engine to load the given layers of a release, whose chunks are staged. The engine refuses the
 	// command unless it has accepted exactly loadCommands of them before.
 	Load func(ctx context.Context, s fleetconfig.ServedModel, layers fleetconfig.LayerRange, loadCommands int64) error
--- a/internal/engineagent/engineagent_test.go
+++ b/internal/engineagent/engineagent_test.go
@@ -93,7 +93,7 @@
 	return nil
 }
 
-func (e *engine) readStaged(_ context.Context, _ fleetconfig.Model, i int) ([]byte, error) {
+func (e *engine) readStaged(_ context.Context, _ fleetconfig.Model, i int, _ ident.Bytes) ([]byte, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.staged[i], nil
--- a/internal/engineagent/reconcile.go
+++ b/internal/engineagent/reconcile.go
@@ -184,7 +184,7 @@
 	}
 	cached := 0
 	for i, c := range a.Chunks {
-		data, _, err := h.readStaged(ctx, s, i)
+		data, _, err := h.readStaged(ctx, s, i, c.Size)
 		if err != nil {
 			return err
 		}
--- a/internal/engineagent/verification_test.go
+++ b/internal/engineagent/verification_test.go
@@ -101,7 +101,7 @@
 	return e.report(ctx)
 }
 
-func (e *faultyEngine) ReadStaged(ctx context.Context, _ fleetconfig.Model, chunk int) ([]byte, error) {
+func (e *faultyEngine) ReadStaged(ctx context.Context, _ fleetconfig.Model, chunk int, _ ident.Bytes) ([]byte, error) {
 	if err := e.await(ctx); err != nil {
 		return nil, err
 	}
