Callers get no part of a response that has no event yet

Cause: events without an id were passed on as they arrived. The first of them began the response, so that no other endpoint could take the request. The search for the end of an event also began at the start of the buffer for each piece of 4 KiB: 0.1 s of processor time for a flood of short lines.

Evidence: TestResponseWithoutEndIsFailure failed before with blank lines, comments and fields before the first event and with chunks of one byte.

Change: for a stream that may be repeated, sequencer holds back what has no id until an event with an id shows that it is a part of the stream; 64 KiB of it end the attempt, and the request moves. eventscanner.Scanner looks at each byte once; sequencer and resumer share it. An attempt at another endpoint is dropped only for bytes that have just been sent, not for those that were left unread for a slow caller.

--- a/internal/core/resumer/resumer.go
+++ b/internal/core/resumer/resumer.go
@@ -40,7 +40,7 @@
 	// ID is the id that each event must have.
 	ID ident.RequestID
 
-	buffer          []byte
+	scanner         eventscanner.Scanner
 	tokens          int
 	done            bool
 	crash           quarantiner.CrashID
@@ -64,24 +64,22 @@
 
 // Feed adds received bytes and returns the events that they complete.
 func (r *Resumer) Feed(data []byte) ([]byte, error) {
-	r.buffer = append(r.buffer, data...)
+	r.scanner.Add(data)
 	var out []byte
 	for {
-		end, blankLine := eventscanner.FindEnd(r.buffer)
-		if end < 0 {
+		ev, size, ok := r.scanner.Next()
+		if !ok {
 			break
 		}
-		ev := r.buffer[:end+blankLine]
-		forward, err := r.accept(ev[:end])
+		forward, err := r.accept(ev[:size])
 		if err != nil {
 			return out, err
 		}
 		if forward {
 			out = append(out, ev...)
 		}
-		r.buffer = r.buffer[end+blankLine:]
 	}
-	if len(r.buffer) > maxEventBytes {
+	if len(r.scanner.Rest()) > maxEventBytes {
 		return out, &Error{Reason: "event exceeds 1 MiB"}
 	}
 	return out, nil
@@ -166,7 +164,7 @@
 // DiscardPartial discards an incomplete event after an interruption. It must be called before the first byte of the
 // next connection.
 func (r *Resumer) DiscardPartial() {
-	r.buffer = nil
+	r.scanner.Reset()
 	r.crash = ""
 	r.malformed = nil
 }
--- a/internal/core/sequencer/sequencer.go
+++ b/internal/core/sequencer/sequencer.go
@@ -15,8 +15,9 @@
 	maxEventBytes = 1 << 20
 	// maxErrorTextBytes is how much of a part that is no event is reported.
 	maxErrorTextBytes = 80
-	// maxUnnumberedBytes is the maximum size of the events without an id between two events with one.
-	maxUnnumberedBytes = 1 << 20
+	// maxUnnumberedBytes is the maximum size of the events without an id between two events with one: comments that keep a
+	// connection alive for hours.
+	maxUnnumberedBytes = 64 << 10
 )
 
 // OrderError reports an event whose id does not follow that of the previous event.
@@ -67,8 +68,14 @@
 	LastID int64
 	// LastIDKnown says that the id is certain, so that the next event must follow it.
 	LastIDKnown bool
-
-	buffer []byte
+	// HoldsUnnumbered says that events without an id at the start of a response are held back until one with an id shows that
+	// it is a part of the stream. Another endpoint can continue the stream until then as if nothing had arrived.
+	HoldsUnnumbered bool
+
+	scanner eventscanner.Scanner
+	// held holds the events without an id that are held back, and hasNumbered says that the response has had one with an id.
+	held        []byte
+	hasNumbered bool
 	// unnumberedBytes is the size of the events since the last one with an id.
 	unnumberedBytes int
 	count, received int
@@ -76,25 +83,26 @@
 
 // Feed adds received bytes and returns the events that they complete.
 func (s *Sequencer) Feed(data []byte) ([]byte, error) {
-	s.buffer = append(s.buffer, data...)
+	s.scanner.Add(data)
 	var out []byte
 	for {
-		end, blankLine := eventscanner.FindEnd(s.buffer)
-		if end < 0 {
+		ev, _, ok := s.scanner.Next()
+		if !ok {
 			break
 		}
-		ev := s.buffer[:end+blankLine]
 		s.received++
 		forward, err := s.accept(ev)
-		if err != nil {
+		switch {
+		case err != nil:
 			return out, err
+		case !forward:
+		case s.HoldsUnnumbered && !s.hasNumbered:
+			s.held = append(s.held, ev...)
+		default:
+			out = append(append(out, s.TakeHeld()...), ev...)
 		}
-		if forward {
-			out = append(out, ev...)
-		}
-		s.buffer = s.buffer[end+blankLine:]
 	}
-	if len(s.buffer) > maxEventBytes {
+	if len(s.scanner.Rest()) > maxEventBytes {
 		return out, &SizeError{Bytes: maxEventBytes}
 	}
 	return out, nil
@@ -114,7 +122,7 @@
 		}
 		return true, nil
 	}
-	s.unnumberedBytes = 0
+	s.unnumberedBytes, s.hasNumbered = 0, true
 	if s.LastIDKnown && id <= s.LastID {
 		return false, nil
 	}
@@ -150,16 +158,23 @@
 
 // HasPartial reports whether the buffer holds an incomplete event.
 func (s *Sequencer) HasPartial() bool {
-	return len(bytes.TrimSpace(s.buffer)) > 0
+	return len(bytes.TrimSpace(s.scanner.Rest())) > 0
+}
+
+// TakeHeld returns the events that were held back. They are the response if it has ended without one that has an id.
+func (s *Sequencer) TakeHeld() []byte {
+	held := s.held
+	s.held = nil
+	return held
 }
 
-// Buffered returns the number of bytes of the incomplete event.
+// Buffered returns the number of bytes of the incomplete event and of the events that are held back.
 func (s *Sequencer) Buffered() int {
-	return len(s.buffer)
+	return len(s.scanner.Rest()) + len(s.held)
 }
 
-// DiscardPartial discards an incomplete event after the connection was interrupted.
+// DiscardPartial discards an incomplete event, and the events that are held back, after the connection was interrupted.
 func (s *Sequencer) DiscardPartial() {
-	s.buffer = nil
-	s.unnumberedBytes = 0
+	s.scanner.Reset()
+	s.held, s.hasNumbered, s.unnumberedBytes = nil, false, 0
 }
--- a/internal/core/sequencer/sequencer_test.go
+++ b/internal/core/sequencer/sequencer_test.go
@@ -105,6 +105,27 @@
 	is.True(forwarded <= unnumbered.Bytes)
 }
 
+// Guards against a caller that gets a part of what was no response: nothing without an id is passed on before an event with
+// one, and everything in order after that.
+func TestUnnumberedEventsAreHeldBack(t *testing.T) {
+	is := is.New(t)
+	s := sequencer.Sequencer{HoldsUnnumbered: true}
+	const comment = ": x\n\n"
+	out, err := s.Feed([]byte(comment + "\n\n"))
+	is.NoErr(err)
+	is.Equal(len(out), 0)
+	is.True(s.Buffered() > 0)
+	s.DiscardPartial() // another endpoint
+	out, err = s.Feed([]byte(comment + event(1) + comment + event(2)))
+	is.NoErr(err)
+	is.Equal(string(out), comment+event(1)+comment+event(2))
+	s.DiscardPartial()
+	out, err = s.Feed([]byte(comment + event(2)))
+	is.NoErr(err)
+	is.Equal(len(out), 0) // the caller has event 2
+	is.Equal(string(s.TakeHeld()), comment)
+}
+
 // The text of an error that an endpoint writes into a stream is none of its events.
 func TestErrorTextIsNoEvent(t *testing.T) {
 	const response = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -63,7 +63,7 @@
 		if resp, err = g.exchange(ctx, req, choice, state.attempt, position); err != nil {
 			return state.recordFailure(ctx, req, err), false
 		}
-		state.relocation.recordProgress(state)
+		state.relocation.recordProgress(state, true)
 	}
 	defer resp.Close()
 	state.responseStatus = resp.Status
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -85,6 +85,12 @@
 		{"event of a stream that can resume", "/stream/", unframedHeader + largeEvent, "x", okStream, false, 200, streamBody(1, 3), 2, 16 << 20},
 		{"events without id", "/fixed/", unframedHeader, "data: x\n\n", okStream, false, 0, "", 1, 16 << 20},
 		{"comments", "/fixed/", chunkedHeader, "9\r\n: comme\n\n\r\n", okStream, false, 0, "", 1, 16 << 20},
+		{"blank lines", "/stream/", unframedHeader, "\n", okStream, false, 200, streamBody(1, 3), 2, 16 << 20},
+		{"comments before the first event", "/stream/", unframedHeader, ": x\n\n", okStream, false, 200, streamBody(1, 3), 2, 16 << 20},
+		{"fields before the first event", "/stream/", unframedHeader, "data: x\n\n", okStream, false, 200, streamBody(1, 3), 2, 16 << 20},
+		{"short lines", "/stream/", unframedHeader, "a:\n", okStream, false, 200, streamBody(1, 3), 2, 16 << 20},
+		{"chunks of one byte", "/stream/", chunkedHeader, "1\r\n\n\r\n", okStream, false, 200, streamBody(1, 3), 2, 16 << 20},
+		{"blank lines after an event", "/stream/", unframedHeader + "id: 1\ndata: x\n\n", "\n", rawResponse(unframedHeader + "id: 2\ndata: x\n\n"), false, 200, "", 2, 16 << 20},
 		{"slow event", "/fixed/", unframedHeader + largeEvent, "x", okStream, true, 504, "", 1, 0},
 		{"slow comments", "/fixed/", unframedHeader, ": x\n\n", okStream, true, 0, "", 1, 0},
 	} {
--- a/internal/gateway/relocation.go
+++ b/internal/gateway/relocation.go
@@ -104,13 +104,13 @@
 	r.hasStarted, r.kind = true, state.kind
 }
 
-// recordProgress records that the endpoint has sent a part of the response. An attempt at another endpoint is ended, since
-// this one goes on.
-func (r *relocation) recordProgress(state *requestState) {
+// recordProgress records that a part of the response was read. If the endpoint has just sent it, an attempt at another
+// endpoint is ended, since this one goes on.
+func (r *relocation) recordProgress(state *requestState, isFresh bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.position.after, r.position.hasAfter = state.sequencer.LastID, state.sequencer.LastIDKnown
-	if r.keeper.RecordProgress() {
+	if isFresh && r.keeper.RecordProgress() {
 		r.gateway.Meter.CountRelocation(reasonResumed)
 		if r.candidate != nil {
 			r.candidate.cancel()
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -115,7 +115,7 @@
 // runAttempts tries endpoints until the request is served or no further attempt is allowed.
 func (g *Gateway) runAttempts(ctx context.Context, req *request) {
 	state := &requestState{tried: make(map[string]bool)}
-	state.sequencer.LastID, state.sequencer.LastIDKnown = req.After, req.HasAfter
+	state.sequencer.LastID, state.sequencer.LastIDKnown, state.sequencer.HoldsUnnumbered = req.After, req.HasAfter, req.route.MayRepeat()
 	state.relay = relay{w: req.w, ctl: http.NewResponseController(req.w), account: req.account, onSlow: func() {
 		event.CallerReadsSlowly.Log(g.Logger.WithFields(g.logFields(req)), nil)
 	}}
--- a/internal/gateway/slowcaller_test.go
+++ b/internal/gateway/slowcaller_test.go
@@ -400,13 +400,19 @@
 	}})
 	f.configure(1)
 	c := f.dialSlowly(t, "/stream/")
-	time.Sleep(450 * time.Millisecond) // less than the time for which the endpoint is left unread
-	for _, e := range f.endpoints {
-		if f.gateway.Assigner.LocalLoad(e).Requests > 0 {
-			f.gateway.Assigner.RecordProbe(assigner.Probe{ID: e.ID, Address: e.Address}, false)
+	time.Sleep(300 * time.Millisecond) // less than the time for which the endpoint is left unread
+	after, tick := 0, time.NewTicker(50*time.Millisecond)
+	defer tick.Stop()
+	timeout := time.After(2 * time.Second)
+	for after == 0 {
+		select {
+		case after = <-resumedAfter:
+		case <-tick.C:
+			f.failProbe()
+		case <-timeout:
+			t.Fatal("the stream was not resumed")
 		}
 	}
-	after := <-resumedAfter
 	is.True(after > 0 && after < events/2) // it had been left unread
 	got, isComplete := readEvents(t, c)
 	is.Equal(got, events)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -15,6 +15,10 @@
 	"github.com/nutmegdock/nutmegdock/internal/sender"
 )
 
+// freshWait is the least time that a read waits for bytes that have just been sent. Others may have been left unread for a slow
+// caller.
+const freshWait = time.Millisecond
+
 // receivedEvents returns the number of complete events that the current attempt has received.
 func (s *requestState) receivedEvents() int {
 	return s.sequencer.Received() - s.receivedBefore
@@ -33,11 +37,12 @@
 	hasEvents := false
 	buf := make([]byte, streamBufferBytes)
 	for {
+		readAt := time.Now()
 		n, err := resp.Read(buf)
 		if n > 0 {
 			out, seqErr := state.sequencer.Feed(buf[:n])
 			g.recordProgress(req, state)
-			state.relocation.recordProgress(state)
+			state.relocation.recordProgress(state, time.Since(readAt) >= freshWait)
 			if len(out) > 0 {
 				hasEvents = true
 				if writeErr := g.forwardEvents(ctx, req, state, resp, info, out); writeErr != nil {
@@ -53,6 +58,15 @@
 				return assigner.CallerGone, false
 			}
 		}
+		if errors.Is(err, io.EOF) && !state.sequencer.HasPartial() {
+			if out := state.sequencer.TakeHeld(); len(out) > 0 {
+				hasEvents = true
+				if writeErr := g.forwardEvents(ctx, req, state, resp, info, out); writeErr != nil {
+					state.recordWriteError(writeErr)
+					return assigner.CallerGone, false
+				}
+			}
+		}
 		switch {
 		case errors.Is(err, io.EOF) && !state.sequencer.HasPartial() && (hasEvents || resp.IsFramed):
 			if !state.headerSent {
