--- a/internal/engineagent/verification_test.go
+++ b/internal/engineagent/verification_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/rolloutplanner"
 	"github.com/nutmegdock/nutmegdock/internal/engineagent"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
