A lack of descriptors on this host is no evidence against an endpoint

Cause: each error of a connection counted as an unreachable endpoint, also one of this host's own: no free descriptor or port. The endpoint, and the silent ones of its zone, were taken out of use. Before a probe that failed in this way also cancelled all attempts there.

TestConnectionWithoutDescriptorSaysNothingAboutEndpoint and TestConnectionWithoutDescriptorIsHostLimit guard against it.

Change: such an error has the reason host-limit. The request may try another connection, as after an unreachable endpoint, and the endpoint stays in use. A probe that fails for it says nothing.

A search for another endpoint for a stream now also counts the time from the last event of the attempt that is open, not from that of the attempt before.

--- a/internal/core/outcome/outcome.go
+++ b/internal/core/outcome/outcome.go
@@ -28,6 +28,7 @@
 const (
 	NoEndpoint     Reason = "no-endpoint"  // no endpoint serves the deployment
 	Unreachable    Reason = "unreachable"  // no connection to the receiving host or back end could be established
+	HostLimit      Reason = "host-limit"   // this host lacks a descriptor or a port for the connection
 	Refused        Reason = "refused"      // the request could not be sent or was refused before it was run
 	HostLeaving    Reason = "leaving"      // the host is shutting down
 	Overload       Reason = "overload"     // all endpoints of the deployment are busy
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -206,7 +206,7 @@
 	case isReason(err, outcome.Memory):
 		s.heldUp++
 		return result
-	case result == assigner.NotSent:
+	case result == assigner.NotSent && !isReason(err, outcome.HostLimit):
 		return result
 	case isNotRun:
 		s.unreachable++
@@ -227,6 +227,8 @@
 	// A deadline may have passed before its context has ended.
 	case req.r.Context().Err() != nil || ctx.Err() != nil || isNotRun && o.Reason == outcome.Deadline:
 		return assigner.CallerGone, isNotRun
+	case isNotRun && o.Reason == outcome.HostLimit:
+		return assigner.NotSent, true
 	case isNotRun:
 		return assigner.Unreachable, true
 	default:
--- a/internal/gateway/relocation.go
+++ b/internal/gateway/relocation.go
@@ -110,6 +110,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.position.after, r.position.hasAfter = state.sequencer.LastID, state.sequencer.LastIDKnown
+	if state.receivedEvents() > 0 {
+		r.lastEventAt = time.Now()
+	}
 	if isFresh && r.keeper.RecordProgress() {
 		r.gateway.Meter.CountRelocation(reasonResumed)
 		if r.candidate != nil {
--- a/internal/gateway/relocation_test.go
+++ b/internal/gateway/relocation_test.go
@@ -1,10 +1,13 @@
 package gateway_test
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -87,3 +90,22 @@
 		})
 	}
 }
+
+// Guards against an endpoint that is taken out of use because this host had no descriptor for a connection to it.
+func TestConnectionWithoutDescriptorSaysNothingAboutEndpoint(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, []step{response(http.StatusOK, "a")}, nil)
+	f.configure(1)
+	dial, dials := f.gateway.Sender.Dial, 0
+	f.gateway.Sender.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		if dials++; dials == 1 {
+			return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)}
+		}
+		return dial(ctx, network, address)
+	}
+	status, _, _, err := f.send("/once/", nil)
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	is.Equal(dials, 2)
+	is.Equal(len(f.gateway.Assigner.DueProbes()), 0)
+}
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -122,7 +122,7 @@
 	var o *outcome.Error
 	if errors.As(state.lastErr, &o) && o.Kind == outcome.NotRun {
 		switch o.Reason {
-		case outcome.Unreachable:
+		case outcome.Unreachable, outcome.HostLimit:
 			return state.unreachable < maxUnreachable
 		case outcome.Restricted, outcome.NoPermit:
 			return true // no endpoint has received the request
--- a/internal/gatewayserver/probe.go
+++ b/internal/gatewayserver/probe.go
@@ -81,7 +81,7 @@
 
 func (h *Server) probeEndpoint(ctx context.Context, dial *dialer.Dialer, p assigner.Probe) {
 	conn, err := dial.DialContext(ctx, "tcp", p.Address)
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || dialer.IsLocal(err) {
 		return
 	}
 	if err == nil {
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
+	"github.com/nutmegdock/nutmegdock/internal/dialer"
 )
 
 // maxSkipped limits the informational responses and those to other requests that are skipped on one connection.
@@ -85,7 +86,11 @@
 func (s *Sender) Send(ctx context.Context, attempt Attempt) (*Response, error) {
 	conn, err := s.Dial(ctx, "tcp", attempt.Address)
 	if err != nil {
-		return nil, newError(ctx, outcome.NotRun, outcome.Unreachable, err)
+		reason := outcome.Unreachable
+		if dialer.IsLocal(err) {
+			reason = outcome.HostLimit
+		}
+		return nil, newError(ctx, outcome.NotRun, reason, err)
 	}
 	if attempt.BeforeWrite != nil {
 		if reason := attempt.BeforeWrite(); reason != "" {
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -8,8 +8,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -62,6 +64,21 @@
 const responseHeader = "HTTP/1.1 200 OK\r\nId: 1\r\n"
 
 // An attempt that may have run is never reported as not run, and is not sent again.
+// Guards against endpoints that are taken out of use because this host has no descriptor for a connection to them.
+func TestConnectionWithoutDescriptorIsHostLimit(t *testing.T) {
+	is := is.New(t)
+	for cause, want := range map[error]outcome.Reason{syscall.EMFILE: outcome.HostLimit, syscall.EADDRNOTAVAIL: outcome.HostLimit, syscall.ECONNREFUSED: outcome.Unreachable} {
+		s := &sender.Sender{Dial: func(context.Context, string, string) (net.Conn, error) {
+			return nil, fmt.Errorf("connect: %w", &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", cause)})
+		}}
+		_, err := s.Send(t.Context(), sender.Attempt{Address: "a", Method: http.MethodGet, Target: "/"})
+		var o *outcome.Error
+		is.True(errors.As(err, &o))
+		is.Equal(o.Kind, outcome.NotRun)
+		is.Equal(o.Reason, want)
+	}
+}
+
 func TestFailureAfterRequestIsUnknown(t *testing.T) {
 	for _, c := range []struct {
 		name  string
