Tests of the agent take ports that nobody else is given

Cause: the fixture reserved a free port and released it before the agent listened there.

Change: the ports are taken at random from below the range from which the system gives out ports. The checks are the same.

--- a/internal/engineagent/engineagent_test.go
+++ b/internal/engineagent/engineagent_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -145,9 +147,14 @@
 	var ports [3]int
 	var listeners [3]net.Listener
 	for i := range ports {
-		ln, err := net.Listen("tcp4", "127.0.0.1:0")
-		is.NoErr(err)
-		ports[i], listeners[i] = ln.Addr().(*net.TCPAddr).Port, ln
+		// Other processes and connections get ports above these, so that none takes one between its release and its use.
+		const lowest, highest = 20000, 32000
+		for listeners[i] == nil {
+			ports[i] = lowest + rand.IntN(highest-lowest)
+			if ln, err := net.Listen("tcp4", net.JoinHostPort("127.0.0.1", strconv.Itoa(ports[i]))); err == nil {
+				listeners[i] = ln
+			}
+		}
 	}
 	// The listeners are closed after all ports are known. Otherwise two ports could be the same.
 	for _, ln := range listeners {
