Comment: why a manifest of another shape is used if the origin repeats it

The former comment said that corruption differs from read to read, which the case in docs/incidents/recover-corrupt-manifest.md disproves: two reads had the same changed digit. Only the comment changes.

--- a/internal/chunkreplicator/manifests.go
+++ b/internal/chunkreplicator/manifests.go
@@ -250,7 +250,7 @@
 	if err != nil || r.checkShape(a) == nil {
 		return a, err
 	}
-	// Corruption changes each read in another way, so that what the origin repeats is what it has.
+	// The configuration may be wrong. A manifest that the origin repeats is used, and is provisional like any other.
 	r.manifestReads.Inc()
 	again, err := r.ReadManifest(ctx, origin, s)
 	if err == nil && !slices.Equal(a.Chunks, again.Chunks) {
