Control server goes on after a failure to accept that passes

Cause: rpc.Server.Serve returned every error of Accept, also a lack of descriptors that passes a moment later, and the process ended with it. The servers of net/http try again in that case.

Change: after an error that says that this host lacks something (dialer.IsLocal), or that a connection was given up before it was accepted, the server tries again, after 5 ms at first and 0.5 s at most. Other errors end it as before.

--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -12,15 +12,21 @@
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/nutmegdock/nutmegdock/internal/dialer"
 	"github.com/nutmegdock/nutmegdock/internal/idletimer"
 )
 
 const dialTimeout = time.Second
 
+// minAcceptDelay and maxAcceptDelay bound the time until the next try after a connection could not be accepted. It doubles with
+// each try.
+const minAcceptDelay, maxAcceptDelay = 5 * time.Millisecond, 500 * time.Millisecond
+
 // Handler handles the calls of one method.
 type Handler func(ctx context.Context, params json.RawMessage) (any, error)
 
@@ -44,25 +50,42 @@
 	conns map[*jsonrpc2.Conn]bool
 }
 
-// Serve accepts connections until ctx ends, then closes them all.
+// Serve accepts connections until ctx ends, then closes them all. An error that may pass, such as a lack of descriptors, is
+// followed by another try.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
 	stop := context.AfterFunc(ctx, func() {
 		_ = ln.Close()
 		s.closeConnections()
 	})
 	defer stop()
+	delay := minAcceptDelay
 	for {
 		c, err := ln.Accept()
 		if ctx.Err() != nil {
 			return nil
 		}
-		if err != nil {
+		if err == nil {
+			delay = minAcceptDelay
+			s.addConnection(ctx, c)
+			continue
+		}
+		if !isTemporary(err) {
 			return fmt.Errorf("accept control connection: %w", err)
 		}
-		s.addConnection(ctx, c)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(delay):
+		}
+		delay = min(2*delay, maxAcceptDelay)
 	}
 }
 
+// isTemporary reports whether accepting a connection failed for a reason that may pass.
+func isTemporary(err error) bool {
+	return dialer.IsLocal(err) || errors.Is(err, syscall.ECONNABORTED)
+}
+
 func (s *Server) addConnection(ctx context.Context, c net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
