Idle connections of callers no longer use up the descriptors of a host

Cause: IdleTimeoutMs was decoded and used nowhere; idle connections were kept for two minutes. Nothing divided the descriptors between callers, endpoints and other hosts, so that idle connections took those of requests in progress (not-run, host-limit) and of the control server.

Change: core/connectionbudget decides, without I/O, which connections of callers are kept: one that is idle for IdleTimeoutMs ends, or earlier, the longest idle first, when the callers' part of Limits.FileDescriptors is used up; a head that takes over a second counts as idle; a request in progress is never cut and counts twice, for its endpoint. What has no room is refused at once with reason "connections", from a part of its own. connectionkeeper tells it what connections do and closes those that it names; connectionlimiter bounds the connections that other hosts open. Time in which the process stood still does not count.

Why it works: the sum of the parts is below the limit of the process, and no class can take the part of another one.

--- a/cmd/gatewayd/main.go
+++ b/cmd/gatewayd/main.go
@@ -32,7 +32,7 @@
 	return (&gatewayserver.Server{
 		Name: cfg.Host, Zone: cfg.Zone, IP: cfg.IP, CallerAddress: cfg.CallerAddress, ReadinessAddress: cfg.ReadinessAddress,
 		MetricsAddress: net.JoinHostPort(cfg.IP, strconv.Itoa(cfg.PortRange[0])), ExchangePort: cfg.PortRange[0],
-		LinkMbps: cfg.LinkMbps, Memory: cfg.Memory,
+		LinkMbps: cfg.LinkMbps, Memory: cfg.Memory, Descriptors: starter.Descriptors(cfg.Descriptors, l),
 		GracePeriod: cfg.GracePeriod, RetryRatio: cfg.RetryRatio, RetryBurst: cfg.RetryBurst,
 		EjectsOutliers: cfg.EjectsOutliers, BalancesZones: cfg.BalancesZones,
 		ColdOvershoot: cfg.ColdOvershoot, ColdSlack: cfg.ColdSlack,
--- a/internal/chunkreplicator/chunkreplicator.go
+++ b/internal/chunkreplicator/chunkreplicator.go
@@ -20,6 +20,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/archiver"
 	"github.com/nutmegdock/nutmegdock/internal/bodyreader"
 	"github.com/nutmegdock/nutmegdock/internal/chunkserver"
+	"github.com/nutmegdock/nutmegdock/internal/connectionlimiter"
 	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
 	"github.com/nutmegdock/nutmegdock/internal/core/chunkcache"
 	"github.com/nutmegdock/nutmegdock/internal/core/fetchplanner"
@@ -85,6 +86,8 @@
 	// ControlPort and DataPort are the ports on which other hosts reach the control server and the chunk server. They are
 	// the same on all hosts.
 	ControlPort, DataPort int
+	// Connections bounds the connections of other hosts to both ports.
+	Connections connectionlimiter.Limiter
 	// ControlMethods are additional methods of the control server.
 	ControlMethods map[string]rpc.Handler
 	// Peers returns the other hosts that hold chunks.
@@ -203,7 +206,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for other hosts: %w", err)
 	}
-	return ln, nil
+	return r.Connections.Listen(ln), nil
 }
 
 func (r *Replicator) serveControl(ctx context.Context) error {
--- a/internal/closewatcher/closewatcher.go
+++ b/internal/closewatcher/closewatcher.go
@@ -140,6 +140,11 @@
 	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
 }
 
+// NetConn returns the connection that is watched.
+func (c *conn) NetConn() net.Conn {
+	return c.Conn
+}
+
 // Close closes the connection and ends its context.
 func (c *conn) Close() error {
 	defer c.cancel()
--- /dev/null
+++ b/internal/connectionkeeper/connectionkeeper.go
@@ -0,0 +1,256 @@
+// Package connectionkeeper keeps the connections of callers within the descriptors of the process: it tells
+// core/connectionbudget what they do, and closes those that it names.
+package connectionkeeper
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/connectionbudget"
+	"github.com/nutmegdock/nutmegdock/internal/event"
+)
+
+const (
+	// checkInterval is the time between two searches for connections that have been idle for too long. A longer time in which
+	// the process did not run counts as maxStep.
+	checkInterval = 250 * time.Millisecond
+	maxStep       = 2 * checkInterval
+	// logInterval is the time between two log entries on connections that were closed for want of room.
+	logInterval = 5 * time.Second
+)
+
+// Reasons for closing a connection, in metrics.
+const (
+	reasonTimeout  = "timeout"
+	reasonRoom     = "room"
+	reasonRejected = "rejected"
+)
+
+// Keeper keeps the connections of one listener. Use New.
+type Keeper struct {
+	logger log.Interface
+	closed *prometheus.CounterVec
+
+	mu       sync.Mutex
+	budget   connectionbudget.Budget[*conn]
+	loggedAt time.Time
+	// closedForRoom is the number of connections that were closed for want of room since loggedAt.
+	closedForRoom int
+}
+
+// New returns a keeper with the given parts, and registers its metrics.
+func New(parts connectionbudget.Parts, registry prometheus.Registerer, logger log.Interface) *Keeper {
+	k := &Keeper{logger: logger}
+	k.budget.Parts = parts
+	k.closed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "nutmegdock_gateway_connections_closed_total", Help: "Connections of callers that this host closed while no request was in progress, by reason.",
+	}, []string{"reason"})
+	registry.MustRegister(k.closed)
+	for use, value := range map[string]func(u connectionbudget.Usage) int{
+		"idle":    func(u connectionbudget.Usage) int { return u.Idle },
+		"reading": func(u connectionbudget.Usage) int { return u.Reading },
+		"serving": func(u connectionbudget.Usage) int { return u.Serving },
+		"refused": func(u connectionbudget.Usage) int { return u.Refused },
+	} {
+		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "nutmegdock_gateway_connections", Help: "Connections of callers, by what they do.", ConstLabels: prometheus.Labels{"use": use},
+		}, func() float64 { return float64(value(k.Usage())) }))
+	}
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "nutmegdock_gateway_connections_bound", Help: "Bound of the connections of callers; a request in progress counts twice. Zero means none.",
+	}, func() float64 { return float64(parts.Callers) }))
+	return k
+}
+
+// SetTimes sets how long a connection may be idle, and how long a caller may take to send the head of a request. Zero sets no
+// limit.
+func (k *Keeper) SetTimes(idleTime, headTime time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.budget.SetTimes(idleTime, headTime)
+}
+
+// Usage returns the numbers of connections now.
+func (k *Keeper) Usage() connectionbudget.Usage {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.budget.Usage()
+}
+
+// IsFull reports whether a new connection was closed a moment ago because there was no room to answer it.
+func (k *Keeper) IsFull() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.budget.IsFull()
+}
+
+// Run closes connections that are idle for too long until ctx ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for last := time.Now(); ; {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		now := time.Now()
+		k.mu.Lock()
+		closed := k.budget.Advance(min(now.Sub(last), maxStep))
+		k.mu.Unlock()
+		k.closeAll(closed, reasonTimeout)
+		last = now
+	}
+}
+
+// Listen returns a listener whose connections are kept. The server must use ConnState and ConnContext.
+func (k *Keeper) Listen(ln net.Listener) net.Listener {
+	return &listener{Listener: ln, keeper: k}
+}
+
+type listener struct {
+	net.Listener
+	keeper *Keeper
+}
+
+// Accept waits for a connection for which there is room, if only for a refusal. It closes the others.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		netConn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{Conn: netConn, keeper: l.keeper}
+		c.awaits.Store(true)
+		if l.keeper.open(c) {
+			return c, nil
+		}
+	}
+}
+
+func (k *Keeper) open(c *conn) bool {
+	k.mu.Lock()
+	verdict, closed := k.budget.Open(c)
+	k.mu.Unlock()
+	k.closeAll(closed, reasonRoom)
+	if verdict == connectionbudget.Close {
+		k.closeAll([]*conn{c}, reasonRejected)
+		return false
+	}
+	return true
+}
+
+type connKey struct{}
+
+// ConnContext returns the context of a connection. See http.Server.
+func (k *Keeper) ConnContext(ctx context.Context, c net.Conn) context.Context {
+	if kept := find(c); kept != nil {
+		return context.WithValue(ctx, connKey{}, kept)
+	}
+	return ctx
+}
+
+// ConnState records what a connection does. See http.Server.
+func (k *Keeper) ConnState(c net.Conn, s http.ConnState) {
+	kept := find(c)
+	if kept == nil {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch s {
+	case http.StateIdle:
+		k.budget.EndRequest(kept)
+		kept.awaits.Store(true)
+	case http.StateHijacked, http.StateClosed:
+		k.budget.Remove(kept)
+	case http.StateNew, http.StateActive:
+	}
+}
+
+// BeginRequest records that a request is complete up to its body, and reports whether there is room for it. ctx is that of the
+// request. If there is none, the request must be refused and the connection closed.
+func (k *Keeper) BeginRequest(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return true
+	}
+	k.mu.Lock()
+	ok, closed := k.budget.BeginRequest(c)
+	k.mu.Unlock()
+	k.closeAll(closed, reasonRoom)
+	return ok
+}
+
+func (k *Keeper) closeAll(conns []*conn, reason string) {
+	for _, c := range conns {
+		_ = c.Conn.Close() // it ends with the process at the latest
+	}
+	if len(conns) == 0 {
+		return
+	}
+	k.closed.WithLabelValues(reason).Add(float64(len(conns)))
+	if reason == reasonTimeout {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.closedForRoom += len(conns)
+	if time.Since(k.loggedAt) < logInterval {
+		return
+	}
+	u := k.budget.Usage()
+	event.ConnectionsClosed.Log(k.logger, log.Fields{
+		"closed": k.closedForRoom, "bound": k.budget.Parts.Callers, "idle": u.Idle, "reading": u.Reading, "serving": u.Serving, "refused": u.Refused,
+	})
+	k.loggedAt, k.closedForRoom = time.Now(), 0
+}
+
+// conn is a connection of a caller.
+type conn struct {
+	net.Conn
+	keeper *Keeper
+	// awaits is set while no byte of the next request has arrived.
+	awaits atomic.Bool
+}
+
+// Read records the first bytes of a request.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.awaits.Swap(false) {
+		c.keeper.mu.Lock()
+		defer c.keeper.mu.Unlock()
+		c.keeper.budget.BeginHead(c)
+	}
+	return n, err
+}
+
+// Close closes the connection and takes it out of the account.
+func (c *conn) Close() error {
+	c.keeper.mu.Lock()
+	c.keeper.budget.Remove(c)
+	c.keeper.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// find returns the kept connection inside c, or nil.
+func find(c net.Conn) *conn {
+	for c != nil {
+		if kept, ok := c.(*conn); ok {
+			return kept
+		}
+		wrapper, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		c = wrapper.NetConn()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/connectionbudget/parts.go
@@ -0,0 +1,37 @@
+package connectionbudget
+
+const (
+	// fileDescriptors is the number of descriptors that a process keeps for what is no socket.
+	fileDescriptors = 200
+	// otherDivisor and refusedDivisor give the parts of the sockets for what is neither a caller nor an endpoint, and for callers
+	// that are being refused. incomingShare is the share of the former for connections that other hosts open.
+	otherDivisor, refusedDivisor = 4, 32
+	incomingShare                = 0.75
+	// servedCost is the cost of a request in progress: the connection of its caller and the one to its endpoint. What a move to
+	// another endpoint needs for a moment is in the part of the other hosts.
+	servedCost = 2
+)
+
+// Parts divides the sockets that a process may have open. No class can take the part of another one.
+type Parts struct {
+	// Callers is for the connections of callers and for those to endpoints that serve their requests.
+	Callers int
+	// Refused is for callers that are being told that there is no room.
+	Refused int
+	// Peers is for the connections that other hosts open. What is left serves the connections to them, to the store and to the
+	// origin, and metrics and readiness.
+	Peers int
+}
+
+// Split divides the sockets of a process that may have the given number of descriptors. The zero Parts set no limit.
+func Split(descriptors int) Parts {
+	if descriptors <= 0 {
+		return Parts{}
+	}
+	sockets := max(descriptors-fileDescriptors, descriptors/2)
+	p := Parts{Refused: max(1, sockets/refusedDivisor)}
+	others := sockets / otherDivisor
+	p.Peers = max(1, int(incomingShare*float64(others)))
+	p.Callers = max(servedCost, sockets-others-p.Refused)
+	return p
+}
--- a/internal/core/fleetconfig/fleetconfig.go
+++ b/internal/core/fleetconfig/fleetconfig.go
@@ -136,7 +136,9 @@
 type Limits struct {
 	HeaderBytes int
 	BodyBytes   int64
-	IdleTime    time.Duration
+	// HeadTime is how long a caller may take to send the head of a request, and IdleTime how long its connection may be idle;
+	// zero if the configuration does not say.
+	HeadTime, IdleTime time.Duration
 }
 
 // Config is one complete configuration. It is immutable once it is in use.
@@ -144,6 +146,8 @@
 	Revision Revision
 	Limits   Limits
 	Pools    map[ident.Pool]*Pool
+	// Defaulted describes values that are not valid, and that other ones are used for.
+	Defaulted []string
 	// Keys maps each key to its organisation; nil means that no request needs a key.
 	Keys map[Key]*Organisation
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -422,6 +422,20 @@
 	is.Equal(len(f.requests()), 1)
 }
 
+// Guards against a request without descriptors that is sent to an endpoint, or whose connection stays open.
+func TestRequestWithoutDescriptorsIsRefused(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, []step{response(200, "ok")})
+	f.configure(1)
+	f.gateway.HasRoom = func(context.Context) bool { return false }
+	status, body, h, err := f.send("/read/", nil)
+	is.NoErr(err)
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(strings.Contains(body, `"reason":"connections"`))
+	is.True(h.Get("Retry-After") != "")
+	is.Equal(len(f.requests()), 0)
+}
+
 // In a planned stop, requests that came late in the grace period, or were in progress, were cut off without an answer at its end: their own time
 // limits were later.
 func TestRequestsAreAnsweredBeforePlannedStopEnds(t *testing.T) {
--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -19,8 +19,10 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmegdock/nutmegdock/internal/chunkreplicator"
+	"github.com/nutmegdock/nutmegdock/internal/connectionkeeper"
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
 	"github.com/nutmegdock/nutmegdock/internal/core/coldtracker"
+	"github.com/nutmegdock/nutmegdock/internal/core/connectionbudget"
 	"github.com/nutmegdock/nutmegdock/internal/core/crashsuspector"
 	"github.com/nutmegdock/nutmegdock/internal/core/evacuationtracker"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
@@ -89,6 +91,9 @@
 	// Memory is the number of bytes of memory that the process may use. Zero means that it is not known, and that what is
 	// buffered for callers and endpoints is not bounded.
 	Memory int
+	// Descriptors is the number of descriptors that the process may have open. Zero means that it is not known, and that
+	// connections are not bounded.
+	Descriptors int
 	// ExchangePort is the UDP port on which entry hosts exchange their loads.
 	ExchangePort int
 	// GracePeriod is the time from the cancellation of ctx until the process is killed.
@@ -121,6 +126,7 @@
 	Logger     log.Interface
 
 	gateway  *gateway.Gateway
+	keeper   *connectionkeeper.Keeper
 	assigner *assigner.Assigner
 	ready    atomic.Bool
 	draining atomic.Bool
@@ -213,6 +219,10 @@
 		RetryAfter: func(remaining time.Duration) time.Duration { return max(0, remaining/retryAfterDivisor) },
 	}
 	h.initBuffers(registry)
+	parts := connectionbudget.Split(h.Descriptors)
+	h.keeper = connectionkeeper.New(parts, registry, h.Logger)
+	h.gateway.HasRoom = h.keeper.BeginRequest
+	h.Replicator.Connections.Max = parts.Peers
 	h.assigner.OnSuspect = h.gateway.HandleSuspect
 	h.suspector.OnQuarantine, h.suspector.OnLift = h.gateway.HandleQuarantine, h.gateway.HandleLift
 	h.FleetWatcher.Tracker = tracker
@@ -265,6 +275,7 @@
 	mux.HandleFunc(messages.ExplainPath, h.gateway.ServeExplanation)
 	mux.Handle("/", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	tasks.Go(func() error { return h.serve(serveCtx, h.MetricsAddress, mux) })
+	tasks.Go(func() error { return h.keeper.Run(serveCtx) })
 	tasks.Go(func() error { return h.serve(serveCtx, h.ReadinessAddress, http.HandlerFunc(h.handleReadiness)) })
 	tasks.Go(func() error { return h.serveCallers(serveCtx) })
 	event.Started.Log(h.Logger, log.Fields{"ip": h.IP, "callers": h.CallerAddress, "metrics": h.MetricsAddress})
@@ -305,7 +316,7 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	return h.serveOn(ctx, ln, handler)
+	return h.serveOn(ctx, ln, handler, nil)
 }
 
 // serveCallers serves the callers. Their connections have bounded send buffers if the memory of the host is known.
@@ -317,11 +328,11 @@
 	if h.Memory > 0 {
 		ln = &sendBufferListener{ln}
 	}
-	return h.serveOn(ctx, ln, h.gateway)
+	return h.serveOn(ctx, ln, h.gateway, h.keeper)
 }
 
-func (h *Server) serveOn(ctx context.Context, ln net.Listener, handler http.Handler) error {
-	err := (&httpserver.Server{Listener: ln, Handler: handler, ShutdownTimeout: serverShutdownTimeout, PassOptions: true}).Run(ctx)
+func (h *Server) serveOn(ctx context.Context, ln net.Listener, handler http.Handler, keeper *connectionkeeper.Keeper) error {
+	err := (&httpserver.Server{Listener: ln, Handler: handler, ShutdownTimeout: serverShutdownTimeout, PassOptions: true, Keeper: keeper}).Run(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
 		event.ShutdownIncomplete.Log(h.Logger.WithField("address", ln.Addr().String()), nil)
 		return nil
@@ -330,7 +341,7 @@
 }
 
 func (h *Server) handleReadiness(w http.ResponseWriter, _ *http.Request) {
-	if h.draining.Load() || h.gateway.Config() == nil || !h.FleetWatcher.Tracker.Loaded() || !h.hasLearnedFacts() {
+	if h.draining.Load() || h.keeper.IsFull() || h.gateway.Config() == nil || !h.FleetWatcher.Tracker.Loaded() || !h.hasLearnedFacts() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -344,6 +355,10 @@
 	if !h.gateway.SetConfig(config) {
 		return false
 	}
+	h.keeper.SetTimes(config.Limits.IdleTime, config.Limits.HeadTime)
+	for _, d := range config.Defaulted {
+		event.LimitDefaulted.Log(h.Logger, log.Fields{"revision": int64(config.Revision), "limit": d})
+	}
 	h.cold.SetPools(config.Pools)
 	h.assigner.SetPools(config.Pools)
 	event.ConfigApplied.Log(h.Logger.WithFields(log.Fields{"revision": int64(config.Revision), "pools": len(config.Pools), "keys": len(config.Keys)}), nil)
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/nutmegdock/nutmegdock/internal/closewatcher"
+	"github.com/nutmegdock/nutmegdock/internal/connectionkeeper"
 )
 
 const (
@@ -28,11 +29,18 @@
 	ShutdownTimeout time.Duration
 	// PassOptions passes "OPTIONS *" requests to the handler.
 	PassOptions bool
+	// Keeper keeps the connections within the descriptors of the process. Nil means that each one is kept until it has been
+	// idle for idleTimeout.
+	Keeper *connectionkeeper.Keeper
 }
 
 // Run serves until ctx ends, then stops listening and waits for the requests in flight.
 func (s *Server) Run(ctx context.Context) error {
-	listener := &closewatcher.Listener{Listener: s.Listener}
+	ln := s.Listener
+	if s.Keeper != nil {
+		ln = s.Keeper.Listen(ln)
+	}
+	listener := &closewatcher.Listener{Listener: ln}
 	srv := &http.Server{
 		Handler:           s.Handler,
 		ConnContext:       listener.ConnContext,
@@ -42,6 +50,12 @@
 
 		DisableGeneralOptionsHandler: s.PassOptions,
 	}
+	if s.Keeper != nil {
+		srv.ConnState = s.Keeper.ConnState
+		srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+			return s.Keeper.ConnContext(listener.ConnContext(ctx, c), c)
+		}
+	}
 	shutdownErr := make(chan error, 1)
 	stop := context.AfterFunc(ctx, func() {
 		shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.ShutdownTimeout)
