A stream that waits for an endpoint which stands still too moves on

Callers saw: while the hosts of two of six engines stood still, 1 to 4 of 700 streams ended without their last events, 25 ms before their deadlines (1705, reason stalled), though four engines had room.

Cause: such a stream had left the first of the two for the second one, which was not known to stand still yet. The attempt there was unknown to the check for endpoints that stand still, and while it was open no third endpoint was sought.

Evidence: a log line for each search and attempt (trial) showed one attempt of 673 and 725 ms at the second engine in the broken streams, and no search that failed for room or budget.

Change: core/attemptkeeper knows of several attempts at other endpoints. A further one is sought only if there is indirect evidence against each that has the request; all are kept until one begins to respond, and then the others end. Spares and retry budget bound them. The checks for endpoints that stand still or cannot be reached count against those attempts too; they only move a request, and never end it, unless its own endpoint stands still.

Measured: "third endpoint takes it" and "second and third are silent" of TestAttemptIsKeptAfterFailedProbe failed before.

--- a/internal/core/attemptkeeper/attemptkeeper.go
+++ b/internal/core/attemptkeeper/attemptkeeper.go
@@ -3,7 +3,8 @@
 // The connection of the attempt says itself when the endpoint is gone: it is reset or ends. Everything else, such as a
 // failed connection of somebody else or silence, is indirect evidence: the endpoint may be leaving, be full, or stand still
 // for a second. Such evidence only starts the search for another endpoint. The attempt is kept until that one has begun to
-// respond, and goes on if that one refuses.
+// respond, and goes on if that one refuses. The same holds for the attempt there: if it is silent as well, a third endpoint is
+// sought, and both are kept until it has begun to respond.
 package attemptkeeper
 
 import "time"
@@ -27,37 +28,36 @@
 	Stop
 )
 
-type phase int
-
-const (
-	// idle: no other endpoint is sought.
-	idle phase = iota
-	// seeking: another endpoint is sought or chosen, and does not have the request.
-	seeking
-	// sent: another endpoint may have the request.
-	sent
-	// handedOver: another endpoint has begun to respond, and the attempt ends or has ended.
-	handedOver
-	// over: the attempt has ended, and no other endpoint is to continue the request.
-	over
-)
-
-// Keeper decides about one open attempt, and the one at another endpoint that may take its place. It is not safe for
-// concurrent use.
+// Keeper decides about one open attempt, and those at other endpoints that may take its place. It is not safe for concurrent
+// use.
 type Keeper struct {
 	// Spares is the number of further endpoints that may run the request.
 	Spares int
 
-	phase    phase
 	soughtAt time.Time
-	// isDropped says that the other attempt must not take the place of this one any more, and hasEnded that this one has
+	// isSeeking says that another endpoint is sought or chosen, and does not have the request.
+	isSeeking bool
+	// open is the number of other endpoints that may have the request and have not responded, and suspects the number of
+	// those among them that may be gone or stand still.
+	open, suspects int
+	// isHandedOver says that another endpoint has begun to respond, and isOver that no other one is to continue the request.
+	isHandedOver, isOver bool
+	// isDropped says that the other attempts must not take the place of this one any more, and hasEnded that this one has
 	// ended.
 	isDropped, hasEnded bool
 }
 
-// CanSeek reports whether another endpoint may be sought.
+// CanSeek reports whether another endpoint may be sought. While other endpoints have the request, only if there is evidence
+// against each of them as well.
 func (k *Keeper) CanSeek(now time.Time) bool {
-	return k.phase == idle && k.Spares > 0 && (k.soughtAt.IsZero() || now.Sub(k.soughtAt) >= RetryInterval)
+	switch {
+	case k.isSeeking || k.isHandedOver || k.isOver || k.isDropped && k.open > 0 || k.hasEnded && k.open == 0:
+		return false
+	case k.open > k.suspects || k.Spares <= k.open:
+		return false
+	default:
+		return k.soughtAt.IsZero() || now.Sub(k.soughtAt) >= RetryInterval
+	}
 }
 
 // Seek records that another endpoint is sought because of indirect evidence, and reports whether it may be.
@@ -65,48 +65,58 @@
 	if !k.CanSeek(now) {
 		return false
 	}
-	k.phase, k.soughtAt, k.isDropped = seeking, now, false
+	k.isSeeking, k.soughtAt, k.isDropped = true, now, false
 	return true
 }
 
+// RecordNotSent records that no other endpoint was found, or that the request was not sent to it.
+func (k *Keeper) RecordNotSent() {
+	k.isSeeking = false
+	k.settle()
+}
+
 // RecordSent records that the request is about to be sent to another endpoint, and reports whether it may be.
 func (k *Keeper) RecordSent() bool {
-	if k.phase != seeking || k.isDropped {
+	if !k.isSeeking || k.isDropped || k.isHandedOver {
 		return false
 	}
-	k.phase = sent
+	k.isSeeking = false
+	k.open++
 	return true
 }
 
-// RecordFailed records that no other endpoint was found, or that the other endpoint has refused the request or failed. The
-// attempt is kept. mayHaveRun says that the other endpoint may have run the request.
-func (k *Keeper) RecordFailed(mayHaveRun bool) {
+// RecordSuspect records that there is indirect evidence against another endpoint that has the request. It must be called once
+// for each.
+func (k *Keeper) RecordSuspect() {
+	k.suspects++
+}
+
+// RecordFailed records that another endpoint has refused the request or failed. The attempt is kept. mayHaveRun says that the
+// other endpoint may have run the request, and isSuspect that RecordSuspect was called for it.
+func (k *Keeper) RecordFailed(mayHaveRun, isSuspect bool) {
+	k.close(isSuspect)
 	if mayHaveRun {
 		k.Spares--
 	}
-	if k.phase == seeking || k.phase == sent {
-		k.phase = idle
-	}
-	if k.hasEnded {
-		k.phase = over
-	}
+	k.settle()
 }
 
 // RecordAccepted records that another endpoint has begun to respond, and reports whether the request goes on there. If so,
-// the attempt ends. Otherwise the other one must be ended.
-func (k *Keeper) RecordAccepted() bool {
-	if k.phase != sent || k.isDropped {
-		k.RecordFailed(true)
+// this attempt and all others end. Otherwise the other one must be ended.
+func (k *Keeper) RecordAccepted(isSuspect bool) bool {
+	if k.isDropped || k.isHandedOver || k.isOver {
+		k.RecordFailed(true, isSuspect)
 		return false
 	}
-	k.phase = handedOver
+	k.close(isSuspect)
+	k.isHandedOver = true
 	return true
 }
 
-// RecordProgress records that the endpoint of the attempt has sent a part of the response, and reports whether an attempt at
-// another endpoint must be ended, since this one goes on.
+// RecordProgress records that the endpoint of the attempt has sent a part of the response, and reports whether attempts at
+// other endpoints must be ended, since this one goes on.
 func (k *Keeper) RecordProgress() bool {
-	if k.phase != seeking && k.phase != sent || k.isDropped {
+	if !k.isSeeking && k.open == 0 || k.isDropped || k.isHandedOver {
 		return false
 	}
 	k.isDropped = true
@@ -119,14 +129,33 @@
 	k.hasEnded = true
 	switch {
 	case isOver:
-		k.phase, k.isDropped = over, true
+		k.isOver, k.isDropped = true, true
 		return Stop
-	case k.phase == handedOver:
+	case k.isHandedOver:
 		return Continue
-	case k.phase == sent && !k.isDropped, k.phase == seeking && !k.isDropped:
+	case (k.isSeeking || k.open > 0) && !k.isDropped:
 		return Await
 	default:
-		k.phase, k.isDropped = over, true
+		k.isOver, k.isDropped = true, true
 		return Alone
 	}
 }
+
+// Awaits reports whether the attempt has ended and another endpoint may still begin to respond.
+func (k *Keeper) Awaits() bool {
+	return k.hasEnded && !k.isHandedOver && !k.isOver
+}
+
+func (k *Keeper) close(isSuspect bool) {
+	k.open--
+	if isSuspect {
+		k.suspects--
+	}
+}
+
+// settle ends the wait for other endpoints when there is none left.
+func (k *Keeper) settle() {
+	if k.hasEnded && !k.isSeeking && k.open == 0 && !k.isHandedOver {
+		k.isOver = true
+	}
+}
--- a/internal/gateway/candidate.go
+++ b/internal/gateway/candidate.go
@@ -26,6 +26,8 @@
 	sentAt         time.Time
 	// response is the header of the response; nil before it has arrived.
 	response *sender.Response
+	// isSuspect says that its endpoint may be gone or stand still, and isCounted that its result is among the failures.
+	isSuspect, isCounted bool
 }
 
 // candidateFailure is the result of a candidate that did not take the place of an attempt.
@@ -58,12 +60,17 @@
 	c.stopWithdrawal = g.withdrawAtCutoff(r.req, next, c.cancel)
 	r.mu.Lock()
 	if !mayBegin || !r.keeper.RecordSent() {
-		r.keeper.RecordFailed(false)
+		r.keeper.RecordNotSent()
+		r.settle()
 		r.mu.Unlock()
 		g.endCandidate(c, assigner.NotSent)
 		return
 	}
-	r.candidate = c
+	if r.candidates == nil {
+		r.candidates = make(map[*candidate]bool)
+	}
+	r.candidates[c] = true
+	g.relocations.add(next, r)
 	r.query.Excluded[next.Endpoint.ID] = true
 	position := r.position
 	r.mu.Unlock()
@@ -82,12 +89,15 @@
 			failure.mayHaveRun = !failure.isRefused
 		}
 	}
+	g.relocations.remove(next, r)
 	r.mu.Lock()
-	r.candidate = nil
+	delete(r.candidates, c)
 	if err == nil {
-		if r.keeper.RecordAccepted() {
+		if r.keeper.RecordAccepted(c.isSuspect) {
 			r.next = c
 			r.cancel()
+			r.endOthers()
+			r.settle()
 			r.mu.Unlock()
 			g.Meter.CountRelocation("")
 			event.RequestMoved.Log(g.Logger.WithFields(g.logFields(r.req)), log.Fields{
@@ -97,9 +107,12 @@
 		}
 		failure.mayHaveRun, result = true, assigner.CallerGone
 	} else {
-		r.keeper.RecordFailed(failure.mayHaveRun)
+		r.keeper.RecordFailed(failure.mayHaveRun, c.isSuspect)
+	}
+	if !c.isCounted {
+		r.failures = append(r.failures, failure)
 	}
-	r.failures = append(r.failures, failure)
+	r.settle()
 	r.mu.Unlock()
 	if result == assigner.Failed && c.attempt.sentTo.Load() != nil {
 		g.checkCrash(&next.Endpoint, r.req.features)
@@ -113,6 +126,16 @@
 	}
 }
 
+// endOthers ends the candidates after one of them has taken over. They may have run the request, and are counted before their
+// ends are known, since the request does not wait for them. The caller must hold r.mu.
+func (r *relocation) endOthers() {
+	for c := range r.candidates {
+		c.isCounted = true
+		r.failures = append(r.failures, candidateFailure{endpoint: c.choice.Endpoint.ID, mayHaveRun: true})
+		c.cancel()
+	}
+}
+
 // check returns an error if the response of a candidate cannot take the place of that of the attempt, and the outcome for
 // the endpoint.
 func (r *relocation) check(resp *sender.Response) (assigner.Outcome, error) {
--- a/internal/gateway/relocation.go
+++ b/internal/gateway/relocation.go
@@ -44,9 +44,10 @@
 	// kind is that of a stream that has begun.
 	hasStarted bool
 	kind       streamKind
-	// candidate is the attempt at another endpoint that has not responded yet, and sought is closed when the search has ended.
-	candidate *candidate
-	sought    chan struct{}
+	// candidates are the attempts at other endpoints that have not responded yet. settled is closed when the request no longer
+	// awaits one of them after its attempt has ended.
+	candidates map[*candidate]bool
+	settled    chan struct{}
 	// next is the attempt that the request continues with, and isAbandoned is set if it cannot be served any more. failures
 	// are the results of candidates that did not take over.
 	next        *candidate
@@ -70,25 +71,26 @@
 		r.keeper.Spares = req.route.MaxAttempts - 1 - state.mayHaveRun
 	}
 	state.relocation = r
-	g.relocations.add(r)
+	g.relocations.add(choice, r)
 }
 
 // end ends the attempt. If another endpoint has the request, it waits for its response. isOver says that the request does
 // not go on.
 func (r *relocation) end(state *requestState, isOver bool) {
-	r.gateway.relocations.remove(r)
-	r.mu.Lock()
-	how := r.keeper.RecordEnd(isOver || r.isAbandoned)
-	candidate, sought := r.candidate, r.sought
-	r.mu.Unlock()
-	switch {
-	case how == attemptkeeper.Await:
-		<-sought // which ends with the request
-	case how != attemptkeeper.Continue && candidate != nil:
-		candidate.cancel()
-	}
+	r.gateway.relocations.remove(r.choice, r)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	switch r.keeper.RecordEnd(isOver || r.isAbandoned) {
+	case attemptkeeper.Await:
+		settled := make(chan struct{})
+		r.settled = settled
+		r.mu.Unlock()
+		<-settled // all candidates end with the request
+		r.mu.Lock()
+	case attemptkeeper.Alone, attemptkeeper.Stop:
+		r.cancelCandidates()
+	case attemptkeeper.Continue:
+	}
 	state.next, state.isAbandoned = r.next, r.isAbandoned
 	for _, f := range r.failures {
 		f.addTo(state)
@@ -115,9 +117,22 @@
 	}
 	if isFresh && r.keeper.RecordProgress() {
 		r.gateway.Meter.CountRelocation(reasonResumed)
-		if r.candidate != nil {
-			r.candidate.cancel()
-		}
+		r.cancelCandidates()
+	}
+}
+
+// cancelCandidates ends the attempts at other endpoints. The caller must hold r.mu.
+func (r *relocation) cancelCandidates() {
+	for c := range r.candidates {
+		c.cancel()
+	}
+}
+
+// settle lets the request go on if it awaits no candidate any more. The caller must hold r.mu.
+func (r *relocation) settle() {
+	if r.settled != nil && !r.keeper.Awaits() {
+		close(r.settled)
+		r.settled = nil
 	}
 }
 
@@ -126,8 +141,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.keeper.Spares = 0
-	if r.keeper.RecordProgress() && r.candidate != nil {
-		r.candidate.cancel()
+	if r.keeper.RecordProgress() {
+		r.cancelCandidates()
 	}
 }
 
@@ -179,9 +194,6 @@
 		r.mu.Unlock()
 		return
 	}
-	sought := make(chan struct{})
-	r.sought = sought
-	defer close(sought)
 	query := r.query
 	query.Excluded = maps.Clone(query.Excluded)
 	query.TimeLeft = r.timeLeft(lastEventAt, time.Now())
@@ -195,7 +207,8 @@
 		g.Meter.CountRelocation(string(refusal))
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.keeper.RecordFailed(false)
+		r.keeper.RecordNotSent()
+		r.settle()
 		return
 	}
 	r.try(next, query.TimeLeft)
@@ -210,37 +223,51 @@
 	}
 	r.isAbandoned = true
 	r.cancel()
-	if r.candidate != nil {
-		r.candidate.cancel()
+	r.cancelCandidates()
+}
+
+// recordSuspect records that there is indirect evidence against the endpoint of an assignment of the request.
+func (r *relocation) recordSuspect(choice *assigner.Assignment) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.candidates {
+		if c.choice == choice && !c.isSuspect {
+			c.isSuspect = true
+			r.keeper.RecordSuspect()
+		}
 	}
 }
 
 // HandleSuspect looks for another endpoint for a request whose endpoint cannot be reached and is silent.
 func (g *Gateway) HandleSuspect(c *assigner.Assignment) {
 	if r := g.relocations.of(c); r != nil {
+		r.recordSuspect(c)
 		go r.seek(time.Time{})
 	}
 }
 
-// relocationList holds the attempts in flight.
+// relocationList holds the attempts in flight, and the candidates for their places.
 type relocationList struct {
 	mu       sync.Mutex
 	byChoice map[*assigner.Assignment]*relocation
 }
 
-func (l *relocationList) add(r *relocation) {
+func (l *relocationList) add(c *assigner.Assignment, r *relocation) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.byChoice == nil {
 		l.byChoice = make(map[*assigner.Assignment]*relocation)
 	}
-	l.byChoice[r.choice] = r
+	l.byChoice[c] = r
 }
 
-func (l *relocationList) remove(r *relocation) {
+// remove removes an attempt, unless a candidate has become the attempt of another relocation.
+func (l *relocationList) remove(c *assigner.Assignment, r *relocation) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.byChoice, r.choice)
+	if l.byChoice[c] == r {
+		delete(l.byChoice, c)
+	}
 }
 
 func (l *relocationList) of(c *assigner.Assignment) *relocation {
@@ -264,15 +291,25 @@
 	}
 	now := time.Now()
 	stalled := make([]*relocation, len(check.Requests))
+	isOwn := make(map[*relocation]bool) // whether the endpoint of the attempt itself stands still, not only that of a candidate
+	for i, s := range check.Requests {
+		if r := g.relocations.of(s.Assignment); r != nil {
+			stalled[i] = r
+			r.recordSuspect(s.Assignment)
+			isOwn[r] = isOwn[r] || s.Assignment == r.choice
+		}
+	}
 	requests := make([]relocator.Request, 0, len(check.Requests))
 	for i, s := range check.Requests {
-		if stalled[i] = g.relocations.of(s.Assignment); stalled[i] != nil {
-			requests = append(requests, stalled[i].describe(i, s, now))
+		if r := stalled[i]; r != nil && (s.Assignment == r.choice || !isOwn[r]) {
+			requests = append(requests, r.describe(i, s, now))
 		}
 	}
 	plan := relocator.Decide(requests, g.RetryBudget.Retries())
 	for _, i := range plan.Ends {
-		stalled[i].abandon()
+		if isOwn[stalled[i]] {
+			stalled[i].abandon()
+		}
 	}
 	for _, i := range plan.Moves {
 		go stalled[i].seek(check.Requests[i].LastEventAt)
--- a/internal/gateway/relocation_test.go
+++ b/internal/gateway/relocation_test.go
@@ -60,17 +60,21 @@
 		"other endpoint responds too late": {"/stream/", []step{noResponse}, false, 2},
 		"other endpoint takes it":          {"/stream/", []step{streamOf(4, 6, true)}, true, 2},
 		"stream that may not be repeated":  {"/fixed/", []step{streamOf(4, 6, true)}, false, 1},
+		"third endpoint takes it":          {"/stream/", []step{noResponse, streamOf(4, 6, true)}, true, 3},
+		"second and third are silent":      {"/stream/", []step{noResponse, noResponse}, false, 3},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			begun, resumed := make(chan struct{}), make(chan struct{})
-			steps := append([]step{silentStream(900*time.Millisecond, begun, resumed)}, c.others...)
+			steps := append([]step{silentStream(1500*time.Millisecond, begun, resumed)}, c.others...)
 			f := startFleet(t, append(make([][]step, len(c.others)), steps)...)
 			f.configure(1)
 			go func() {
 				<-begun
-				time.Sleep(500 * time.Millisecond) // the silence after which an endpoint is probed
-				f.failProbe()
+				for range 2 {
+					time.Sleep(500 * time.Millisecond) // the silence after which an endpoint is probed
+					f.failProbe()
+				}
 			}()
 			status, body, _, err := f.send(c.path, nil)
 			is.NoErr(err) // the response is complete
