--- a/internal/core/evacuationtracker/evacuationtracker.go
+++ b/internal/core/evacuationtracker/evacuationtracker.go
@@ -32,7 +32,7 @@
 }
 
 // RecordRestore records that the store has been restored from an older copy. Zones that the next snapshot does not list
-// stay evacuated for restoreRetention, since their records may be missing in the copy.
+// stay evacuated for restoreRetention, whatever further snapshots list, since their records may be missing in the copy.
 func (t *Tracker) RecordRestore() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -50,10 +50,12 @@
 	for z, e := range t.zones {
 		switch {
 		case slices.Contains(listed, z):
-		case !t.isRestored:
-			t.end(z)
-		case e.endsAt.IsZero():
+		case !e.endsAt.IsZero():
+			// Its record has been missing since the restore.
+		case t.isRestored:
 			t.zones[z] = evacuation{endsAt: time.Now().Add(restoreRetention)}
+		default:
+			t.end(z)
 		}
 	}
 	t.isRestored = false
--- a/internal/core/evacuationtracker/evacuationtracker_test.go
+++ b/internal/core/evacuationtracker/evacuationtracker_test.go
@@ -70,7 +70,6 @@
 				tracker.End(z)
 			case "snapshot":
 				tracker.Replace(slices.Collect(maps.Keys(wanted)))
-				clear(lostAt)
 			case "copy":
 				copied = maps.Clone(wanted)
 			case "restore":
--- a/internal/core/fleettracker/fleettracker.go
+++ b/internal/core/fleettracker/fleettracker.go
@@ -16,6 +16,9 @@
 	// minOutage is the shortest time without a successful read after which entries may have expired: two heartbeats of
 	// an endpoint.
 	minOutage = 2400 * time.Millisecond
+	// restoredEntryTime is how long a store that was restored from an older copy may list endpoints that are gone. Their
+	// entries expire after three heartbeats of 1.2 s, which they miss once the store answers again.
+	restoredEntryTime = 10 * time.Second
 	// startupGrace is the time from the read of a snapshot to the end of the rollout of a release in it: it may have been
 	// published long ago. Hosts are exempt from RolloutTimeout for the first three seconds after their start.
 	startupGrace = 2500 * time.Millisecond
@@ -49,14 +52,17 @@
 // departure is what was last known of an incarnation that leaves.
 type departure struct {
 	isDraining bool
-	// isGone says that its entry has been removed.
-	isGone bool
+	// isGone says that its entry has been removed, and isListed that a store which was restored from an older copy lists it
+	// since then.
+	isGone, isListed bool
 }
 
 type entry struct {
 	fleetconfig.Endpoint
 	// expiresAt is when an entry that expired during an outage is dropped; zero for an entry that exists in the store.
 	expiresAt time.Time
+	// isListed says that the store lists it again since it was restored from an older copy.
+	isListed bool
 }
 
 // Tracker holds the fleet state. Set its fields before use. It is safe for concurrent use.
@@ -71,10 +77,12 @@
 	recoveredAt time.Time
 	// departures holds the incarnations that are known to be draining or gone.
 	departures boundedmap.Map[fleetconfig.Incarnation, departure]
-	// isRestored says that the next snapshot is of a store that has been restored from an older copy.
-	isRestored bool
-	readFailed bool
-	loaded     bool
+	// isRestored says that the next snapshot is of a store that has been restored from an older copy. Until restoredUntil,
+	// such a store may list endpoints that are gone.
+	isRestored    bool
+	restoredUntil time.Time
+	readFailed    bool
+	loaded        bool
 }
 
 // RecordRead records whether the last read of the store succeeded. It must be called before the contents of a read are
@@ -85,6 +93,10 @@
 	now := time.Now()
 	if !ok {
 		t.readFailed = true
+		if now.Before(t.restoredUntil) {
+			// No entry expires while the store is away.
+			t.restoredUntil = now.Add(restoredEntryTime)
+		}
 		return
 	}
 	if t.readFailed && !t.lastRead.IsZero() && now.Sub(t.lastRead) > minOutage {
@@ -94,12 +106,18 @@
 }
 
 // RecordRestore records that the store has been restored from an older copy. Endpoints that are missing in the next
-// snapshot have a limited time to write their entries again, as after an outage. Those that the snapshot lists although
-// they were gone are used only once they have written their entries again.
+// snapshot have a limited time to write their entries again, as after an outage. Those that snapshots list although they
+// were gone are used only once they have written their entries again, or if snapshots list them for longer than
+// restoredEntryTime.
 func (t *Tracker) RecordRestore() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.isRestored, t.recoveredAt = true, time.Now()
+	t.recoveredAt = time.Now()
+	t.beginRestored(t.recoveredAt)
+}
+
+func (t *Tracker) beginRestored(now time.Time) {
+	t.isRestored, t.restoredUntil = true, now.Add(restoredEntryTime)
 }
 
 // Replace replaces the endpoints with those of a snapshot. If the store has just recovered from an outage, endpoints
@@ -107,22 +125,52 @@
 func (t *Tracker) Replace(all []fleetconfig.Endpoint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	listed := t.listedGone(all)
 	old := t.entries
 	t.entries = make(map[string]*entry, len(all))
 	for _, e := range all {
-		if t.isRestored && t.departures.Get(e.Incarnation()).isGone {
-			continue
+		key := e.Incarnation()
+		if !listed[key] {
+			t.put(e)
+		} else if kept := old[e.ID]; kept != nil && kept.Incarnation() == key {
+			kept.isListed = true
+			t.entries[e.ID] = kept
 		}
-		t.put(e)
 	}
 	for id, e := range old {
-		if t.entries[id] == nil && !t.retainAfterOutage(id, e) {
-			t.recordGone(e.Endpoint)
+		if now := t.entries[id]; now != nil && now.Incarnation() != e.Incarnation() || now == nil && !t.retainAfterOutage(id, e) {
+			t.recordGone(e)
 		}
 	}
 	t.isRestored, t.loaded = false, true
 }
 
+// listedGone returns the incarnations that a snapshot lists only because the store was restored from a copy that is older than
+// their departure, or than the removal of an entry that is retained: those that each snapshot since the restore has listed.
+// One that was absent meanwhile has written its entry again. The caller must hold t.mu.
+func (t *Tracker) listedGone(all []fleetconfig.Endpoint) map[fleetconfig.Incarnation]bool {
+	if !t.isRestored && !time.Now().Before(t.restoredUntil) {
+		return nil
+	}
+	listed := make(map[fleetconfig.Incarnation]bool)
+	for _, e := range all {
+		key := e.Incarnation()
+		if d := t.departures.Get(key); d.isGone && (t.isRestored || d.isListed) {
+			listed[key] = true
+		}
+		if kept := t.entries[e.ID]; kept != nil && kept.Incarnation() == key && !kept.expiresAt.IsZero() && (t.isRestored || kept.isListed) {
+			listed[key] = true
+		}
+	}
+	for key, d := range t.departures.All() {
+		if d.isListed != listed[key] {
+			d.isListed = listed[key]
+			t.departures.Set(key, d)
+		}
+	}
+	return listed
+}
+
 // Put adds or replaces the entry of one endpoint.
 func (t *Tracker) Put(e fleetconfig.Endpoint) {
 	t.mu.Lock()
@@ -130,6 +178,9 @@
 	if t.entries == nil {
 		t.entries = make(map[string]*entry)
 	}
+	if old := t.entries[e.ID]; old != nil && old.Incarnation() != e.Incarnation() {
+		t.recordGone(old) // another incarnation has its place
+	}
 	t.put(e)
 }
 
@@ -146,8 +197,8 @@
 }
 
 // recordGone remembers that the entry of an incarnation has been removed. The caller must hold t.mu.
-func (t *Tracker) recordGone(e fleetconfig.Endpoint) {
-	t.setDeparture(e.Incarnation(), departure{isDraining: e.Draining, isGone: true})
+func (t *Tracker) recordGone(e *entry) {
+	t.setDeparture(e.Incarnation(), departure{isDraining: e.Draining, isGone: true, isListed: e.isListed})
 }
 
 // setDeparture stores a departure, or removes it if the incarnation is in use. The caller must hold t.mu.
@@ -180,14 +231,15 @@
 }
 
 // AddDepartures adds incarnations that another host knows to be draining or gone. It must be called before the first
-// snapshot is applied. An entry in that snapshot of an incarnation that is gone is not used.
+// snapshot is applied. The store may have been restored before this host started, so that snapshots list incarnations that
+// are gone.
 func (t *Tracker) AddDepartures(all []Departure) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, d := range all {
 		t.setDeparture(fleetconfig.Incarnation{ID: d.ID, StartTime: d.StartTime}, departure{isDraining: d.IsDraining, isGone: d.IsGone})
 	}
-	t.isRestored = true
+	t.beginRestored(time.Now())
 }
 
 // Remove removes the entry of an endpoint. If the store has just recovered from an outage, the endpoint is kept for a
@@ -200,8 +252,8 @@
 		return
 	}
 	delete(t.entries, id)
-	if !t.retainAfterOutage(id, e) {
-		t.recordGone(e.Endpoint)
+	if e.isListed = false; !t.retainAfterOutage(id, e) {
+		t.recordGone(e)
 	}
 }
 
@@ -209,6 +261,9 @@
 // and reports whether it did. The entry of an endpoint that was leaving is not kept.
 func (t *Tracker) retainAfterOutage(id string, e *entry) bool {
 	expiresAt := t.recoveredAt.Add(rejoinWindow)
+	if !e.expiresAt.IsZero() {
+		expiresAt = e.expiresAt // a further outage does not extend it
+	}
 	if e.Draining || t.recoveredAt.IsZero() || !time.Now().Before(expiresAt) {
 		return false
 	}
@@ -226,7 +281,7 @@
 	for id, e := range t.entries {
 		if !e.expiresAt.IsZero() && now.After(e.expiresAt) {
 			delete(t.entries, id)
-			t.recordGone(e.Endpoint)
+			t.recordGone(e)
 			continue
 		}
 		out = append(out, e.Endpoint)
