Agents that start prove the layers that their predecessors had not proven

Cause: an agent that starts knew nothing of the command before it (Verifier.Inherit was never called) and took all layers for proven; entry hosts forgot a closed gate after a second of silence and believed the engine's entry again.

Change: the first fleet query of an agent names its engine, and the answer contains the last gate state that the entry host knows; no call is added. An agent that inherits a closed gate announces it at once (1769), and opens it once the layers are proven. An entry host does not use an engine whose entry shows the release that the gate was closed for, until the host beside it says that it is open; after a second of silence it asks for that every 250 ms (one datagram).

TestHeldEngineIsAskedForItsGate: six to nine questions in the 2.1 s after the first of silence, none before.

--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -52,6 +52,9 @@
 	maxSlowdown        = 20
 	// gateStateTTL is how long a closed engine counts as closed without a new message.
 	gateStateTTL = time.Second
+	// gateAskInterval is the time between two questions for the gate state of an engine that is out of use since its last
+	// closed gate state named the release that it holds.
+	gateAskInterval = 250 * time.Millisecond
 	// overdueGrace is how much later than predicted a first event may be before the endpoint counts as stalled.
 	overdueGrace = 250 * time.Millisecond
 )
@@ -154,9 +157,11 @@
 	StartTime int64  `cbor:"born"`
 	// Closed says that the engine accepts no requests until it has loaded other weights.
 	Closed bool `cbor:"closed,omitempty"`
-	// Model and Release are what the engine serves, unless Closed is set.
+	// Model and Release are what the engine serves, or what it has been commanded to load if Closed is set.
 	Model   fleetconfig.Model   `cbor:"model,omitempty"`
 	Release fleetconfig.Release `cbor:"release,omitempty"`
+	// OpenWrites says that writes to the staging area have had no answer, so that they may be carried out later.
+	OpenWrites bool `cbor:"writes,omitempty"`
 }
 
 type endpointState struct {
@@ -179,6 +184,8 @@
 	addressReused bool
 	gateState     GateState
 	gateStateAt   time.Time
+	// gateAskedAt is when the host beside the engine was last asked for it.
+	gateAskedAt time.Time
 	// otherIncarnationAt is when the host beside the engine last reported another incarnation at the same address.
 	otherIncarnationAt time.Time
 	// othersLoad is the load of the other entry hosts, as last reported at reportedAt.
@@ -406,6 +413,9 @@
 	if pool != nil && pool.Engine != nil && !s.Layers.CoversAll(pool.Engine.Layers) {
 		release, ok = 0, false
 	}
+	if s.isHeld(now) && s.gateState.Model == q.Model {
+		return 0, false
+	}
 	if !s.gateState.Closed && s.gateState.Model == q.Model {
 		// The engine's entry may be older than the reported gate state.
 		release, ok = max(release, s.gateState.Release), true
@@ -413,6 +423,30 @@
 	return release, ok && (release == q.Release || !q.ExactRelease && release > q.Release)
 }
 
+// isHeld reports whether the engine holds a release that the host beside it closed the gate for, and that host has been silent
+// since: its layers are not proven, whatever the entry of the engine says.
+func (s *endpointState) isHeld(now time.Time) bool {
+	if !s.gateState.Closed || s.gateState.Release == 0 || now.Sub(s.gateStateAt) < gateStateTTL {
+		return false
+	}
+	release, ok := s.Endpoint.Release(s.gateState.Model)
+	return ok && release == s.gateState.Release
+}
+
+// LastGate returns the last gate state of the engine at an address; the zero value if none is known.
+func (a *Assigner) LastGate(address string) GateState {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var last GateState
+	var lastAt time.Time
+	for _, s := range a.byAddress[address] {
+		if s.gateState.StartTime != 0 && s.gateStateAt.After(lastAt) {
+			last, lastAt = s.gateState, s.gateStateAt
+		}
+	}
+	return last
+}
+
 // overdueWait returns the age of the oldest request without a first event that is later than predicted by more than
 // overdueGrace, or zero if there is none.
 func (s *endpointState) overdueWait(now time.Time) time.Duration {
--- a/internal/core/assigner/replay_test.go
+++ b/internal/core/assigner/replay_test.go
@@ -524,6 +524,41 @@
 	}
 }
 
+// Guards against an engine that stays out of use because this host has not heard that its gate is open again, and against
+// questions while the gate state is known.
+func TestHeldEngineIsAskedForItsGate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := &assigner.Assigner{Zone: "z"}
+		a.SetPools(map[ident.Pool]*fleetconfig.Pool{"p": {Name: "p", Engine: engineProfile}})
+		e := fleetconfig.Endpoint{ID: "e", Pool: "p", StartTime: 1, Address: "10.0.0.1:80", Models: []fleetconfig.ServedModel{{Model: "m", Release: 2}}}
+		a.SetEndpoints([]fleetconfig.Endpoint{e})
+		questions := func(d time.Duration) (n int) {
+			for end := time.Now().Add(d); time.Now().Before(end); {
+				check := a.CheckStalls()
+				n += len(check.GateQuestions)
+				time.Sleep(check.Wait)
+			}
+			return n
+		}
+		closed := assigner.GateState{Address: e.Address, StartTime: 1, Closed: true, Model: "m", Release: 2}
+		is.Equal(a.LastGate(e.Address), assigner.GateState{})
+		is.Equal(questions(2*time.Second), 0)
+		a.SetGateState(closed)
+		is.Equal(a.LastGate(e.Address), closed)
+		is.Equal(questions(900*time.Millisecond), 0) // the host beside it has just spoken
+		n := questions(2100 * time.Millisecond)
+		is.True(n >= 6 && n <= 9)
+		_, refusal := assign(a)
+		is.Equal(refusal, assigner.NoEndpoint)
+		closed.Closed = false
+		a.SetGateState(closed)
+		is.Equal(questions(2*time.Second), 0)
+		_, refusal = assign(a)
+		is.Equal(refusal, assigner.Refusal(""))
+	})
+}
+
 // The first engine restarts after a power failure while every host has waiting callers that retried. They must not all
 // be sent to that engine.
 func TestRetryingCallersDoNotFloodTheFirstEngine(t *testing.T) {
--- a/internal/core/assigner/stall.go
+++ b/internal/core/assigner/stall.go
@@ -42,8 +42,10 @@
 type StallCheck struct {
 	// Questions lists the endpoints whose hosts should be asked now whether they run.
 	Questions []fleetconfig.Endpoint
-	Requests  []StalledRequest
-	Changes   []StallChange
+	// GateQuestions lists the engines whose gate state should be asked for now.
+	GateQuestions []fleetconfig.Endpoint
+	Requests      []StalledRequest
+	Changes       []StallChange
 	// Wait is the time until the next check.
 	Wait time.Duration
 }
@@ -75,6 +77,13 @@
 	if hasStoodStill {
 		s.stall.Forget(now)
 	}
+	if s.isHeld(now) {
+		if now.Sub(s.gateAskedAt) >= gateAskInterval {
+			s.gateAskedAt = now
+			check.GateQuestions = append(check.GateQuestions, s.Endpoint)
+		}
+		check.Wait = min(check.Wait, gateAskInterval)
+	}
 	if len(s.inFlight) == 0 && !s.stall.IsStill() && !s.isReportedStill && !s.stall.IsDoubtful(now) {
 		return
 	}
--- a/internal/engineagent/announce.go
+++ b/internal/engineagent/announce.go
@@ -62,7 +62,21 @@
 	if g.StartTime == 0 || !g.Closed && time.Since(g.setAt) > gateReplyDuration {
 		return nil
 	}
-	return &assigner.GateState{Address: h.Address, StartTime: g.StartTime, Closed: g.Closed, Model: g.Model, Release: g.Release}
+	return g.statement(h.Address)
+}
+
+// lastGate returns the last gate state, or nil if there is none yet.
+func (h *Agent) lastGate() *assigner.GateState {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.gateState.StartTime == 0 {
+		return nil
+	}
+	return h.gateState.statement(h.Address)
+}
+
+func (g gateState) statement(address string) *assigner.GateState {
+	return &assigner.GateState{Address: address, StartTime: g.StartTime, Closed: g.Closed, Model: g.Model, Release: g.Release, OpenWrites: g.OpenWrites}
 }
 
 // announce sends the gate state to the entry hosts of the zone, or to all if the zone has none.
--- a/internal/engineagent/engineagent.go
+++ b/internal/engineagent/engineagent.go
@@ -90,8 +90,10 @@
 	// and while that waits for the chunks of an empty engine, by the one that loads its first layers.
 	verifier loadverifier.Verifier
 	verified fleetconfig.ServedModel
-	report   rolloutplanner.Report
-	updates  chan struct{}
+	// unprovenStart is the incarnation of the engine that a former agent had closed the gate of; zero if there is none.
+	unprovenStart int64
+	report        rolloutplanner.Report
+	updates       chan struct{}
 	// gateChanged signals that the gate state has been set.
 	gateChanged chan struct{}
 	meter       *meter
@@ -100,7 +102,9 @@
 	fleet      messages.FleetResponse
 	entryHosts []hostregistrar.Entry
 	gateState  gateState
-	pace       enginePace
+	// inherited is the last gate state that a former agent announced; nil if none is known, or once the verifier knows it.
+	inherited *messages.GateState
+	pace      enginePace
 	// staged holds what is known of the staged chunks, by their number.
 	staged map[int]stagedChunk
 	// unanswered is the last load command without an answer; the zero value if there is none.
@@ -133,7 +137,7 @@
 	tasks.Go(func() error { return h.announcePeriodically(ctx) })
 	tasks.Go(func() error { return h.followPace(ctx) })
 	exchanger := &loadexchanger.Exchanger{
-		Host: ident.Host(h.IP), Conn: h.GateConn, Gate: h.currentGate, Pace: h.currentPace, Logger: h.Logger,
+		Host: ident.Host(h.IP), Conn: h.GateConn, Gate: h.currentGate, LastGate: h.lastGate, Pace: h.currentPace, Logger: h.Logger,
 	}
 	exchanger.Init()
 	tasks.Go(func() error { return exchanger.Run(ctx) })
--- a/internal/engineagent/fleet.go
+++ b/internal/engineagent/fleet.go
@@ -135,13 +135,16 @@
 
 // queryEntryHost queries an entry host for the fleet state.
 func (h *Agent) queryEntryHost(ctx context.Context, host ident.Host, timeout time.Duration) (messages.FleetResponse, error) {
+	query := messages.FleetQuery{Pool: h.Pool}
 	h.mu.Lock()
-	digest := h.fleet.Digest
+	if query.Digest = h.fleet.Digest; !h.fleet.Known {
+		query.Engine = h.Address
+	}
 	h.mu.Unlock()
 	ctx, cancel := idletimer.New(ctx, timeout, timeout, maxStoreTime, nil)
 	defer cancel()
 	client := h.Replicator.Client(host)
-	resp, err := rpc.Call[messages.FleetResponse](ctx, client, messages.FleetMethod, messages.FleetQuery{Pool: h.Pool, Digest: digest})
+	resp, err := rpc.Call[messages.FleetResponse](ctx, client, messages.FleetMethod, query)
 	if err == nil && resp.Unchanged {
 		return h.currentFleet(), nil
 	}
@@ -167,6 +170,9 @@
 
 func (h *Agent) applyFleet(resp messages.FleetResponse, isFirst bool) {
 	h.mu.Lock()
+	if isFirst {
+		h.inherited = resp.Gate
+	}
 	h.fleet = resp
 	if len(resp.Seeds) > 0 {
 		h.entryHosts = resp.Seeds
--- a/internal/engineagent/pace_test.go
+++ b/internal/engineagent/pace_test.go
@@ -44,10 +44,11 @@
 	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	is.NoErr(err)
 	var last *assigner.Pace
+	gates := make(chan assigner.GateState, 1000)
 	x := &loadexchanger.Exchanger{
 		Host: "a", Conn: conn, Responder: func(fleetconfig.Endpoint) netip.AddrPort { return responder }, Logger: discardLogger,
 		LocalLoad: func(fleetconfig.Endpoint) assigner.Load { return assigner.Load{} }, LoadedEndpoints: func() []fleetconfig.Endpoint { return nil },
-		IsLeaving: func(fleetconfig.Endpoint) bool { return false }, OnGate: func(assigner.GateState) {},
+		IsLeaving: func(fleetconfig.Endpoint) bool { return false }, OnGate: func(g assigner.GateState) { gates <- g },
 		OnReply: func(_ fleetconfig.Endpoint, r loadexchanger.Reply) {
 			mu.Lock()
 			defer mu.Unlock()
@@ -87,4 +88,15 @@
 	await(2.5, 400*time.Millisecond)
 	set(1, true)
 	await(0, 10*time.Second)
+	// A host that has not heard for long that the gate is open asks for it.
+	for len(gates) > 0 {
+		<-gates
+	}
+	x.AskGate(fleetconfig.Endpoint{ID: "e", Address: "127.0.0.1:80"})
+	select {
+	case g := <-gates:
+		is.Equal(g, assigner.GateState{Address: "127.0.0.1:80", StartTime: 1, Model: "m", Release: 1})
+	case <-time.After(2 * time.Second):
+		t.Fatal("the process beside the engine does not state its gate")
+	}
 }
--- a/internal/engineagent/reconcile.go
+++ b/internal/engineagent/reconcile.go
@@ -49,6 +49,7 @@
 	if !ok {
 		return nil
 	}
+	h.inherit()
 	r, err := h.observeReport(ctx)
 	if err != nil {
 		return err
--- a/internal/engineagent/verification.go
+++ b/internal/engineagent/verification.go
@@ -41,10 +41,29 @@
 	h.verifier.Begin(s, h.currentFleet().Layers, len(a.Chunks), layers)
 }
 
+// inherit takes over the gate state that a former agent announced. If it had closed the gate, the layers of the engine have to
+// be proven before the gate opens.
+func (h *Agent) inherit() {
+	h.mu.Lock()
+	g := h.inherited
+	h.inherited = nil
+	h.mu.Unlock()
+	if g == nil {
+		return
+	}
+	s := fleetconfig.ServedModel{Model: fleetconfig.Model(g.Model), Release: fleetconfig.Release(g.Release)}
+	h.verifier.Inherit(loadverifier.Inherited{StartTime: g.StartTime, Served: s, Closed: g.Closed, OpenWrites: g.OpenWrites})
+	if g.Closed {
+		h.unprovenStart = g.StartTime
+		h.setGateState(gateState{Closed: true, StartTime: g.StartTime, Model: s.Model, Release: s.Release, OpenWrites: g.OpenWrites})
+		event.GateInherited.Log(h.Logger, log.Fields{"born": g.StartTime, "model": g.Model, "release": g.Release, "writes": g.OpenWrites})
+	}
+}
+
 // isProven reports whether all layers that the engine holds are proven to be those of their release, and stay so.
 func (h *Agent) isProven(r rolloutplanner.Report) bool {
 	if h.verified == (fleetconfig.ServedModel{}) {
-		return true // nothing is known of the engine's layers
+		return r.StartTime != h.unprovenStart // nothing else is known of the engine's layers
 	}
 	return r.StartTime == h.report.StartTime && h.verifier.Proven()
 }
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -82,6 +82,7 @@
 	SpillEnded             = Event{1793, log.InfoLevel, "requests stay in their zone again"}
 	BufferBoundReached     = Event{1795, log.WarnLevel, "too much is buffered for callers and endpoints; new requests are refused"}
 	BufferBoundCleared     = Event{1796, log.InfoLevel, "new requests are no longer refused because of what is buffered"}
+	GateInherited          = Event{1769, log.InfoLevel, "former process beside the engine had closed the gate; the engine's layers are proven first"}
 	ConnectionsClosed      = Event{1794, log.WarnLevel, "connections of callers without a request in progress were closed for want of room"}
 	LimitDefaulted         = Event{1799, log.WarnLevel, "limit is not valid; another one is used"}
 	CallerReadsSlowly      = Event{1797, log.InfoLevel, "caller does not read its response; the response is read on into a buffer"}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,8 @@
 	// AskHost asks the process beside an endpoint whether its host runs, and passes the reply to the assigner. It does not
 	// wait for it. It must be set if CheckStalls is called.
 	AskHost func(e fleetconfig.Endpoint)
+	// AskGate asks the process beside an engine for its gate state, and passes the answer to the assigner. It does not wait.
+	AskGate func(e fleetconfig.Endpoint)
 	// TakePermit takes a permit for one request to an endpoint that limits its requests. If there is none, it returns the
 	// time until there may be one. Nil means that no endpoint limits them.
 	TakePermit func(ctx context.Context, e fleetconfig.Endpoint) (ok bool, wait time.Duration)
--- a/internal/gateway/relocation.go
+++ b/internal/gateway/relocation.go
@@ -283,6 +283,9 @@
 	for _, e := range check.Questions {
 		g.AskHost(e)
 	}
+	for _, e := range check.GateQuestions {
+		g.AskGate(e)
+	}
 	for _, c := range check.Changes {
 		g.logStall(c)
 	}
--- a/internal/gatewayserver/fleet.go
+++ b/internal/gatewayserver/fleet.go
@@ -51,9 +51,21 @@
 	}
 	resp := cached.response
 	resp.ReleaseAgeMs = h.releaseAge(resp).Milliseconds()
+	if q.Engine != "" {
+		resp.Gate = h.lastGate(q.Engine)
+	}
 	return resp, nil
 }
 
+// lastGate returns the last gate state of the engine at an address; nil if none is known.
+func (h *Server) lastGate(address string) *messages.GateState {
+	g := h.assigner.LastGate(address)
+	if g.StartTime == 0 {
+		return nil
+	}
+	return &messages.GateState{StartTime: g.StartTime, Closed: g.Closed, Model: string(g.Model), Release: int64(g.Release), OpenWrites: g.OpenWrites}
+}
+
 // releaseAge returns the time since the earliest possible publication of the newest release; zero if it is unknown.
 func (h *Server) releaseAge(fleet messages.FleetResponse) time.Duration {
 	publishedAt := h.FleetWatcher.Tracker.PublishedAt(fleetconfig.Model(fleet.Model), fleetconfig.Release(fleet.NewestRelease-1))
--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -203,7 +203,7 @@
 	suspensions.Check()
 	h.gateway = &gateway.Gateway{
 		Suspector: h.suspector, Announce: h.factExchanger.Announce,
-		Codec: h.Codec, Assigner: h.assigner, QueryLoads: exchanger.QueryFor, AskHost: exchanger.Ask, TakePermit: h.takePermit, NeedsPermit: h.cold.NeedsPermit, PermitLifetime: h.cold.PermitLifetime, Sender: &sender.Sender{Dial: (&dialer.Dialer{ConnectTimeout: connectTimeout}).DialContext},
+		Codec: h.Codec, Assigner: h.assigner, QueryLoads: exchanger.QueryFor, AskHost: exchanger.Ask, AskGate: exchanger.AskGate, TakePermit: h.takePermit, NeedsPermit: h.cold.NeedsPermit, PermitLifetime: h.cold.PermitLifetime, Sender: &sender.Sender{Dial: (&dialer.Dialer{ConnectTimeout: connectTimeout}).DialContext},
 		RetryBudget: &retrybudget.Budget{TokensPerRequest: h.RetryRatio * budgetShare, Burst: h.RetryBurst * budgetShare / minBudgetHosts},
 		OldestRelease: func(m fleetconfig.Model) fleetconfig.Release {
 			suspensions.Check()
--- a/internal/loadexchanger/loadexchanger.go
+++ b/internal/loadexchanger/loadexchanger.go
@@ -92,6 +92,8 @@
 	OnFacts func(m factexchanger.Message, from netip.AddrPort)
 	// Gate returns the gate state to send with replies, or nil. It is nil on entry hosts.
 	Gate func() *assigner.GateState
+	// LastGate returns the last gate state, to answer queries for it, or nil if there is none yet. It is nil on entry hosts.
+	LastGate func() *assigner.GateState
 	// Pace returns the pace of the engine to state in replies, or nil. It is nil on entry hosts.
 	Pace func() *assigner.Pace
 	// Logger receives the log events of messages that cannot be decoded.
@@ -271,6 +273,13 @@
 	x.forgetQuery(id)
 }
 
+// AskGate asks the process beside an engine for the engine's gate state, which OnGate receives.
+func (x *Exchanger) AskGate(e fleetconfig.Endpoint) {
+	if to := x.Responder(e); to.IsValid() {
+		x.send(message{Host: x.Host, GateQuery: e.Address}, to)
+	}
+}
+
 // forgetQuery drops a query without a reply after silentTimeout.
 func (x *Exchanger) forgetQuery(id uint64) {
 	time.AfterFunc(silentTimeout, func() {
@@ -386,6 +395,10 @@
 		x.handleGrant(*m.Grant, m.Limit, m.Cold)
 	case m.Handover != nil:
 		x.handleHandover(*m.Handover, from)
+	case m.GateQuery != "" && x.LastGate != nil:
+		if g := x.LastGate(); g != nil && g.Address == m.GateQuery {
+			x.send(message{Host: x.Host, Gate: g}, from)
+		}
 	case m.Gate != nil && x.OnGate != nil:
 		x.OnGate(*m.Gate)
 	case m.Facts != nil && x.OnFacts != nil:
--- a/internal/loadexchanger/message.go
+++ b/internal/loadexchanger/message.go
@@ -29,6 +29,8 @@
 	// Cold is what the sender knows of the endpoint of the load, the reply, the permit or the grant, if it may be cold.
 	Cold     *coldStatement `cbor:"cold,omitempty"`
 	Handover *handover      `cbor:"handover,omitempty"`
+	// GateQuery is the address of the engine whose gate state the sender asks for.
+	GateQuery string `cbor:"gates,omitempty"`
 }
 
 // permitRequest asks the responder of an endpoint for a permit for one request. The grant names the query.
