Layers of many chunks are loaded on slow engines

What was seen: with 32 chunks a layer and 500 ms a call, an engine never took a release (TestStateLayersOfManyChunksAreServed, known red). Callers of the known deployments, with four chunks a layer, did not see it.

Cause: not all reads of the layer fit into the time for which they prove anything, so all chunks were due for a read, and the first eight by number were read over and over. They stayed fresh, the attempt never failed, and the command that goes out after failed attempts was not reached.

Change: of the chunks that are due, those with the oldest reads come first. First reads keep their order.

--- a/internal/core/loadverifier/next.go
+++ b/internal/core/loadverifier/next.go
@@ -1,6 +1,7 @@
 package loadverifier
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -124,12 +125,14 @@
 }
 
 // expiring returns the chunks that have to be read for a command, with those whose reads would be too old once the others
-// have been read.
+// have been read. Those whose reads are the oldest come first: if not all can be read in time, the same ones would be read
+// over and over otherwise, and the attempt would never fail.
 func (v *Verifier) expiring(chunks []int, at time.Duration) []int {
 	out := v.stale(chunks, at)
 	for {
 		more := v.stale(chunks, at+v.pace.timeFor(len(out)))
 		if len(more) <= len(out) {
+			slices.SortStableFunc(out, func(a, b int) int { return cmp.Compare(v.chunks[a].read.Sent, v.chunks[b].read.Sent) })
 			return out
 		}
 		out = more
