entryd bounds its connections as gatewayd does

Change: the settings of entryd have "descriptors" and "idle". The budget of connections, the refusal (503), readiness and the bound on connections of other hosts are those of gatewayd. The limit of the system is looked up in one place for both programs (internal/descriptors). Metrics of connections have the same names in both.

Measured: the tests of internal/httpserver, internal/e2e and pkg pass; TestRequestsWithoutRoomAreRefusedAtOnce covers the same keeper. No test has entryd at its limit.

--- a/cmd/gatewayd/main.go
+++ b/cmd/gatewayd/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/nutmegdock/nutmegdock/internal/chunkreplicator"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/descriptors"
 	"github.com/nutmegdock/nutmegdock/internal/dialer"
 	"github.com/nutmegdock/nutmegdock/internal/gatewayserver"
 	"github.com/nutmegdock/nutmegdock/platform/engineclient"
@@ -32,7 +33,7 @@
 	return (&gatewayserver.Server{
 		Name: cfg.Host, Zone: cfg.Zone, IP: cfg.IP, CallerAddress: cfg.CallerAddress, ReadinessAddress: cfg.ReadinessAddress,
 		MetricsAddress: net.JoinHostPort(cfg.IP, strconv.Itoa(cfg.PortRange[0])), ExchangePort: cfg.PortRange[0],
-		LinkMbps: cfg.LinkMbps, Memory: cfg.Memory, Descriptors: starter.Descriptors(cfg.Descriptors, l),
+		LinkMbps: cfg.LinkMbps, Memory: cfg.Memory, Descriptors: descriptors.Limit("Limits.FileDescriptors", cfg.Descriptors, l),
 		GracePeriod: cfg.GracePeriod, RetryRatio: cfg.RetryRatio, RetryBurst: cfg.RetryBurst,
 		EjectsOutliers: cfg.EjectsOutliers, BalancesZones: cfg.BalancesZones,
 		ColdOvershoot: cfg.ColdOvershoot, ColdSlack: cfg.ColdSlack,
--- a/internal/connectionkeeper/connectionkeeper.go
+++ b/internal/connectionkeeper/connectionkeeper.go
@@ -50,7 +50,7 @@
 	k := &Keeper{logger: logger}
 	k.budget.Parts = parts
 	k.closed = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "nutmegdock_gateway_connections_closed_total", Help: "Connections of callers that this host closed while no request was in progress, by reason.",
+		Name: "nutmegdock_connections_closed_total", Help: "Connections of callers that this host closed while no request was in progress, by reason.",
 	}, []string{"reason"})
 	registry.MustRegister(k.closed)
 	for use, value := range map[string]func(u connectionbudget.Usage) int{
@@ -60,11 +60,11 @@
 		"refused": func(u connectionbudget.Usage) int { return u.Refused },
 	} {
 		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: "nutmegdock_gateway_connections", Help: "Connections of callers, by what they do.", ConstLabels: prometheus.Labels{"use": use},
+			Name: "nutmegdock_connections", Help: "Connections of callers, by what they do.", ConstLabels: prometheus.Labels{"use": use},
 		}, func() float64 { return float64(value(k.Usage())) }))
 	}
 	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "nutmegdock_gateway_connections_bound", Help: "Bound of the connections of callers; a request in progress counts twice. Zero means none.",
+		Name: "nutmegdock_connections_bound", Help: "Bound of the connections of callers; a request in progress counts twice. Zero means none.",
 	}, func() float64 { return float64(parts.Callers) }))
 	return k
 }
@@ -189,6 +189,19 @@
 	return ok
 }
 
+// Handler returns a handler that passes a request on if there is room for it, and has it refused otherwise. The connection is
+// closed after a refusal.
+func (k *Keeper) Handler(next http.Handler, refuse http.HandlerFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if k.BeginRequest(r.Context()) {
+			next.ServeHTTP(w, r)
+			return
+		}
+		w.Header().Set("Connection", "close")
+		refuse(w, r)
+	})
+}
+
 func (k *Keeper) closeAll(conns []*conn, reason string) {
 	for _, c := range conns {
 		_ = c.Conn.Close() // it ends with the process at the latest
--- a/internal/entryhost/config.go
+++ b/internal/entryhost/config.go
@@ -69,6 +69,10 @@
 
 // serveReady responds with status 204 once the host is ready, and otherwise with status 503 and the reason.
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if s.keeper.IsFull() {
+		http.Error(w, "no descriptors are left for new connections", http.StatusServiceUnavailable)
+		return
+	}
 	if !s.follower.Ready() {
 		http.Error(w, "configuration is not complete yet: "+s.replicator.NotReadyReason(), http.StatusServiceUnavailable)
 		return
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -20,8 +20,12 @@
 	"github.com/nutmegdock/nutmegdock/internal/checkpointer"
 	"github.com/nutmegdock/nutmegdock/internal/configfollower"
 	"github.com/nutmegdock/nutmegdock/internal/configreplicator"
+	"github.com/nutmegdock/nutmegdock/internal/connectionkeeper"
+	"github.com/nutmegdock/nutmegdock/internal/connectionlimiter"
+	"github.com/nutmegdock/nutmegdock/internal/core/connectionbudget"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/reportcache"
+	"github.com/nutmegdock/nutmegdock/internal/descriptors"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/httpserver"
 	"github.com/nutmegdock/nutmegdock/internal/membership"
@@ -46,6 +50,10 @@
 	CheckpointSeconds int `json:"checkpoint,omitempty" validate:"min=0,max=86400"`
 	// GraceSeconds is the number of seconds for which requests in flight may continue during a graceful shutdown.
 	GraceSeconds int `json:"grace" validate:"min=1,max=3600"`
+	// Descriptors is the number of descriptors that the process may have open. Zero sets no limit on connections.
+	Descriptors int `json:"descriptors,omitempty" validate:"min=0,max=1048576"`
+	// IdleSeconds is the number of seconds for which the connection of a caller may be idle. Zero means two minutes.
+	IdleSeconds int `json:"idle,omitempty" validate:"min=0,max=3600"`
 }
 
 // Server is one entry host. Set its fields before Run.
@@ -64,6 +72,9 @@
 	controlTraffic bytecounter.Counter
 	pipeline       *requestPipeline
 	admission      *admission
+	keeper         *connectionkeeper.Keeper
+	// peerConnections bounds the connections of other hosts to the control address.
+	peerConnections connectionlimiter.Limiter
 }
 
 // Run serves until ctx ends, then finishes the requests in flight.
@@ -91,11 +102,15 @@
 	s.pipeline.registerMethods(control.Handlers, s.Logger)
 	s.pipeline.run(background, &tasks)
 	tasks.Go(func() error { return s.members.Run(background) })
-	tasks.Go(func() error { return control.Serve(background, s.controlTraffic.Listener(listeners.control)) })
+	tasks.Go(func() error {
+		return control.Serve(background, s.controlTraffic.Listener(s.peerConnections.Listen(listeners.control)))
+	})
+
+	tasks.Go(func() error { return s.keeper.Run(background) })
 
 	g, gctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
-		w := httpserver.Server{Listener: listeners.callers, Handler: s.callerHandler(), ShutdownTimeout: grace}
+		w := httpserver.Server{Listener: listeners.callers, Handler: s.callerHandler(), ShutdownTimeout: grace, Keeper: s.keeper}
 		return w.Run(gctx)
 	})
 	g.Go(func() error {
@@ -146,6 +161,7 @@
 			DataAddress: s.Settings.CallerAddress, ControlAddress: s.Settings.ControlAddress, StartTime: time.Now().UnixNano(),
 		},
 	}
+	s.buildConnections()
 	s.buildConfig()
 	s.buildAdmission()
 	s.buildRequests()
@@ -161,5 +177,18 @@
 
 func (s *Server) callerHandler() http.Handler {
 	c := &callerapi.API{ViewState: s.follower.View, Dispatch: s.countOutcomes(s.pipeline.deduplicator.Do), Logger: s.Logger}
-	return c.Handler()
+	return s.keeper.Handler(c.Handler(), refuseWithoutDescriptors)
+}
+
+// refuseWithoutDescriptors refuses a request that no descriptors are left for. Nothing has run.
+func refuseWithoutDescriptors(w http.ResponseWriter, _ *http.Request) {
+	http.Error(w, "no descriptors are left for another request", http.StatusServiceUnavailable)
+}
+
+// buildConnections divides the descriptors between callers and other hosts.
+func (s *Server) buildConnections() {
+	parts := connectionbudget.Split(descriptors.Limit("descriptors", s.Settings.Descriptors, s.Logger))
+	s.keeper = connectionkeeper.New(parts, s.registry, s.Logger)
+	s.keeper.SetTimes(time.Duration(s.Settings.IdleSeconds)*time.Second, 0)
+	s.peerConnections.Max = parts.Peers
 }
