--- a/internal/core/connectionbudget/connectionbudget.go
+++ b/internal/core/connectionbudget/connectionbudget.go
@@ -17,7 +17,7 @@
 
 const (
 	// minHeadTime is how long a caller may take to send the head of a request, or to send anything on a new connection,
-	// whatever else needs room. It is added to HeadTime, since a head may be late on its way.
+	// whatever else needs room. It is added to the time that SetTimes states, since a head may be late on its way.
 	minHeadTime = time.Second
 	// fullTime is how long the budget counts as full after a connection was closed for want of room.
 	fullTime = time.Second
@@ -54,8 +54,8 @@
 	since time.Duration
 }
 
-// Budget keeps account of the connections of callers, each of which has a key. Set Parts before use. It is
-// not safe for concurrent use.
+// Budget keeps account of the connections of callers, each of which has a key. Set Parts before use. It is not safe for
+// concurrent use.
 type Budget[K comparable] struct {
 	Parts Parts
 
