The server that has a keeper of connections also refuses for it

Each user of httpserver.Server with a Keeper had to tell the keeper of its requests itself: gatewayd through a field of the gateway, entryd through a handler around its own. One that forgot would have had requests in progress counted as idle, and cut. Now the server wraps its handler, with Refuse for what has no room; gateway.HasRoom goes, and the gateway's refusal is a method. No change of behaviour: the same status, reason, headers and log lines.

The tests keep their assertions; the gateway's test serves the refusal itself, which the server calls now. internal/gateway, httpserver, entryhost, e2e and platform/slowreader pass.

--- a/internal/connectionkeeper/connectionkeeper.go
+++ b/internal/connectionkeeper/connectionkeeper.go
@@ -110,7 +110,8 @@
 	}
 }
 
-// Listen returns a listener whose connections are kept. The server must use ConnState and ConnContext.
+// Listen returns a listener whose connections are kept. The server must use ConnState, ConnContext
+// and Handler.
 func (k *Keeper) Listen(ln net.Listener) net.Listener {
 	return &listener{Listener: ln, keeper: k}
 }
@@ -175,9 +176,9 @@
 	}
 }
 
-// BeginRequest records that a request is complete up to its body, and reports whether there is room for it. ctx is that of the
-// request. If there is none, the request must be refused and the connection closed.
-func (k *Keeper) BeginRequest(ctx context.Context) bool {
+// beginRequest records that a request is complete up to its body, and reports whether there is room for it. ctx is that of the
+// request.
+func (k *Keeper) beginRequest(ctx context.Context) bool {
 	c, ok := ctx.Value(connKey{}).(*conn)
 	if !ok {
 		return true
@@ -193,7 +194,7 @@
 // closed after a refusal.
 func (k *Keeper) Handler(next http.Handler, refuse http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if k.BeginRequest(r.Context()) {
+		if k.beginRequest(r.Context()) {
 			next.ServeHTTP(w, r)
 			return
 		}
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -110,7 +110,7 @@
 
 	g, gctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
-		w := httpserver.Server{Listener: listeners.callers, Handler: s.callerHandler(), ShutdownTimeout: grace, Keeper: s.keeper}
+		w := httpserver.Server{Listener: listeners.callers, Handler: s.callerHandler(), ShutdownTimeout: grace, Keeper: s.keeper, Refuse: refuseWithoutDescriptors}
 		return w.Run(gctx)
 	})
 	g.Go(func() error {
@@ -177,7 +177,7 @@
 
 func (s *Server) callerHandler() http.Handler {
 	c := &callerapi.API{ViewState: s.follower.View, Dispatch: s.countOutcomes(s.pipeline.deduplicator.Do), Logger: s.Logger}
-	return s.keeper.Handler(c.Handler(), refuseWithoutDescriptors)
+	return c.Handler()
 }
 
 // refuseWithoutDescriptors refuses a request that no descriptors are left for. Nothing has run.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,9 +93,6 @@
 	// Buffers bounds what is buffered for callers and endpoints. Nil sets no bounds. Its OnPressure must be set to
 	// HandleMemoryPressure.
 	Buffers *bufferlimiter.Limiter
-	// HasRoom records that a request has arrived, and reports whether there are descriptors for it; ctx is that of the
-	// request. Nil means that there are always enough.
-	HasRoom func(ctx context.Context) bool
 	// Logger receives the log events of requests.
 	Logger log.Interface
 	// Meter counts requests.
@@ -229,16 +226,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.activeRequests.Add(1)
 	defer g.activeRequests.Add(-1)
-	if g.isShuttingDown.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	req := &request{CallerRequest: g.Codec.ReadRequest(r), w: w, r: r, arrivedAt: time.Now(), config: g.config.Load()}
-	g.limitWrites(req, req.arrivedAt.Add(maxLateWrite))
-	if g.HasRoom != nil && !g.HasRoom(r.Context()) {
-		w.Header().Set("Connection", "close")
-		g.refuse(req, rejection{status: http.StatusServiceUnavailable, reason: reasonConnections, retryAfter: g.RetryAfter(req.Remaining)})
-		return
-	}
+	req := g.newRequest(w, r)
 	if rej := g.admit(req); rej != nil {
 		g.refuse(req, *rej)
 		return
@@ -265,8 +253,22 @@
 	g.runAttempts(ctx, req)
 }
 
-// reasonConnections is the reason of a request that is refused for want of descriptors.
-const reasonConnections = "connections"
+func (g *Gateway) newRequest(w http.ResponseWriter, r *http.Request) *request {
+	if g.isShuttingDown.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	req := &request{CallerRequest: g.Codec.ReadRequest(r), w: w, r: r, arrivedAt: time.Now(), config: g.config.Load()}
+	g.limitWrites(req, req.arrivedAt.Add(maxLateWrite))
+	return req
+}
+
+// RefuseWithoutDescriptors refuses a request that this host has no descriptors for. The caller of it closes the connection.
+func (g *Gateway) RefuseWithoutDescriptors(w http.ResponseWriter, r *http.Request) {
+	g.activeRequests.Add(1)
+	defer g.activeRequests.Add(-1)
+	req := g.newRequest(w, r)
+	g.refuse(req, rejection{status: http.StatusServiceUnavailable, reason: "connections", retryAfter: g.RetryAfter(req.Remaining)})
+}
 
 // rejection is a final response of the gateway itself.
 type rejection struct {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -427,7 +427,9 @@
 	is := is.New(t)
 	f := startFleet(t, []step{response(200, "ok")})
 	f.configure(1)
-	f.gateway.HasRoom = func(context.Context) bool { return false }
+	f.Server.Close()
+	f.Server = httptest.NewServer(http.HandlerFunc(f.gateway.RefuseWithoutDescriptors))
+	t.Cleanup(f.Close)
 	status, body, h, err := f.send("/read/", nil)
 	is.NoErr(err)
 	is.Equal(status, http.StatusServiceUnavailable)
--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -221,7 +221,6 @@
 	h.initBuffers(registry)
 	parts := connectionbudget.Split(h.Descriptors)
 	h.keeper = connectionkeeper.New(parts, registry, h.Logger)
-	h.gateway.HasRoom = h.keeper.BeginRequest
 	h.Replicator.Connections.Max = parts.Peers
 	h.assigner.OnSuspect = h.gateway.HandleSuspect
 	h.suspector.OnQuarantine, h.suspector.OnLift = h.gateway.HandleQuarantine, h.gateway.HandleLift
@@ -332,7 +331,7 @@
 }
 
 func (h *Server) serveOn(ctx context.Context, ln net.Listener, handler http.Handler, keeper *connectionkeeper.Keeper) error {
-	err := (&httpserver.Server{Listener: ln, Handler: handler, ShutdownTimeout: serverShutdownTimeout, PassOptions: true, Keeper: keeper}).Run(ctx)
+	err := (&httpserver.Server{Listener: ln, Handler: handler, ShutdownTimeout: serverShutdownTimeout, PassOptions: true, Keeper: keeper, Refuse: h.gateway.RefuseWithoutDescriptors}).Run(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
 		event.ShutdownIncomplete.Log(h.Logger.WithField("address", ln.Addr().String()), nil)
 		return nil
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -32,6 +32,8 @@
 	// Keeper keeps the connections within the descriptors of the process. Nil means that each one is kept until it has been
 	// idle for idleTimeout.
 	Keeper *connectionkeeper.Keeper
+	// Refuse refuses the requests that Keeper has no room for. It must be set with Keeper.
+	Refuse http.HandlerFunc
 }
 
 // Run serves until ctx ends, then stops listening and waits for the requests in flight.
@@ -51,6 +53,7 @@
 		DisableGeneralOptionsHandler: s.PassOptions,
 	}
 	if s.Keeper != nil {
+		srv.Handler = s.Keeper.Handler(s.Handler, s.Refuse)
 		srv.ConnState = s.Keeper.ConnState
 		srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 			return s.Keeper.ConnContext(listener.ConnContext(ctx, c), c)
--- a/internal/httpserver/keeper_test.go
+++ b/internal/httpserver/keeper_test.go
@@ -26,20 +26,16 @@
 	keeper = connectionkeeper.New(parts, prometheus.NewRegistry(), &log.Logger{Handler: discard.New()})
 	ctx, cancel := context.WithCancel(context.Background())
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !keeper.BeginRequest(r.Context()) {
-			w.Header().Set("Connection", "close")
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
 		if r.URL.Path == "/wait" {
 			<-ctx.Done()
 		}
 		_, _ = io.WriteString(w, "ok")
 	})
+	refuse := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }
 	done := make(chan struct{}, 2)
 	go func() { _ = keeper.Run(ctx); done <- struct{}{} }()
 	go func() {
-		_ = (&httpserver.Server{Listener: ln, Handler: handler, ShutdownTimeout: 5 * time.Second, Keeper: keeper}).Run(ctx)
+		_ = (&httpserver.Server{Listener: ln, Handler: handler, ShutdownTimeout: 5 * time.Second, Keeper: keeper, Refuse: refuse}).Run(ctx)
 		done <- struct{}{}
 	}()
 	t.Cleanup(func() { cancel(); <-done; <-done })
