One type for the gate state of an engine, and one place that knows when it is closed

messages.GateState and engineagent's gateState had the fields of assigner.GateState, with two conversions between them. The fleet response, the agent and the load messages now use the one type; the JSON and CBOR texts are the same. assigner.isClosed replaces three copies of its condition. The two tests of an engine whose gate was closed share their fixture.

--- a/internal/core/assigner/assigner.go
+++ b/internal/core/assigner/assigner.go
@@ -153,15 +153,15 @@
 // earlier than the update of the engine's own entry.
 type GateState struct {
 	// Address, together with the start time, identifies the incarnation of the engine.
-	Address   string `cbor:"address"`
-	StartTime int64  `cbor:"born"`
+	Address   string `cbor:"address" json:"-"`
+	StartTime int64  `cbor:"born" json:"born"`
 	// Closed says that the engine accepts no requests until it has loaded other weights.
-	Closed bool `cbor:"closed,omitempty"`
+	Closed bool `cbor:"closed,omitempty" json:"closed,omitempty"`
 	// Model and Release are what the engine serves, or what it has been commanded to load if Closed is set.
-	Model   fleetconfig.Model   `cbor:"model,omitempty"`
-	Release fleetconfig.Release `cbor:"release,omitempty"`
+	Model   fleetconfig.Model   `cbor:"model,omitempty" json:"model,omitempty"`
+	Release fleetconfig.Release `cbor:"release,omitempty" json:"release,omitempty"`
 	// OpenWrites says that writes to the staging area have had no answer, so that they may be carried out later.
-	OpenWrites bool `cbor:"writes,omitempty"`
+	OpenWrites bool `cbor:"writes,omitempty" json:"writes,omitempty"`
 }
 
 type endpointState struct {
@@ -403,7 +403,7 @@
 
 // serves reports whether the endpoint serves what the query requires, and the release that it serves.
 func (s *endpointState) serves(q Query, pool *fleetconfig.Pool, now time.Time) (fleetconfig.Release, bool) {
-	if s.Pool != q.Pool || s.Draining || s.gateState.Closed && now.Sub(s.gateStateAt) < gateStateTTL || now.Sub(s.otherIncarnationAt) < gateStateTTL {
+	if s.Pool != q.Pool || s.Draining || s.isClosed(now) || now.Sub(s.otherIncarnationAt) < gateStateTTL {
 		return 0, false
 	}
 	if q.Model == "" {
@@ -423,10 +423,15 @@
 	return release, ok && (release == q.Release || !q.ExactRelease && release > q.Release)
 }
 
+// isClosed reports whether the host beside the engine has stated a moment ago that it accepts no requests.
+func (s *endpointState) isClosed(now time.Time) bool {
+	return s.gateState.Closed && now.Sub(s.gateStateAt) < gateStateTTL
+}
+
 // isHeld reports whether the engine holds a release that the host beside it closed the gate for, and that host has been silent
 // since: its layers are not proven, whatever the entry of the engine says.
 func (s *endpointState) isHeld(now time.Time) bool {
-	if !s.gateState.Closed || s.gateState.Release == 0 || now.Sub(s.gateStateAt) < gateStateTTL {
+	if !s.gateState.Closed || s.gateState.Release == 0 || s.isClosed(now) {
 		return false
 	}
 	release, ok := s.Endpoint.Release(s.gateState.Model)
--- a/internal/core/assigner/replay_test.go
+++ b/internal/core/assigner/replay_test.go
@@ -491,6 +491,15 @@
 	})
 }
 
+// newEngineFleet returns an assigner for a pool with one engine that serves release 2, and the entry of the engine.
+func newEngineFleet() (*assigner.Assigner, fleetconfig.Endpoint) {
+	a := &assigner.Assigner{Zone: "z"}
+	a.SetPools(map[ident.Pool]*fleetconfig.Pool{"p": {Name: "p", Engine: engineProfile}})
+	e := fleetconfig.Endpoint{ID: "e", Pool: "p", StartTime: 1, Address: "10.0.0.1:80", Models: []fleetconfig.ServedModel{{Model: "m", Release: 2}}}
+	a.SetEndpoints([]fleetconfig.Endpoint{e})
+	return a, e
+}
+
 // The host beside an engine stands still after a load command. The closed gate lapsed, and the engine was used with layers
 // that nobody had verified.
 func TestEngineWithUnprovenReleaseIsNotUsed(t *testing.T) {
@@ -508,10 +517,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				a := &assigner.Assigner{Zone: "z"}
-				a.SetPools(map[ident.Pool]*fleetconfig.Pool{"p": {Name: "p", Engine: engineProfile}})
-				e := fleetconfig.Endpoint{ID: "e", Pool: "p", StartTime: 1, Address: "10.0.0.1:80", Models: []fleetconfig.ServedModel{{Model: "m", Release: 2}}}
-				a.SetEndpoints([]fleetconfig.Endpoint{e})
+				a, e := newEngineFleet()
 				a.SetGateState(assigner.GateState{Address: e.Address, StartTime: 1, Closed: true, Model: "m", Release: 2})
 				c.gate.Address = e.Address
 				a.SetGateState(c.gate)
@@ -529,10 +535,7 @@
 func TestHeldEngineIsAskedForItsGate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		a := &assigner.Assigner{Zone: "z"}
-		a.SetPools(map[ident.Pool]*fleetconfig.Pool{"p": {Name: "p", Engine: engineProfile}})
-		e := fleetconfig.Endpoint{ID: "e", Pool: "p", StartTime: 1, Address: "10.0.0.1:80", Models: []fleetconfig.ServedModel{{Model: "m", Release: 2}}}
-		a.SetEndpoints([]fleetconfig.Endpoint{e})
+		a, e := newEngineFleet()
 		questions := func(d time.Duration) (n int) {
 			for end := time.Now().Add(d); time.Now().Before(end); {
 				check := a.CheckStalls()
--- a/internal/core/assigner/stall.go
+++ b/internal/core/assigner/stall.go
@@ -93,7 +93,7 @@
 		s.stall.RecordQuestion(now)
 		check.Questions = append(check.Questions, s.Endpoint)
 	}
-	isStill := s.stall.Check(now, owedSince, s.gateState.Closed && now.Sub(s.gateStateAt) < gateStateTTL)
+	isStill := s.stall.Check(now, owedSince, s.isClosed(now))
 	if isStill != s.isReportedStill {
 		s.isReportedStill = isStill
 		check.Changes = append(check.Changes, StallChange{Endpoint: s.Endpoint, IsStill: isStill, Silence: s.stall.Silence(now), Requests: len(s.inFlight)})
--- a/internal/engineagent/announce.go
+++ b/internal/engineagent/announce.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
-	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/loadexchanger"
 )
 
@@ -30,22 +29,11 @@
 	loadTimeout = 6 * time.Second
 )
 
-// gateState is the engine state that is announced to the entry hosts. The zero value is not announced.
-type gateState struct {
-	Closed bool
-	// StartTime identifies the engine's incarnation.
-	StartTime int64
-	Model     fleetconfig.Model
-	Release   fleetconfig.Release
-	// OpenWrites says that writes have had no answer, so that they may be carried out later.
-	OpenWrites bool
-	setAt      time.Time
-}
-
-func (h *Agent) setGateState(g gateState) {
-	g.setAt = time.Now()
+// setGateState sets the engine state that is announced to the entry hosts, and announces it.
+func (h *Agent) setGateState(g assigner.GateState) {
+	g.Address = h.Address
 	h.mu.Lock()
-	h.gateState = g
+	h.gateState, h.gateStateAt = g, time.Now()
 	h.mu.Unlock()
 	h.announce()
 	select {
@@ -59,24 +47,21 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	g := h.gateState
-	if g.StartTime == 0 || !g.Closed && time.Since(g.setAt) > gateReplyDuration {
+	if g.StartTime == 0 || !g.Closed && time.Since(h.gateStateAt) > gateReplyDuration {
 		return nil
 	}
-	return g.statement(h.Address)
+	return &g
 }
 
 // lastGate returns the last gate state, or nil if there is none yet.
 func (h *Agent) lastGate() *assigner.GateState {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.gateState.StartTime == 0 {
+	g := h.gateState
+	if g.StartTime == 0 {
 		return nil
 	}
-	return h.gateState.statement(h.Address)
-}
-
-func (g gateState) statement(address string) *assigner.GateState {
-	return &assigner.GateState{Address: address, StartTime: g.StartTime, Closed: g.Closed, Model: g.Model, Release: g.Release, OpenWrites: g.OpenWrites}
+	return &g
 }
 
 // announce sends the gate state to the entry hosts of the zone, or to all if the zone has none.
@@ -122,5 +107,5 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	g := h.gateState
-	return g.StartTime != 0 && (g.Closed || time.Since(g.setAt) <= announceDuration)
+	return g.StartTime != 0 && (g.Closed || time.Since(h.gateStateAt) <= announceDuration)
 }
--- a/internal/engineagent/engineagent.go
+++ b/internal/engineagent/engineagent.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmegdock/nutmegdock/internal/chunkreplicator"
+	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
 	"github.com/nutmegdock/nutmegdock/internal/core/fetchplanner"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleettracker"
@@ -101,9 +102,12 @@
 	mu         sync.Mutex
 	fleet      messages.FleetResponse
 	entryHosts []hostregistrar.Entry
-	gateState  gateState
+	// gateState is the engine state that is announced to the entry hosts, and gateStateAt when it was set. The zero value is not
+	// announced.
+	gateState   assigner.GateState
+	gateStateAt time.Time
 	// inherited is the last gate state that a former agent announced; nil if none is known, or once the verifier knows it.
-	inherited *messages.GateState
+	inherited *assigner.GateState
 	pace      enginePace
 	// staged holds what is known of the staged chunks, by their number.
 	staged map[int]stagedChunk
--- a/internal/engineagent/verification.go
+++ b/internal/engineagent/verification.go
@@ -10,6 +10,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/loadverifier"
 	"github.com/nutmegdock/nutmegdock/internal/core/manifest"
@@ -51,12 +52,12 @@
 	if g == nil {
 		return
 	}
-	s := fleetconfig.ServedModel{Model: fleetconfig.Model(g.Model), Release: fleetconfig.Release(g.Release)}
+	s := fleetconfig.ServedModel{Model: g.Model, Release: g.Release}
 	h.verifier.Inherit(loadverifier.Inherited{StartTime: g.StartTime, Served: s, Closed: g.Closed, OpenWrites: g.OpenWrites})
 	if g.Closed {
 		h.unprovenStart = g.StartTime
-		h.setGateState(gateState{Closed: true, StartTime: g.StartTime, Model: s.Model, Release: s.Release, OpenWrites: g.OpenWrites})
-		event.GateInherited.Log(h.Logger, log.Fields{"born": g.StartTime, "model": g.Model, "release": g.Release, "writes": g.OpenWrites})
+		h.setGateState(*g)
+		event.GateInherited.Log(h.Logger, log.Fields{"born": g.StartTime, "model": string(g.Model), "release": int64(g.Release), "writes": g.OpenWrites})
 	}
 }
 
@@ -253,9 +254,9 @@
 	isCurrent := g.StartTime == r.StartTime
 	switch {
 	case r.Loading && (!g.Closed || !isCurrent):
-		h.setGateState(gateState{Closed: true, StartTime: r.StartTime})
+		h.setGateState(assigner.GateState{Closed: true, StartTime: r.StartTime})
 	case !r.Loading && served > 0 && (g.Closed || !isCurrent || g.Release != served) && h.isProven(r):
-		h.setGateState(gateState{StartTime: r.StartTime, Model: m, Release: served})
+		h.setGateState(assigner.GateState{StartTime: r.StartTime, Model: m, Release: served})
 	}
 }
 
@@ -265,8 +266,8 @@
 	h.mu.Lock()
 	g := h.gateState
 	h.mu.Unlock()
-	closed := gateState{Closed: true, StartTime: engineStart, Model: s.Model, Release: s.Release, OpenWrites: h.verifier.OpenWrites() > 0}
-	if g.setAt = (time.Time{}); g != closed {
+	closed := assigner.GateState{Address: h.Address, Closed: true, StartTime: engineStart, Model: s.Model, Release: s.Release, OpenWrites: h.verifier.OpenWrites() > 0}
+	if g != closed {
 		h.setGateState(closed)
 	}
 }
--- a/internal/gatewayserver/fleet.go
+++ b/internal/gatewayserver/fleet.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/fleetwatcher"
@@ -58,12 +59,12 @@
 }
 
 // lastGate returns the last gate state of the engine at an address; nil if none is known.
-func (h *Server) lastGate(address string) *messages.GateState {
+func (h *Server) lastGate(address string) *assigner.GateState {
 	g := h.assigner.LastGate(address)
 	if g.StartTime == 0 {
 		return nil
 	}
-	return &messages.GateState{StartTime: g.StartTime, Closed: g.Closed, Model: string(g.Model), Release: int64(g.Release), OpenWrites: g.OpenWrites}
+	return &g
 }
 
 // releaseAge returns the time since the earliest possible publication of the newest release; zero if it is unknown.
--- a/internal/messages/records.go
+++ b/internal/messages/records.go
@@ -1,6 +1,7 @@
 package messages
 
 import (
+	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
 	"github.com/nutmegdock/nutmegdock/internal/core/crashsuspector"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleettracker"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
@@ -79,18 +80,6 @@
 	Engine string `json:"engine,omitempty"`
 }
 
-// GateState is the last gate state of an engine that an entry host knows.
-type GateState struct {
-	// StartTime identifies the incarnation of the engine.
-	StartTime int64 `json:"born"`
-	Closed    bool  `json:"closed,omitempty"`
-	// Model and Release are what the engine serves, or has been commanded to load if Closed is set.
-	Model   string `json:"model,omitempty"`
-	Release int64  `json:"release,omitempty"`
-	// OpenWrites says that writes to the staging area have had no answer.
-	OpenWrites bool `json:"writes,omitempty"`
-}
-
 // FleetResponse is the fleet state of one pool. Known is false while the responding host does not know the fleet
 // itself.
 type FleetResponse struct {
@@ -100,7 +89,7 @@
 	Digest    uint64 `json:"digest,omitempty"`
 	Unchanged bool   `json:"unchanged,omitempty"`
 	// Gate is the last gate state of the engine that the query names; nil if none is known. It is not part of the digest.
-	Gate *GateState `json:"gate,omitempty"`
+	Gate *assigner.GateState `json:"gate,omitempty"`
 	// OriginAddress is the address of the origin that stores the weights, and OriginRegion is its region.
 	OriginAddress string       `json:"origin,omitempty"`
 	OriginRegion  ident.Region `json:"home,omitempty"`
