A manifest that a reading does not change is not encoded again

recordReading encoded the whole manifest and took its digest after every comparison, also when no entry had changed, while holding the lock of the replicator. It now stops there. The random choice of hosts to query, written twice, is one function. A host that finds itself in its list of the other hosts, which the list's description excludes, no longer loses one of its three queries to that. internal/chunkreplicator passes.

--- a/internal/chunkreplicator/manifests.go
+++ b/internal/chunkreplicator/manifests.go
@@ -94,6 +94,9 @@
 	} else {
 		changed = held.verifier.RecordHost(read.manifest, read.matched)
 	}
+	if changed == 0 && r.manifests[s] != nil {
+		return nil
+	}
 	a, _ := held.verifier.Manifest()
 	data, err := a.Encode()
 	if err != nil {
@@ -183,10 +186,8 @@
 // verifier asks for it again after those that do not answer or have none.
 func (r *Replicator) compareManifests(ctx context.Context, s fleetconfig.ServedModel) {
 	_, held, _ := r.manifestOf(s)
-	peers := slices.DeleteFunc(r.Peers(), func(p fetchplanner.Peer) bool { return p.Host == r.Self })
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	var near, other []fetchplanner.Peer
-	for _, p := range peers {
+	for _, p := range r.shuffledPeers(func(fetchplanner.Peer) bool { return true }) {
 		if p.Seed && p.Zone == r.Zone && len(near) < maxManifestPeers-1 {
 			near = append(near, p)
 		} else {
@@ -267,15 +268,18 @@
 	return r.Shape().Check(a)
 }
 
+// shuffledPeers returns the other hosts that a filter reports true for, in random order.
+func (r *Replicator) shuffledPeers(filter func(p fetchplanner.Peer) bool) []fetchplanner.Peer {
+	peers := slices.DeleteFunc(r.Peers(), func(p fetchplanner.Peer) bool { return p.Host == r.Self || !filter(p) })
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers
+}
+
 // queryManifestFromPeers queries a few random other hosts for a manifest.
 func (r *Replicator) queryManifestFromPeers(ctx context.Context, s fleetconfig.ServedModel, filter func(p fetchplanner.Peer) bool) (reading, error) {
-	peers := slices.DeleteFunc(r.Peers(), func(p fetchplanner.Peer) bool { return !filter(p) })
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	peers := r.shuffledPeers(filter)
 	err := fmt.Errorf("read manifest of release %d of %s: no other host is known", s.Release, s.Model)
 	for _, p := range peers[:min(maxManifestPeers, len(peers))] {
-		if p.Host == r.Self {
-			continue
-		}
 		var read reading
 		if read, err = r.queryManifest(ctx, r.peer(p).ControlAddress, s, ""); err == nil {
 			return read, nil
