Streams: events that were held back take the way of all others to the caller

forwardStream had the write of events and its error handling twice. No change of behaviour; internal/gateway, core/connectionbudget and platform/decoder pass.

--- a/internal/core/connectionbudget/connectionbudget.go
+++ b/internal/core/connectionbudget/connectionbudget.go
@@ -133,8 +133,8 @@
 // request, for too long, and must be closed.
 func (b *Budget[K]) Advance(d time.Duration) (closed []K) {
 	b.now += d
-	for s, limit := range map[state]time.Duration{idle: b.idleTime, opened: b.idleTime, reading: b.headTime, refused: b.headTime} {
-		closed = b.expire(closed, s, limit)
+	for s, limit := range [...]time.Duration{idle: b.idleTime, opened: b.idleTime, reading: b.headTime, refused: b.headTime} {
+		closed = b.expire(closed, state(s), limit)
 	}
 	return closed
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -35,6 +35,17 @@
 	}
 	state.sequencer.DiscardPartial()
 	hasEvents := false
+	forward := func(events []byte) (ok bool) {
+		if len(events) == 0 {
+			return true
+		}
+		hasEvents = true
+		writeErr := g.forwardEvents(ctx, req, state, resp, info, events)
+		if writeErr != nil {
+			state.recordWriteError(writeErr)
+		}
+		return writeErr == nil
+	}
 	buf := make([]byte, streamBufferBytes)
 	for {
 		readAt := time.Now()
@@ -43,12 +54,8 @@
 			out, seqErr := state.sequencer.Feed(buf[:n])
 			g.recordProgress(req, state)
 			state.relocation.recordProgress(state, time.Since(readAt) >= freshWait)
-			if len(out) > 0 {
-				hasEvents = true
-				if writeErr := g.forwardEvents(ctx, req, state, resp, info, out); writeErr != nil {
-					state.recordWriteError(writeErr)
-					return assigner.CallerGone, false
-				}
+			if !forward(out) {
+				return assigner.CallerGone, false
 			}
 			if seqErr != nil {
 				err = seqErr
@@ -58,17 +65,12 @@
 				return assigner.CallerGone, false
 			}
 		}
-		if errors.Is(err, io.EOF) && !state.sequencer.HasPartial() {
-			if out := state.sequencer.TakeHeld(); len(out) > 0 {
-				hasEvents = true
-				if writeErr := g.forwardEvents(ctx, req, state, resp, info, out); writeErr != nil {
-					state.recordWriteError(writeErr)
-					return assigner.CallerGone, false
-				}
-			}
+		isWhole := errors.Is(err, io.EOF) && !state.sequencer.HasPartial()
+		if isWhole && !forward(state.sequencer.TakeHeld()) {
+			return assigner.CallerGone, false
 		}
 		switch {
-		case errors.Is(err, io.EOF) && !state.sequencer.HasPartial() && (hasEvents || resp.IsFramed):
+		case isWhole && (hasEvents || resp.IsFramed):
 			if !state.headerSent {
 				g.startStream(req, state, resp, info)
 			}
