--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -98,6 +98,12 @@
 // startCluster starts platformd, two entry hosts, an endpoint host for each engine, and two endpoint hosts with booking
 // services. The edits modify the settings of the endpoint hosts.
 func startCluster(t testing.TB, engines int, edits ...func(*endpointhost.Settings)) *cluster {
+	t.Helper()
+	return startClusterWith(t, engines, func(*entryhost.Settings) {}, edits...)
+}
+
+// startClusterWith is startCluster with a function that modifies the settings of the entry hosts.
+func startClusterWith(t testing.TB, engines int, editEntry func(*entryhost.Settings), edits ...func(*endpointhost.Settings)) *cluster {
 	t.Helper()
 	is := is.New(t)
 	bin, err := buildPrograms()
@@ -139,6 +145,7 @@
 			CallerAddress: nextAddress(), AdminAddress: nextAddress(), ControlAddress: nextAddress(), LogURL: c.platformURL + "/log", MembersURL: c.platformURL + "/members",
 			StoreURL: c.platformURL + "/store", TokensFile: c.writeFile("tokens.json", tokens), GraceSeconds: 20,
 		})
+		editEntry(&c.entries[i])
 	}
 	c.startProcess("platformd", "platform", platformSettings)
 	for _, s := range c.entries {
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -50,6 +50,8 @@
 	CheckpointSeconds int `json:"checkpoint,omitempty" validate:"min=0,max=86400"`
 	// GraceSeconds is the number of seconds for which requests in flight may continue during a graceful shutdown.
 	GraceSeconds int `json:"grace" validate:"min=1,max=3600"`
+	// Memory is the memory that the process may use, in bytes. Zero means that of the machine.
+	Memory int `json:"memory,omitempty" validate:"min=0"`
 	// Descriptors is the number of descriptors that the process may have open. Zero sets no limit on connections.
 	Descriptors int `json:"descriptors,omitempty" validate:"min=0,max=1048576"`
 	// IdleSeconds is the number of seconds for which the connection of a caller may be idle. Zero means two minutes.
