Bound the receive buffers of the connections of callers

What callers saw: nothing, until a process is over the memory of its host, which counts the bytes that it has received and not read.

The kernel let the receive buffers grow to some megabytes each.

Change: callerlistener opens all addresses that callers reach with buffers of 16 KiB in each direction. They are set on the listening socket, as the window of a connection is chosen when it is opened.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -17,6 +17,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/authorizer"
 	"github.com/nutmegdock/nutmegdock/internal/bytecounter"
 	"github.com/nutmegdock/nutmegdock/internal/callerapi"
+	"github.com/nutmegdock/nutmegdock/internal/callerlistener"
 	"github.com/nutmegdock/nutmegdock/internal/checkpointer"
 	"github.com/nutmegdock/nutmegdock/internal/configfollower"
 	"github.com/nutmegdock/nutmegdock/internal/configreplicator"
@@ -85,7 +86,7 @@
 	if err != nil {
 		return err
 	}
-	listeners, err := s.listen()
+	listeners, err := s.listen(ctx)
 	if err != nil {
 		return err
 	}
@@ -135,21 +136,34 @@
 	callers, admin, control net.Listener
 }
 
-func (s *Server) listen() (listeners, error) {
+func (s *Server) listen(ctx context.Context) (listeners, error) {
 	var ls listeners
 	for _, l := range []struct {
 		to      *net.Listener
 		address string
-	}{{&ls.callers, s.Settings.CallerAddress}, {&ls.admin, s.Settings.AdminAddress}, {&ls.control, s.Settings.ControlAddress}} {
-		ln, err := net.Listen("tcp", l.address)
+		listen  func(ctx context.Context, address string) (net.Listener, error)
+	}{
+		{&ls.callers, s.Settings.CallerAddress, callerlistener.Listen},
+		{&ls.admin, s.Settings.AdminAddress, callerlistener.Listen},
+		{&ls.control, s.Settings.ControlAddress, listenForHosts},
+	} {
+		ln, err := l.listen(ctx, l.address)
 		if err != nil {
-			return ls, fmt.Errorf("listen: %w", err)
+			return ls, err
 		}
 		*l.to = ln
 	}
 	return ls, nil
 }
 
+func listenForHosts(ctx context.Context, address string) (net.Listener, error) {
+	ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return ln, nil
+}
+
 func (s *Server) build() {
 	s.startTime = time.Now()
 	s.reports = &reportcache.Cache{}
--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -18,6 +18,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/nutmegdock/nutmegdock/internal/callerlistener"
 	"github.com/nutmegdock/nutmegdock/internal/chunkreplicator"
 	"github.com/nutmegdock/nutmegdock/internal/connectionkeeper"
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
@@ -273,10 +274,10 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(messages.ExplainPath, h.gateway.ServeExplanation)
 	mux.Handle("/", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
-	tasks.Go(func() error { return h.serve(serveCtx, h.MetricsAddress, mux) })
+	tasks.Go(func() error { return h.serve(serveCtx, h.MetricsAddress, mux, nil) })
 	tasks.Go(func() error { return h.keeper.Run(serveCtx) })
-	tasks.Go(func() error { return h.serve(serveCtx, h.ReadinessAddress, http.HandlerFunc(h.handleReadiness)) })
-	tasks.Go(func() error { return h.serveCallers(serveCtx) })
+	tasks.Go(func() error { return h.serve(serveCtx, h.ReadinessAddress, http.HandlerFunc(h.handleReadiness), nil) })
+	tasks.Go(func() error { return h.serve(serveCtx, h.CallerAddress, h.gateway, h.keeper) })
 	event.Started.Log(h.Logger, log.Fields{"ip": h.IP, "callers": h.CallerAddress, "metrics": h.MetricsAddress})
 	select {
 	case <-ctx.Done():
@@ -310,30 +311,14 @@
 }
 
 // serve serves until ctx ends. A request that has been accepted a moment before is still answered.
-func (h *Server) serve(ctx context.Context, address string, handler http.Handler) error {
-	ln, err := net.Listen("tcp4", address)
+func (h *Server) serve(ctx context.Context, address string, handler http.Handler, keeper *connectionkeeper.Keeper) error {
+	ln, err := callerlistener.Listen(ctx, address)
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return err
 	}
-	return h.serveOn(ctx, ln, handler, nil)
-}
-
-// serveCallers serves the callers. Their connections have bounded send buffers if the memory of the host is known.
-func (h *Server) serveCallers(ctx context.Context) error {
-	ln, err := net.Listen("tcp4", h.CallerAddress)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
-	if h.Memory > 0 {
-		ln = &sendBufferListener{ln}
-	}
-	return h.serveOn(ctx, ln, h.gateway, h.keeper)
-}
-
-func (h *Server) serveOn(ctx context.Context, ln net.Listener, handler http.Handler, keeper *connectionkeeper.Keeper) error {
-	err := (&httpserver.Server{Listener: ln, Handler: handler, ShutdownTimeout: serverShutdownTimeout, PassOptions: true, Keeper: keeper, Refuse: h.gateway.RefuseWithoutDescriptors}).Run(ctx)
+	err = (&httpserver.Server{Listener: ln, Handler: handler, ShutdownTimeout: serverShutdownTimeout, PassOptions: true, Keeper: keeper, Refuse: h.gateway.RefuseWithoutDescriptors}).Run(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
-		event.ShutdownIncomplete.Log(h.Logger.WithField("address", ln.Addr().String()), nil)
+		event.ShutdownIncomplete.Log(h.Logger.WithField("address", address), nil)
 		return nil
 	}
 	return err
--- a/internal/gatewayserver/gatewayserver_test.go
+++ b/internal/gatewayserver/gatewayserver_test.go
@@ -30,7 +30,7 @@
 			time.Sleep(100 * time.Millisecond)
 			w.WriteHeader(http.StatusServiceUnavailable)
 			_, _ = io.WriteString(w, "refused")
-		}))
+		}), nil)
 	}()
 	go func() {
 		<-accepted
