Charge the bodies of requests before they are held, on every host

What callers saw: 120 callers that send legal bodies of 1 MiB and stop a byte short make gatewayd hold 197 to 208 MB on a host of 80 MB.

Cause: the memory of a host was used only where the contract "pressure" is in force; elsewhere bodies were read without an account. With it, a body was charged as it arrived, so that callers which stop short kept what they had sent, and a growing buffer was charged without the former one.

Change: the memory in the settings bounds every host. chargedreader charges the stated length before a byte is read, or each buffer before it grows. core/bufferlimiter gives heads and bodies parts of the bound, and decides whom to cut when memory is short: the one that has made no progress for longest, after a second, and never a complete request. A single one is admitted beyond its part. A body of a stated length over the limit is refused before it is read, and malformed framing with 400.

--- /dev/null
+++ b/internal/buffermeter/buffermeter.go
@@ -0,0 +1,24 @@
+// Package buffermeter exports what a process buffers as metrics.
+package buffermeter
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/bufferlimiter"
+)
+
+// Register registers the metrics of a limiter. Their names begin with prefix.
+func Register(r prometheus.Registerer, prefix string, l *bufferlimiter.Limiter) {
+	gauge := func(name, help string, value func(u bufferlimiter.Usage) int) {
+		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: prefix + name, Help: help}, func() float64 { return float64(value(l.Usage())) }))
+	}
+	gauge("buffered_bytes", "Bytes buffered for callers and endpoints.", func(u bufferlimiter.Usage) int { return u.Bytes })
+	gauge("buffered_bytes_bound", "Bound of the bytes buffered for callers and endpoints.", func(bufferlimiter.Usage) int { return l.Process })
+	gauge("buffered_head_bytes", "Part of the buffered bytes for heads of requests.", func(u bufferlimiter.Usage) int { return u.Heads })
+	gauge("buffered_body_bytes", "Part of the buffered bytes for bodies of requests.", func(u bufferlimiter.Usage) int { return u.Bodies })
+	gauge("endpoint_unsent_bytes", "Bytes of requests that one endpoint has not read, of the endpoint with the most.", func(u bufferlimiter.Usage) int { return u.MostUnsent })
+	gauge("slow_callers", "Responses that are read on for callers that do not read.", func(u bufferlimiter.Usage) int { return u.SlowCallers })
+	r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: prefix + "cut_arrivals_total", Help: "Heads and bodies of requests that were cut because they made no progress while memory was short.",
+	}, func() float64 { return float64(l.Usage().Cuts) }))
+}
--- a/internal/connectionkeeper/connectionkeeper.go
+++ b/internal/connectionkeeper/connectionkeeper.go
@@ -33,8 +33,11 @@
 	reasonRejected = "rejected"
 )
 
-// Keeper keeps the connections of one listener. Use New.
+// Keeper keeps the connections of one listener. Use New, and set the exported fields before use.
 type Keeper struct {
+	// OnAdvance is called with the time in which the process ran, several times a second. Nil means that nobody is told.
+	OnAdvance func(d time.Duration)
+
 	logger log.Interface
 	closed *prometheus.CounterVec
 
@@ -103,9 +106,13 @@
 		}
 		now := time.Now()
 		k.mu.Lock()
-		closed := k.budget.Advance(min(now.Sub(last), maxStep))
+		step := min(now.Sub(last), maxStep)
+		closed := k.budget.Advance(step)
 		k.mu.Unlock()
 		k.closeAll(closed, reasonTimeout)
+		if k.OnAdvance != nil {
+			k.OnAdvance(step)
+		}
 		last = now
 	}
 }
--- a/internal/core/bufferlimiter/account.go
+++ b/internal/core/bufferlimiter/account.go
@@ -1,6 +1,12 @@
 package bufferlimiter
 
-import "sync"
+import (
+	"container/list"
+	"sync"
+	"time"
+
+	"github.com/nutmegdock/nutmegdock/internal/core/progressmeter"
+)
 
 // Account holds what is buffered for one request, and so for one caller: a connection has one request at a time. The
 // methods of a nil account allow everything. They may be called concurrently.
@@ -10,22 +16,17 @@
 	// They are guarded by the mutex of the limiter.
 	total, response int
 	isSlow          bool
-}
-
-// GrowBody charges n bytes of a request body before they are received, and reports whether they may be. The size of a
-// body is limited by the configuration. A body that is not complete is new work: nothing has run yet.
-func (a *Account) GrowBody(n int) bool {
-	if a == nil {
-		return true
-	}
-	a.limiter.mu.Lock()
-	if !a.limiter.mayAdmit(n) {
-		a.limiter.refuse()
-		return false
-	}
-	a.charge(n)
-	a.limiter.mu.Unlock()
-	return true
+	// charged is the part of total for the head or the body, and received and lines are what has arrived of the head. The body last
+	// made progress at since.
+	charged, received, lines int
+	progress                 progressmeter.Meter
+	since                    time.Duration
+	// element is set while the account may be cut, and cut cuts it.
+	element       *list.Element
+	cut           func()
+	isHead, isCut bool
+	// cutTotal and cutCharged are total and charged when it was cut.
+	cutTotal, cutCharged int
 }
 
 // GrowResponse charges n bytes of a response before they are buffered, and reports whether they may be.
@@ -126,8 +127,13 @@
 	}
 	a.limiter.mu.Lock()
 	a.setSlow(false)
-	a.limiter.requests--
+	a.depart()
+	a.endCut()
+	if !a.isHead {
+		a.limiter.requests--
+	}
+	a.limiter.held[a.kind()] -= a.charged
 	total := a.total
-	a.total, a.response = 0, 0
+	a.total, a.response, a.charged = 0, 0, 0
 	a.limiter.release(total)
 }
--- a/internal/core/bufferlimiter/bufferlimiter.go
+++ b/internal/core/bufferlimiter/bufferlimiter.go
@@ -3,9 +3,17 @@
 //
 // There are bounds for one caller, for one endpoint and for the process. New work is refused, and the responses of slow
 // callers are no longer read on, well before the bound of the process is reached, so that work in progress can end.
+//
+// Heads and bodies that are still arriving have parts of the bound. When memory becomes short, those that make no progress are
+// cut, the one that has made none for longest first. A request that is complete or runs is never cut. A head or a body that is
+// the only one of its kind is admitted beyond its part.
 package bufferlimiter
 
-import "sync"
+import (
+	"container/list"
+	"sync"
+	"time"
+)
 
 const (
 	// RequestBytes is charged for each request in progress: the connections to the caller and to the endpoint with their
@@ -29,6 +37,23 @@
 	// an admissionShare of 0.75, 900 callers took 95 MB of 184 with their queues in the kernel, more than half.
 	admissionShare = 2. / 3
 	slowShare      = 0.5
+	// headShare and bodyShare are the parts of the process's bound for the heads and the bodies of requests together. What they
+	// leave of admissionShare is for small requests.
+	headShare = 0.1
+	bodyShare = 0.35
+	// cutShare is the share of the process's bound above which heads and bodies that make no progress are cut.
+	cutShare = 0.4
+)
+
+const (
+	// stallTime is how long a head may take, and a body may make no progress, when memory is short. Callers abandon a
+	// connection on which nothing happens for as long.
+	stallTime = time.Second
+	// headCost is the number of bytes that are charged for each byte of a head beyond freeHeadBytes, and lineCost that for each line
+	// beyond freeHeadLines: parsing holds the text, the lines and the fields at the same time. What is free is part of what a
+	// connection is charged.
+	headCost, freeHeadBytes = 5, 4 << 10
+	lineCost, freeHeadLines = 160, 32
 )
 
 // Limiter decides for one process. Use New. A nil Limiter sets no bounds.
@@ -46,6 +71,14 @@
 	isPressured bool
 	// unsent holds the bytes that each endpoint has been sent and has not read.
 	unsent map[string]int
+	// now is the time in which the process ran. arriving holds the accounts of heads and bodies that are not complete, the one
+	// that has made no progress for longest first.
+	now      time.Duration
+	arriving list.List
+	// held is what heads and bodies are charged, by kind. cutting is what accounts hold that were cut and have not been closed,
+	// and cuttingOf the part of it for heads and bodies.
+	held, cuttingOf [kinds]int
+	cutting, cuts   int
 }
 
 // Usage is what is buffered at one time.
@@ -55,6 +88,8 @@
 	Bytes, Unsent, MostUnsent int
 	// Requests is the number of requests in progress, and SlowCallers that of responses that are read on into a buffer.
 	Requests, SlowCallers int
+	// Heads and Bodies are the parts of Bytes for heads and bodies. Cuts is the number of those that were cut so far.
+	Heads, Bodies, Cuts int
 }
 
 // New returns the limiter of a process that may use the given number of bytes of memory, or nil, which sets no bounds, if
@@ -76,6 +111,7 @@
 	}
 	l.mu.Lock()
 	if !l.mayAdmit(RequestBytes) {
+		l.cutStalled(cutShare)
 		l.refuse()
 		return nil, false
 	}
@@ -122,7 +158,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	u := Usage{Bytes: l.used, Requests: l.requests, SlowCallers: l.slow}
+	u := Usage{Bytes: l.used, Requests: l.requests, SlowCallers: l.slow, Heads: l.held[head], Bodies: l.held[body], Cuts: l.cuts}
 	for _, n := range l.unsent {
 		u.Unsent += n
 		u.MostUnsent = max(u.MostUnsent, n)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"hash/fnv"
-	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -234,7 +233,7 @@
 	g.limitWrites(req, req.deadline.Add(maxLateWrite))
 	var ok bool
 	if req.account, ok = g.Buffers.Open(); !ok {
-		g.refuseForMemory(req)
+		g.refuseForMemory(req, "")
 		return
 	}
 	defer req.account.Close()
@@ -368,13 +367,12 @@
 	if req.r.ContentLength == 0 {
 		return nil
 	}
+	if req.r.ContentLength > limit {
+		return &http.MaxBytesError{Limit: limit}
+	}
 	body := http.MaxBytesReader(req.w, req.r.Body, limit)
 	var err error
-	if req.account == nil {
-		req.body, err = io.ReadAll(body)
-	} else {
-		req.body, err = g.readBodyCharged(req, body)
-	}
+	req.body, err = g.readBodyCharged(req, body, limit)
 	return err
 }
 
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -3,13 +3,14 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/nutmegdock/nutmegdock/internal/chargedreader"
 	"github.com/nutmegdock/nutmegdock/internal/core/bufferlimiter"
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
 	"github.com/nutmegdock/nutmegdock/internal/event"
@@ -25,45 +26,27 @@
 	// maxLateWrite is how long after the deadline a caller may still read a response that is ready. The callers of the
 	// deployments wait 6 s; one that has not read after as long again has given up.
 	maxLateWrite = 6 * time.Second
-	// firstReadBytes is the first size of the buffer of a body.
-	firstReadBytes = 4 << 10
+	// causeNoProgress is the cause of a refusal for memory of a request whose body made no progress.
+	causeNoProgress = "no-progress"
 )
 
-// errMemory ends the read of a body that may not be buffered.
-var errMemory = errors.New("too much is buffered")
+// errCut reports a body that made no progress while memory was short.
+var errCut = errors.New("body makes no progress and memory is short")
 
-// readCharged reads a body to its end. It calls grow before its buffer grows, and returns errMemory with what it has read
-// if it may not. size is the length of the body, or -1 if it is unknown.
-func readCharged(r io.Reader, size int64, grow func(n int) bool) ([]byte, error) {
-	var data []byte
-	for {
-		if len(data) == cap(data) {
-			next := max(firstReadBytes, 2*cap(data))
-			if size >= 0 && int64(cap(data)) <= size {
-				next = min(next, int(size)+1) // a byte more shows the end
-			}
-			if !grow(next - cap(data)) {
-				return data, errMemory
-			}
-			data = append(make([]byte, 0, next), data...)
-		}
-		n, err := r.Read(data[len(data):cap(data)])
-		data = data[:len(data)+n]
-		if errors.Is(err, io.EOF) {
-			return data, nil
-		}
-		if err != nil {
-			return data, err
-		}
-	}
-}
-
-// readBodyCharged reads the body of a request within the bounds of memory and by the deadline of the request.
-func (g *Gateway) readBodyCharged(req *request, body io.Reader) ([]byte, error) {
+// readBodyCharged reads the body of a request within the bounds of memory and by the deadline of the request. A body without a
+// stated length is charged as it arrives, the others as a whole before any of it is read.
+func (g *Gateway) readBodyCharged(req *request, body io.Reader, limit int64) ([]byte, error) {
 	ctl := http.NewResponseController(req.w)
-	_ = ctl.SetReadDeadline(req.deadline) // not supported only in tests
-	data, err := readCharged(body, req.r.ContentLength, req.account.GrowBody)
-	_ = ctl.SetReadDeadline(time.Time{})
+	setDeadline := func(t time.Time) { _ = ctl.SetReadDeadline(t) } // not supported only in tests
+	setDeadline(req.deadline)
+	size := req.r.ContentLength
+	req.account.BeginBody(size, func() { setDeadline(time.Unix(1, 0)) })
+	reader := chargedreader.Reader{Size: size, Limit: limit, Grow: req.account.GrowBody, Receive: req.account.Receive}
+	data, err := reader.ReadAll(body)
+	if !req.account.EndArrival() {
+		return nil, errCut
+	}
+	setDeadline(time.Time{})
 	return data, err
 }
 
@@ -104,24 +87,35 @@
 	switch {
 	case errors.As(err, &large):
 		g.refuse(req, rejection{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"})
-	case errors.Is(err, errMemory):
-		g.refuseForMemory(req)
+	case errors.Is(err, chargedreader.ErrRefused):
+		g.refuseForMemory(req, "")
+	case errors.Is(err, errCut):
+		g.refuseForMemory(req, causeNoProgress)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		req.w.Header().Set("Connection", "close")
 		g.refuse(req, rejection{status: http.StatusRequestTimeout, reason: reasonSlowBody})
+	case isMalformed(err):
+		req.w.Header().Set("Connection", "close")
+		g.refuse(req, rejection{status: http.StatusBadRequest, reason: "malformed-body"})
 	default:
 		return false
 	}
 	return true
 }
 
+// isMalformed reports whether a body ended neither early nor with its connection, but because its framing is not valid.
+func isMalformed(err error) bool {
+	var netErr net.Error
+	return !errors.As(err, &netErr) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, http.ErrBodyReadAfterClose)
+}
+
 // refuseForMemory refuses a request before the bound of the process is reached.
-func (g *Gateway) refuseForMemory(req *request) {
+func (g *Gateway) refuseForMemory(req *request, cause string) {
 	req.w.Header().Set("Connection", "close")
 	u := g.Buffers.Usage()
 	g.refuse(req, rejection{
 		status: http.StatusServiceUnavailable, reason: reasonMemory, retryAfter: g.RetryAfter(req.Remaining - time.Since(req.arrivedAt)),
-		details: log.Fields{"buffered": u.Bytes, "requests": u.Requests, "slow": u.SlowCallers},
+		cause: cause, details: log.Fields{"buffered": u.Bytes, "requests": u.Requests, "slow": u.SlowCallers},
 	})
 }
 
@@ -134,14 +128,3 @@
 	}
 	event.BufferBoundCleared.Log(g.Logger, f)
 }
-
-// RegisterBuffers exports what is buffered as metrics.
-func RegisterBuffers(r prometheus.Registerer, l *bufferlimiter.Limiter) {
-	gauge := func(name, help string, value func(u bufferlimiter.Usage) int) {
-		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 { return float64(value(l.Usage())) }))
-	}
-	gauge("nutmegdock_gateway_buffered_bytes", "Bytes buffered for callers and endpoints.", func(u bufferlimiter.Usage) int { return u.Bytes })
-	gauge("nutmegdock_gateway_buffered_bytes_bound", "Bound of the bytes buffered for callers and endpoints.", func(bufferlimiter.Usage) int { return l.Process })
-	gauge("nutmegdock_gateway_endpoint_unsent_bytes", "Bytes of requests that one endpoint has not read, of the endpoint with the most.", func(u bufferlimiter.Usage) int { return u.MostUnsent })
-	gauge("nutmegdock_gateway_slow_callers", "Responses that are read on for callers that do not read.", func(u bufferlimiter.Usage) int { return u.SlowCallers })
-}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/nutmegdock/nutmegdock/internal/chargedreader"
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
 	"github.com/nutmegdock/nutmegdock/internal/event"
@@ -25,14 +26,17 @@
 func (g *Gateway) forwardBuffered(ctx context.Context, req *request, state *requestState, resp *sender.Response) (assigner.Outcome, bool) {
 	state.mayHaveRun++
 	limited, charged := io.LimitReader(resp, maxBufferedBytes+1), 0
-	body, err := readCharged(limited, resp.Length, func(n int) bool {
-		ok := req.account.GrowResponse(n)
-		if ok {
-			charged += n
+	reader := chargedreader.Reader{Size: min(resp.Length, maxBufferedBytes), Limit: maxBufferedBytes, Grow: func(n int) bool {
+		if n < 0 {
+			req.account.AddResponse(n)
+		} else if !req.account.GrowResponse(n) {
+			return false
 		}
-		return ok
-	})
-	if errors.Is(err, errMemory) && !state.headerSent || err == nil && len(body) > maxBufferedBytes {
+		charged += n
+		return true
+	}}
+	body, err := reader.ReadAll(limited)
+	if errors.Is(err, chargedreader.ErrRefused) && !state.headerSent || err == nil && len(body) > maxBufferedBytes {
 		req.account.AddResponse(-charged) // charged again as it is passed on
 		return g.forwardLarge(ctx, req, state, resp, body)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/nutmegdock/nutmegdock/internal/chargedreader"
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
 	"github.com/nutmegdock/nutmegdock/internal/headercodec"
@@ -61,7 +62,7 @@
 				err = seqErr
 			}
 			if !state.chargePartial(req.account) {
-				state.lastErr = errMemory
+				state.lastErr = chargedreader.ErrRefused
 				return assigner.CallerGone, false
 			}
 		}
--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -222,6 +222,7 @@
 	h.initBuffers(registry)
 	parts := connectionbudget.Split(h.Descriptors)
 	h.keeper = connectionkeeper.New(parts, registry, h.Logger)
+	h.keeper.OnAdvance = h.gateway.Buffers.Advance
 	h.Replicator.Connections.Max = parts.Peers
 	h.assigner.OnSuspect = h.gateway.HandleSuspect
 	h.suspector.OnQuarantine, h.suspector.OnLift = h.gateway.HandleQuarantine, h.gateway.HandleLift
--- a/internal/gatewayserver/memory.go
+++ b/internal/gatewayserver/memory.go
@@ -3,10 +3,10 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/nutmegdock/nutmegdock/internal/buffermeter"
 	"github.com/nutmegdock/nutmegdock/internal/callerlistener"
 	"github.com/nutmegdock/nutmegdock/internal/core/bufferlimiter"
 	"github.com/nutmegdock/nutmegdock/internal/dialer"
-	"github.com/nutmegdock/nutmegdock/internal/gateway"
 )
 
 // initBuffers bounds what the gateway buffers, if the memory of the host is known.
@@ -18,5 +18,5 @@
 	limiter.OnPressure = h.gateway.HandleMemoryPressure
 	h.gateway.Buffers = limiter
 	h.gateway.Sender.Dial = (&dialer.Dialer{ConnectTimeout: connectTimeout, Buffer: callerlistener.Buffer}).DialContext
-	gateway.RegisterBuffers(registry, limiter)
+	buffermeter.Register(registry, "nutmegdock_gateway_", limiter)
 }
