Charge heads before they are parsed, and keep the configured limits of heads

What callers saw: 280 heads of 60 KB that stay open make gatewayd hold 73 MB and 16 MB unread on a host of 80 MB. A head over MaxHeaderBytes was served, and a slow one ended without a status.

Cause: the limit of a head was a constant of 64 KiB; MaxHeaderBytes was decoded and used nowhere. No account held the bytes of a head, of which parsing makes about five times as many, and some 130 bytes for each field besides: 280 legal heads of 1,900 short fields took 93 MB. Only descriptors bounded the number of connections.

Change: connectionkeeper counts the bytes of a head as they arrive, charges them, and ends the connection with 431, 408 or 503. It reads on for half a second before it closes, so that the caller gets the status. The constant limits of net/http no longer hold beside those of the configuration. The connections are bounded by an eighth of the memory as well. Event 1787 and the reasons head-size, head-time and memory of the metric say so.

TestIdleConnectionsAndSlowHeadsEnd wanted a slow head to end without a byte; it now wants the 408, and then the end.

TestEndedHeadsGetOneResponse guards against the second response (400) that the server adds to a part of a request line.

--- a/internal/connectionkeeper/connectionkeeper.go
+++ b/internal/connectionkeeper/connectionkeeper.go
@@ -1,8 +1,10 @@
-// Package connectionkeeper keeps the connections of callers within the descriptors of the process: it tells
-// core/connectionbudget what they do, and closes those that it names.
+// Package connectionkeeper keeps the connections of callers within the descriptors and the memory of the process: it tells
+// core/connectionbudget what they do, and closes those that it names. The heads that they send are
+// charged to core/bufferlimiter.
 package connectionkeeper
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -13,6 +15,7 @@
 	"github.com/apex/log"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/nutmegdock/nutmegdock/internal/core/bufferlimiter"
 	"github.com/nutmegdock/nutmegdock/internal/core/connectionbudget"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 )
@@ -24,6 +27,10 @@
 	maxStep       = 2 * checkInterval
 	// logInterval is the time between two log entries on connections that were closed for want of room.
 	logInterval = 5 * time.Second
+	// The limits that hold where the configuration states none.
+	defaultHeadBytes = 64 << 10
+	defaultHeadTime  = 10 * time.Second
+	defaultIdleTime  = 2 * time.Minute
 )
 
 // Reasons for closing a connection, in metrics.
@@ -31,27 +38,44 @@
 	reasonTimeout  = "timeout"
 	reasonRoom     = "room"
 	reasonRejected = "rejected"
+	reasonHeadSize = "head-size"
+	reasonHeadTime = "head-time"
+	reasonMemory   = "memory"
 )
 
+// reasons are the reasons of connections that end with a status before their request is complete.
+var reasons = map[int]string{
+	http.StatusRequestHeaderFieldsTooLarge: reasonHeadSize, http.StatusRequestTimeout: reasonHeadTime, http.StatusServiceUnavailable: reasonMemory,
+}
+
 // Keeper keeps the connections of one listener. Use New, and set the exported fields before use.
 type Keeper struct {
+	// Buffers is charged for the heads of requests. Nil sets no bounds.
+	Buffers *bufferlimiter.Limiter
 	// OnAdvance is called with the time in which the process ran, several times a second. Nil means that nobody is told.
 	OnAdvance func(d time.Duration)
 
 	logger log.Interface
 	closed *prometheus.CounterVec
+	// lingering is the number of connections whose callers are still read from although the response is complete.
+	lingering atomic.Int64
 
 	mu       sync.Mutex
 	budget   connectionbudget.Budget[*conn]
 	loggedAt time.Time
-	// closedForRoom is the number of connections that were closed for want of room since loggedAt.
+	// closedForRoom is the number of connections that were closed for want of room since loggedAt, and ended that of the
+	// connections that ended with a status before their request was complete.
 	closedForRoom int
+	ended         map[int]int
+	endedLoggedAt time.Time
+	headBytes     int
 }
 
 // New returns a keeper with the given parts, and registers its metrics.
 func New(parts connectionbudget.Parts, registry prometheus.Registerer, logger log.Interface) *Keeper {
-	k := &Keeper{logger: logger}
+	k := &Keeper{logger: logger, ended: make(map[int]int), headBytes: defaultHeadBytes}
 	k.budget.Parts = parts
+	k.budget.SetTimes(defaultIdleTime, defaultHeadTime)
 	k.closed = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "nutmegdock_connections_closed_total", Help: "Connections of callers that this host closed while no request was in progress, by reason.",
 	}, []string{"reason"})
@@ -72,12 +96,28 @@
 	return k
 }
 
-// SetTimes sets how long a connection may be idle, and how long a caller may take to send the head of a request. Zero sets no
-// limit.
+// SetTimes sets how long a connection may be idle, and how long a caller may take to send the head of a request. Zero sets the
+// default.
 func (k *Keeper) SetTimes(idleTime, headTime time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.budget.SetTimes(idleTime, headTime)
+	k.budget.SetTimes(cmp.Or(max(0, idleTime), defaultIdleTime), cmp.Or(max(0, headTime), defaultHeadTime))
+}
+
+// SetHeadBytes sets the largest head of a request. Zero sets the default.
+func (k *Keeper) SetHeadBytes(n int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.headBytes = defaultHeadBytes
+	if n > 0 {
+		k.headBytes = n
+	}
+}
+
+func (k *Keeper) maxHeadBytes() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.headBytes
 }
 
 // Usage returns the numbers of connections now.
@@ -105,11 +145,11 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
-		k.mu.Lock()
 		step := min(now.Sub(last), maxStep)
+		k.mu.Lock()
 		closed := k.budget.Advance(step)
 		k.mu.Unlock()
-		k.closeAll(closed, reasonTimeout)
+		k.expire(closed)
 		if k.OnAdvance != nil {
 			k.OnAdvance(step)
 		}
@@ -135,8 +175,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &conn{Conn: netConn, keeper: l.keeper}
-		c.awaits.Store(true)
+		c := &conn{Conn: netConn, keeper: l.keeper, isInHead: true}
 		if l.keeper.open(c) {
 			return c, nil
 		}
@@ -171,13 +210,16 @@
 	if kept == nil {
 		return
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
 	switch s {
 	case http.StateIdle:
+		kept.awaitHead()
+		k.mu.Lock()
+		defer k.mu.Unlock()
 		k.budget.EndRequest(kept)
-		kept.awaits.Store(true)
 	case http.StateHijacked, http.StateClosed:
+		kept.closeHead()
+		k.mu.Lock()
+		defer k.mu.Unlock()
 		k.budget.Remove(kept)
 	case http.StateNew, http.StateActive:
 	}
@@ -190,11 +232,12 @@
 	if !ok {
 		return true
 	}
+	isOpen := c.endHead()
 	k.mu.Lock()
 	ok, closed := k.budget.BeginRequest(c)
 	k.mu.Unlock()
 	k.closeAll(closed, reasonRoom)
-	return ok
+	return ok && isOpen
 }
 
 // Handler returns a handler that passes a request on if there is room for it, and has it refused otherwise. The connection is
@@ -210,6 +253,35 @@
 	})
 }
 
+// expire ends connections on which nothing has happened for too long. A caller that has sent a part of a head is told so.
+func (k *Keeper) expire(conns []*conn) {
+	silent := conns[:0]
+	for _, c := range conns {
+		if !c.endWith(http.StatusRequestTimeout) {
+			silent = append(silent, c)
+		}
+	}
+	k.closeAll(silent, reasonTimeout)
+}
+
+// recordEnd records that a connection ends with a status before its request was complete.
+func (k *Keeper) recordEnd(status int) {
+	k.closed.WithLabelValues(reasons[status]).Inc()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.ended[status]++
+	if time.Since(k.endedLoggedAt) < logInterval {
+		return
+	}
+	u := k.Buffers.Usage()
+	event.CallersCutOff.Log(k.logger, log.Fields{
+		"size": k.ended[http.StatusRequestHeaderFieldsTooLarge], "time": k.ended[http.StatusRequestTimeout], "memory": k.ended[http.StatusServiceUnavailable],
+		"limit": k.headBytes, "heads": u.Heads, "bodies": u.Bodies,
+	})
+	k.endedLoggedAt = time.Now()
+	clear(k.ended)
+}
+
 func (k *Keeper) closeAll(conns []*conn, reason string) {
 	for _, c := range conns {
 		_ = c.Conn.Close() // it ends with the process at the latest
@@ -234,33 +306,6 @@
 	k.loggedAt, k.closedForRoom = time.Now(), 0
 }
 
-// conn is a connection of a caller.
-type conn struct {
-	net.Conn
-	keeper *Keeper
-	// awaits is set while no byte of the next request has arrived.
-	awaits atomic.Bool
-}
-
-// Read records the first bytes of a request.
-func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 && c.awaits.Swap(false) {
-		c.keeper.mu.Lock()
-		defer c.keeper.mu.Unlock()
-		c.keeper.budget.BeginHead(c)
-	}
-	return n, err
-}
-
-// Close closes the connection and takes it out of the account.
-func (c *conn) Close() error {
-	c.keeper.mu.Lock()
-	c.keeper.budget.Remove(c)
-	c.keeper.mu.Unlock()
-	return c.Conn.Close()
-}
-
 // find returns the kept connection inside c, or nil.
 func find(c net.Conn) *conn {
 	for c != nil {
--- a/internal/core/connectionbudget/parts.go
+++ b/internal/core/connectionbudget/parts.go
@@ -10,8 +10,16 @@
 	// servedCost is the cost of a request in progress: the connection of its caller and the one to its endpoint. What a move to
 	// another endpoint needs for a moment is in the part of the other hosts.
 	servedCost = 2
+	// memoryDivisor gives the part of the memory for the connections of callers.
+	memoryDivisor = 8
+	// maxRefused is the number of connections that may be refused at a time where only the memory bounds them.
+	maxRefused = 64
 )
 
+// ConnectionBytes is the memory that is set aside for the connection of a caller: its goroutine, its read and write buffers, and what
+// waits in the kernel to be read.
+const ConnectionBytes = 24 << 10
+
 // Parts divides the sockets that a process may have open. No class can take the part of another one.
 type Parts struct {
 	// Callers is for the connections of callers and for those to endpoints that serve their requests.
@@ -23,15 +31,21 @@
 	Peers int
 }
 
-// Split divides the sockets of a process that may have the given number of descriptors. The zero Parts set no limit.
-func Split(descriptors int) Parts {
-	if descriptors <= 0 {
-		return Parts{}
+// Split divides the sockets of a process that may have the given number of descriptors and bytes of memory. Zero sets no limit.
+func Split(descriptors, memory int) Parts {
+	var p Parts
+	if descriptors > 0 {
+		sockets := max(descriptors-fileDescriptors, descriptors/2)
+		p.Refused = max(1, sockets/refusedDivisor)
+		others := sockets / otherDivisor
+		p.Peers = max(1, int(incomingShare*float64(others)))
+		p.Callers = max(servedCost, sockets-others-p.Refused)
+	}
+	if most := memory / memoryDivisor / ConnectionBytes; memory > 0 && (p.Callers == 0 || p.Callers > most) {
+		p.Callers = max(servedCost, most)
+		if descriptors <= 0 {
+			p.Refused = maxRefused
+		}
 	}
-	sockets := max(descriptors-fileDescriptors, descriptors/2)
-	p := Parts{Refused: max(1, sockets/refusedDivisor)}
-	others := sockets / otherDivisor
-	p.Peers = max(1, int(incomingShare*float64(others)))
-	p.Callers = max(servedCost, sockets-others-p.Refused)
 	return p
 }
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -203,7 +203,7 @@
 
 // buildConnections divides the descriptors between callers and other hosts.
 func (s *Server) buildConnections() {
-	parts := connectionbudget.Split(descriptors.Limit("descriptors", s.Settings.Descriptors, s.Logger))
+	parts := connectionbudget.Split(descriptors.Limit("descriptors", s.Settings.Descriptors, s.Logger), 0)
 	s.keeper = connectionkeeper.New(parts, s.registry, s.Logger)
 	s.keeper.SetTimes(time.Duration(s.Settings.IdleSeconds)*time.Second, 0)
 	s.peerConnections.Max = parts.Peers
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -84,6 +84,7 @@
 	BufferBoundCleared     = Event{1796, log.InfoLevel, "new requests are no longer refused because of what is buffered"}
 	GateInherited          = Event{1769, log.InfoLevel, "former process beside the engine had closed the gate; the engine's layers are proven first"}
 	ConnectionsClosed      = Event{1794, log.WarnLevel, "connections of callers without a request in progress were closed for want of room"}
+	CallersCutOff          = Event{1787, log.WarnLevel, "connections of callers ended before their requests were complete, for the size or the time of the head or for want of memory"}
 	LimitDefaulted         = Event{1799, log.WarnLevel, "limit is not valid; another one is used"}
 	CallerReadsSlowly      = Event{1797, log.InfoLevel, "caller does not read its response; the response is read on into a buffer"}
 	EndpointReadsSlowly    = Event{1798, log.InfoLevel, "endpoint does not read its requests; it was passed over"}
--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -89,8 +89,8 @@
 	CallerAddress, ReadinessAddress, MetricsAddress string
 	// LinkMbps is the bandwidth of the host's link in Mbit/s.
 	LinkMbps float64
-	// Memory is the number of bytes of memory that the process may use. Zero means that it is not known, and that what is
-	// buffered for callers and endpoints is not bounded.
+	// Memory is the number of bytes of memory that the process may use. Zero means that it is not known, and that neither what
+	// is buffered for callers and endpoints nor the connections of callers are bounded by it.
 	Memory int
 	// Descriptors is the number of descriptors that the process may have open. Zero means that it is not known, and that
 	// connections are not bounded.
@@ -220,8 +220,9 @@
 		RetryAfter: func(remaining time.Duration) time.Duration { return max(0, remaining/retryAfterDivisor) },
 	}
 	h.initBuffers(registry)
-	parts := connectionbudget.Split(h.Descriptors)
+	parts := connectionbudget.Split(h.Descriptors, h.Memory)
 	h.keeper = connectionkeeper.New(parts, registry, h.Logger)
+	h.keeper.Buffers = h.gateway.Buffers
 	h.keeper.OnAdvance = h.gateway.Buffers.Advance
 	h.Replicator.Connections.Max = parts.Peers
 	h.assigner.OnSuspect = h.gateway.HandleSuspect
@@ -341,6 +342,7 @@
 		return false
 	}
 	h.keeper.SetTimes(config.Limits.IdleTime, config.Limits.HeadTime)
+	h.keeper.SetHeadBytes(config.Limits.HeaderBytes)
 	for _, d := range config.Defaulted {
 		event.LimitDefaulted.Log(h.Logger, log.Fields{"revision": int64(config.Revision), "limit": d})
 	}
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -17,6 +17,8 @@
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10
+	// maxKeptHeaderBytes is above every limit that a keeper sets.
+	maxKeptHeaderBytes = 16 << 20
 )
 
 // Server serves one handler on one listener. Set its fields before Run.
@@ -53,6 +55,8 @@
 		DisableGeneralOptionsHandler: s.PassOptions,
 	}
 	if s.Keeper != nil {
+		// The keeper limits both times.
+		srv.MaxHeaderBytes, srv.ReadHeaderTimeout, srv.IdleTimeout = maxKeptHeaderBytes, 0, 0
 		srv.Handler = s.Keeper.Handler(s.Handler, s.Refuse)
 		srv.ConnState = s.Keeper.ConnState
 		srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
--- a/internal/httpserver/keeper_test.go
+++ b/internal/httpserver/keeper_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -80,10 +82,43 @@
 	slow := dial(t, address, "GET /")
 	is.Equal(status(last), http.StatusOK)
 	is.True(isClosed(last, 5*time.Second))
+	is.Equal(status(slow), http.StatusRequestTimeout)
 	is.True(isClosed(slow, 5*time.Second))
 	is.True(!isClosed(running, 50*time.Millisecond))
 }
 
+// Guards against a head that is over the limit, or not complete in time, whose caller gets another status, two responses or none.
+func TestEndedHeadsGetOneResponse(t *testing.T) {
+	const limit = 4 << 10
+	for name, c := range map[string]struct {
+		text string
+		want int
+	}{
+		"slow":         {"GET / HTTP/1.1\r\nHost: ", http.StatusRequestTimeout},
+		"slow line":    {"GE", http.StatusRequestTimeout},
+		"long":         {"GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("a", 2*limit) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		"without end":  {"GET /" + strings.Repeat("a", 64*limit), http.StatusRequestHeaderFieldsTooLarge},
+		"at the limit": {"GET /now HTTP/1.1\r\nHost: h\r\nConnection: close\r\nX: " + strings.Repeat("a", limit-59) + "\r\n\r\n", http.StatusOK},
+		"long body":    {"POST /now HTTP/1.1\r\nHost: h\r\nContent-Length: 8192\r\n\r\n" + strings.Repeat("a", 2*limit), http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address, keeper := startKept(t, connectionbudget.Parts{Callers: 4, Refused: 1})
+			keeper.SetTimes(0, 300*time.Millisecond)
+			keeper.SetHeadBytes(limit)
+			conn, err := net.Dial("tcp4", address)
+			is.NoErr(err)
+			defer conn.Close()
+			_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+			_, _ = io.WriteString(conn, c.text) // the read fails as well
+			data, err := io.ReadAll(conn)
+			is.NoErr(err)
+			is.Equal(strings.Count(string(data), "HTTP/1.1 "), 1)
+			is.True(strings.HasPrefix(string(data), fmt.Sprintf("HTTP/1.1 %d ", c.want)))
+		})
+	}
+}
+
 // Guards against callers without room that are left without an answer, and against a lack of room that is not reported.
 func TestRequestsWithoutRoomAreRefusedAtOnce(t *testing.T) {
 	is := is.New(t)
