Bodies that are not finished no longer hold connections

What callers saw: beside 280 callers whose bodies stop a byte short, ordinary requests were refused for want of connections in 20 of 20 tries, also when the requests of these bodies had been refused with 404.

Cause: the server of net/http reads on up to 256 KiB of an unread body before it sends the response and again before it closes, without a time limit. And a request in progress was never cut for room, even without its body.

Change: a response that is sent before the body was read to its end closes the connection at once. core/connectionbudget knows the connections whose body is not complete; one without progress for a second gives way when there is no room, and is refused with 408. A complete request is never cut.

The state test of the budget plays bodies too.

--- a/internal/connectionkeeper/conn.go
+++ b/internal/connectionkeeper/conn.go
@@ -38,6 +38,8 @@
 	isUnread bool
 	// hasEnded is set when the response with status was sent.
 	hasEnded bool
+	// isInBody is set while the body of a request is not complete.
+	isInBody bool
 }
 
 // Read reads from the connection. It ends the connection with a status if the head of a request is too large or may not be kept.
@@ -182,6 +184,33 @@
 	return os.ErrDeadlineExceeded
 }
 
+// endUnread records that the response is complete and that the rest of the request is not wanted.
+func (c *conn) endUnread() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isUnread, c.isInBody = true, false
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // the server reads no further
+}
+
+// setInBody records whether the body of a request is not complete.
+func (c *conn) setInBody(isInBody bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isInBody = isInBody
+}
+
+// cutBody ends the read of the body of a request, so that the request is refused, and reports whether there is one.
+func (c *conn) cutBody() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isInBody {
+		return false
+	}
+	c.isUnread = true
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // the read of the body fails
+	return true
+}
+
 // SetReadDeadline sets the deadline of reads, unless the connection ends.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
--- a/internal/connectionkeeper/connectionkeeper.go
+++ b/internal/connectionkeeper/connectionkeeper.go
@@ -17,6 +17,7 @@
 
 	"github.com/nutmegdock/nutmegdock/internal/core/bufferlimiter"
 	"github.com/nutmegdock/nutmegdock/internal/core/connectionbudget"
+	"github.com/nutmegdock/nutmegdock/internal/core/progressmeter"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 )
 
@@ -81,10 +82,11 @@
 	}, []string{"reason"})
 	registry.MustRegister(k.closed)
 	for use, value := range map[string]func(u connectionbudget.Usage) int{
-		"idle":    func(u connectionbudget.Usage) int { return u.Idle },
-		"reading": func(u connectionbudget.Usage) int { return u.Reading },
-		"serving": func(u connectionbudget.Usage) int { return u.Serving },
-		"refused": func(u connectionbudget.Usage) int { return u.Refused },
+		"idle":      func(u connectionbudget.Usage) int { return u.Idle },
+		"reading":   func(u connectionbudget.Usage) int { return u.Reading },
+		"receiving": func(u connectionbudget.Usage) int { return u.Receiving },
+		"serving":   func(u connectionbudget.Usage) int { return u.Serving },
+		"refused":   func(u connectionbudget.Usage) int { return u.Refused },
 	} {
 		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "nutmegdock_connections", Help: "Connections of callers, by what they do.", ConstLabels: prometheus.Labels{"use": use},
@@ -241,10 +243,20 @@
 }
 
 // Handler returns a handler that passes a request on if there is room for it, and has it refused otherwise. The connection is
-// closed after a refusal.
+// closed after a refusal, and after a response to a request whose body was not read to its end.
 func (k *Keeper) Handler(next http.Handler, refuse http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if k.beginRequest(r.Context()) {
+		isKept := k.beginRequest(r.Context())
+		c, ok := r.Context().Value(connKey{}).(*conn)
+		if ok && r.ContentLength != 0 {
+			b := &body{ReadCloser: r.Body, conn: c, progress: progressmeter.Meter{Size: int(r.ContentLength)}}
+			b.begin()
+			defer b.end()
+			r = r.WithContext(r.Context())
+			r.Body = b
+			w = &responseWriter{ResponseWriter: w, body: b}
+		}
+		if isKept {
 			next.ServeHTTP(w, r)
 			return
 		}
@@ -284,7 +296,9 @@
 
 func (k *Keeper) closeAll(conns []*conn, reason string) {
 	for _, c := range conns {
-		_ = c.Conn.Close() // it ends with the process at the latest
+		if !c.cutBody() {
+			_ = c.Conn.Close() // it ends with the process at the latest
+		}
 	}
 	if len(conns) == 0 {
 		return
@@ -301,7 +315,7 @@
 	}
 	u := k.budget.Usage()
 	event.ConnectionsClosed.Log(k.logger, log.Fields{
-		"closed": k.closedForRoom, "bound": k.budget.Parts.Callers, "idle": u.Idle, "reading": u.Reading, "serving": u.Serving, "refused": u.Refused,
+		"closed": k.closedForRoom, "bound": k.budget.Parts.Callers, "idle": u.Idle, "reading": u.Reading, "receiving": u.Receiving, "serving": u.Serving, "refused": u.Refused,
 	})
 	k.loggedAt, k.closedForRoom = time.Now(), 0
 }
--- a/internal/core/connectionbudget/connectionbudget.go
+++ b/internal/core/connectionbudget/connectionbudget.go
@@ -2,8 +2,8 @@
 // up the descriptors that requests in progress and other hosts need.
 //
 // A connection is closed once it has been idle for the time that the configuration states, and earlier, the longest idle
-// first, when the part of the callers is used up. One that sends the head of a request slowly counts as idle after a second. A
-// request in progress is never cut for room. What finds no room is answered with a refusal, from a part of its own, and if
+// first, when the part of the callers is used up. One that sends the head of a request slowly counts as idle after a second, and
+// so does one that sends its body without progress. A request that is complete is never cut for room. What finds no room is answered with a refusal, from a part of its own, and if
 // that is used up too, it is closed at once.
 //
 // Times are those in which the process ran: after a standstill, what callers have sent meanwhile is read before their
@@ -43,6 +43,8 @@
 	opened
 	// reading means that a part of the head of a request has arrived.
 	reading
+	// receiving means that the head of a request is complete and its body is not.
+	receiving
 	serving
 	refused
 	stateCount
@@ -107,6 +109,27 @@
 	return ok, closed
 }
 
+// BeginBody records that the body of the request that has begun is not complete.
+func (b *Budget[K]) BeginBody(k K) {
+	if e := b.find(k); e != nil && e.state == serving {
+		b.move(k, receiving)
+	}
+}
+
+// Progress records that the body of the request has made progress.
+func (b *Budget[K]) Progress(k K) {
+	if e := b.find(k); e != nil && e.state == receiving {
+		b.move(k, receiving)
+	}
+}
+
+// EndBody records that the body of the request is complete.
+func (b *Budget[K]) EndBody(k K) {
+	if e := b.find(k); e != nil && e.state == receiving {
+		b.move(k, serving)
+	}
+}
+
 // BeginHead records that the head of a further request has begun.
 func (b *Budget[K]) BeginHead(k K) {
 	if e := b.find(k); e != nil && (e.state == idle || e.state == opened) {
@@ -146,29 +169,30 @@
 
 // Usage is the number of connections of callers by what they do.
 type Usage struct {
-	// Idle counts those that await a request, and Reading those that have sent a part of its head.
-	Idle, Reading, Serving, Refused int
+	// Idle counts those that await a request, Reading those that have sent a part of its head, Receiving those that have sent a
+	// part of its body, and Serving those whose request is complete.
+	Idle, Reading, Receiving, Serving, Refused int
 }
 
 // Usage returns the numbers of connections now.
 func (b *Budget[K]) Usage() Usage {
-	return Usage{Idle: b.lists[idle].Len() + b.lists[opened].Len(), Reading: b.lists[reading].Len(), Serving: b.lists[serving].Len(), Refused: b.lists[refused].Len()}
+	return Usage{Idle: b.lists[idle].Len() + b.lists[opened].Len(), Reading: b.lists[reading].Len(), Receiving: b.lists[receiving].Len(), Serving: b.lists[serving].Len(), Refused: b.lists[refused].Len()}
 }
 
 func (b *Budget[K]) used() int {
-	return b.lists[idle].Len() + b.lists[opened].Len() + b.lists[reading].Len() + servedCost*b.lists[serving].Len()
+	return b.lists[idle].Len() + b.lists[opened].Len() + b.lists[reading].Len() + servedCost*(b.lists[receiving].Len()+b.lists[serving].Len())
 }
 
 // makeRoom takes connections out of the account until n more fit, and reports whether they do. It takes those that have done
-// nothing for the longest time, and of those whose head is awaited only the ones for which minHeadTime has passed. If they do
-// not suffice, it takes none.
+// nothing for the longest time, and of those whose head or body is awaited only the ones for which minHeadTime has passed. If they
+// do not suffice, it takes none.
 func (b *Budget[K]) makeRoom(n int) (closed []K, ok bool) {
 	excess := b.used() + n - b.Parts.Callers
 	if b.Parts.Callers <= 0 || excess <= 0 {
 		return nil, true
 	}
-	next := [...]*list.Element{idle: b.lists[idle].Front(), opened: b.lists[opened].Front(), reading: b.lists[reading].Front()}
-	for len(closed) < excess {
+	next := [...]*list.Element{idle: b.lists[idle].Front(), opened: b.lists[opened].Front(), reading: b.lists[reading].Front(), receiving: b.lists[receiving].Front()}
+	for excess > 0 {
 		oldest := stateCount
 		for s, el := range next {
 			if el == nil || state(s) != idle && b.now-since[K](el) <= minHeadTime {
@@ -182,6 +206,10 @@
 			return nil, false
 		}
 		closed = append(closed, next[oldest].Value.(*entry[K]).key)
+		excess--
+		if oldest == receiving {
+			excess -= servedCost - 1
+		}
 		next[oldest] = next[oldest].Next()
 	}
 	for _, k := range closed {
--- a/internal/core/connectionbudget/connectionbudget_test.go
+++ b/internal/core/connectionbudget/connectionbudget_test.go
@@ -17,6 +17,7 @@
 	idle state = iota
 	opened
 	reading
+	receiving
 	serving
 	refused
 )
@@ -27,8 +28,8 @@
 	since time.Duration
 }
 
-// Guards against idle connections that use up the descriptors, against requests in progress that are cut for room, and against
-// connections that are closed while others have been idle for longer.
+// Guards against idle connections and bodies without progress that use up the descriptors, against complete requests that are cut
+// for room, and against connections that are closed while others have been idle for longer.
 func TestStateBudgetKeepsRequestsInProgress(t *testing.T) {
 	const idleTime, headTime = 15 * time.Second, 3 * time.Second
 	for seed := range uint64(300) {
@@ -93,6 +94,12 @@
 			case c.state == opened:
 				b.BeginHead(k)
 				*c = conn{reading, now}
+			case c.state == receiving && rng.IntN(2) == 0:
+				b.Progress(k)
+				c.since = now
+			case c.state == receiving:
+				b.EndBody(k)
+				*c = conn{serving, now}
 			case c.state == serving:
 				b.EndRequest(k)
 				*c = conn{idle, now}
@@ -104,10 +111,13 @@
 				if !ok {
 					c.state = refused
 					is.True(former == refused || count(idle) == 0)
+				} else if rng.IntN(2) == 0 {
+					b.BeginBody(k)
+					c.state = receiving
 				}
 			}
-			is.Equal(b.Usage(), connectionbudget.Usage{Idle: count(idle) + count(opened), Reading: count(reading), Serving: count(serving), Refused: count(refused)})
-			is.True(count(idle)+count(opened)+count(reading)+2*count(serving) <= b.Parts.Callers) // more than the part of the callers
+			is.Equal(b.Usage(), connectionbudget.Usage{Idle: count(idle) + count(opened), Reading: count(reading), Receiving: count(receiving), Serving: count(serving), Refused: count(refused)})
+			is.True(count(idle)+count(opened)+count(reading)+2*(count(receiving)+count(serving)) <= b.Parts.Callers) // more than the part of the callers
 		}
 	}
 }
