Read bodies whose framing costs much work at a pace

Cause: six bytes of such a body carry one of content, and each chunk is parsed. Nothing bounded what a connection may cost.

One that was held up makes no progress, so that it gives way when memory or connections are short.

--- a/internal/chargedreader/chargedreader.go
+++ b/internal/chargedreader/chargedreader.go
@@ -21,6 +21,17 @@
 	Grow func(n int) bool
 	// Receive is called with the number of bytes that have arrived. Nil means that nobody is told.
 	Receive func(n int)
+	// IsCostly reports whether the body costs so much work that it is read at a pace. What arrives of it then does not count.
+	// Nil means that it does not.
+	IsCostly func() bool
+}
+
+// CostOf returns the method IsCostly of a body, or nil if it has none.
+func CostOf(body io.Reader) func() bool {
+	if b, ok := body.(interface{ IsCostly() bool }); ok {
+		return b.IsCostly
+	}
+	return nil
 }
 
 // ReadAll reads a body to its end. It returns ErrRefused with what it has read if the buffer may not grow. The body itself must
@@ -41,7 +52,7 @@
 		}
 		n, err := body.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
-		if r.Receive != nil {
+		if r.Receive != nil && (r.IsCostly == nil || !r.IsCostly()) {
 			r.Receive(n)
 		}
 		if errors.Is(err, io.EOF) {
--- a/internal/chargedreader/chargedreader_test.go
+++ b/internal/chargedreader/chargedreader_test.go
@@ -35,6 +35,20 @@
 	}
 }
 
+// Guards against a body that is read at a pace and counts as one that makes progress.
+func TestCostlyBodyMakesNoProgress(t *testing.T) {
+	is := is.New(t)
+	const limit, cheap = 1 << 20, 100_000
+	received := 0
+	r := chargedreader.Reader{
+		Size: -1, Limit: limit, Grow: func(int) bool { return true }, Receive: func(n int) { received += n }, IsCostly: func() bool { return received >= cheap },
+	}
+	_, err := r.ReadAll(iotest.HalfReader(bytes.NewReader(make([]byte, limit))))
+	is.NoErr(err)
+	is.True(received >= cheap && received < limit/2)
+	is.True(chargedreader.CostOf(bytes.NewReader(nil)) == nil)
+}
+
 // Guards against a body that is read on although it may not be held.
 func TestRefusedBodyIsNotRead(t *testing.T) {
 	is := is.New(t)
--- a/internal/connectionkeeper/body.go
+++ b/internal/connectionkeeper/body.go
@@ -1,19 +1,33 @@
 package connectionkeeper
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/progressmeter"
+	"github.com/nutmegdock/nutmegdock/internal/core/workpacer"
 )
 
-// body is the body of a request.
+// body is the body of a request. It is read at the pace of the keeper if its framing costs much work.
 type body struct {
 	io.ReadCloser
-	conn     *conn
+	ctx   context.Context
+	conn  *conn
+	meter workpacer.Meter
+	// received is the number of bytes that had arrived on the connection when the body was last read.
+	received int
 	progress progressmeter.Meter
 	isRead   bool
+	// isCostly is set once the body was held up for its framing. It makes no progress from then on.
+	isCostly bool
+}
+
+// IsCostly reports whether the framing of the body costs so much work that it is read at a pace.
+func (b *body) IsCostly() bool {
+	return b.isCostly
 }
 
 // begin records that the body is not complete.
@@ -30,7 +44,7 @@
 	if b.isRead {
 		b.conn.setInBody(false)
 	}
-	hasProgress := b.progress.Add(n)
+	hasProgress := b.progress.Add(n) && !b.isCostly
 	if !hasProgress && !b.isRead {
 		return
 	}
@@ -51,6 +65,16 @@
 		b.isRead = errors.Is(err, io.EOF)
 		b.recordProgress(n)
 	}
+	received := b.conn.receivedBytes()
+	framing := b.meter.Add(n, received-b.received)
+	b.received = received
+	if framing > 0 && err == nil && b.conn.keeper.Pacer != nil {
+		b.isCostly = true
+		select {
+		case <-b.ctx.Done():
+		case <-time.After(b.conn.keeper.Pacer.Take(time.Now(), framing)):
+		}
+	}
 	return n, err
 }
 
--- a/internal/connectionkeeper/conn.go
+++ b/internal/connectionkeeper/conn.go
@@ -32,6 +32,8 @@
 	tail      [3]byte
 	// account is charged for the head until its request has ended.
 	account *bufferlimiter.Account
+	// received is the number of bytes that have arrived.
+	received int
 	// status is the status with which the connection ends before the request is complete; zero if it does not. isUnread is set
 	// when it ends although the caller may still send.
 	status   int
@@ -60,6 +62,7 @@
 // record counts bytes that have arrived, and charges those of a head.
 func (c *conn) record(p []byte) {
 	c.mu.Lock()
+	c.received += len(p)
 	isInHead, isFirst := c.isInHead, c.isInHead && c.headBytes == 0
 	c.mu.Unlock()
 	if !isInHead {
@@ -221,6 +224,12 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+func (c *conn) receivedBytes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.received
+}
+
 // Close closes the connection and takes it out of the account.
 func (c *conn) Close() error {
 	c.closeHead()
--- a/internal/connectionkeeper/connectionkeeper.go
+++ b/internal/connectionkeeper/connectionkeeper.go
@@ -1,6 +1,6 @@
 // Package connectionkeeper keeps the connections of callers within the descriptors and the memory of the process: it tells
-// core/connectionbudget what they do, and closes those that it names. The heads that they send are
-// charged to core/bufferlimiter.
+// core/connectionbudget what they do, and closes those that it names. What they send before a request is complete is charged to
+// core/bufferlimiter, and what costs much work is read at the pace of core/workpacer.
 package connectionkeeper
 
 import (
@@ -18,6 +18,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/bufferlimiter"
 	"github.com/nutmegdock/nutmegdock/internal/core/connectionbudget"
 	"github.com/nutmegdock/nutmegdock/internal/core/progressmeter"
+	"github.com/nutmegdock/nutmegdock/internal/core/workpacer"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 )
 
@@ -53,6 +54,8 @@
 type Keeper struct {
 	// Buffers is charged for the heads of requests. Nil sets no bounds.
 	Buffers *bufferlimiter.Limiter
+	// Pacer paces what costs much work. Nil means that nothing does.
+	Pacer *workpacer.Pacer
 	// OnAdvance is called with the time in which the process ran, several times a second. Nil means that nobody is told.
 	OnAdvance func(d time.Duration)
 
@@ -249,7 +252,7 @@
 		isKept := k.beginRequest(r.Context())
 		c, ok := r.Context().Value(connKey{}).(*conn)
 		if ok && r.ContentLength != 0 {
-			b := &body{ReadCloser: r.Body, conn: c, progress: progressmeter.Meter{Size: int(r.ContentLength)}}
+			b := &body{ReadCloser: r.Body, ctx: r.Context(), conn: c, received: c.receivedBytes(), progress: progressmeter.Meter{Size: int(r.ContentLength)}}
 			b.begin()
 			defer b.end()
 			r = r.WithContext(r.Context())
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -41,7 +41,7 @@
 	setDeadline(req.deadline)
 	size := req.r.ContentLength
 	req.account.BeginBody(size, func() { setDeadline(time.Unix(1, 0)) })
-	reader := chargedreader.Reader{Size: size, Limit: limit, Grow: req.account.GrowBody, Receive: req.account.Receive}
+	reader := chargedreader.Reader{Size: size, Limit: limit, Grow: req.account.GrowBody, Receive: req.account.Receive, IsCostly: chargedreader.CostOf(req.r.Body)}
 	data, err := reader.ReadAll(body)
 	if !req.account.EndArrival() {
 		return nil, errCut
--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -32,6 +32,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/permitsharer"
 	"github.com/nutmegdock/nutmegdock/internal/core/presencetracker"
 	"github.com/nutmegdock/nutmegdock/internal/core/retrybudget"
+	"github.com/nutmegdock/nutmegdock/internal/core/workpacer"
 	"github.com/nutmegdock/nutmegdock/internal/core/zonebalancer"
 	"github.com/nutmegdock/nutmegdock/internal/core/zonerestrictor"
 	"github.com/nutmegdock/nutmegdock/internal/dialer"
@@ -128,6 +129,7 @@
 
 	gateway  *gateway.Gateway
 	keeper   *connectionkeeper.Keeper
+	pacer    workpacer.Pacer
 	assigner *assigner.Assigner
 	ready    atomic.Bool
 	draining atomic.Bool
@@ -222,7 +224,7 @@
 	h.initBuffers(registry)
 	parts := connectionbudget.Split(h.Descriptors, h.Memory)
 	h.keeper = connectionkeeper.New(parts, registry, h.Logger)
-	h.keeper.Buffers = h.gateway.Buffers
+	h.keeper.Buffers, h.keeper.Pacer = h.gateway.Buffers, &h.pacer
 	h.keeper.OnAdvance = h.gateway.Buffers.Advance
 	h.Replicator.Connections.Max = parts.Peers
 	h.assigner.OnSuspect = h.gateway.HandleSuspect
