Bound the connections to the addresses for readiness and metrics

What callers saw: 280 heads of 60 KB that stay open at one of these addresses make gatewayd hold 72 MB, and 15 MB unread, on a host of 80 MB.

Cause: only the address for callers had a keeper of connections.

Change: each address has one, with a 64th of the sockets and the same limits of heads and charges. The metrics of the keepers have the prefixes readiness_ and metrics_.

--- a/internal/core/connectionbudget/connectionbudget_test.go
+++ b/internal/core/connectionbudget/connectionbudget_test.go
@@ -128,8 +128,8 @@
 	const memory = 284_000_000
 	for _, n := range []int{0, -5, 64, 300, 2048, 2870, 4100, 8192} {
 		p := connectionbudget.Split(n, 0)
-		is.Equal(n > 0, p.Callers >= 2 && p.Refused >= 1 && p.Peers >= 1)
-		is.True(p.Callers+p.Refused+p.Peers <= max(0, n))
+		is.Equal(n > 0, p.Callers >= 2 && p.Refused >= 1 && p.Peers >= 1 && p.Observers >= 2)
+		is.True(p.Callers+p.Refused+p.Peers+2*p.Observers <= max(0, n))
 		bounded := connectionbudget.Split(n, memory)
 		is.True(bounded.Callers*connectionbudget.ConnectionBytes <= memory/8 && bounded.Callers >= 2 && bounded.Refused >= 1)
 		is.True(n <= 0 || bounded.Callers <= p.Callers)
--- a/internal/core/connectionbudget/parts.go
+++ b/internal/core/connectionbudget/parts.go
@@ -12,7 +12,10 @@
 	servedCost = 2
 	// memoryDivisor gives the part of the memory for the connections of callers.
 	memoryDivisor = 8
-	// maxRefused is the number of connections that may be refused at a time where only the memory bounds them.
+	// observersDivisor gives the part of the other sockets for each address that is not for callers.
+	observersDivisor = 16
+	// maxRefused is the number of connections that may be refused at a time, and of those to each of the other addresses, where
+	// only the memory bounds them.
 	maxRefused = 64
 )
 
@@ -29,6 +32,16 @@
 	// Peers is for the connections that other hosts open. What is left serves the connections to them, to the store and to the
 	// origin, and metrics and readiness.
 	Peers int
+	// Observers is for the connections to each of the addresses for readiness, metrics and operators.
+	Observers int
+}
+
+// Observing returns the parts of an address for readiness, metrics or operators.
+func (p Parts) Observing() Parts {
+	if p.Observers == 0 {
+		return Parts{}
+	}
+	return Parts{Callers: p.Observers, Refused: 1}
 }
 
 // Split divides the sockets of a process that may have the given number of descriptors and bytes of memory. Zero sets no limit.
@@ -39,12 +52,13 @@
 		p.Refused = max(1, sockets/refusedDivisor)
 		others := sockets / otherDivisor
 		p.Peers = max(1, int(incomingShare*float64(others)))
+		p.Observers = max(2*servedCost, others/observersDivisor)
 		p.Callers = max(servedCost, sockets-others-p.Refused)
 	}
 	if most := memory / memoryDivisor / ConnectionBytes; memory > 0 && (p.Callers == 0 || p.Callers > most) {
 		p.Callers = max(servedCost, most)
 		if descriptors <= 0 {
-			p.Refused = maxRefused
+			p.Refused, p.Observers = maxRefused, maxRefused
 		}
 	}
 	return p
--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -223,8 +223,7 @@
 	}
 	h.initBuffers(registry)
 	parts := connectionbudget.Split(h.Descriptors, h.Memory)
-	h.keeper = connectionkeeper.New(parts, registry, h.Logger)
-	h.keeper.Buffers, h.keeper.Pacer = h.gateway.Buffers, &h.pacer
+	h.keeper = h.newKeeper(parts, registry)
 	h.keeper.OnAdvance = h.gateway.Buffers.Advance
 	h.Replicator.Connections.Max = parts.Peers
 	h.assigner.OnSuspect = h.gateway.HandleSuspect
@@ -278,10 +277,21 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(messages.ExplainPath, h.gateway.ServeExplanation)
 	mux.Handle("/", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
-	tasks.Go(func() error { return h.serve(serveCtx, h.MetricsAddress, mux, nil) })
-	tasks.Go(func() error { return h.keeper.Run(serveCtx) })
-	tasks.Go(func() error { return h.serve(serveCtx, h.ReadinessAddress, http.HandlerFunc(h.handleReadiness), nil) })
-	tasks.Go(func() error { return h.serve(serveCtx, h.CallerAddress, h.gateway, h.keeper) })
+	for _, a := range []struct {
+		name, address string
+		handler       http.Handler
+		keeper        *connectionkeeper.Keeper
+	}{
+		{"callers", h.CallerAddress, h.gateway, h.keeper},
+		{"metrics", h.MetricsAddress, mux, nil},
+		{"readiness", h.ReadinessAddress, http.HandlerFunc(h.handleReadiness), nil},
+	} {
+		if a.keeper == nil {
+			a.keeper = h.newKeeper(parts.Observing(), prometheus.WrapRegistererWithPrefix(a.name+"_", registry))
+		}
+		tasks.Go(func() error { return a.keeper.Run(serveCtx) })
+		tasks.Go(func() error { return h.serve(serveCtx, a.address, a.handler, a.keeper) })
+	}
 	event.Started.Log(h.Logger, log.Fields{"ip": h.IP, "callers": h.CallerAddress, "metrics": h.MetricsAddress})
 	select {
 	case <-ctx.Done():
