entryd keeps to its memory

What callers saw: 120 legal bodies of 1 MiB that stop a byte short make entryd hold 220 to 290 MB on a host of 80 MB, and 174 to 244 MB at the address of operators.

Cause: entryd had no setting for its memory and no account of bodies; the address of operators had no bound of connections and no time limit for bodies.

Change: the key "memory", or the memory of the machine, bounds what is buffered and the connections, by the decisions that gatewayd uses. callerapi charges a body, and what it is decoded to; adminapi charges the largest change before it reads one. The address of operators has a keeper. A body that is not complete in time gets 408 and not 400.

--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -15,6 +15,7 @@
 	kithttp "github.com/go-kit/kit/transport/http"
 
 	"github.com/nutmegdock/nutmegdock/internal/authorizer"
+	"github.com/nutmegdock/nutmegdock/internal/core/bufferlimiter"
 	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/reducer"
@@ -22,7 +23,12 @@
 	"github.com/nutmegdock/nutmegdock/internal/publisher"
 )
 
-const maxBodyBytes = 1 << 20
+const (
+	maxBodyBytes    = 1 << 20
+	bodyReadTimeout = 10 * time.Second
+	// bodyCopies is how often the text of a change is held: its body, the decoded record, and the record that is published.
+	bodyCopies = 3
+)
 
 // Paths of the admin API.
 const (
@@ -41,6 +47,8 @@
 	Authorizer *authorizer.Authorizer
 	// Publish appends a change to the configuration log and returns its audit entry.
 	Publish func(ctx context.Context, rec catalog.Record) (reducer.AuditEntry, error)
+	// Buffers bounds what is buffered for requests. Nil sets no bounds.
+	Buffers *bufferlimiter.Limiter
 	// View calls fn with the configuration state, which fn must not change.
 	View func(fn func(*reducer.Reducer))
 	// ResolveArtifact returns the digest of an artifact version.
@@ -78,11 +86,34 @@
 			encodeError(r.Context(), err, w)
 			return
 		}
+		account, ok := a.admitBody(w, r)
+		defer account.Close()
+		if !ok {
+			encodeError(r.Context(), &ResponseError{Status: http.StatusServiceUnavailable, Code: "memory", Text: "too much is buffered; try again"}, w)
+			return
+		}
 		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
 		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), tokenKey{}, t)))
 	})
 }
 
+// admitBody charges the largest body that a request may have before any of it is read, and reports whether it may be. The account
+// must be closed when the request ends.
+func (a *Admin) admitBody(w http.ResponseWriter, r *http.Request) (*bufferlimiter.Account, bool) {
+	size := r.ContentLength
+	if size < 0 || size > maxBodyBytes {
+		size = maxBodyBytes
+	}
+	account, ok := a.Buffers.Open()
+	if !ok || size == 0 {
+		return account, ok
+	}
+	setDeadline := func(t time.Time) { _ = http.NewResponseController(w).SetReadDeadline(t) } // not supported only in tests
+	setDeadline(time.Now().Add(bodyReadTimeout))
+	account.BeginBody(size, func() { setDeadline(time.Unix(1, 0)) })
+	return account, account.GrowBody(int(size) * bodyCopies)
+}
+
 // recordingRefusals wraps a handler and records the refusals that the handler itself decides.
 func (a *Admin) recordingRefusals(action string, next endpoint.Endpoint) endpoint.Endpoint {
 	return func(ctx context.Context, q any) (any, error) {
--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -12,6 +13,8 @@
 	"github.com/go-kit/kit/endpoint"
 	kithttp "github.com/go-kit/kit/transport/http"
 
+	"github.com/nutmegdock/nutmegdock/internal/chargedreader"
+	"github.com/nutmegdock/nutmegdock/internal/core/bufferlimiter"
 	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/manifest"
@@ -33,10 +36,25 @@
 	ViewState func(fn func(*reducer.Reducer))
 	// Dispatch sends a request to an endpoint.
 	Dispatch func(ctx context.Context, req dispatcher.Request) (*http.Response, error)
+	// Buffers bounds what is buffered for callers. Nil sets no bounds.
+	Buffers *bufferlimiter.Limiter
 	// Logger receives the events.
 	Logger log.Interface
 }
 
+type accountKey struct{}
+
+// limitedBody is a body of limited size that still says what it costs.
+type limitedBody struct {
+	io.ReadCloser
+	isCostly func() bool
+}
+
+// IsCostly reports whether the body is read at a pace.
+func (b *limitedBody) IsCostly() bool {
+	return b.isCostly != nil && b.isCostly()
+}
+
 // Error is the refusal of an invalid request.
 type Error struct {
 	Status  int
@@ -82,7 +100,19 @@
 	mux.Handle("GET /v1/models", kithttp.NewServer(list, a.decodeList, kithttp.EncodeJSONResponse, opts...))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyReadTimeout))
-		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+		account, ok := a.Buffers.Open()
+		if !ok {
+			a.encodeError(r.Context(), memoryError("too much is buffered for callers"), w)
+			return
+		}
+		defer account.Close()
+		if r.ContentLength != 0 {
+			account.BeginBody(r.ContentLength, func() {
+				_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0)) // not supported only in tests
+			})
+		}
+		r = r.WithContext(context.WithValue(r.Context(), accountKey{}, account))
+		r.Body = &limitedBody{ReadCloser: http.MaxBytesReader(w, r.Body, maxBodyBytes), isCostly: chargedreader.CostOf(r.Body)}
 		if r.RequestURI == "*" {
 			// http.ServeMux would send a response without a body.
 			a.handleUnknownPath(w, r)
--- a/internal/callerapi/decoder.go
+++ b/internal/callerapi/decoder.go
@@ -7,15 +7,18 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
 	"github.com/google/uuid"
 
+	"github.com/nutmegdock/nutmegdock/internal/chargedreader"
+	"github.com/nutmegdock/nutmegdock/internal/core/bufferlimiter"
 	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
+	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
 	"github.com/nutmegdock/nutmegdock/internal/core/prefixhasher"
 	"github.com/nutmegdock/nutmegdock/internal/core/quarantiner"
 	"github.com/nutmegdock/nutmegdock/internal/core/routematcher"
@@ -29,6 +32,8 @@
 	maxIdempotencyKeyBytes = 255
 	internalHeaderPrefix   = "Nutmeg-"
 	requestDigestBytes     = 12
+	// completionCopies is how often the text of a completion request is held: its body, the decoded prompt, and what hashes it.
+	completionCopies = 3
 
 	streamHeaderTimeout     = 30 * time.Second
 	streamStallTimeout      = 10 * time.Second
@@ -44,13 +49,42 @@
 	return &Error{Status: status, Type: invalidRequestError, Code: code, Message: text}
 }
 
-func (a *API) readBody(r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(r.Body)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, requestError(http.StatusRequestEntityTooLarge, "body_too_large", fmt.Sprintf("body exceeds %d bytes", tooLarge.Limit))
+// memoryRetryDelay is the Retry-After of a request that is refused for want of memory.
+const memoryRetryDelay = time.Second
+
+// memoryError refuses a request for want of memory. It has not run.
+func memoryError(text string) error {
+	return &outcome.Error{Kind: outcome.NotRun, Reason: outcome.Memory, RetryAfter: memoryRetryDelay, Message: text}
+}
+
+func bodySizeError(limit int64) error {
+	return requestError(http.StatusRequestEntityTooLarge, "body_too_large", fmt.Sprintf("body exceeds %d bytes", limit))
+}
+
+// readBody reads the body of a request within the bounds of memory. It charges each byte copies times: what decodes the body holds
+// copies of it.
+func (a *API) readBody(r *http.Request, copies int) ([]byte, error) {
+	account, _ := r.Context().Value(accountKey{}).(*bufferlimiter.Account)
+	if r.ContentLength > maxBodyBytes {
+		return nil, bodySizeError(maxBodyBytes)
 	}
-	if err != nil {
+	reader := chargedreader.Reader{
+		Size: r.ContentLength, Limit: maxBodyBytes, Grow: func(n int) bool { return account.GrowBody(n * copies) }, Receive: account.Receive,
+		IsCostly: chargedreader.CostOf(r.Body),
+	}
+	body, err := reader.ReadAll(r.Body)
+	if !account.EndArrival() {
+		return nil, memoryError("body makes no progress and memory is short")
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.Is(err, chargedreader.ErrRefused):
+		return nil, memoryError("too much is buffered for callers")
+	case errors.As(err, &tooLarge):
+		return nil, bodySizeError(tooLarge.Limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, requestError(http.StatusRequestTimeout, "body_timeout", fmt.Sprintf("%d bytes of the body have arrived", len(body)))
+	case err != nil:
 		return nil, requestError(http.StatusBadRequest, "body_unreadable", err.Error())
 	}
 	return body, nil
@@ -60,7 +94,7 @@
 	if _, err := a.organisation(r); err != nil {
 		return nil, err
 	}
-	body, err := a.readBody(r)
+	body, err := a.readBody(r, completionCopies)
 	if err != nil {
 		return nil, err
 	}
@@ -125,7 +159,7 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := a.readBody(r)
+	body, err := a.readBody(r, 1)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entryhost/admin.go
+++ b/internal/entryhost/admin.go
@@ -31,6 +31,7 @@
 	}
 	a := &adminapi.Admin{
 		Authorizer: tokens,
+		Buffers:    s.buffers,
 		Publish:    p.Publish,
 		View:       s.follower.View,
 		ResolveArtifact: func(ctx context.Context, name, version string) (ident.Digest, error) {
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmegdock/nutmegdock/internal/authorizer"
+	"github.com/nutmegdock/nutmegdock/internal/buffermeter"
 	"github.com/nutmegdock/nutmegdock/internal/bytecounter"
 	"github.com/nutmegdock/nutmegdock/internal/callerapi"
 	"github.com/nutmegdock/nutmegdock/internal/callerlistener"
@@ -23,13 +24,16 @@
 	"github.com/nutmegdock/nutmegdock/internal/configreplicator"
 	"github.com/nutmegdock/nutmegdock/internal/connectionkeeper"
 	"github.com/nutmegdock/nutmegdock/internal/connectionlimiter"
+	"github.com/nutmegdock/nutmegdock/internal/core/bufferlimiter"
 	"github.com/nutmegdock/nutmegdock/internal/core/connectionbudget"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/reportcache"
+	"github.com/nutmegdock/nutmegdock/internal/core/workpacer"
 	"github.com/nutmegdock/nutmegdock/internal/descriptors"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/httpserver"
 	"github.com/nutmegdock/nutmegdock/internal/membership"
+	"github.com/nutmegdock/nutmegdock/internal/memory"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
 	"github.com/nutmegdock/nutmegdock/internal/rpc"
 )
@@ -76,6 +80,9 @@
 	pipeline       *requestPipeline
 	admission      *admission
 	keeper         *connectionkeeper.Keeper
+	adminKeeper    *connectionkeeper.Keeper
+	buffers        *bufferlimiter.Limiter
+	pacer          workpacer.Pacer
 	// peerConnections bounds the connections of other hosts to the control address.
 	peerConnections connectionlimiter.Limiter
 }
@@ -110,6 +117,7 @@
 	})
 
 	tasks.Go(func() error { return s.keeper.Run(background) })
+	tasks.Go(func() error { return s.adminKeeper.Run(background) })
 
 	g, gctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
@@ -117,7 +125,7 @@
 		return w.Run(gctx)
 	})
 	g.Go(func() error {
-		w := httpserver.Server{Listener: listeners.admin, Handler: s.adminHandler(tokens), ShutdownTimeout: grace}
+		w := httpserver.Server{Listener: listeners.admin, Handler: s.adminHandler(tokens), ShutdownTimeout: grace, Keeper: s.adminKeeper, Refuse: refuseWithoutDescriptors}
 		return w.Run(gctx)
 	})
 	g.Go(func() error {
@@ -192,7 +200,7 @@
 }
 
 func (s *Server) callerHandler() http.Handler {
-	c := &callerapi.API{ViewState: s.follower.View, Dispatch: s.countOutcomes(s.pipeline.deduplicator.Do), Logger: s.Logger}
+	c := &callerapi.API{ViewState: s.follower.View, Buffers: s.buffers, Dispatch: s.countOutcomes(s.pipeline.deduplicator.Do), Logger: s.Logger}
 	return c.Handler()
 }
 
@@ -201,10 +209,31 @@
 	http.Error(w, "no descriptors are left for another request", http.StatusServiceUnavailable)
 }
 
-// buildConnections divides the descriptors between callers and other hosts.
+// buildConnections divides the descriptors and the memory between callers, operators and other hosts.
 func (s *Server) buildConnections() {
-	parts := connectionbudget.Split(descriptors.Limit("descriptors", s.Settings.Descriptors, s.Logger), 0)
-	s.keeper = connectionkeeper.New(parts, s.registry, s.Logger)
+	bytes := memory.Limit("memory", s.Settings.Memory, s.Logger)
+	s.buffers = bufferlimiter.New(bytes)
+	s.buffers.OnPressure = s.handlePressure
+	buffermeter.Register(s.registry, "nutmegdock_", s.buffers)
+	parts := connectionbudget.Split(descriptors.Limit("descriptors", s.Settings.Descriptors, s.Logger), bytes)
+	s.keeper = s.newKeeper(parts, s.registry)
 	s.keeper.SetTimes(time.Duration(s.Settings.IdleSeconds)*time.Second, 0)
+	s.keeper.OnAdvance = s.buffers.Advance
+	s.adminKeeper = s.newKeeper(parts.Observing(), prometheus.WrapRegistererWithPrefix("operators_", s.registry))
 	s.peerConnections.Max = parts.Peers
 }
+
+func (s *Server) newKeeper(parts connectionbudget.Parts, registry prometheus.Registerer) *connectionkeeper.Keeper {
+	k := connectionkeeper.New(parts, registry, s.Logger)
+	k.Buffers, k.Pacer = s.buffers, &s.pacer
+	return k
+}
+
+func (s *Server) handlePressure(isReached bool, used int) {
+	f := log.Fields{"buffered": used, "bound": s.buffers.Process}
+	if isReached {
+		event.BufferBoundReached.Log(s.Logger, f)
+		return
+	}
+	event.BufferBoundCleared.Log(s.Logger, f)
+}
