The memory bounds the connections of callers, not those to endpoints again

What callers saw: where the memory is full of requests in progress, some new ones were refused for connections and not for memory.

The memory of the connection to its endpoint is in what the request is charged.

Change: Parts.Kept bounds the connections of callers, each counts once. The descriptors bound both as before.

The state test of the budget draws this bound too.

--- a/internal/connectionkeeper/connectionkeeper.go
+++ b/internal/connectionkeeper/connectionkeeper.go
@@ -98,6 +98,9 @@
 	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "nutmegdock_connections_bound", Help: "Bound of the connections of callers; a request in progress counts twice. Zero means none.",
 	}, func() float64 { return float64(parts.Callers) }))
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "nutmegdock_connections_kept_bound", Help: "Bound of the connections of callers that follows from the memory; each counts once. Zero means none.",
+	}, func() float64 { return float64(parts.Kept) }))
 	return k
 }
 
@@ -318,7 +321,7 @@
 	}
 	u := k.budget.Usage()
 	event.ConnectionsClosed.Log(k.logger, log.Fields{
-		"closed": k.closedForRoom, "bound": k.budget.Parts.Callers, "idle": u.Idle, "reading": u.Reading, "receiving": u.Receiving, "serving": u.Serving, "refused": u.Refused,
+		"closed": k.closedForRoom, "bound": k.budget.Parts.Callers, "kept": k.budget.Parts.Kept, "idle": u.Idle, "reading": u.Reading, "receiving": u.Receiving, "serving": u.Serving, "refused": u.Refused,
 	})
 	k.loggedAt, k.closedForRoom = time.Now(), 0
 }
--- a/internal/core/connectionbudget/connectionbudget.go
+++ b/internal/core/connectionbudget/connectionbudget.go
@@ -183,16 +183,24 @@
 	return b.lists[idle].Len() + b.lists[opened].Len() + b.lists[reading].Len() + servedCost*(b.lists[receiving].Len()+b.lists[serving].Len())
 }
 
+// kept returns the number of connections that are not refused.
+func (b *Budget[K]) kept() int {
+	return len(b.entries) - b.lists[refused].Len()
+}
+
 // makeRoom takes connections out of the account until n more fit, and reports whether they do. It takes those that have done
 // nothing for the longest time, and of those whose head or body is awaited only the ones for which minHeadTime has passed. If they
 // do not suffice, it takes none.
 func (b *Budget[K]) makeRoom(n int) (closed []K, ok bool) {
-	excess := b.used() + n - b.Parts.Callers
-	if b.Parts.Callers <= 0 || excess <= 0 {
-		return nil, true
+	excess, excessKept := 0, 0
+	if b.Parts.Callers > 0 {
+		excess = b.used() + n - b.Parts.Callers
+	}
+	if b.Parts.Kept > 0 {
+		excessKept = b.kept() + n - b.Parts.Kept
 	}
 	next := [...]*list.Element{idle: b.lists[idle].Front(), opened: b.lists[opened].Front(), reading: b.lists[reading].Front(), receiving: b.lists[receiving].Front()}
-	for excess > 0 {
+	for excess > 0 || excessKept > 0 {
 		oldest := stateCount
 		for s, el := range next {
 			if el == nil || state(s) != idle && b.now-since[K](el) <= minHeadTime {
@@ -207,6 +215,7 @@
 		}
 		closed = append(closed, next[oldest].Value.(*entry[K]).key)
 		excess--
+		excessKept--
 		if oldest == receiving {
 			excess -= servedCost - 1
 		}
--- a/internal/core/connectionbudget/connectionbudget_test.go
+++ b/internal/core/connectionbudget/connectionbudget_test.go
@@ -35,7 +35,7 @@
 	for seed := range uint64(300) {
 		is := is.New(t)
 		rng := rand.New(rand.NewPCG(seed, 1))
-		b := connectionbudget.Budget[int]{Parts: connectionbudget.Parts{Callers: 2 + rng.IntN(30), Refused: 1 + rng.IntN(3)}}
+		b := connectionbudget.Budget[int]{Parts: connectionbudget.Parts{Callers: 2 + rng.IntN(30), Kept: rng.IntN(30), Refused: 1 + rng.IntN(3)}}
 		b.SetTimes(idleTime, headTime)
 		conns := make(map[int]*conn)
 		var now time.Duration
@@ -117,6 +117,7 @@
 				}
 			}
 			is.Equal(b.Usage(), connectionbudget.Usage{Idle: count(idle) + count(opened), Reading: count(reading), Receiving: count(receiving), Serving: count(serving), Refused: count(refused)})
+			is.True(b.Parts.Kept == 0 || len(conns)-count(refused) <= b.Parts.Kept)                                  // more than the memory allows
 			is.True(count(idle)+count(opened)+count(reading)+2*(count(receiving)+count(serving)) <= b.Parts.Callers) // more than the part of the callers
 		}
 	}
@@ -131,7 +132,7 @@
 		is.Equal(n > 0, p.Callers >= 2 && p.Refused >= 1 && p.Peers >= 1 && p.Observers >= 2)
 		is.True(p.Callers+p.Refused+p.Peers+2*p.Observers <= max(0, n))
 		bounded := connectionbudget.Split(n, memory)
-		is.True(bounded.Callers*connectionbudget.ConnectionBytes <= memory/8 && bounded.Callers >= 2 && bounded.Refused >= 1)
-		is.True(n <= 0 || bounded.Callers <= p.Callers)
+		is.True(bounded.Kept*connectionbudget.ConnectionBytes <= memory/8 && bounded.Kept >= 1 && bounded.Refused >= 1 && bounded.Observers >= 2)
+		is.Equal(bounded.Callers, p.Callers)
 	}
 }
--- a/internal/core/connectionbudget/parts.go
+++ b/internal/core/connectionbudget/parts.go
@@ -27,6 +27,9 @@
 type Parts struct {
 	// Callers is for the connections of callers and for those to endpoints that serve their requests.
 	Callers int
+	// Kept is the number of connections of callers that the memory allows. The memory of an endpoint's connection is that of the
+	// request.
+	Kept int
 	// Refused is for callers that are being told that there is no room.
 	Refused int
 	// Peers is for the connections that other hosts open. What is left serves the connections to them, to the store and to the
@@ -41,7 +44,7 @@
 	if p.Observers == 0 {
 		return Parts{}
 	}
-	return Parts{Callers: p.Observers, Refused: 1}
+	return Parts{Callers: p.Observers, Kept: p.Kept, Refused: 1}
 }
 
 // Split divides the sockets of a process that may have the given number of descriptors and bytes of memory. Zero sets no limit.
@@ -55,11 +58,11 @@
 		p.Observers = max(2*servedCost, others/observersDivisor)
 		p.Callers = max(servedCost, sockets-others-p.Refused)
 	}
-	if most := memory / memoryDivisor / ConnectionBytes; memory > 0 && (p.Callers == 0 || p.Callers > most) {
-		p.Callers = max(servedCost, most)
-		if descriptors <= 0 {
-			p.Refused, p.Observers = maxRefused, maxRefused
-		}
+	if memory > 0 {
+		p.Kept = max(1, memory/memoryDivisor/ConnectionBytes)
+	}
+	if descriptors <= 0 && memory > 0 {
+		p.Refused, p.Observers = maxRefused, maxRefused
 	}
 	return p
 }
