--- a/internal/core/bufferlimiter/arrival.go
+++ b/internal/core/bufferlimiter/arrival.go
@@ -101,16 +101,6 @@
 	return !a.isCut
 }
 
-// IsCut reports whether the head or the body was cut.
-func (a *Account) IsCut() bool {
-	if a == nil {
-		return false
-	}
-	a.limiter.mu.Lock()
-	defer a.limiter.mu.Unlock()
-	return a.isCut
-}
-
 // Advance records that the process ran for a time, and cuts what makes no progress if memory is short.
 func (l *Limiter) Advance(d time.Duration) {
 	if l == nil {
@@ -119,7 +109,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.now += d
-	l.cutStalled(cutShare)
+	l.cutStalled()
 }
 
 // grow charges n bytes of a kind if they may be held. It unlocks the limiter.
@@ -131,8 +121,8 @@
 	}
 	isAlone := l.held[k] == a.charged
 	fits := float64(l.held[k]+n) <= k.share()*float64(l.Process) && l.mayAdmit(n)
-	if a.isCut || !fits && !(isAlone && l.mayAdmit(n)) {
-		l.cutStalled(cutShare)
+	if a.isCut || !fits && (!isAlone || !l.mayAdmit(n)) {
+		l.cutStalled()
 		l.refuse()
 		return false
 	}
@@ -164,9 +154,9 @@
 	}
 }
 
-// cutStalled cuts accounts that make no progress until what is used, without what is already being cut, is within a share of
+// cutStalled cuts accounts that make no progress until what is used, without what is already being cut, is within cutShare of
 // the bound, and each kind within half of its part or down to a single account. What they hold is released when they are closed.
-func (l *Limiter) cutStalled(share float64) {
+func (l *Limiter) cutStalled() {
 	for el := l.arriving.Front(); el != nil; {
 		a := el.Value.(*Account)
 		if l.now-a.since < stallTime {
@@ -175,7 +165,7 @@
 		el = el.Next()
 		k := a.kind()
 		ofKind := l.held[k] - l.cuttingOf[k]
-		isShort := float64(l.used-l.cutting) > share*float64(l.Process)
+		isShort := float64(l.used-l.cutting) > cutShare*float64(l.Process)
 		if !isShort && (ofKind == a.charged || float64(ofKind) <= k.share()/2*float64(l.Process)) {
 			continue
 		}
--- a/internal/core/bufferlimiter/bufferlimiter.go
+++ b/internal/core/bufferlimiter/bufferlimiter.go
@@ -111,7 +111,7 @@
 	}
 	l.mu.Lock()
 	if !l.mayAdmit(RequestBytes) {
-		l.cutStalled(cutShare)
+		l.cutStalled()
 		l.refuse()
 		return nil, false
 	}
