callerapi: limit a body where it is read

The handler wrapped each body to limit it, and again so that it still said what it costs. Only readBody reads bodies; the limit is set there, and the wrapper is gone.

--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -13,7 +12,6 @@
 	"github.com/go-kit/kit/endpoint"
 	kithttp "github.com/go-kit/kit/transport/http"
 
-	"github.com/nutmegdock/nutmegdock/internal/chargedreader"
 	"github.com/nutmegdock/nutmegdock/internal/core/bufferlimiter"
 	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
@@ -44,17 +42,6 @@
 
 type accountKey struct{}
 
-// limitedBody is a body of limited size that still says what it costs.
-type limitedBody struct {
-	io.ReadCloser
-	isCostly func() bool
-}
-
-// IsCostly reports whether the body is read at a pace.
-func (b *limitedBody) IsCostly() bool {
-	return b.isCostly != nil && b.isCostly()
-}
-
 // Error is the refusal of an invalid request.
 type Error struct {
 	Status  int
@@ -112,7 +99,6 @@
 			})
 		}
 		r = r.WithContext(context.WithValue(r.Context(), accountKey{}, account))
-		r.Body = &limitedBody{ReadCloser: http.MaxBytesReader(w, r.Body, maxBodyBytes), isCostly: chargedreader.CostOf(r.Body)}
 		if r.RequestURI == "*" {
 			// http.ServeMux would send a response without a body.
 			a.handleUnknownPath(w, r)
--- a/internal/callerapi/decoder.go
+++ b/internal/callerapi/decoder.go
@@ -72,7 +72,7 @@
 		Size: r.ContentLength, Limit: maxBodyBytes, Grow: func(n int) bool { return account.GrowBody(n * copies) }, Receive: account.Receive,
 		IsCostly: chargedreader.CostOf(r.Body),
 	}
-	body, err := reader.ReadAll(r.Body)
+	body, err := reader.ReadAll(http.MaxBytesReader(nil, r.Body, maxBodyBytes))
 	if !account.EndArrival() {
 		return nil, memoryError("body makes no progress and memory is short")
 	}
