One function logs that too much is buffered

gateway and entryhost had the same lines for the events 1795 and 1796. buffermeter, which both call for the metrics of the limiter, logs them.

--- a/internal/buffermeter/buffermeter.go
+++ b/internal/buffermeter/buffermeter.go
@@ -1,12 +1,26 @@
-// Package buffermeter exports what a process buffers as metrics.
+// Package buffermeter reports what a process buffers, as metrics and log events.
 package buffermeter
 
 import (
+	"github.com/apex/log"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/bufferlimiter"
+	"github.com/nutmegdock/nutmegdock/internal/event"
 )
 
+// LogPressure makes a limiter log when requests are refused because too much is buffered, and when that has ended. It must be
+// called before the limiter is used.
+func LogPressure(l *bufferlimiter.Limiter, logger log.Interface) {
+	l.OnPressure = func(isReached bool, used int) {
+		e := event.BufferBoundCleared
+		if isReached {
+			e = event.BufferBoundReached
+		}
+		e.Log(logger, log.Fields{"buffered": used, "bound": l.Process})
+	}
+}
+
 // Register registers the metrics of a limiter. Their names begin with prefix.
 func Register(r prometheus.Registerer, prefix string, l *bufferlimiter.Limiter) {
 	gauge := func(name, help string, value func(u bufferlimiter.Usage) int) {
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -213,7 +213,7 @@
 func (s *Server) buildConnections() {
 	bytes := memory.Limit("memory", s.Settings.Memory, s.Logger)
 	s.buffers = bufferlimiter.New(bytes)
-	s.buffers.OnPressure = s.handlePressure
+	buffermeter.LogPressure(s.buffers, s.Logger)
 	buffermeter.Register(s.registry, "nutmegdock_", s.buffers)
 	parts := connectionbudget.Split(descriptors.Limit("descriptors", s.Settings.Descriptors, s.Logger), bytes)
 	s.keeper = s.newKeeper(parts, s.registry)
@@ -228,12 +228,3 @@
 	k.Buffers, k.Pacer = s.buffers, &s.pacer
 	return k
 }
-
-func (s *Server) handlePressure(isReached bool, used int) {
-	f := log.Fields{"buffered": used, "bound": s.buffers.Process}
-	if isReached {
-		event.BufferBoundReached.Log(s.Logger, f)
-		return
-	}
-	event.BufferBoundCleared.Log(s.Logger, f)
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,8 +89,7 @@
 	Suspector *crashsuspector.Suspector
 	// Announce sends facts that this host has observed to the other entry hosts. Nil means that this is the only one.
 	Announce func(facts crashsuspector.Facts)
-	// Buffers bounds what is buffered for callers and endpoints. Nil sets no bounds. Its OnPressure must be set to
-	// HandleMemoryPressure.
+	// Buffers bounds what is buffered for callers and endpoints. Nil sets no bounds.
 	Buffers *bufferlimiter.Limiter
 	// Logger receives the log events of requests.
 	Logger log.Interface
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/nutmegdock/nutmegdock/internal/buffermeter"
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
 	"github.com/nutmegdock/nutmegdock/internal/core/bufferlimiter"
 	"github.com/nutmegdock/nutmegdock/internal/core/crashsuspector"
@@ -157,7 +158,7 @@
 		Suspector: &crashsuspector.Suspector{}, Buffers: bufferlimiter.New(int(fleetMemory.Load())),
 	}
 	if f.gateway.Buffers != nil {
-		f.gateway.Buffers.OnPressure = f.gateway.HandleMemoryPressure
+		buffermeter.LogPressure(f.gateway.Buffers, f.gateway.Logger)
 	}
 	a.OnSuspect = f.gateway.HandleSuspect
 	f.gateway.Suspector.OnQuarantine, f.gateway.Suspector.OnLift = f.gateway.HandleQuarantine, f.gateway.HandleLift
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -13,7 +13,6 @@
 	"github.com/nutmegdock/nutmegdock/internal/chargedreader"
 	"github.com/nutmegdock/nutmegdock/internal/core/bufferlimiter"
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
-	"github.com/nutmegdock/nutmegdock/internal/event"
 )
 
 const (
@@ -118,13 +117,3 @@
 		cause: cause, details: log.Fields{"buffered": u.Bytes, "requests": u.Requests, "slow": u.SlowCallers},
 	})
 }
-
-// HandleMemoryPressure records that requests are refused because too much is buffered, or that this has ended.
-func (g *Gateway) HandleMemoryPressure(isReached bool, used int) {
-	f := log.Fields{"buffered": used, "bound": g.Buffers.Process}
-	if isReached {
-		event.BufferBoundReached.Log(g.Logger, f)
-		return
-	}
-	event.BufferBoundCleared.Log(g.Logger, f)
-}
--- a/internal/gatewayserver/memory.go
+++ b/internal/gatewayserver/memory.go
@@ -17,7 +17,7 @@
 	if limiter == nil {
 		return
 	}
-	limiter.OnPressure = h.gateway.HandleMemoryPressure
+	buffermeter.LogPressure(limiter, h.Logger)
 	h.gateway.Buffers = limiter
 	h.gateway.Sender.Dial = (&dialer.Dialer{ConnectTimeout: connectTimeout, Buffer: callerlistener.Buffer}).DialContext
 	buffermeter.Register(registry, "nutmegdock_gateway_", limiter)
