A process whose memory is not known starts without bounds

entryhost passed a nil limiter on to the log and the metrics when neither the settings nor the system state the memory, and would have ended. Both take nil now, as the limiter does; found by reading, not run, as the system always states it here.

--- a/internal/buffermeter/buffermeter.go
+++ b/internal/buffermeter/buffermeter.go
@@ -10,8 +10,11 @@
 )
 
 // LogPressure makes a limiter log when requests are refused because too much is buffered, and when that has ended. It must be
-// called before the limiter is used.
+// called before the limiter is used. A nil limiter refuses nothing.
 func LogPressure(l *bufferlimiter.Limiter, logger log.Interface) {
+	if l == nil {
+		return
+	}
 	l.OnPressure = func(isReached bool, used int) {
 		e := event.BufferBoundCleared
 		if isReached {
@@ -21,8 +24,11 @@
 	}
 }
 
-// Register registers the metrics of a limiter. Their names begin with prefix.
+// Register registers the metrics of a limiter. Their names begin with prefix. A nil limiter has none.
 func Register(r prometheus.Registerer, prefix string, l *bufferlimiter.Limiter) {
+	if l == nil {
+		return
+	}
 	gauge := func(name, help string, value func(u bufferlimiter.Usage) int) {
 		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: prefix + name, Help: help}, func() float64 { return float64(value(l.Usage())) }))
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -157,9 +157,7 @@
 		Logger:     &log.Logger{Handler: discard.New(), Level: log.InfoLevel}, Meter: gateway.NewMeter(prometheus.NewRegistry()),
 		Suspector: &crashsuspector.Suspector{}, Buffers: bufferlimiter.New(int(fleetMemory.Load())),
 	}
-	if f.gateway.Buffers != nil {
-		buffermeter.LogPressure(f.gateway.Buffers, f.gateway.Logger)
-	}
+	buffermeter.LogPressure(f.gateway.Buffers, f.gateway.Logger)
 	a.OnSuspect = f.gateway.HandleSuspect
 	f.gateway.Suspector.OnQuarantine, f.gateway.Suspector.OnLift = f.gateway.HandleQuarantine, f.gateway.HandleLift
 	f.Server = httptest.NewServer(f.gateway)
