--- a/internal/callerlistener/callerlistener.go
+++ b/internal/callerlistener/callerlistener.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"net"
 	"syscall"
+
+	"github.com/nutmegdock/nutmegdock/internal/dialer"
 )
 
 // Buffer is the size in bytes of the buffers of a connection, one for each direction. The kernel doubles it, and would otherwise
@@ -19,12 +21,7 @@
 func Listen(ctx context.Context, address string) (net.Listener, error) {
 	cfg := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
 		var err error
-		controlErr := c.Control(func(fd uintptr) {
-			err = errors.Join(
-				syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, Buffer),
-				syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, Buffer),
-			)
-		})
+		controlErr := c.Control(func(fd uintptr) { err = dialer.SetBuffers(fd, Buffer) })
 		return errors.Join(err, controlErr)
 	}}
 	ln, err := cfg.Listen(ctx, "tcp", address)
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -35,6 +36,14 @@
 	Buffer int
 }
 
+// SetBuffers sets the size in bytes of the receive buffer and of the send buffer of a socket, which the kernel doubles.
+func SetBuffers(fd uintptr, n int) error {
+	return errors.Join(
+		unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, n),
+		unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, n),
+	)
+}
+
 // DialContext connects to an IP address and port.
 func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	timeout, userTimeout := d.ConnectTimeout, d.UserTimeout
@@ -53,10 +62,8 @@
 			var optErr error
 			err := raw.Control(func(fd uintptr) {
 				optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-				for _, option := range []int{unix.SO_RCVBUF, unix.SO_SNDBUF} {
-					if d.Buffer > 0 && optErr == nil {
-						optErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, option, d.Buffer)
-					}
+				if d.Buffer > 0 && optErr == nil {
+					optErr = SetBuffers(fd, d.Buffer)
 				}
 			})
 			if err != nil {
