review: case 8 with the dose of the site

Change: it sends bytes that are no answer to each 25th request, for 8 s, and answers the others rightly. The requests come to the three entry hosts at once.

--- a/review/rig/endlessbody.go
+++ b/review/rig/endlessbody.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -44,19 +46,24 @@
 	return frontends, servers, err
 }
 
-// countUnsigned sends requests to all entry hosts and returns the number of successes without the proof of a server.
+// countUnsigned sends requests to all entry hosts at once for noiseTime and returns the number of successes without the proof
+// of a server.
 func (f *fleet) countUnsigned(frontends []*process) int {
-	const requestsPerHost = 30
-	unsigned := 0
+	const noiseTime = 8 * time.Second
+	var unsigned, sent atomic.Int64
+	var clients sync.WaitGroup
+	end := time.Now().Add(noiseTime)
 	for _, p := range frontends {
-		c := newClient(p, f.record)
-		for range requestsPerHost {
-			if c.send(http.MethodGet, "/read/1", "", plainTimeout).isUnsigned() {
-				unsigned++
+		clients.Go(func() {
+			for c := newClient(p, f.record); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+				sent.Add(1)
+				if c.send(http.MethodGet, "/read/1", "", plainTimeout).isUnsigned() {
+					unsigned.Add(1)
+				}
 			}
-			time.Sleep(10 * time.Millisecond)
-		}
+		})
 	}
-	f.record.conclude("%d of %d requests got a success without a signature", unsigned, requestsPerHost*len(frontends))
-	return unsigned
+	clients.Wait()
+	f.record.conclude("%d of %d requests got a success without a signature", unsigned.Load(), sent.Load())
+	return int(unsigned.Load())
 }
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -19,6 +19,8 @@
 	workTime, slotCount = 30 * time.Millisecond, 6
 	// While a server loses answers, it loses lostCount of lostInterval.
 	lostCount, lostInterval = 2, 5
+	// While a server is in trouble, it sends bytes that are no answer to one request of noiseInterval.
+	noiseInterval = 25
 )
 
 // server is one server of a plain service. Set its fields before start.
@@ -34,8 +36,9 @@
 	runs map[string]int
 	// losesAnswers says that the answers of some requests that the server has run are lost.
 	losesAnswers bool
-	// trouble answers requests instead of the server; nil while the server is sound.
-	trouble func(conn net.Conn)
+	// trouble answers some requests instead of the server; nil while the server is sound. received counts all requests.
+	trouble  func(conn net.Conn)
+	received int
 }
 
 // startServers starts one server of a service in each zone.
@@ -75,7 +78,7 @@
 	}
 }
 
-// setTrouble makes the server answer all further requests with what trouble writes.
+// setTrouble makes the server answer some of the further requests with what trouble writes.
 func (s *server) setTrouble(trouble func(conn net.Conn)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -83,6 +86,17 @@
 	s.fleet.record.add("server %s is in trouble from now on", s.id)
 }
 
+// nextTrouble returns what answers the next request instead of the server, or nil.
+func (s *server) nextTrouble() func(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.received++
+	if s.received%noiseInterval != 0 {
+		return nil
+	}
+	return s.trouble
+}
+
 // runsOf returns how often the server has run a request.
 func (s *server) runsOf(id string) int {
 	s.mu.Lock()
@@ -121,10 +135,7 @@
 	if _, err := io.ReadAll(r.Body); err != nil {
 		return
 	}
-	s.mu.Lock()
-	trouble := s.trouble
-	s.mu.Unlock()
-	if trouble != nil {
+	if trouble := s.nextTrouble(); trouble != nil {
 		conn, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
 			return
