A status that no server may send ends the attempt

What callers saw: a response with status 000, 101 or 103 whose announced body was itself a 200 reached them as that 200; statuses 600 and 999 were passed on.

Cause: sender skipped every status under 200 as an informational response, and did not read the body that its head announced, so that the next response was read from inside that body. http.ReadResponse takes any three digits, +20 and -00 too, and any blanks before them.

Change: headchecker checks a head line by line, and headreader withholds it from http.ReadResponse until it is complete and valid. A status is 100 to 599 and not 101, since nothing here asks for another protocol; an informational response has no body; all lines of a head end in the same way, as net/http and the check have to agree on where it ends. A response that is refused has the outcome unknown, for the new reason "malformed": its request may have run, its connection is closed, and it counts as any broken response does.

Why it works: nothing is parsed, skipped or matched before the check, so that no length or body of a broken head is ever looked at.

--- a/internal/core/outcome/outcome.go
+++ b/internal/core/outcome/outcome.go
@@ -35,6 +35,7 @@
 	ConnectionLost Reason = "lost"         // the connection failed or the result is lost
 	Deadline       Reason = "deadline"     // the deadline passed or the caller disconnected
 	Mismatch       Reason = "mismatch"     // the response is not the expected one, for example from another weight set
+	Malformed      Reason = "malformed"    // the response is not valid HTTP
 	LogUnavailable Reason = "log-down"     // the log that stores claims is unavailable
 	KeyConflict    Reason = "key-conflict" // the idempotency key was used with a different request
 	Quarantined    Reason = "condemned"    // the request is quarantined
--- /dev/null
+++ b/internal/headchecker/headchecker.go
@@ -0,0 +1,133 @@
+// Package headchecker checks the heads of HTTP/1 responses, before anything acts on them.
+//
+// The client of net/http is more lenient than RFC 9110 and RFC 9112: it accepts any three digits as a status.
+package headchecker
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+)
+
+// Part is the part of a response that is not valid. Its value is a short, stable word.
+type Part string
+
+// Parts of a response.
+const (
+	Status  Part = "status"  // not 100 to 599, or 101, which no client here asks for
+	Line    Part = "line"    // a line of the head that ends in another way than the status line
+	Framing Part = "framing" // an informational response with a body
+)
+
+const digits = "0123456789"
+
+// maxErrorText limits what an error quotes of the response.
+const maxErrorText = 64
+
+// Error reports a response that is broken. Its request may have run.
+type Error struct {
+	Part Part
+	// Text is what is not valid.
+	Text string
+}
+
+// Error names the part and quotes its start.
+func (e *Error) Error() string {
+	return fmt.Sprintf("response has an invalid %s: %q", e.Part, e.Text[:min(len(e.Text), maxErrorText)])
+}
+
+// Checker checks one head, line by line. The zero value is ready for use.
+type Checker struct {
+	// newline ends the status line, and must end all others; empty before the status line.
+	newline string
+	status  int
+	// value is where the value of the last field is kept; nil if it is not.
+	value *string
+	// lengths and encodings are the values of the fields that frame the body.
+	lengths, encodings []string
+}
+
+// IsInformational reports whether the head is that of an informational response, which another response follows. It is valid
+// after the status line.
+func (c *Checker) IsInformational() bool {
+	return c.status < http.StatusOK
+}
+
+// Check checks the next line, which includes its line feed. It reports whether the line ends the head. Its error is an *Error.
+func (c *Checker) Check(line []byte) (isEnd bool, err error) {
+	text := string(line)
+	if c.newline == "" {
+		if c.newline = "\r\n"; !strings.HasSuffix(text, c.newline) {
+			c.newline = "\n"
+		}
+		return false, c.checkStatusLine(strings.TrimSuffix(text, c.newline))
+	}
+	text, ok := strings.CutSuffix(text, c.newline)
+	switch {
+	case !ok:
+		return false, &Error{Line, text}
+	case text == "":
+		return true, c.checkFraming()
+	case text[0] == ' ' || text[0] == '\t': // continues the value of the field before it
+		c.addToValue(text)
+	default:
+		c.addField(text)
+	}
+	return false, nil
+}
+
+// checkStatusLine checks the line without its end. A server that sends no reason may leave out the blank before it.
+func (c *Checker) checkStatusLine(text string) error {
+	_, rest, _ := strings.Cut(text, " ")
+	status, _, _ := strings.Cut(rest, " ")
+	if !isStatus(status) {
+		return &Error{Status, status}
+	}
+	for _, digit := range status {
+		c.status = 10*c.status + int(digit-'0')
+	}
+	if c.status == http.StatusSwitchingProtocols {
+		return &Error{Status, status}
+	}
+	return nil
+}
+
+// isStatus reports whether text is a number from 100 to 599.
+func isStatus(text string) bool {
+	return len(text) == 3 && '1' <= text[0] && text[0] <= '5' && strings.Trim(text, digits) == ""
+}
+
+func (c *Checker) addField(text string) {
+	name, value, _ := strings.Cut(text, ":")
+	c.value = nil
+	switch {
+	case strings.EqualFold(name, "Content-Length"):
+		c.lengths, c.value = addValue(c.lengths)
+	case strings.EqualFold(name, "Transfer-Encoding"):
+		c.encodings, c.value = addValue(c.encodings)
+	}
+	c.addToValue(value)
+}
+
+// addValue appends an empty value, and returns its place.
+func addValue(values []string) ([]string, *string) {
+	values = append(values, "")
+	return values, &values[len(values)-1]
+}
+
+// addToValue adds text to the value of the last field.
+func (c *Checker) addToValue(text string) {
+	if c.value != nil {
+		*c.value = strings.TrimSpace(*c.value + " " + text)
+	}
+}
+
+// checkFraming refuses an informational response that announces a body, which would be taken for the next response.
+func (c *Checker) checkFraming() error {
+	hasLength := slices.ContainsFunc(c.lengths, func(length string) bool { return strings.Trim(length, "0") != "" })
+	if c.IsInformational() && (len(c.encodings) > 0 || hasLength) {
+		return &Error{Framing, fmt.Sprintf("body of status %d", c.status)}
+	}
+	return nil
+}
--- a/internal/sender/responsereader.go
+++ b/internal/sender/responsereader.go
@@ -8,12 +8,12 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/nutmegdock/nutmegdock/internal/headreader"
 )
 
 const (
 	readBufferBytes = 4 << 10
-	// maxHeaderBytes limits one response header with its status line. Up to readBufferBytes more may be read.
-	maxHeaderBytes = 64 << 10
 	// maxHeaderTime bounds the time from the first byte of a response header to its end, with the headers and bodies that are
 	// skipped before it. It is longer than a sound engine may
 	// stand still, 1.5 s, and shorter if the deadline is near: a headerTimeDivisor-th of the time left.
@@ -25,17 +25,6 @@
 	maxBodyBytes = 64 << 20
 )
 
-// HeaderSizeError reports a response header that exceeds the maximum size.
-type HeaderSizeError struct {
-	// Limit is the maximum size in bytes.
-	Limit int
-}
-
-// Error names the maximum size.
-func (e *HeaderSizeError) Error() string {
-	return fmt.Sprintf("response header exceeds %d bytes", e.Limit)
-}
-
 // HeaderTimeoutError reports a response header that began and did not end in time.
 type HeaderTimeoutError struct {
 	Timeout time.Duration
@@ -60,47 +49,35 @@
 // responseReader reads the responses on one connection. Use newResponseReader.
 type responseReader struct {
 	conn net.Conn
+	head headreader.Reader
 	br   *bufio.Reader
-	// remaining is the number of bytes that may still be read from the connection, if isLimited is set.
-	remaining int
-	isLimited bool
 	// headerTime is the time spent on the headers and skipped bodies so far, without the waits for their first bytes.
 	headerTime time.Duration
 }
 
 func newResponseReader(conn net.Conn) *responseReader {
 	r := &responseReader{conn: conn}
-	r.br = bufio.NewReaderSize(readerFunc(r.readConn), readBufferBytes)
+	r.head.Source = conn
+	r.br = bufio.NewReaderSize(&r.head, readBufferBytes)
 	return r
 }
 
-type readerFunc func(p []byte) (int, error)
-
-func (f readerFunc) Read(p []byte) (int, error) {
-	return f(p)
-}
-
-// readConn fills the buffer.
-func (r *responseReader) readConn(p []byte) (int, error) {
-	if r.isLimited && r.remaining <= 0 {
-		return 0, &HeaderSizeError{Limit: maxHeaderBytes}
-	}
-	n, err := r.conn.Read(p)
-	r.remaining -= n
-	return n, err
-}
-
-// next waits for the next response and reads its header.
+// next waits for the next response and reads its header, which has been found to be valid before it is parsed.
 func (r *responseReader) next(ctx context.Context, method string) (resp *http.Response, err error) {
-	if _, err := r.br.Peek(1); err != nil {
+	unread, _ := r.br.Peek(r.br.Buffered()) // does not read
+	r.head.Unread(unread)
+	r.br.Reset(&r.head)
+	r.head.Expect()
+	if err := r.head.Wait(); err != nil {
 		return nil, err
 	}
-	r.remaining, r.isLimited = maxHeaderBytes, true
-	defer func() { r.isLimited = false }()
 	err = r.limitTime(ctx, func() error {
 		resp, err = http.ReadResponse(r.br, &http.Request{Method: method})
 		return err
 	})
+	if refusal := r.head.Refusal(); refusal != nil {
+		return nil, refusal
+	}
 	return resp, err
 }
 
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -17,6 +17,8 @@
 
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
 	"github.com/nutmegdock/nutmegdock/internal/dialer"
+	"github.com/nutmegdock/nutmegdock/internal/headchecker"
+	"github.com/nutmegdock/nutmegdock/internal/headreader"
 )
 
 // maxSkipped limits the informational responses and those to other requests that are skipped on one connection.
@@ -116,13 +118,16 @@
 }
 
 // newError returns an error with the given outcome. Its reason is Deadline if the deadline of ctx has passed, and depends
-// on the error for a response header without end.
+// on the error for a response header that is not valid or has no end.
 func newError(ctx context.Context, kind outcome.Kind, reason outcome.Reason, err error) *outcome.Error {
-	var sizeErr *HeaderSizeError
+	var headErr *headchecker.Error
+	var sizeErr *headreader.SizeError
 	var timeoutErr *HeaderTimeoutError
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		reason = outcome.Deadline
+	case errors.As(err, &headErr):
+		reason = outcome.Malformed
 	case errors.As(err, &sizeErr):
 		reason = outcome.Mismatch
 	case errors.As(err, &timeoutErr):
@@ -152,7 +157,7 @@
 			return nil, newError(ctx, outcome.Unknown, outcome.ConnectionLost, err)
 		}
 		if resp.StatusCode < http.StatusOK {
-			continue
+			continue // informational, and without a body
 		}
 		if attempt.Matches == nil || attempt.Matches(resp.Header) {
 			return &Response{
