A name or a value that is not valid ends the attempt

What callers saw: a response with a blank in the name of a field, or before its colon, without that line; a body longer than the server had meant, where the line was Content-Length; chunks with their framing, where it was Transfer-Encoding; a success without a signature, where it was the signature.

Cause: http.ReadResponse keeps names with blanks, as other fields than those that the server meant, and net/http's server leaves them out.

Change: names and values are checked with httpguts, folded lines like the line that they continue, and the reason after the status like a value. The check holds for informational responses and for those to other requests too.

TestSoundHeadsAreForwarded holds what a sound server may send, before and now: folded lines are joined.

Why it works: a line that a client could read in another way than its server never reaches a parser.

--- a/internal/headchecker/headchecker.go
+++ b/internal/headchecker/headchecker.go
@@ -1,6 +1,7 @@
 // Package headchecker checks the heads of HTTP/1 responses, before anything acts on them.
 //
-// The client of net/http is more lenient than RFC 9110 and RFC 9112: it accepts any three digits as a status.
+// The client of net/http is more lenient than RFC 9110 and RFC 9112: it accepts any three digits as a status, and blanks
+// in the names of fields, which then are other fields than the server meant.
 package headchecker
 
 import (
@@ -8,6 +9,8 @@
 	"net/http"
 	"slices"
 	"strings"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // Part is the part of a response that is not valid. Its value is a short, stable word.
@@ -16,7 +19,10 @@
 // Parts of a response.
 const (
 	Status  Part = "status"  // not 100 to 599, or 101, which no client here asks for
-	Line    Part = "line"    // a line of the head that ends in another way than the status line
+	Reason  Part = "reason"  // the text after the status
+	Line    Part = "line"    // a line of the head that is no field, or ends in another way than the status line
+	Name    Part = "name"    // the name of a field
+	Value   Part = "value"   // the value of a field
 	Framing Part = "framing" // an informational response with a body
 )
 
@@ -42,8 +48,9 @@
 	// newline ends the status line, and must end all others; empty before the status line.
 	newline string
 	status  int
-	// value is where the value of the last field is kept; nil if it is not.
-	value *string
+	// hasField is set after the first field, and value is where the value of the last field is kept; nil if it is not.
+	hasField bool
+	value    *string
 	// lengths and encodings are the values of the fields that frame the body.
 	lengths, encodings []string
 }
@@ -69,20 +76,22 @@
 		return false, &Error{Line, text}
 	case text == "":
 		return true, c.checkFraming()
-	case text[0] == ' ' || text[0] == '\t': // continues the value of the field before it
-		c.addToValue(text)
+	case text[0] == ' ' || text[0] == '\t':
+		return false, c.checkFolded(text)
 	default:
-		c.addField(text)
+		return false, c.checkField(text)
 	}
-	return false, nil
 }
 
 // checkStatusLine checks the line without its end. A server that sends no reason may leave out the blank before it.
 func (c *Checker) checkStatusLine(text string) error {
 	_, rest, _ := strings.Cut(text, " ")
-	status, _, _ := strings.Cut(rest, " ")
-	if !isStatus(status) {
+	status, reason, _ := strings.Cut(rest, " ")
+	switch {
+	case !isStatus(status):
 		return &Error{Status, status}
+	case !httpguts.ValidHeaderFieldValue(reason):
+		return &Error{Reason, reason}
 	}
 	for _, digit := range status {
 		c.status = 10*c.status + int(digit-'0')
@@ -98,16 +107,22 @@
 	return len(text) == 3 && '1' <= text[0] && text[0] <= '5' && strings.Trim(text, digits) == ""
 }
 
-func (c *Checker) addField(text string) {
-	name, value, _ := strings.Cut(text, ":")
-	c.value = nil
+func (c *Checker) checkField(text string) error {
+	name, value, ok := strings.Cut(text, ":")
+	switch {
+	case !ok:
+		return &Error{Line, text}
+	case !httpguts.ValidHeaderFieldName(name):
+		return &Error{Name, name}
+	}
+	c.hasField, c.value = true, nil
 	switch {
 	case strings.EqualFold(name, "Content-Length"):
 		c.lengths, c.value = addValue(c.lengths)
 	case strings.EqualFold(name, "Transfer-Encoding"):
 		c.encodings, c.value = addValue(c.encodings)
 	}
-	c.addToValue(value)
+	return c.checkValue(value)
 }
 
 // addValue appends an empty value, and returns its place.
@@ -116,11 +131,22 @@
 	return values, &values[len(values)-1]
 }
 
-// addToValue adds text to the value of the last field.
-func (c *Checker) addToValue(text string) {
+// checkFolded checks a line that continues the value of the field before it.
+func (c *Checker) checkFolded(text string) error {
+	if !c.hasField {
+		return &Error{Line, text}
+	}
+	return c.checkValue(text)
+}
+
+func (c *Checker) checkValue(text string) error {
+	if !httpguts.ValidHeaderFieldValue(text) {
+		return &Error{Value, text}
+	}
 	if c.value != nil {
 		*c.value = strings.TrimSpace(*c.value + " " + text)
 	}
+	return nil
 }
 
 // checkFraming refuses an informational response that announces a body, which would be taken for the next response.
