A version other than HTTP/1.0 and HTTP/1.1 ends the attempt

What callers saw: responses of HTTP/9.9, HTTP/2.0 and HTTP/0.9 as answers.

Cause: http.ReadResponse takes any two digits as a version.

Change: headchecker accepts the two versions that there are of HTTP/1.

--- a/internal/headchecker/headchecker.go
+++ b/internal/headchecker/headchecker.go
@@ -1,7 +1,7 @@
 // Package headchecker checks the heads of HTTP/1 responses, before anything acts on them.
 //
-// The client of net/http is more lenient than RFC 9110 and RFC 9112: it accepts any three digits as a status, and blanks
-// in the names of fields, which then are other fields than the server meant.
+// The client of net/http is more lenient than RFC 9110 and RFC 9112: it accepts any three digits as a status and any digits as
+// a version, and blanks in the names of fields, which then are other fields than the server meant.
 package headchecker
 
 import (
@@ -18,6 +18,7 @@
 
 // Parts of a response.
 const (
+	Version Part = "version"
 	Status  Part = "status"  // not 100 to 599, or 101, which no client here asks for
 	Reason  Part = "reason"  // the text after the status
 	Line    Part = "line"    // a line of the head that is no field, or ends in another way than the status line
@@ -85,9 +86,11 @@
 
 // checkStatusLine checks the line without its end. A server that sends no reason may leave out the blank before it.
 func (c *Checker) checkStatusLine(text string) error {
-	_, rest, _ := strings.Cut(text, " ")
+	version, rest, _ := strings.Cut(text, " ")
 	status, reason, _ := strings.Cut(rest, " ")
 	switch {
+	case version != "HTTP/1.1" && version != "HTTP/1.0":
+		return &Error{Version, version}
 	case !isStatus(status):
 		return &Error{Status, status}
 	case !httpguts.ValidHeaderFieldValue(reason):
--- a/internal/headreader/headreader_test.go
+++ b/internal/headreader/headreader_test.go
@@ -63,7 +63,7 @@
 // A head is refused at its first line that is not valid, and not when its end has arrived.
 func TestBrokenLineIsRefusedAtOnce(t *testing.T) {
 	for text, part := range map[string]headchecker.Part{
-		"HTTP/1.1 000 X\r\n": headchecker.Status, "HTTP/1.1 200 OK\r\nX Y: z\r\n": headchecker.Name,
+		"HTTP/1.1 000 X\r\n": headchecker.Status, "HTTP/1.1 200 OK\r\nX Y: z\r\n": headchecker.Name, "HTTP/1.1 103 X\r\nContent-Length: 0\r\n\r\nICY\n": headchecker.Version,
 	} {
 		is := is.New(t)
 		_, err := readFinal(io.MultiReader(strings.NewReader(text), iotest.ErrReader(errors.New("read on"))))
--- a/internal/headtest/headtest.go
+++ b/internal/headtest/headtest.go
@@ -54,6 +54,10 @@
 	{Name: "two blanks before the status", head: "HTTP/1.1  200 X\r\n" + framed, body: "{body}"},
 	{Name: "no status", head: "HTTP/1.1\r\n" + framed, body: "{body}"},
 	{Name: "control byte in the reason", head: "HTTP/1.1 200 O\x01K\r\n" + framed, body: "{body}"},
+	{Name: "version 9.9", head: "HTTP/9.9 200 OK\r\n" + framed, body: "{body}"},
+	{Name: "version 2.0", head: "HTTP/2.0 200 OK\r\n" + framed, body: "{body}"},
+	{Name: "version 0.9", head: "HTTP/0.9 200 OK\r\n" + framed, body: "{body}"},
+	{Name: "other protocol", head: "ICY 200 OK\r\n" + framed, body: "{body}"},
 	{Name: "blank in a name", head: ok + "X Y: z\r\n" + framed, body: "{body}"},
 	{Name: "blank before a colon", head: ok + "X : z\r\n" + framed, body: "{body}"},
 	{Name: "tab before a colon", head: ok + "X\t: z\r\n" + framed, body: "{body}"},
@@ -72,6 +76,7 @@
 	{Name: "line feed in a value", head: ok + "X: y\nZ: z\r\n" + framed, body: "{body}"},
 	{Name: "control byte in a folded line", head: ok + "X: y\r\n \x01z\r\n" + framed, body: "{body}"},
 	{Name: "blank in a name of an informational response", head: "HTTP/1.1 103 X\r\nX Y: z\r\n", body: "{whole}"},
+	{Name: "version of an informational response", head: "HTTP/9.9 103 X\r\n", body: "{whole}"},
 }
 
 // Sound are successful responses that a sound server may send.
