Framing that is not valid ends the attempt

What callers saw: a response of HTTP/1.0 in chunks as a success whose body had the lines of the chunks in it.

Cause: http.ReadResponse removes Transfer-Encoding from responses of HTTP/1.0 and reads the body up to the end of the connection.

Change: headchecker refuses an encoding of HTTP/1.0, encodings other than chunked, lengths that differ and lengths that are no digits. net/http refuses the last three too, but not as a broken head.

Two lengths and a length with a sign passed before, and are reported as malformed now.

Why it works: RFC 9112, section 6.1, has a client treat such framing as faulty.

--- a/internal/headchecker/headchecker.go
+++ b/internal/headchecker/headchecker.go
@@ -7,7 +7,6 @@
 import (
 	"fmt"
 	"net/http"
-	"slices"
 	"strings"
 
 	"golang.org/x/net/http/httpguts"
@@ -24,7 +23,7 @@
 	Line    Part = "line"    // a line of the head that is no field, or ends in another way than the status line
 	Name    Part = "name"    // the name of a field
 	Value   Part = "value"   // the value of a field
-	Framing Part = "framing" // an informational response with a body
+	Framing Part = "framing" // the length or the encoding of the body, or an informational response with a body
 )
 
 const digits = "0123456789"
@@ -49,6 +48,7 @@
 	// newline ends the status line, and must end all others; empty before the status line.
 	newline string
 	status  int
+	isOld   bool
 	// hasField is set after the first field, and value is where the value of the last field is kept; nil if it is not.
 	hasField bool
 	value    *string
@@ -96,6 +96,7 @@
 	case !httpguts.ValidHeaderFieldValue(reason):
 		return &Error{Reason, reason}
 	}
+	c.isOld = version == "HTTP/1.0"
 	for _, digit := range status {
 		c.status = 10*c.status + int(digit-'0')
 	}
@@ -152,10 +153,19 @@
 	return nil
 }
 
-// checkFraming refuses an informational response that announces a body, which would be taken for the next response.
+// checkFraming checks that the end of the body is unambiguous. A body that an informational response announces would be taken
+// for the next response, and clients ignore the encoding of a response of HTTP/1.0.
 func (c *Checker) checkFraming() error {
-	hasLength := slices.ContainsFunc(c.lengths, func(length string) bool { return strings.Trim(length, "0") != "" })
-	if c.IsInformational() && (len(c.encodings) > 0 || hasLength) {
+	for _, length := range c.lengths {
+		if length == "" || strings.Trim(length, digits) != "" || length != c.lengths[0] {
+			return &Error{Framing, "Content-Length: " + strings.Join(c.lengths, "; ")}
+		}
+	}
+	isChunked := len(c.encodings) == 1 && strings.EqualFold(c.encodings[0], "chunked") && !c.isOld
+	if len(c.encodings) > 0 && !isChunked {
+		return &Error{Framing, "Transfer-Encoding: " + strings.Join(c.encodings, "; ")}
+	}
+	if c.IsInformational() && (isChunked || len(c.lengths) > 0 && strings.Trim(c.lengths[0], "0") != "") {
 		return &Error{Framing, fmt.Sprintf("body of status %d", c.status)}
 	}
 	return nil
--- a/internal/headtest/headtest.go
+++ b/internal/headtest/headtest.go
@@ -77,6 +77,9 @@
 	{Name: "control byte in a folded line", head: ok + "X: y\r\n \x01z\r\n" + framed, body: "{body}"},
 	{Name: "blank in a name of an informational response", head: "HTTP/1.1 103 X\r\nX Y: z\r\n", body: "{whole}"},
 	{Name: "version of an informational response", head: "HTTP/9.9 103 X\r\n", body: "{whole}"},
+	{Name: "two lengths", head: ok + "Content-Length: 1\r\n" + framed, body: "{body}"},
+	{Name: "length with a sign", head: ok + "{fields}Content-Length: +{length}\r\n", body: "{body}"},
+	{Name: "chunks of the older protocol", head: "HTTP/1.0 200 OK\r\n" + chunked, body: "{chunk}0\r\n\r\n"},
 }
 
 // Sound are successful responses that a sound server may send.
