A trailer that is not valid ends the attempt

What callers saw: a response in chunks with a blank in the name of a field of its trailer as a complete one.

Cause: net/http reads trailers like heads, and keeps names with blanks.

Change: at the end of a body, headchecker checks the fields after the last chunk, also of responses to other requests. What is not valid takes the place of the end, so that the response is not complete. Control bytes, which net/http refuses, are reported as malformed too.

Why it works: a response is complete only once its trailer has been read, and the relay passes on an end only if it got one.

--- a/internal/gateway/brokenhead_test.go
+++ b/internal/gateway/brokenhead_test.go
@@ -27,6 +27,9 @@
 			{"/fixed/", events, streamOf(1, 4, true), 502, "", 1},
 			{"/stream/", events, streamOf(1, 4, true), 200, streamBody(1, 4), 2},
 		} {
+			if strings.Contains(form.Name, "trailer") && c.body == events {
+				continue // events that have arrived are passed on, see TestStreamWithBrokenTrailerIsAborted
+			}
 			t.Run(form.Name+c.path, func(t *testing.T) {
 				is := is.NewRelaxed(t)
 				f := startFleet(t, []step{rawResponse(form.Text("Signed: s\r\n", c.body))}, []step{c.next})
@@ -42,6 +45,28 @@
 	}
 }
 
+func TestStreamWithBrokenTrailerIsAborted(t *testing.T) {
+	for _, form := range headtest.Broken {
+		if !strings.Contains(form.Name, "trailer") {
+			continue
+		}
+		t.Run(form.Name, func(t *testing.T) {
+			is := is.New(t)
+			first := rawResponse(form.Text("Signed: s\r\n", streamBody(1, 2)))
+			f := startFleet(t, []step{first}, []step{rawResponse(unframedHeader + streamBody(3, 4))})
+			f.configure(1)
+			_, body, _, err := f.send("/fixed/", nil)
+			is.True(err != nil)
+			is.Equal(body, streamBody(1, 2))
+			f = startFleet(t, []step{first}, []step{rawResponse(unframedHeader + streamBody(3, 4))})
+			f.configure(1)
+			_, body, _, err = f.send("/stream/", nil)
+			is.NoErr(err)
+			is.Equal(body, streamBody(1, 4))
+		})
+	}
+}
+
 func TestSoundHeadsAreForwarded(t *testing.T) {
 	for _, form := range headtest.Sound {
 		t.Run(form.Name, func(t *testing.T) {
--- a/internal/headchecker/headchecker.go
+++ b/internal/headchecker/headchecker.go
@@ -1,12 +1,14 @@
-// Package headchecker checks the heads of HTTP/1 responses, before anything acts on them.
+// Package headchecker checks the heads and the trailers of HTTP/1 responses, before anything acts on them.
 //
 // The client of net/http is more lenient than RFC 9110 and RFC 9112: it accepts any three digits as a status and any digits as
 // a version, and blanks in the names of fields, which then are other fields than the server meant.
 package headchecker
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
+	"net/textproto"
 	"strings"
 
 	"golang.org/x/net/http/httpguts"
@@ -24,6 +26,7 @@
 	Name    Part = "name"    // the name of a field
 	Value   Part = "value"   // the value of a field
 	Framing Part = "framing" // the length or the encoding of the body, or an informational response with a body
+	Trailer Part = "trailer" // a field after the last chunk
 )
 
 const digits = "0123456789"
@@ -170,3 +173,23 @@
 	}
 	return nil
 }
+
+// CheckEnd checks the trailer of a response, whose body has been read and ended with err. It returns an *Error if the trailer is
+// not valid, and err otherwise.
+func CheckEnd(trailer http.Header, err error) error {
+	var protocolErr textproto.ProtocolError
+	if errors.As(err, &protocolErr) {
+		return &Error{Trailer, string(protocolErr)}
+	}
+	for name, values := range trailer {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &Error{Trailer, name}
+		}
+		for _, value := range values {
+			if !httpguts.ValidHeaderFieldValue(value) {
+				return &Error{Trailer, value}
+			}
+		}
+	}
+	return err
+}
--- a/internal/headreader/headreader_test.go
+++ b/internal/headreader/headreader_test.go
@@ -31,7 +31,7 @@
 		}
 		if resp.StatusCode >= http.StatusOK {
 			body, err := io.ReadAll(resp.Body)
-			return string(body), err
+			return string(body), headchecker.CheckEnd(resp.Trailer, err)
 		}
 	}
 }
--- a/internal/headtest/headtest.go
+++ b/internal/headtest/headtest.go
@@ -80,6 +80,10 @@
 	{Name: "two lengths", head: ok + "Content-Length: 1\r\n" + framed, body: "{body}"},
 	{Name: "length with a sign", head: ok + "{fields}Content-Length: +{length}\r\n", body: "{body}"},
 	{Name: "chunks of the older protocol", head: "HTTP/1.0 200 OK\r\n" + chunked, body: "{chunk}0\r\n\r\n"},
+	{Name: "blank in a name of a trailer", head: ok + chunked, body: "{chunk}0\r\nX Y: z\r\n\r\n"},
+	{Name: "blank before a colon of a trailer", head: ok + chunked, body: "{chunk}0\r\nX : z\r\n\r\n"},
+	{Name: "control byte in a name of a trailer", head: ok + chunked, body: "{chunk}0\r\nX\x01: z\r\n\r\n"},
+	{Name: "control byte in a value of a trailer", head: ok + chunked, body: "{chunk}0\r\nX: \x01\r\n\r\n"},
 }
 
 // Sound are successful responses that a sound server may send.
--- a/internal/sender/responsereader.go
+++ b/internal/sender/responsereader.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"github.com/nutmegdock/nutmegdock/internal/headchecker"
 	"github.com/nutmegdock/nutmegdock/internal/headreader"
 )
 
@@ -86,9 +87,9 @@
 	return r.limitTime(ctx, func() error {
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes))
 		if err == nil && n == maxSkippedBytes {
-			err = &BodySizeError{Limit: maxSkippedBytes}
+			return &BodySizeError{Limit: maxSkippedBytes}
 		}
-		return err
+		return headchecker.CheckEnd(resp.Trailer, err)
 	})
 }
 
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -65,15 +65,21 @@
 	received   int
 	conn       net.Conn
 	stopCancel func() bool
+	// checkEnd is called with the error that ends the body, and returns the one that takes its place.
+	checkEnd func(end error) error
 }
 
-// Read reads the body. It returns a BodySizeError for a body that exceeds the maximum size.
+// Read reads the body. It returns a BodySizeError for a body that exceeds the maximum size, and a headchecker.Error at the end
+// of one with a trailer that is not valid.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
 	r.received += n
 	if r.received > maxBodyBytes {
 		return 0, &BodySizeError{Limit: maxBodyBytes}
 	}
+	if err != nil {
+		err = r.checkEnd(err)
+	}
 	return n, err
 }
 
@@ -163,9 +169,15 @@
 			return &Response{
 				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, body: resp.Body, conn: conn,
 				IsFramed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
+				checkEnd: func(end error) error { return headchecker.CheckEnd(resp.Trailer, end) },
 			}, nil
 		}
-		if reader.skip(ctx, resp) != nil {
+		err = reader.skip(ctx, resp)
+		var headErr *headchecker.Error
+		if errors.As(err, &headErr) {
+			return nil, newError(ctx, outcome.Unknown, outcome.Malformed, err)
+		}
+		if err != nil {
 			break // reported as a mismatch
 		}
 	}
