Refused responses are logged and counted

Cause: a response that is refused was seen only in the failure of its attempt (1703), and in no metric; those of attempts that lost against another one, not at all.

Change: sender tells headreporter of each.

--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -9,4 +9,5 @@
 	Stopped  = Event{1003, log.InfoLevel, "process stopped"}
 	// ShutdownIncomplete is logged for each address with requests that were cut at the end.
 	ShutdownIncomplete = Event{1004, log.WarnLevel, "requests were still being answered at the end of the graceful shutdown"}
+	ResponseRefused    = Event{1005, log.WarnLevel, "response is not valid HTTP; it was refused and its connection closed"}
 )
--- a/internal/gatewayserver/gatewayserver.go
+++ b/internal/gatewayserver/gatewayserver.go
@@ -41,6 +41,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/fleetwatcher"
 	"github.com/nutmegdock/nutmegdock/internal/gateway"
 	"github.com/nutmegdock/nutmegdock/internal/headercodec"
+	"github.com/nutmegdock/nutmegdock/internal/headreporter"
 	"github.com/nutmegdock/nutmegdock/internal/hostregistrar"
 	"github.com/nutmegdock/nutmegdock/internal/httpserver"
 	"github.com/nutmegdock/nutmegdock/internal/loadexchanger"
@@ -113,6 +114,8 @@
 	RolloutTimeout time.Duration
 	// Codec parses and writes the headers of requests and responses.
 	Codec headercodec.Codec
+	// Heads is told of the responses that are refused because they are not valid HTTP. Nil means a reporter of its own.
+	Heads *headreporter.Reporter
 	// FleetWatcher watches the store.
 	FleetWatcher *fleetwatcher.Watcher
 	// IsFirstStart is set if the entire fleet starts for the first time.
@@ -172,6 +175,10 @@
 	}
 	h.startTime = time.Now()
 	h.presence = &presencetracker.Tracker{Self: self, Zone: h.Zone}
+	if h.Heads == nil {
+		h.Heads = headreporter.New(h.Logger)
+	}
+	registry.MustRegister(h.Heads)
 	h.initZones(registry)
 	h.assigner = &assigner.Assigner{Zone: h.Zone}
 	if h.BalancesZones {
@@ -206,7 +213,7 @@
 	suspensions.Check()
 	h.gateway = &gateway.Gateway{
 		Suspector: h.suspector, Announce: h.factExchanger.Announce,
-		Codec: h.Codec, Assigner: h.assigner, QueryLoads: exchanger.QueryFor, AskHost: exchanger.Ask, AskGate: exchanger.AskGate, TakePermit: h.takePermit, NeedsPermit: h.cold.NeedsPermit, PermitLifetime: h.cold.PermitLifetime, Sender: &sender.Sender{Dial: (&dialer.Dialer{ConnectTimeout: connectTimeout}).DialContext},
+		Codec: h.Codec, Assigner: h.assigner, QueryLoads: exchanger.QueryFor, AskHost: exchanger.Ask, AskGate: exchanger.AskGate, TakePermit: h.takePermit, NeedsPermit: h.cold.NeedsPermit, PermitLifetime: h.cold.PermitLifetime, Sender: &sender.Sender{Dial: (&dialer.Dialer{ConnectTimeout: connectTimeout}).DialContext, OnRefusal: h.Heads.Report},
 		RetryBudget: &retrybudget.Budget{TokensPerRequest: h.RetryRatio * budgetShare, Burst: h.RetryBurst * budgetShare / minBudgetHosts},
 		OldestRelease: func(m fleetconfig.Model) fleetconfig.Release {
 			suspensions.Check()
--- a/internal/headchecker/headchecker.go
+++ b/internal/headchecker/headchecker.go
@@ -46,6 +46,18 @@
 	return fmt.Sprintf("response has an invalid %s: %q", e.Part, e.Text[:min(len(e.Text), maxErrorText)])
 }
 
+// RefusalFunc is told of each response that is refused, with the address that it came from. It may be nil.
+type RefusalFunc func(address string, err *Error)
+
+// Report calls the function if err is an *Error, and returns err.
+func (f RefusalFunc) Report(address string, err error) error {
+	var headErr *Error
+	if f != nil && errors.As(err, &headErr) {
+		f(address, headErr)
+	}
+	return err
+}
+
 // Checker checks one head, line by line. The zero value is ready for use.
 type Checker struct {
 	// newline ends the status line, and must end all others; empty before the status line.
--- a/internal/sender/brokenhead_test.go
+++ b/internal/sender/brokenhead_test.go
@@ -4,12 +4,15 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
+	"github.com/nutmegdock/nutmegdock/internal/headchecker"
 	"github.com/nutmegdock/nutmegdock/internal/headtest"
+	"github.com/nutmegdock/nutmegdock/internal/sender"
 )
 
 // A broken response to another request ends the attempt, as the bytes after it may be a part of it.
@@ -20,11 +23,14 @@
 			e := &pipeEndpoint{serve: func(c net.Conn) {
 				_, _ = io.WriteString(c, form.Text("Id: 2\r\n", "other")+responseHeader+"Content-Length: 2\r\n\r\nok")
 			}}
-			_, err := e.send(t.Context())
+			var refused []string
+			s := &sender.Sender{Dial: e.dial, OnRefusal: func(address string, _ *headchecker.Error) { refused = append(refused, address) }}
+			_, err := s.Send(t.Context(), sender.Attempt{Address: "endpoint", Method: http.MethodGet, Target: "/", Host: "h.example", Matches: func(h http.Header) bool { return h.Get("Id") == "1" }})
 			var o *outcome.Error
 			is.True(errors.As(err, &o))
 			is.Equal(o.Kind, outcome.Unknown)
 			is.Equal(o.Reason, outcome.Malformed)
+			is.Equal(refused, []string{"endpoint"})
 			<-e.closed
 		})
 	}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -28,6 +28,8 @@
 type Sender struct {
 	// Dial opens a connection.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// OnRefusal is told of the responses that are refused because they are not valid.
+	OnRefusal headchecker.RefusalFunc
 }
 
 // Attempt is one request to one endpoint.
@@ -113,7 +115,7 @@
 	}
 	// The connection is closed at once, since the goroutine that reads it may be blocked in a write to the caller.
 	stopCancel := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	resp, err := exchange(ctx, conn, attempt)
+	resp, err := s.exchange(ctx, conn, attempt)
 	if err != nil {
 		stopCancel()
 		_ = conn.Close()
@@ -143,7 +145,7 @@
 }
 
 // exchange writes the request and reads the header of its response. It skips responses to other requests.
-func exchange(ctx context.Context, conn net.Conn, attempt Attempt) (*Response, error) {
+func (s *Sender) exchange(ctx context.Context, conn net.Conn, attempt Attempt) (*Response, error) {
 	// The request is written concurrently with the read, since an endpoint may respond before it has read a long
 	// body.
 	header, err := encodeHeader(attempt)
@@ -160,7 +162,7 @@
 	for range maxSkipped + 1 {
 		resp, err := reader.next(ctx, attempt.Method)
 		if err != nil {
-			return nil, newError(ctx, outcome.Unknown, outcome.ConnectionLost, err)
+			return nil, newError(ctx, outcome.Unknown, outcome.ConnectionLost, s.OnRefusal.Report(attempt.Address, err))
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue // informational, and without a body
@@ -169,13 +171,15 @@
 			return &Response{
 				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, body: resp.Body, conn: conn,
 				IsFramed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
-				checkEnd: func(end error) error { return headchecker.CheckEnd(resp.Trailer, end) },
+				checkEnd: func(end error) error {
+					return s.OnRefusal.Report(attempt.Address, headchecker.CheckEnd(resp.Trailer, end))
+				},
 			}, nil
 		}
 		err = reader.skip(ctx, resp)
 		var headErr *headchecker.Error
 		if errors.As(err, &headErr) {
-			return nil, newError(ctx, outcome.Unknown, outcome.Malformed, err)
+			return nil, newError(ctx, outcome.Unknown, outcome.Malformed, s.OnRefusal.Report(attempt.Address, err))
 		}
 		if err != nil {
 			break // reported as a mismatch
