HTTP clients refuse broken heads and trailers

What callers saw: nothing yet. Read in the code and played in tests: endpointd passed on what its back end sent, and ended the request by a panic on a status below 100; entryd did the same with endpointd's responses, and the store, the origin, other hosts and the log service were read alike. A 101 held its reader past its deadline, for as long as the connection stayed open.

Cause: http.Transport reads heads like http.ReadResponse, skips informational responses by itself, and returns a 101 with the connection as its body, which does not end with the context of the request.

Change: roundtripper checks what the connections of a transport read, with headreader, before the transport sees it; dialer, forwarder and bytecounter make all clients of the daemons with it, and the command line has it too. A head is expected from when the transport has chosen the connection for a request. A connection whose response was refused is closed; the request is not sent again by the transport. Trailers are checked at the end of the body. forwarder reports the reason "malformed". headreporter logs and counts them, in all four daemons.

Why it works: the transport gets no byte of a head before its end has been found to be valid, but for one byte of a head that is refused, so that it takes the request for answered and does not repeat it.

Not checked: responses over TLS, which only the command line may use.

--- a/cmd/gatewayd/main.go
+++ b/cmd/gatewayd/main.go
@@ -14,6 +14,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/descriptors"
 	"github.com/nutmegdock/nutmegdock/internal/dialer"
 	"github.com/nutmegdock/nutmegdock/internal/gatewayserver"
+	"github.com/nutmegdock/nutmegdock/internal/headreporter"
 	"github.com/nutmegdock/nutmegdock/platform/engineclient"
 	"github.com/nutmegdock/nutmegdock/platform/settings"
 	"github.com/nutmegdock/nutmegdock/platform/starter"
@@ -27,9 +28,10 @@
 }
 
 func run(ctx context.Context, cfg settings.Settings, l log.Interface) error {
-	httpClient := (&dialer.Dialer{}).Client()
+	heads := headreporter.New(l)
+	httpClient := heads.Observe((&dialer.Dialer{}).Client())
 	store := &storeclient.Client{Address: cfg.StoreAddress, HTTP: httpClient}
-	origin := &engineclient.Client{OriginHTTP: (&dialer.Dialer{}).NoKeepAliveClient()}
+	origin := &engineclient.Client{OriginHTTP: heads.Observe((&dialer.Dialer{}).NoKeepAliveClient())}
 	return (&gatewayserver.Server{
 		Name: cfg.Host, Zone: cfg.Zone, IP: cfg.IP, CallerAddress: cfg.CallerAddress, ReadinessAddress: cfg.ReadinessAddress,
 		MetricsAddress: net.JoinHostPort(cfg.IP, strconv.Itoa(cfg.PortRange[0])), ExchangePort: cfg.PortRange[0],
@@ -37,7 +39,7 @@
 		GracePeriod: cfg.GracePeriod, RetryRatio: cfg.RetryRatio, RetryBurst: cfg.RetryBurst,
 		EjectsOutliers: cfg.EjectsOutliers, BalancesZones: cfg.BalancesZones,
 		ColdOvershoot: cfg.ColdOvershoot, ColdSlack: cfg.ColdSlack,
-		RolloutTimeout: cfg.RolloutTimeout, Regions: cfg.Regions, IsFirstStart: cfg.IsFirstStart, Codec: translator.New(), Logger: l,
+		RolloutTimeout: cfg.RolloutTimeout, Regions: cfg.Regions, IsFirstStart: cfg.IsFirstStart, Codec: translator.New(), Heads: heads, Logger: l,
 		Replicator: &chunkreplicator.Replicator{
 			Self: ident.Host(cfg.IP), Zone: cfg.Zone, Region: cfg.Region, IP: cfg.IP, IsSeed: true,
 			ControlPort: cfg.PortRange[0] + 1, DataPort: cfg.PortRange[0] + 3, ReadManifest: origin.FetchManifest, ReadChunk: origin.FetchChunk,
--- a/cmd/stockd/main.go
+++ b/cmd/stockd/main.go
@@ -16,6 +16,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/dialer"
 	"github.com/nutmegdock/nutmegdock/internal/engineagent"
+	"github.com/nutmegdock/nutmegdock/internal/headreporter"
 	"github.com/nutmegdock/nutmegdock/platform/engineclient"
 	"github.com/nutmegdock/nutmegdock/platform/settings"
 	"github.com/nutmegdock/nutmegdock/platform/starter"
@@ -27,16 +28,17 @@
 }
 
 func run(ctx context.Context, cfg settings.Settings, l log.Interface) error {
-	httpClient := (&dialer.Dialer{}).Client()
+	heads := headreporter.New(l)
+	httpClient := heads.Observe((&dialer.Dialer{}).Client())
 	store := &storeclient.Client{Address: cfg.StoreAddress, HTTP: httpClient}
-	engine := &engineclient.Client{EngineHTTP: httpClient, OriginHTTP: (&dialer.Dialer{}).NoKeepAliveClient(), EngineAddress: cfg.EngineAddress}
+	engine := &engineclient.Client{EngineHTTP: httpClient, OriginHTTP: heads.Observe((&dialer.Dialer{}).NoKeepAliveClient()), EngineAddress: cfg.EngineAddress}
 	conn, err := net.ListenPacket("udp4", net.JoinHostPort(cfg.IP, strconv.Itoa(cfg.PortRange[0])))
 	if err != nil {
 		return fmt.Errorf("open UDP socket for entry hosts: %w", err)
 	}
 	return (&engineagent.Agent{
 		IP: cfg.IP, Zone: cfg.Zone, Address: cfg.EngineAddress, GateConn: conn, Pool: cfg.Pool, Regions: cfg.Regions,
-		MetricsPort: cfg.PortRange[0] + 2, RolloutTimeout: cfg.RolloutTimeout, Logger: l,
+		MetricsPort: cfg.PortRange[0] + 2, RolloutTimeout: cfg.RolloutTimeout, Heads: heads, Logger: l,
 		Engine: engineagent.Engine{
 			Report: engine.QueryState, WriteStaged: engine.StageChunk, ReadStaged: engine.ReadStagedChunk, Load: engine.IssueLoadCommand,
 			IsAnswer: func(err error) bool {
--- a/internal/bytecounter/bytecounter.go
+++ b/internal/bytecounter/bytecounter.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/nutmegdock/nutmegdock/internal/dialer"
+	"github.com/nutmegdock/nutmegdock/internal/roundtripper"
 )
 
 const dialTimeout = time.Second
@@ -53,7 +54,7 @@
 
 // Client returns an HTTP client that counts the bytes of its connections.
 func (c *Counter) Client() *http.Client {
-	return &http.Client{Transport: &http.Transport{DialContext: c.Dial, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: dialer.MaxResponseHeaderBytes}}
+	return &http.Client{Transport: roundtripper.New(&http.Transport{DialContext: c.Dial, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: dialer.MaxResponseHeaderBytes})}
 }
 
 type listener struct {
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -11,6 +11,9 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/nutmegdock/nutmegdock/internal/headreader"
+	"github.com/nutmegdock/nutmegdock/internal/roundtripper"
 )
 
 const (
@@ -20,7 +23,7 @@
 	// in a row.
 	DefaultUserTimeout = 2 * time.Second
 	// MaxResponseHeaderBytes limits the response headers that HTTP clients read.
-	MaxResponseHeaderBytes = 64 << 10
+	MaxResponseHeaderBytes = headreader.MaxHeadBytes
 	keepAliveProbes        = 3
 	maxIdleConnsPerHost    = 4
 )
@@ -81,15 +84,15 @@
 
 // NoKeepAliveClient returns an HTTP client that keeps no idle connections, for a peer that accepts few connections.
 func (d *Dialer) NoKeepAliveClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: roundtripper.New(&http.Transport{
 		DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: MaxResponseHeaderBytes,
-	}}
+	})}
 }
 
 // Client returns an HTTP client for calls that may be retried. It keeps few idle connections.
 func (d *Dialer) Client() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: roundtripper.New(&http.Transport{
 		DialContext: d.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: 10 * time.Second, DisableCompression: true,
 		MaxResponseHeaderBytes: MaxResponseHeaderBytes,
-	}}
+	})}
 }
--- a/internal/endpointhost/config.go
+++ b/internal/endpointhost/config.go
@@ -15,7 +15,7 @@
 
 // buildConfig creates the follower of the configuration log and the replicator that exchanges records with peers.
 func (s *Server) buildConfig() {
-	logs := &logclient.Client{URL: s.Settings.LogURL, HTTP: s.controlBytes.Client()}
+	logs := &logclient.Client{URL: s.Settings.LogURL, HTTP: s.heads.Observe(s.controlBytes.Client())}
 	s.follower = &configfollower.Follower{
 		Read: func(ctx context.Context, from ident.Offset, limit int, wait time.Duration) (logclient.Page, error) {
 			return logs.Read(ctx, logclient.ConfigStream, from, limit, wait)
--- a/internal/endpointhost/endpointhost.go
+++ b/internal/endpointhost/endpointhost.go
@@ -24,6 +24,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/dialer"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/fetcher"
+	"github.com/nutmegdock/nutmegdock/internal/headreporter"
 	"github.com/nutmegdock/nutmegdock/internal/httpserver"
 	"github.com/nutmegdock/nutmegdock/internal/loader"
 	"github.com/nutmegdock/nutmegdock/internal/membership"
@@ -80,6 +81,7 @@
 	reconciler   *reconciler.Reconciler
 	reporter     *reporter.Reporter
 	registry     *prometheus.Registry
+	heads        *headreporter.Reporter
 	controlBytes bytecounter.Counter
 	requests     *requests
 	started      time.Time
@@ -165,6 +167,8 @@
 	s.started = time.Now()
 	s.startTime = s.started.UnixNano()
 	s.registry = newRegistry()
+	s.heads = headreporter.New(s.Logger)
+	s.registry.MustRegister(s.heads)
 	_ = s.controlBytes.RegisterMetrics(s.registry)
 	s.cache = &chunkcache.Cache{Limit: s.Settings.CacheLimit, Epoch: s.startTime}
 	s.buildPlatform()
@@ -183,7 +187,7 @@
 func (s *Server) buildPlatform() {
 	s.buildConfig()
 	s.members = &membership.List{
-		URL: s.Settings.MembersURL, HTTP: s.controlBytes.Client(), Logger: s.Logger,
+		URL: s.Settings.MembersURL, HTTP: s.heads.Observe(s.controlBytes.Client()), Logger: s.Logger,
 		Self: membership.Member{
 			Host: s.Settings.Host, Role: membership.RoleEndpoint, Zone: s.Settings.Zone, Region: s.Settings.Region,
 			Pool: s.Settings.Pool, DataAddress: s.Settings.DataAddress, ControlAddress: s.Settings.ControlAddress, StartTime: s.startTime,
@@ -198,7 +202,7 @@
 		Fetch: s.fetcher.Fetch, View: s.follower.View, Changed: s.follower.Changed,
 		Hosts: func() []membership.Member { return s.members.Members(membership.RoleEndpoint) },
 		Loader: &loader.Loader{
-			Engine: s.Settings.BackendURL, Source: "http://" + s.Settings.DataAddress, HTTP: (&dialer.Dialer{}).Client(),
+			Engine: s.Settings.BackendURL, Source: "http://" + s.Settings.DataAddress, HTTP: s.heads.Observe((&dialer.Dialer{}).Client()),
 		},
 		Logger: s.Logger,
 	}
--- a/internal/endpointhost/requests.go
+++ b/internal/endpointhost/requests.go
@@ -32,7 +32,7 @@
 
 func (s *Server) buildRequests() {
 	entryClients := &rpc.Pool{Dial: s.controlBytes.Dial}
-	backendProber := &prober.Prober{Kind: s.Settings.Kind, Backend: s.Settings.BackendURL, HTTP: (&dialer.Dialer{}).Client()}
+	backendProber := &prober.Prober{Kind: s.Settings.Kind, Backend: s.Settings.BackendURL, HTTP: s.heads.Observe((&dialer.Dialer{}).Client())}
 	crashNotifier := &crashnotifier.Notifier{
 		EntryHosts: func() []membership.Member { return s.members.Members(membership.RoleEntry) },
 		Send: func(ctx context.Context, control string, crash messages.BackendCrash) error {
@@ -42,8 +42,8 @@
 	}
 	s.requests = &requests{prober: backendProber, notifier: crashNotifier, proxy: &endpointproxy.Proxy{
 		Gate: &s.gate, Backend: s.Settings.BackendURL, ConfigOffset: s.follower.Offset,
-		Forwarder:          &forwarder.Forwarder{HTTP: forwarder.NewClient(), IgnoreOutcome: true},
-		SingleUseForwarder: &forwarder.Forwarder{HTTP: forwarder.NewSingleUseClient(), IgnoreOutcome: true},
+		Forwarder:          &forwarder.Forwarder{HTTP: s.heads.Observe(forwarder.NewClient()), IgnoreOutcome: true},
+		SingleUseForwarder: &forwarder.Forwarder{HTTP: s.heads.Observe(forwarder.NewSingleUseClient()), IgnoreOutcome: true},
 		Permitter:          &permitter.Permitter{NewPermit: func() permitter.Permit { return permitter.Permit(uuid.NewString()) }},
 		Tracker:            &inflighttracker.Tracker{CrashIDPrefix: fmt.Sprintf("%s/%d", s.Settings.Host, s.startTime)},
 		BackendStartTime:   backendProber.StartTime,
--- a/internal/endpointhost/weights.go
+++ b/internal/endpointhost/weights.go
@@ -27,7 +27,7 @@
 		Cache: s.cache, Zone: s.Settings.Zone, UploadLimiter: &uploadlimiter.Limiter{},
 		Pacer: &pacer.Pacer{Rate: s.Settings.MaxWeightRate, IsBusy: isBusy},
 	}
-	client := &weightclient.Client{HTTP: forwarder.NewClient()}
+	client := &weightclient.Client{HTTP: s.heads.Observe(forwarder.NewClient())}
 	downloadPacer := &pacer.Pacer{Rate: s.Settings.MaxWeightRate, IsBusy: isBusy}
 	peerClients := &rpc.Pool{Dial: s.controlBytes.Dial}
 	s.fetcher = &fetcher.Fetcher{
--- a/internal/endpointproxy/endpointproxy_test.go
+++ b/internal/endpointproxy/endpointproxy_test.go
@@ -17,9 +17,11 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/gate"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/inflighttracker"
+	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
 	"github.com/nutmegdock/nutmegdock/internal/core/resumer"
 	"github.com/nutmegdock/nutmegdock/internal/forwarder"
 	"github.com/nutmegdock/nutmegdock/internal/headers"
+	"github.com/nutmegdock/nutmegdock/internal/headtest"
 )
 
 // newProxy returns a proxy to a back end that serves weight set "a".
@@ -179,3 +181,29 @@
 		got += n
 	}
 }
+
+// A broken response of the back end reaches no caller, is no crash, and may have run.
+func TestBrokenHeadOfBackendIsUnknown(t *testing.T) {
+	for _, form := range headtest.Broken {
+		t.Run(form.Name, func(t *testing.T) {
+			is := is.New(t)
+			resp, body, err := sendRequest(t, nil, func(w http.ResponseWriter, _ *http.Request) {
+				c, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				_, _ = io.WriteString(c, form.Text(headers.WeightSet+": a\r\n", "no"))
+			})
+			if strings.Contains(form.Name, "trailer") {
+				is.True(err != nil) // the header has been sent
+				return
+			}
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, http.StatusBadGateway)
+			is.Equal(resp.Header.Get(headers.Outcome), headers.Unknown)
+			is.Equal(resp.Header.Get(headers.Reason), string(outcome.Malformed))
+			is.True(body != "no")
+		})
+	}
+}
--- a/internal/engineagent/engineagent.go
+++ b/internal/engineagent/engineagent.go
@@ -28,6 +28,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/rolloutplanner"
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/fleetwatcher"
+	"github.com/nutmegdock/nutmegdock/internal/headreporter"
 	"github.com/nutmegdock/nutmegdock/internal/hostregistrar"
 	"github.com/nutmegdock/nutmegdock/internal/loadexchanger"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
@@ -79,7 +80,9 @@
 	RolloutTimeout time.Duration
 	// FleetWatcher reads the store while no entry host responds.
 	FleetWatcher *fleetwatcher.Watcher
-	Logger       log.Interface
+	// Heads is told of the responses that are refused because they are not valid HTTP. Nil means a reporter of its own.
+	Heads  *headreporter.Reporter
+	Logger log.Interface
 
 	tracker     *fleettracker.Tracker
 	suspensions *suspensiondetector.Detector
@@ -122,6 +125,10 @@
 	h.suspensions = &suspensiondetector.Detector{OnSuspension: h.tracker.RecordSuspension, Logger: h.Logger}
 	h.suspensions.Check()
 	registry := prometheus.NewRegistry()
+	if h.Heads == nil {
+		h.Heads = headreporter.New(h.Logger)
+	}
+	registry.MustRegister(h.Heads)
 	h.meter = newMeter(registry)
 	h.Replicator.Peers = h.peers
 	h.Replicator.Origin = func() (string, ident.Region) {
--- a/internal/entryhost/admin.go
+++ b/internal/entryhost/admin.go
@@ -19,8 +19,8 @@
 
 // adminHandler returns the handler of the admin address: the operators' interface, metrics, health and readiness.
 func (s *Server) adminHandler(tokens *authorizer.Authorizer) http.Handler {
-	logs := &logclient.Client{URL: s.Settings.LogURL, HTTP: (&dialer.Dialer{}).Client()}
-	store := &weightclient.Client{HTTP: (&dialer.Dialer{}).Client()}
+	logs := &logclient.Client{URL: s.Settings.LogURL, HTTP: s.heads.Observe((&dialer.Dialer{}).Client())}
+	store := &weightclient.Client{HTTP: s.heads.Observe((&dialer.Dialer{}).Client())}
 	attempts := refusalrecorder.New(logs, s.Logger)
 	p := &publisher.Publisher{
 		Append: func(ctx context.Context, data []byte) (ident.Offset, error) {
--- a/internal/entryhost/config.go
+++ b/internal/entryhost/config.go
@@ -25,7 +25,7 @@
 
 // buildConfig creates the components that follow, replicate and checkpoint the configuration.
 func (s *Server) buildConfig() {
-	logs := &logclient.Client{URL: s.Settings.LogURL, HTTP: s.controlTraffic.Client()}
+	logs := &logclient.Client{URL: s.Settings.LogURL, HTTP: s.heads.Observe(s.controlTraffic.Client())}
 	s.follower = &configfollower.Follower{
 		Read: func(ctx context.Context, from ident.Offset, limit int, wait time.Duration) (logclient.Page, error) {
 			return logs.Read(ctx, logclient.ConfigStream, from, limit, wait)
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -31,6 +31,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/workpacer"
 	"github.com/nutmegdock/nutmegdock/internal/descriptors"
 	"github.com/nutmegdock/nutmegdock/internal/event"
+	"github.com/nutmegdock/nutmegdock/internal/headreporter"
 	"github.com/nutmegdock/nutmegdock/internal/httpserver"
 	"github.com/nutmegdock/nutmegdock/internal/membership"
 	"github.com/nutmegdock/nutmegdock/internal/memory"
@@ -76,6 +77,7 @@
 	reports        *reportcache.Cache
 	registry       *prometheus.Registry
 	startTime      time.Time
+	heads          *headreporter.Reporter
 	controlTraffic bytecounter.Counter
 	pipeline       *requestPipeline
 	admission      *admission
@@ -177,9 +179,11 @@
 	s.reports = &reportcache.Cache{}
 	s.registry = prometheus.NewRegistry()
 	s.registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
+	s.heads = headreporter.New(s.Logger)
+	s.registry.MustRegister(s.heads)
 	_ = s.controlTraffic.RegisterMetrics(s.registry)
 	s.members = &membership.List{
-		URL: s.Settings.MembersURL, HTTP: s.controlTraffic.Client(), Logger: s.Logger,
+		URL: s.Settings.MembersURL, HTTP: s.heads.Observe(s.controlTraffic.Client()), Logger: s.Logger,
 		Self: membership.Member{
 			Host: s.Settings.Host, Role: membership.RoleEntry, Zone: s.Settings.Zone, Region: s.Settings.Region,
 			DataAddress: s.Settings.CallerAddress, ControlAddress: s.Settings.ControlAddress, StartTime: time.Now().UnixNano(),
--- a/internal/entryhost/requests.go
+++ b/internal/entryhost/requests.go
@@ -40,7 +40,7 @@
 }
 
 func (s *Server) buildRequests() {
-	logs := &logclient.Client{URL: s.Settings.LogURL, HTTP: s.controlTraffic.Client()}
+	logs := &logclient.Client{URL: s.Settings.LogURL, HTTP: s.heads.Observe(s.controlTraffic.Client())}
 	peers := &rpc.Pool{Dial: s.controlTraffic.Dial}
 	quarantine := &quarantiner.Quarantiner{}
 	writer := &claimwriter.Writer{
@@ -57,7 +57,7 @@
 	dispatch := &dispatcher.Dispatcher{
 		Admit:             s.admission.admitter.Admit,
 		SpendRetryBudget:  s.admission.admitter.SpendRetryBudget,
-		Forwarder:         &forwarder.Forwarder{HTTP: forwarder.NewClient()},
+		Forwarder:         &forwarder.Forwarder{HTTP: s.heads.Observe(forwarder.NewClient())},
 		Quarantiner:       quarantine,
 		OnRefusal:         s.members.RecordRefusal,
 		RefreshDeployment: s.refreshDeployment,
--- a/internal/factory/factory.go
+++ b/internal/factory/factory.go
@@ -13,6 +13,7 @@
 	"golang.org/x/term"
 
 	"github.com/nutmegdock/nutmegdock/internal/adminclient"
+	"github.com/nutmegdock/nutmegdock/internal/roundtripper"
 )
 
 const requestTimeout = 15 * time.Second
@@ -38,7 +39,7 @@
 
 // Client returns a client for the entry host's administration interface.
 func (f *Factory) Client() *adminclient.Client {
-	return &adminclient.Client{URL: f.AdminURL, Token: f.Token, HTTP: &http.Client{Timeout: requestTimeout}}
+	return &adminclient.Client{URL: f.AdminURL, Token: f.Token, HTTP: &http.Client{Timeout: requestTimeout, Transport: roundtripper.Default()}}
 }
 
 // Print writes v if JSON output is selected, and otherwise the rows: aligned and with a header on a terminal, separated
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -13,7 +13,9 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
 	"github.com/nutmegdock/nutmegdock/internal/dialer"
+	"github.com/nutmegdock/nutmegdock/internal/headchecker"
 	"github.com/nutmegdock/nutmegdock/internal/headers"
+	"github.com/nutmegdock/nutmegdock/internal/roundtripper"
 )
 
 const (
@@ -69,7 +71,7 @@
 
 		MaxResponseHeaderBytes: dialer.MaxResponseHeaderBytes,
 	}
-	return &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	return &http.Client{Transport: roundtripper.New(t), CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 }
 
 // opaqueReader hides the type of a body. The transport then cannot rewind the body and send the request a second time.
@@ -119,7 +121,10 @@
 		return &outcome.Error{Kind: outcome.NotRun, Reason: outcome.Unreachable, RetryAfter: defaultRetryAfter, Message: err.Error()}
 	}
 	o := &outcome.Error{Kind: outcome.Unknown, Reason: outcome.ConnectionLost, Message: err.Error()}
+	var headErr *headchecker.Error
 	switch {
+	case errors.As(err, &headErr):
+		o.Reason = outcome.Malformed
 	case errors.Is(context.Cause(ctx), errStalled):
 		o.Reason = outcome.Stalled
 	case ctx.Err() != nil:
--- a/internal/headreporter/headreporter.go
+++ b/internal/headreporter/headreporter.go
@@ -2,11 +2,14 @@
 package headreporter
 
 import (
+	"net/http"
+
 	"github.com/apex/log"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/nutmegdock/nutmegdock/internal/event"
 	"github.com/nutmegdock/nutmegdock/internal/headchecker"
+	"github.com/nutmegdock/nutmegdock/internal/roundtripper"
 )
 
 // Reporter is the collector of the metric nutmegdock_refused_responses_total. Use New.
@@ -27,3 +30,10 @@
 	r.WithLabelValues(string(err.Part)).Inc()
 	event.ResponseRefused.Log(r.logger, log.Fields{"address": address, "part": string(err.Part), "cause": err.Error()})
 }
+
+// Observe makes a client report the responses that it refuses, and returns the client. Its transport must be a round tripper
+// of roundtripper.
+func (r *Reporter) Observe(client *http.Client) *http.Client {
+	client.Transport.(*roundtripper.RoundTripper).OnRefusal = r.Report
+	return client
+}
--- a/pkg/cmd/explain/explain.go
+++ b/pkg/cmd/explain/explain.go
@@ -12,6 +12,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
 	"github.com/nutmegdock/nutmegdock/internal/factory"
 	"github.com/nutmegdock/nutmegdock/internal/messages"
+	"github.com/nutmegdock/nutmegdock/internal/roundtripper"
 )
 
 // Args holds the command-line arguments.
@@ -53,7 +54,7 @@
 
 // Command returns a function that runs the command.
 func Command(f *factory.Factory, a Args) func(ctx context.Context) error {
-	opts := &Options{Args: a, Print: f.Print, HTTP: &http.Client{Timeout: explanationTimeout}, Out: f.Out, JSON: f.JSON}
+	opts := &Options{Args: a, Print: f.Print, HTTP: &http.Client{Timeout: explanationTimeout, Transport: roundtripper.Default()}, Out: f.Out, JSON: f.JSON}
 	if a.Request {
 		return func(ctx context.Context) error { return explainRequestRun(ctx, opts) }
 	}
