A broken state of a back end is no crash

What callers saw: nothing yet; found by the test. A sound request could have been quarantined: after a failure, endpointd asks the back end for its state, and took a broken response to that for a crash, or a start time from within it for that of a new incarnation.

Cause: prober counted any failure of a probe as a crash, unless the response had no end or came late, and with status 000, a blank in a name and so on the response was read as sound.

Change: a response that is refused shows that the back end runs. Its content is not used.

TestBrokenStateIsCrash still holds: a connection that is broken off without a response is a crash.

Why it works: a process that has crashed sends no response at all.

--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -15,6 +15,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/bodyreader"
 	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
 	"github.com/nutmegdock/nutmegdock/internal/engineapi"
+	"github.com/nutmegdock/nutmegdock/internal/headchecker"
 )
 
 const (
@@ -68,7 +69,7 @@
 }
 
 // HasCrashed reports whether the back end that had the given start time has crashed: it refuses or breaks connections,
-// or it reports another start time. A back end whose response does not end, or not in time, counts as alive.
+// or it reports another start time. A back end whose response is not valid, or does not end, or not in time, counts as alive.
 func (p *Prober) HasCrashed(ctx context.Context, previous int64) bool {
 	startTime, err := p.probe(context.WithoutCancel(ctx))
 	if err == nil {
@@ -77,7 +78,8 @@
 	}
 	var netErr net.Error
 	var sizeErr *bodyreader.SizeError
-	if errors.As(err, &netErr) && netErr.Timeout() || errors.As(err, &sizeErr) {
+	var headErr *headchecker.Error
+	if errors.As(err, &netErr) && netErr.Timeout() || errors.As(err, &sizeErr) || errors.As(err, &headErr) {
 		return false
 	}
 	p.mu.Lock()
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -12,6 +12,8 @@
 	"github.com/matryer/is"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/catalog"
+	"github.com/nutmegdock/nutmegdock/internal/dialer"
+	"github.com/nutmegdock/nutmegdock/internal/headtest"
 	"github.com/nutmegdock/nutmegdock/internal/prober"
 )
 
@@ -55,3 +57,26 @@
 	is.True(p.HasCrashed(t.Context(), 1))
 	is.True(p.IsDown())
 }
+
+// A back end whose state has a broken head still runs, and its state is not used.
+func TestBrokenHeadIsNoCrash(t *testing.T) {
+	for _, form := range headtest.Broken {
+		t.Run(form.Name, func(t *testing.T) {
+			is := is.New(t)
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				c, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				_, _ = io.WriteString(c, form.Text("", `{"birth":2}`))
+				_, _ = io.Copy(io.Discard, c) // until the client closes
+			}))
+			defer srv.Close()
+			p := &prober.Prober{Kind: catalog.KindEngine, Backend: srv.URL, HTTP: (&dialer.Dialer{}).Client()}
+			is.True(!p.HasCrashed(t.Context(), 1))
+			is.True(!p.IsDown())
+			is.Equal(p.StartTime(), int64(0))
+		})
+	}
+}
