A broken response to a health check is no sign of health

What callers saw: nothing yet. An endpoint that had stood still and responded to its health check with a broken head was used again at once.

Cause: the first byte of anything counted as a response.

Change: healthchecker, taken out of gatewayserver, reads the head of the response as all others are read. Any status counts as before. A response that is refused is logged and counted; the endpoint is checked again.

Why it works: a process that cannot write a head cannot serve a request either.

--- a/internal/gatewayserver/probe.go
+++ b/internal/gatewayserver/probe.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -12,9 +10,10 @@
 	"github.com/apex/log"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
-	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/dialer"
 	"github.com/nutmegdock/nutmegdock/internal/event"
+	"github.com/nutmegdock/nutmegdock/internal/headchecker"
+	"github.com/nutmegdock/nutmegdock/internal/healthchecker"
 )
 
 // healthTimeout bounds a health check of an endpoint that stands still. The check waits there until the endpoint goes on.
@@ -90,7 +89,7 @@
 	if h.assigner.RecordProbe(p, err == nil) {
 		h.logProbe(p, err)
 	}
-	if err == nil && p.Pool != "" && h.checkHealth(ctx, conn, p.Pool) {
+	if err == nil && p.Pool != "" && h.checkHealth(ctx, conn, p) {
 		h.assigner.RecordHealth(p)
 	}
 }
@@ -105,21 +104,13 @@
 	event.EndpointReachable.Log(h.Logger, fields)
 }
 
-// checkHealth reports whether an endpoint responds to a health check in time. Any response shows that it runs.
-func (h *Server) checkHealth(ctx context.Context, conn net.Conn, pool ident.Pool) bool {
+// checkHealth reports whether an endpoint responds to a health check in time.
+func (h *Server) checkHealth(ctx context.Context, conn net.Conn, p assigner.Probe) bool {
 	config := h.gateway.Config()
-	if config == nil || config.Pools[pool] == nil {
+	if config == nil || config.Pools[p.Pool] == nil {
 		return false
 	}
-	path := cmp.Or(config.Pools[pool].HealthPath, "/")
-	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	if err := conn.SetDeadline(time.Now().Add(healthTimeout)); err != nil {
-		return false
-	}
-	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", path, conn.RemoteAddr()); err != nil {
-		return false
-	}
-	_, err := io.ReadFull(conn, make([]byte, 1))
-	return err == nil
+	path := cmp.Or(config.Pools[p.Pool].HealthPath, "/")
+	err := (&healthchecker.Checker{Timeout: healthTimeout}).Check(ctx, conn, path)
+	return headchecker.RefusalFunc(h.Heads.Report).Report(p.Address, err) == nil
 }
