A response that came before its request is refused

What callers saw: nothing yet; found by a test of the clients that keep connections. A second response of a broken server, of any form, was taken for the response to the next request, unchecked.

Cause: a head is expected from when the transport has chosen the connection. What the transport had read from an idle connection before that had not been checked, and the transport takes it for the response if the request is counted before it looks.

Change: headreader counts the heads of final responses that it has found to be valid, and roundtripper the requests of a connection. A response without a checked head is refused and its connection closed; the request may have run.

Why it works: a response is passed on only if as many heads as requests have been checked on its connection.

--- a/internal/headchecker/headchecker.go
+++ b/internal/headchecker/headchecker.go
@@ -27,6 +27,7 @@
 	Value   Part = "value"   // the value of a field
 	Framing Part = "framing" // the length or the encoding of the body, or an informational response with a body
 	Trailer Part = "trailer" // a field after the last chunk
+	Order   Part = "order"   // the response arrived before its request was sent
 )
 
 const digits = "0123456789"
--- a/internal/headreader/headreader.go
+++ b/internal/headreader/headreader.go
@@ -29,14 +29,15 @@
 	return fmt.Sprintf("response header exceeds %d bytes", e.Limit)
 }
 
-// Reader reads from a connection. Expect and Refusal may be called by any goroutine. Set its fields before use.
+// Reader reads from a connection. Expect, FinalHeads and Refusal may be called by any goroutine. Set its fields before use.
 type Reader struct {
 	// Source is the connection.
 	Source io.Reader
 
 	// expecting is set until the head of a final response has been found to be valid.
-	expecting atomic.Bool
-	checker   headchecker.Checker
+	expecting  atomic.Bool
+	finalHeads atomic.Int64
+	checker    headchecker.Checker
 	// held are bytes that have been read and not passed on. The first free ones may be passed on, the first checked ones are
 	// lines that have been checked, and the first searched ones hold no further line feed.
 	held                    []byte
@@ -59,6 +60,11 @@
 	r.free, r.checked, r.searched = 0, 0, 0
 }
 
+// FinalHeads returns the number of heads of final responses that have been found to be valid.
+func (r *Reader) FinalHeads() int64 {
+	return r.finalHeads.Load()
+}
+
 // Refusal returns the reason for which a head has been refused: a *headchecker.Error or a *SizeError, or nil.
 func (r *Reader) Refusal() error {
 	r.mu.Lock()
@@ -80,7 +86,7 @@
 	return nil
 }
 
-// Read reads the next bytes. It never returns bytes from behind a head in the same call, unless the head is the last one.
+// Read reads the next bytes. Those of the head of an informational response are returned without any that follow it.
 func (r *Reader) Read(p []byte) (int, error) {
 	for r.free == 0 && r.err == nil {
 		isExpecting := r.expecting.Load()
@@ -145,6 +151,7 @@
 	r.free = end
 	if !r.checker.IsInformational() {
 		r.free = len(r.held)
+		r.finalHeads.Add(1)
 		r.expecting.Store(false)
 	}
 	r.checker, r.checked, r.searched = headchecker.Checker{}, 0, 0
--- a/internal/roundtripper/roundtripper.go
+++ b/internal/roundtripper/roundtripper.go
@@ -56,6 +56,11 @@
 		}
 		return nil, err
 	}
+	if !used.isChecked() {
+		used.close()
+		_ = resp.Body.Close() // the response is refused
+		return nil, rt.OnRefusal.Report(req.URL.Host, &headchecker.Error{Part: headchecker.Order, Text: resp.Status})
+	}
 	if len(resp.TransferEncoding) > 0 {
 		resp.Body = &trailerChecker{ReadCloser: resp.Body, check: func(end error) error {
 			err := headchecker.CheckEnd(resp.Trailer, end)
@@ -112,6 +117,12 @@
 	return u.conn.head.Refusal()
 }
 
+// isChecked reports whether the head of the response has been checked. That of a response that was sent before its request may
+// have been read before it was expected.
+func (u use) isChecked() bool {
+	return u.conn == nil || u.conn.head.FinalHeads() >= u.number
+}
+
 // close closes the connection, unless another request uses it.
 func (u use) close() {
 	if u.conn != nil && u.conn.uses.Load() == u.number {
