--- a/internal/headreader/headreader.go
+++ b/internal/headreader/headreader.go
@@ -95,13 +95,12 @@
 		} else {
 			r.free = len(r.held)
 		}
-		switch {
-		case r.free > 0 || r.err != nil:
-			continue
-		case r.sourceErr != nil:
+		if r.free == 0 && r.err == nil && r.sourceErr != nil {
 			// An incomplete head is passed on, so that it is not taken for a connection without a response.
 			r.err, r.free = r.sourceErr, len(r.held)
-			continue
+		}
+		if r.free > 0 || r.err != nil {
+			break
 		}
 		n, err := r.Source.Read(p)
 		if !isExpecting && !r.expecting.Load() {
