headtest: one back end that sends a form

Cause: the tests of prober and endpointproxy each took over the connection to send a broken response, in the same lines but for the end.

Change: Form.Handler does so for both, and waits for the client to close. No program and no assertion is changed.

--- a/internal/endpointproxy/endpointproxy_test.go
+++ b/internal/endpointproxy/endpointproxy_test.go
@@ -187,14 +187,7 @@
 	for _, form := range headtest.Broken {
 		t.Run(form.Name, func(t *testing.T) {
 			is := is.New(t)
-			resp, body, err := sendRequest(t, nil, func(w http.ResponseWriter, _ *http.Request) {
-				c, _, err := http.NewResponseController(w).Hijack()
-				if err != nil {
-					return
-				}
-				defer c.Close()
-				_, _ = io.WriteString(c, form.Text(headers.WeightSet+": a\r\n", "no"))
-			})
+			resp, body, err := sendRequest(t, nil, form.Handler(headers.WeightSet+": a\r\n", "no"))
 			if strings.Contains(form.Name, "trailer") {
 				is.True(err != nil) // the header has been sent
 				return
--- a/internal/headtest/headtest.go
+++ b/internal/headtest/headtest.go
@@ -4,6 +4,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
 	"strings"
 )
 
@@ -30,6 +32,19 @@
 	return head + r.Replace(f.body)
 }
 
+// Handler returns a handler that sends the response, and closes the connection once the client has.
+func (f Form) Handler(fields, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, f.Text(fields, body))
+		_, _ = io.Copy(io.Discard, c) // until the client closes
+	}
+}
+
 const (
 	ok      = "HTTP/1.1 200 OK\r\n"
 	framed  = "{fields}Content-Length: {length}\r\n"
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -63,15 +63,7 @@
 	for _, form := range headtest.Broken {
 		t.Run(form.Name, func(t *testing.T) {
 			is := is.New(t)
-			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				c, _, err := http.NewResponseController(w).Hijack()
-				if err != nil {
-					return
-				}
-				defer c.Close()
-				_, _ = io.WriteString(c, form.Text("", `{"birth":2}`))
-				_, _ = io.Copy(io.Discard, c) // until the client closes
-			}))
+			srv := httptest.NewServer(form.Handler("", `{"birth":2}`))
 			defer srv.Close()
 			p := &prober.Prober{Kind: catalog.KindEngine, Backend: srv.URL, HTTP: (&dialer.Dialer{}).Client()}
 			is.True(!p.HasCrashed(t.Context(), 1))
