A response counts only if its head is that of the endpoint to the request

Complete bodies, other statuses of 2xx and encoded bodies passed alike.

Cause: no part decided whether a response is that of the endpoint to this request. sender took one without an id for a match, the signature was compared between the parts of a resumed stream only, both looked at the first value of their field, and nothing looked at Content-Encoding.

attributor decides from the head, in sender, before anything acts on the response. All ways go through there: whole, large, streamed, resumed, other attempts, and what follows a skipped response. A response that is refused was broken off: it may have run. Pauses, limits and departures that it states are ignored too. nutmegdock_gateway_unattributed_responses_total tells the reasons apart.

Tests changed: the stand-ins of gateway and slowreader send ids and signatures now, as PROTOCOL asks of engines.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
+	"github.com/nutmegdock/nutmegdock/internal/core/attributor"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
 	"github.com/nutmegdock/nutmegdock/internal/event"
@@ -67,8 +68,7 @@
 	}
 	defer resp.Close()
 	state.responseStatus = resp.Status
-	info := g.Codec.ReadResponse(resp.Status, resp.Header)
-	switch {
+	switch info := resp.info; {
 	case info.NotRun || impliesNotRun(resp.Status):
 		var err error
 		var result assigner.Outcome
@@ -80,7 +80,7 @@
 		state.lastErr = err
 		return result, false
 	case resp.Status == http.StatusOK && req.route.Kind == fleetconfig.Stream:
-		return g.forwardStream(ctx, req, state, resp, info)
+		return g.forwardStream(ctx, req, state, resp)
 	default:
 		// Without events, the request has begun once its response header is there.
 		state.stopWithdrawal()
@@ -96,8 +96,15 @@
 	release  fleetconfig.Release
 }
 
-// exchange sends a request to an endpoint and returns the header of its response. Its error is an outcome.Error.
-func (g *Gateway) exchange(ctx context.Context, req *request, choice *assigner.Assignment, a *attempt, p streamPosition) (*sender.Response, error) {
+// endpointResponse is the response of an endpoint to a request, and what its head states.
+type endpointResponse struct {
+	*sender.Response
+	info headercodec.ResponseInfo
+}
+
+// exchange sends a request to an endpoint and returns the header of its response. Its error is an outcome.Error, also for a
+// response that is not that of the endpoint to the request: nothing else acts on such a response.
+func (g *Gateway) exchange(ctx context.Context, req *request, choice *assigner.Assignment, a *attempt, p streamPosition) (*endpointResponse, error) {
 	endpointReq := headercodec.EndpointRequest{
 		Endpoint: choice.Endpoint.ID, Priority: endpointPriority(req, choice), Release: p.release, After: p.after, HasAfter: p.hasAfter,
 	}
@@ -110,6 +117,7 @@
 		return nil, &outcome.Error{Kind: outcome.NotRun, Reason: outcome.Memory, Message: "endpoint reads requests slowly"}
 	}
 	sentAt := time.Now()
+	var info headercodec.ResponseInfo
 	resp, err := g.Sender.Send(ctx, sender.Attempt{
 		Address: choice.Endpoint.Address, Method: req.r.Method, Target: req.r.RequestURI, Host: req.r.Host,
 		Header: func() http.Header {
@@ -118,8 +126,11 @@
 			}
 			return g.Codec.EndpointHeader(req.r, endpointReq)
 		},
-		Body:        req.body,
-		Matches:     func(h http.Header) bool { return g.Codec.IsResponseTo(req.ID, h) },
+		Body: req.body,
+		Check: func(status int, h http.Header) error {
+			info = g.Codec.ReadResponse(status, h)
+			return g.checkOrigin(req, status, info)
+		},
 		BeforeWrite: func() outcome.Reason { return g.beforeWrite(req, a, choice) },
 		OnWritten:   endSend,
 	})
@@ -127,11 +138,21 @@
 		endSend()
 		return nil, err
 	}
-	if info := g.Codec.ReadResponse(resp.Status, resp.Header); !info.IsOtherEndpoint {
+	if !info.IsOtherEndpoint {
 		g.recordHoldoff(req, choice.Endpoint, info)
 		g.recordLimit(req, choice.Endpoint, info, sentAt)
 	}
-	return resp, nil
+	return &endpointResponse{Response: resp, info: info}, nil
+}
+
+// checkOrigin returns an attributor.Error, and counts it, for a response that is not that of the endpoint to the request.
+func (g *Gateway) checkOrigin(req *request, status int, info headercodec.ResponseInfo) error {
+	err := attributor.Check(attributor.Origin{Status: status, IDs: info.IDs, Signed: info.Signed, IsEncoded: info.IsEncoded, NotRun: info.NotRun}, req.ID)
+	var refused *attributor.Error
+	if errors.As(err, &refused) {
+		g.Meter.CountUnattributed(refused.Reason)
+	}
+	return err
 }
 
 // refusal returns the outcome for the endpoint, and the error, of a response that states or implies that the request has not
--- a/internal/gateway/backlog_test.go
+++ b/internal/gateway/backlog_test.go
@@ -31,6 +31,7 @@
 	closed     chan struct{}
 	isOver     chan struct{}
 	conn       net.Conn
+	id         string
 }
 
 func (e *queueingEngine) serve(c net.Conn) {
@@ -43,7 +44,7 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
-	q := &queuedRequest{receivedAt: time.Now(), closed: make(chan struct{}), isOver: make(chan struct{}), conn: c}
+	q := &queuedRequest{receivedAt: time.Now(), closed: make(chan struct{}), isOver: make(chan struct{}), conn: c, id: r.Header.Get("Id")}
 	go func() {
 		defer close(q.closed)
 		_, _ = br.ReadByte() // returns when the connection is closed
@@ -75,7 +76,7 @@
 	e.lastBegin = time.Now()
 	e.begun++
 	e.mu.Unlock()
-	_, _ = io.WriteString(q.conn, "HTTP/1.1 200 OK\r\nRelease: 1\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: x\n\n\r\n0\r\n\r\n")
+	_, _ = io.WriteString(q.conn, "HTTP/1.1 200 OK\r\nSigned: s\r\nId: "+q.id+"\r\nRelease: 1\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: x\n\n\r\n0\r\n\r\n")
 }
 
 // Requests that waited in the queue of a silent engine began on the older release after the rollout timeout, one after the
--- a/internal/gateway/begun_test.go
+++ b/internal/gateway/begun_test.go
@@ -18,7 +18,7 @@
 	is := is.New(t)
 	f := startFleet(t, []step{func(c *net.TCPConn, _ *http.Request) {
 		time.Sleep(100 * time.Millisecond)
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nSigned: s\r\nId: id1\r\nTransfer-Encoding: chunked\r\n\r\n")
 		for i := 1; i <= 10; i++ {
 			ev := fmt.Sprintf("id: %d\ndata: x\n\n", i)
 			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(ev), ev)
@@ -38,7 +38,7 @@
 // slowBody sends the response header at once, and the body in two parts with a pause between them.
 func slowBody(first, second string, pause time.Duration) step {
 	return func(c *net.TCPConn, _ *http.Request) {
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(first)+len(second), first)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nSigned: s\r\nId: id1\r\nContent-Length: %d\r\n\r\n%s", len(first)+len(second), first)
 		time.Sleep(pause)
 		_, _ = io.WriteString(c, second)
 	}
--- a/internal/gateway/blockedwrite_test.go
+++ b/internal/gateway/blockedwrite_test.go
@@ -20,7 +20,7 @@
 			released := make(chan time.Time, 1)
 			text := "id: 1\ndata: " + strings.Repeat("x", 1<<16) + "\n\n"
 			f := startFleet(t, []step{func(c *net.TCPConn, _ *http.Request) {
-				_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n"+header+"\r\n\r\n")
+				_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nSigned: s\r\nId: id1\r\n"+header+"\r\n\r\n")
 				for i := 1; err == nil; i++ {
 					chunk := strings.Replace(text, "1", fmt.Sprint(i), 1)
 					if path == "/stream/" {
--- a/internal/gateway/brokenhead_test.go
+++ b/internal/gateway/brokenhead_test.go
@@ -32,7 +32,7 @@
 			}
 			t.Run(form.Name+c.path, func(t *testing.T) {
 				is := is.NewRelaxed(t)
-				f := startFleet(t, []step{rawResponse(form.Text("Signed: s\r\n", c.body))}, []step{c.next})
+				f := startFleet(t, []step{rawResponse(form.Text("Signed: s\r\nId: id1\r\n", c.body))}, []step{c.next})
 				f.configure(1)
 				status, body, h, err := f.send(c.path, nil)
 				is.NoErr(err)
@@ -52,7 +52,7 @@
 		}
 		t.Run(form.Name, func(t *testing.T) {
 			is := is.New(t)
-			first := rawResponse(form.Text("Signed: s\r\n", streamBody(1, 2)))
+			first := rawResponse(form.Text("Signed: s\r\nId: id1\r\n", streamBody(1, 2)))
 			f := startFleet(t, []step{first}, []step{rawResponse(unframedHeader + streamBody(3, 4))})
 			f.configure(1)
 			_, body, _, err := f.send("/fixed/", nil)
@@ -71,7 +71,7 @@
 	for _, form := range headtest.Sound {
 		t.Run(form.Name, func(t *testing.T) {
 			is := is.New(t)
-			f := startFleet(t, []step{rawResponse(form.Text("Signed: s\r\n", "ok"))})
+			f := startFleet(t, []step{rawResponse(form.Text("Signed: s\r\nId: id1\r\n", "ok"))})
 			f.configure(1)
 			status, body, h, err := f.send("/once/", nil)
 			is.NoErr(err)
@@ -88,7 +88,7 @@
 func TestAllSoundStatusesAreForwarded(t *testing.T) {
 	for _, want := range []int{201, 202, 204, 206, 299, 304, 307, 404, 422, 499, 500, 501, 599} {
 		is := is.New(t)
-		f := startFleet(t, []step{rawResponse(fmt.Sprintf("HTTP/1.1 %d X\r\nSigned: s\r\n\r\n", want))})
+		f := startFleet(t, []step{rawResponse(fmt.Sprintf("HTTP/1.1 %d X\r\nSigned: s\r\nId: id1\r\n\r\n", want))})
 		f.configure(1)
 		status, _, h, err := f.send("/once/", nil)
 		is.NoErr(err)
--- a/internal/gateway/candidate.go
+++ b/internal/gateway/candidate.go
@@ -12,7 +12,6 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
 	"github.com/nutmegdock/nutmegdock/internal/event"
-	"github.com/nutmegdock/nutmegdock/internal/sender"
 )
 
 // candidate is an attempt at another endpoint that is made while the one before it is open, and may take its place.
@@ -25,7 +24,7 @@
 	stopWithdrawal func()
 	sentAt         time.Time
 	// response is the header of the response; nil before it has arrived.
-	response *sender.Response
+	response *endpointResponse
 	// isSuspect says that its endpoint may be gone or stand still, and isCounted that its result is among the failures.
 	isSuspect, isCounted bool
 }
@@ -138,9 +137,8 @@
 
 // check returns an error if the response of a candidate cannot take the place of that of the attempt, and the outcome for
 // the endpoint.
-func (r *relocation) check(resp *sender.Response) (assigner.Outcome, error) {
-	info := r.gateway.Codec.ReadResponse(resp.Status, resp.Header)
-	if info.NotRun || impliesNotRun(resp.Status) {
+func (r *relocation) check(resp *endpointResponse) (assigner.Outcome, error) {
+	if info := resp.info; info.NotRun || impliesNotRun(resp.Status) {
 		return refusal(resp.Status, info)
 	}
 	r.mu.Lock()
@@ -150,7 +148,7 @@
 		return outcomeOfStatus(resp.Status), &outcome.Error{Kind: outcome.Unknown, Reason: outcome.ConnectionLost, Message: "status " + strconv.Itoa(resp.Status)}
 	}
 	if r.req.route.Kind == fleetconfig.Stream && hasStarted {
-		if err := kind.check(resp, info); err != nil {
+		if err := kind.check(resp); err != nil {
 			return assigner.Failed, err
 		}
 	}
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -18,7 +18,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/dialer"
 )
 
-const responseHeader = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+const responseHeader = "HTTP/1.1 200 OK\r\nSigned: s\r\nId: id1\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 // startCrashFleet starts a fleet with several endpoints that share one sequence of steps.
 func startCrashFleet(t *testing.T, endpoints int, steps func(f *testFleet) []step) *testFleet {
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -77,7 +77,7 @@
 		{"body", "/once/", unframedHeader, "x", ok, false, 0, "", 1, 128 << 20},
 		{"body of a repeatable request", "/read/", unframedHeader, "x", ok, false, 0, "", 1, 128 << 20},
 		{"chunks", "/read/", chunkedHeader, "1000\r\n" + strings.Repeat("x", 0x1000) + "\r\n", ok, false, 0, "", 1, 128 << 20},
-		{"large error body for a stream", "/stream/", "HTTP/1.1 400 X\r\n\r\n", "x", okStream, false, 0, "", 1, 128 << 20},
+		{"large error body for a stream", "/stream/", "HTTP/1.1 400 X\r\nId: id1\r\n\r\n", "x", okStream, false, 0, "", 1, 128 << 20},
 		{"chunk header", "/read/", chunkedHeader + "1;", "x", ok, false, 200, "ok", 2, 16 << 20},
 		{"trailer", "/read/", chunkedHeader + "1\r\nx\r\n0\r\nA: ", "x", ok, false, 200, "ok", 2, 16 << 20},
 		{"slow body", "/once/", unframedHeader, "x", ok, true, 504, "", 1, 0},
--- a/internal/gateway/framing_test.go
+++ b/internal/gateway/framing_test.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	unframedHeader = "HTTP/1.1 200 OK\r\nSigned: s\r\n\r\n"
-	chunkedHeader  = "HTTP/1.1 200 OK\r\nSigned: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+	unframedHeader = "HTTP/1.1 200 OK\r\nSigned: s\r\nId: id1\r\n\r\n"
+	chunkedHeader  = "HTTP/1.1 200 OK\r\nSigned: s\r\nId: id1\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
 
 // resetDelay lets the bytes before a reset arrive, which a reset would otherwise discard.
@@ -38,7 +38,7 @@
 // A response with neither a length nor chunks is complete when its connection is closed. A caller never gets a response
 // that was broken off as a complete one.
 func TestIncompleteResponseIsNotForwardedAsComplete(t *testing.T) {
-	const lengthHeader = "HTTP/1.1 200 OK\r\nSigned: s\r\nContent-Length: %d\r\n\r\n%s"
+	const lengthHeader = "HTTP/1.1 200 OK\r\nSigned: s\r\nId: id1\r\nContent-Length: %d\r\n\r\n%s"
 	large := strings.Repeat("x", 2<<20)
 	for _, c := range []struct {
 		name, text string
@@ -50,28 +50,28 @@
 		{"without length, empty", unframedHeader, false, true, ""},
 		{"without length, reset in the body", unframedHeader + "ok", true, false, ""},
 		{"without length, reset after the header", unframedHeader, true, false, ""},
-		{"closed in the header", "HTTP/1.1 200 OK\r\nSigned: s\r\n", false, false, ""},
-		{"reset in the header", "HTTP/1.1 200 OK\r\nSigned: s\r\n", true, false, ""},
-		{"older protocol, without length", "HTTP/1.0 200 OK\r\nSigned: s\r\n\r\nok", false, true, "ok"},
+		{"closed in the header", "HTTP/1.1 200 OK\r\nSigned: s\r\nId: id1\r\n", false, false, ""},
+		{"reset in the header", "HTTP/1.1 200 OK\r\nSigned: s\r\nId: id1\r\n", true, false, ""},
+		{"older protocol, without length", "HTTP/1.0 200 OK\r\nSigned: s\r\nId: id1\r\n\r\nok", false, true, "ok"},
 		{"length", fmt.Sprintf(lengthHeader, 2, "ok"), false, true, "ok"},
 		{"length, then reset", fmt.Sprintf(lengthHeader, 2, "ok"), true, true, "ok"},
 		{"length longer than the body", fmt.Sprintf(lengthHeader, 3, "ok"), false, false, ""},
 		{"length longer than the body, reset", fmt.Sprintf(lengthHeader, 3, "ok"), true, false, ""},
 		{"length and further bytes", fmt.Sprintf(lengthHeader, 2, "ok") + "more", false, true, "ok"},
 		{"length and a further response", fmt.Sprintf(lengthHeader, 2, "ok") + fmt.Sprintf(lengthHeader, 2, "no"), false, true, "ok"},
-		{"two lengths", "HTTP/1.1 200 OK\r\nSigned: s\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nok", false, false, ""},
-		{"invalid length", "HTTP/1.1 200 OK\r\nSigned: s\r\nContent-Length: 2x\r\n\r\nok", false, false, ""},
-		{"negative length", "HTTP/1.1 200 OK\r\nSigned: s\r\nContent-Length: -2\r\n\r\nok", false, false, ""},
+		{"two lengths", "HTTP/1.1 200 OK\r\nSigned: s\r\nId: id1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nok", false, false, ""},
+		{"invalid length", "HTTP/1.1 200 OK\r\nSigned: s\r\nId: id1\r\nContent-Length: 2x\r\n\r\nok", false, false, ""},
+		{"negative length", "HTTP/1.1 200 OK\r\nSigned: s\r\nId: id1\r\nContent-Length: -2\r\n\r\nok", false, false, ""},
 		{"chunks", chunkedHeader + chunk("ok") + "0\r\n\r\n", false, true, "ok"},
-		{"chunks and a length", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nSigned: s\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("ok") + "0\r\n\r\n", false, true, "ok"},
-		{"chunks and further bytes", chunkedHeader + chunk("ok") + "0\r\n\r\n" + "HTTP/1.1 200 OK\r\n\r\nno", false, true, "ok"},
+		{"chunks and a length", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nSigned: s\r\nId: id1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("ok") + "0\r\n\r\n", false, true, "ok"},
+		{"chunks and further bytes", chunkedHeader + chunk("ok") + "0\r\n\r\n" + "HTTP/1.1 200 OK\r\nSigned: s\r\nId: id1\r\n\r\nno", false, true, "ok"},
 		{"chunks without the last one", chunkedHeader + chunk("ok"), false, false, ""},
 		{"chunks without the last one, reset", chunkedHeader + chunk("ok"), true, false, ""},
 		{"closed in a chunk", chunkedHeader + "9\r\nok", false, false, ""},
 		{"closed in a chunk's length", chunkedHeader + chunk("ok") + "1", false, false, ""},
 		{"closed in the last chunk", chunkedHeader + chunk("ok") + "0\r\n", false, false, ""},
 		{"invalid chunk", chunkedHeader + chunk("ok") + "zz\r\n", false, false, ""},
-		{"unknown encoding", "HTTP/1.1 200 OK\r\nSigned: s\r\nTransfer-Encoding: gzip\r\n\r\nok", false, false, ""},
+		{"unknown encoding", "HTTP/1.1 200 OK\r\nSigned: s\r\nId: id1\r\nTransfer-Encoding: gzip\r\n\r\nok", false, false, ""},
 		{"large, without length", unframedHeader + large, false, true, large},
 		{"large, without length, reset", unframedHeader + large, true, false, ""},
 		{"large, length longer than the body", fmt.Sprintf(lengthHeader, len(large)+1, large), false, false, ""},
@@ -105,7 +105,7 @@
 // as has one that ends before its first event.
 func TestIncompleteStreamIsNotForwardedAsComplete(t *testing.T) {
 	lengthHeader := func(n int) string {
-		return fmt.Sprintf("HTTP/1.1 200 OK\r\nSigned: s\r\nContent-Length: %d\r\n\r\n", n)
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nSigned: s\r\nId: id1\r\nContent-Length: %d\r\n\r\n", n)
 	}
 	events := streamBody(1, 2)
 	for _, c := range []struct {
@@ -123,8 +123,8 @@
 		{"without length, reset after an event", unframedHeader + events, true, false, events},
 		{"without length, reset in an event", unframedHeader + events + "id: 3\nda", true, false, events},
 		{"without length, reset before the first event", unframedHeader, true, false, ""},
-		{"older protocol, closed after an event", "HTTP/1.0 200 OK\r\nSigned: s\r\n\r\n" + events, false, true, events},
-		{"older protocol, closed in an event", "HTTP/1.0 200 OK\r\nSigned: s\r\n\r\n" + events + "id", false, false, events},
+		{"older protocol, closed after an event", "HTTP/1.0 200 OK\r\nSigned: s\r\nId: id1\r\n\r\n" + events, false, true, events},
+		{"older protocol, closed in an event", "HTTP/1.0 200 OK\r\nSigned: s\r\nId: id1\r\n\r\n" + events + "id", false, false, events},
 		{"length", lengthHeader(len(events)) + events, false, true, events},
 		{"length and further bytes", lengthHeader(len(events)) + events + streamBody(3, 4), false, true, events},
 		{"length that ends in an event", lengthHeader(len(events)-3) + events, false, false, streamBody(1, 1)},
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -53,13 +53,18 @@
 		}
 		return out
 	},
-	IsResponseTo: func(ident.RequestID, http.Header) bool { return true },
 	ReadResponse: func(status int, h http.Header) headercodec.ResponseInfo {
 		release, _ := strconv.Atoi(h.Get("Release"))
 		pause, _ := time.ParseDuration(h.Get("Pause"))
 		limit, err := strconv.ParseFloat(h.Get("Limit"), 64)
+		var ids []ident.RequestID
+		for _, id := range h["Id"] {
+			if id != "" {
+				ids = append(ids, ident.RequestID(id))
+			}
+		}
 		return headercodec.ResponseInfo{
-			NotRun: status == http.StatusServiceUnavailable && h.Get("Not-Run") != "", Signed: h.Get("Signed") != "", Release: fleetconfig.Release(release),
+			NotRun: status == http.StatusServiceUnavailable && h.Get("Not-Run") != "", IDs: ids, Signed: len(h["Signed"]) == 1 && h.Get("Signed") != "", IsEncoded: h.Get("Encoded") != "", Release: fleetconfig.Release(release),
 			IsLeaving: h.Get("Leaving") != "", Pause: pause, IsLimited: err == nil, RateLimit: ident.Rate(limit),
 		}
 	},
@@ -97,7 +102,7 @@
 }
 
 func response(status int, body string) step {
-	return rawResponse(fmt.Sprintf("HTTP/1.1 %d X\r\nSigned: s\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body))
+	return rawResponse(fmt.Sprintf("HTTP/1.1 %d X\r\nSigned: s\r\nId: id1\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body))
 }
 
 var (
@@ -110,7 +115,7 @@
 // middle of an event.
 func streamOf(from, to int, isComplete bool) step {
 	return func(c *net.TCPConn, _ *http.Request) {
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nSigned: s\r\nId: id1\r\nTransfer-Encoding: chunked\r\n\r\n")
 		for i := from; i <= to; i++ {
 			ev := fmt.Sprintf("id: %d\ndata: x\n\n", i)
 			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(ev), ev)
@@ -645,7 +650,7 @@
 	is.Equal(len(f.requests()), 2)
 
 	f = startFleet(t, []step{func(c *net.TCPConn, _ *http.Request) {
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: x\n\n\n\r\n")
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nSigned: s\r\nId: id1\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: x\n\n\n\r\n")
 		time.Sleep(300 * time.Millisecond)
 		_, _ = io.WriteString(c, "0\r\n\r\n")
 	}})
@@ -676,7 +681,7 @@
 func TestInterruptedStreamDoesNotResumeOnExpiredRelease(t *testing.T) {
 	is := is.New(t)
 	interrupted := func(c *net.TCPConn, _ *http.Request) {
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRelease: 1\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: x\n\n\r\n")
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nSigned: s\r\nId: id1\r\nRelease: 1\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: x\n\n\r\n")
 		time.Sleep(50 * time.Millisecond)
 		_ = c.SetLinger(0)
 	}
@@ -693,7 +698,7 @@
 // An endpoint that says in a response that it is leaving gets no further request from this host, whatever its entry
 // says: not by a retry, not after its entry was missing or written again, and no probe. A new incarnation does.
 func TestLeavingEndpointGetsNoFurtherRequests(t *testing.T) {
-	leavingAnswer := rawResponse("HTTP/1.1 200 X\r\nLeaving: 1\r\nContent-Length: 2\r\n\r\nok")
+	leavingAnswer := rawResponse("HTTP/1.1 200 X\r\nSigned: s\r\nId: id1\r\nLeaving: 1\r\nContent-Length: 2\r\n\r\nok")
 	leavingRefusal := rawResponse("HTTP/1.1 503 X\r\nNot-Run: 1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n")
 	for name, first := range map[string]struct {
 		step   step
@@ -756,7 +761,7 @@
 // connection is closed.
 func slowStream(from, to int, pause time.Duration) step {
 	return func(c *net.TCPConn, _ *http.Request) {
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nSigned: s\r\nId: id1\r\nTransfer-Encoding: chunked\r\n\r\n")
 		for i := from; i <= to; i++ {
 			time.Sleep(pause)
 			ev := fmt.Sprintf("id: %d\ndata: x\n\n", i)
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -12,7 +12,7 @@
 )
 
 var (
-	limited    = rawResponse("HTTP/1.1 200 X\r\nSigned: s\r\nLimit: 0.5\r\nContent-Length: 2\r\n\r\nok")
+	limited    = rawResponse("HTTP/1.1 200 X\r\nSigned: s\r\nId: id1\r\nLimit: 0.5\r\nContent-Length: 2\r\n\r\nok")
 	notLimited = response(200, "ok")
 )
 
@@ -65,7 +65,7 @@
 // Each attempt needs a permit, so also that of a stream that is resumed elsewhere.
 func TestRepeatsToLimitedEndpointNeedPermits(t *testing.T) {
 	is := is.New(t)
-	cut := rawResponse("HTTP/1.1 200 X\r\nLimit: 5\r\nTransfer-Encoding: chunked\r\n\r\n")
+	cut := rawResponse("HTTP/1.1 200 X\r\nSigned: s\r\nId: id1\r\nLimit: 5\r\nTransfer-Encoding: chunked\r\n\r\n")
 	f := startFleet(t, []step{cut, cut}, nil)
 	f.configure(1)
 	isAllowed := new(atomic.Bool)
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -6,6 +6,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/nutmegdock/nutmegdock/internal/core/attributor"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 )
 
@@ -24,6 +25,7 @@
 	held             prometheus.Histogram
 	aboveShare       *prometheus.CounterVec
 	relocations      *prometheus.CounterVec
+	unattributed     *prometheus.CounterVec
 }
 
 // NewMeter registers the metrics and returns their meter.
@@ -44,7 +46,11 @@
 	m.held = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "nutmegdock_gateway_held_seconds", Help: "Time for which requests were held before their last round of queries.", Buckets: []float64{.01, .02, .05, .1, .15, .2}})
 	m.aboveShare = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "nutmegdock_gateway_above_share_total", Help: "Refusals for overload of organisations that had more than their fair share of the rank, by rank."}, []string{"rank"})
 	m.relocations = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "nutmegdock_gateway_relocations_total", Help: "Attempts to move a request from an endpoint that stands still, by the reason why it stays; empty if it moved."}, []string{"reason"})
-	r.MustRegister(m.unpromising, m.held, m.aboveShare, m.relocations)
+	m.unattributed = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "nutmegdock_gateway_unattributed_responses_total", Help: "Responses that are not those of an endpoint to the request, by reason."}, []string{"reason"})
+	for _, reason := range attributor.Reasons {
+		m.unattributed.WithLabelValues(string(reason))
+	}
+	r.MustRegister(m.unpromising, m.held, m.aboveShare, m.relocations, m.unattributed)
 	r.MustRegister(m.responses, m.refusals, m.truncated, m.duration, m.timeToFirstEvent, m.crashes, m.quarantined, m.assigned, m.overloads)
 	return m
 }
@@ -109,3 +115,8 @@
 func (m *Meter) CountRelocation(reason string) {
 	m.relocations.WithLabelValues(reason).Inc()
 }
+
+// CountUnattributed counts a response that is not that of an endpoint to the request.
+func (m *Meter) CountUnattributed(r attributor.Reason) {
+	m.unattributed.WithLabelValues(string(r)).Inc()
+}
--- a/internal/gateway/outcome_test.go
+++ b/internal/gateway/outcome_test.go
@@ -17,7 +17,7 @@
 func TestOutcomesAreCounted(t *testing.T) {
 	slow := step(func(c *net.TCPConn, _ *http.Request) {
 		time.Sleep(20 * time.Millisecond)
-		_, _ = io.WriteString(c, "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n")
+		_, _ = io.WriteString(c, "HTTP/1.1 500 X\r\nId: id1\r\nContent-Length: 0\r\n\r\n")
 	})
 	for _, c := range []struct {
 		name, path     string
--- a/internal/gateway/relocation_test.go
+++ b/internal/gateway/relocation_test.go
@@ -56,7 +56,7 @@
 		"other endpoint is full":           {"/stream/", []step{notRun}, false, 2},
 		"other endpoint resets":            {"/stream/", []step{reset}, false, 2},
 		"other endpoint fails":             {"/stream/", []step{response(http.StatusInternalServerError, "no")}, false, 2},
-		"other endpoint has another kind":  {"/stream/", []step{rawResponse("HTTP/1.1 200 OK\r\nContent-Type: text/html\r\nContent-Length: 1\r\n\r\nx")}, false, 2},
+		"other endpoint has another kind":  {"/stream/", []step{rawResponse("HTTP/1.1 200 OK\r\nSigned: s\r\nId: id1\r\nContent-Type: text/html\r\nContent-Length: 1\r\n\r\nx")}, false, 2},
 		"other endpoint responds too late": {"/stream/", []step{noResponse}, false, 2},
 		"other endpoint takes it":          {"/stream/", []step{streamOf(4, 6, true)}, true, 2},
 		"stream that may not be repeated":  {"/fixed/", []step{streamOf(4, 6, true)}, false, 1},
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -12,7 +12,6 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
 	"github.com/nutmegdock/nutmegdock/internal/event"
-	"github.com/nutmegdock/nutmegdock/internal/sender"
 )
 
 // bufferedResponse is a response that has been read in full.
@@ -23,7 +22,7 @@
 }
 
 // forwardBuffered reads the response in full and then forwards it.
-func (g *Gateway) forwardBuffered(ctx context.Context, req *request, state *requestState, resp *sender.Response) (assigner.Outcome, bool) {
+func (g *Gateway) forwardBuffered(ctx context.Context, req *request, state *requestState, resp *endpointResponse) (assigner.Outcome, bool) {
 	state.mayHaveRun++
 	limited, charged := io.LimitReader(resp, maxBufferedBytes+1), 0
 	reader := chargedreader.Reader{Size: min(resp.Length, maxBufferedBytes), Limit: maxBufferedBytes, Grow: func(n int) bool {
@@ -62,7 +61,7 @@
 }
 
 // forwardLarge forwards a response that is too large to buffer.
-func (g *Gateway) forwardLarge(ctx context.Context, req *request, state *requestState, resp *sender.Response, head []byte) (assigner.Outcome, bool) {
+func (g *Gateway) forwardLarge(ctx context.Context, req *request, state *requestState, resp *endpointResponse, head []byte) (assigner.Outcome, bool) {
 	if state.headerSent {
 		state.lastErr = &outcome.Error{Kind: outcome.Unknown, Reason: outcome.Truncated, Message: "response is not a stream"}
 		return assigner.Failed, false
@@ -70,7 +69,7 @@
 	state.headerSent, state.isFinal, state.relay.isBody = true, true, true
 	state.relocation.keep()
 	g.writeHeader(req, resp.Status, resp.Header, resp.Length)
-	readErr, writeErr := copyBody(ctx, &state.relay, resp, head)
+	readErr, writeErr := copyBody(ctx, &state.relay, resp.Response, head)
 	switch {
 	case readErr != nil:
 		state.lastErr = &outcome.Error{Kind: outcome.Unknown, Reason: outcome.Truncated, Message: readErr.Error()}
--- a/internal/gateway/restrict_test.go
+++ b/internal/gateway/restrict_test.go
@@ -106,9 +106,9 @@
 		_, _ = io.WriteString(c, "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
 	case 1: // no response
 	case 2:
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: xyz\n\n\r\n8\r\nid: 99\nd\r\n")
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nSigned: s\r\nId: "+r.Header.Get("Id")+"\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: xyz\n\n\r\n8\r\nid: 99\nd\r\n")
 	default:
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nSigned: s\r\nId: "+r.Header.Get("Id")+"\r\nContent-Length: 2\r\n\r\nok")
 	}
 }
 
--- a/internal/gateway/resumefault_test.go
+++ b/internal/gateway/resumefault_test.go
@@ -9,7 +9,7 @@
 )
 
 // eventStreamHead begins a signed stream whose body ends with the connection.
-const eventStreamHead = "HTTP/1.1 200 OK\r\nSigned: s\r\nContent-Type: text/event-stream\r\n"
+const eventStreamHead = "HTTP/1.1 200 OK\r\nSigned: s\r\nId: id1\r\nContent-Type: text/event-stream\r\n"
 
 // headTextEvents is the text of a whole response, which looks like one event without an id.
 const headTextEvents = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
@@ -34,19 +34,19 @@
 	const errorText = "engine failed\n\n"
 	out := make(map[string]string)
 	for _, status := range []int{200, 201, 204, 206, 302, 400, 404, 409, 412, 421, 429, 500, 502, 503, 504} {
-		head := fmt.Sprintf("HTTP/1.1 %d X\r\nSigned: s\r\nContent-Type: text/plain\r\nLocation: /elsewhere\r\n", status)
+		head := fmt.Sprintf("HTTP/1.1 %d X\r\nSigned: s\r\nId: id1\r\nContent-Type: text/plain\r\nLocation: /elsewhere\r\n", status)
 		out[fmt.Sprint(status, " with a length")] = head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(errorText), errorText)
-		out[fmt.Sprint(status, " in chunks")] = head + "Transfer-Encoding: chunked\r\nTrailer: Signed\r\n\r\n" + chunk(errorText) + "0\r\nSigned: s\r\n\r\n"
+		out[fmt.Sprint(status, " in chunks")] = head + "Transfer-Encoding: chunked\r\nTrailer: Signed\r\n\r\n" + chunk(errorText) + "0\r\nSigned: s\r\nId: id1\r\n\r\n"
 		out[fmt.Sprint(status, " without length")] = head + "\r\n" + errorText
 		out[fmt.Sprint(status, " without a body")] = head + "Content-Length: 0\r\n\r\n"
 		out[fmt.Sprint(status, " after an informational response")] = "HTTP/1.1 102 X\r\n\r\n" + head + "Content-Length: 0\r\n\r\n"
 	}
 	out["not run"] = "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull"
-	out["informational response only"] = "HTTP/1.1 102 X\r\nSigned: s\r\n\r\n"
-	out["switching protocols"] = "HTTP/1.1 101 X\r\nSigned: s\r\nConnection: upgrade\r\n\r\n" + errorText
+	out["informational response only"] = "HTTP/1.1 102 X\r\nSigned: s\r\nId: id1\r\n\r\n"
+	out["switching protocols"] = "HTTP/1.1 101 X\r\nSigned: s\r\nId: id1\r\nConnection: upgrade\r\n\r\n" + errorText
 	out["unsigned stream"] = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n"
 	out["unsigned stream of error events"] = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nevent: error\ndata: engine failed\n\n"
-	out["no content type"] = "HTTP/1.1 200 OK\r\nSigned: s\r\nContent-Length: 0\r\n\r\n"
+	out["no content type"] = "HTTP/1.1 200 OK\r\nSigned: s\r\nId: id1\r\nContent-Length: 0\r\n\r\n"
 	out["stream of error events"] = eventStreamHead + "\r\nevent: error\ndata: engine failed\n\n"
 	out["stream of error text"] = eventStreamHead + "\r\nengine failed\n\n"
 	out["stream of one line of error text"] = eventStreamHead + "\r\nerror: engine failed\n\n"
--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -82,7 +82,7 @@
 	e.lastBegin = time.Now()
 	e.begun++
 	e.mu.Unlock()
-	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRelease: 1\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: x\n\n\r\n0\r\n\r\n")
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nSigned: s\r\nId: "+r.Header.Get("Id")+"\r\nRelease: 1\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: x\n\n\r\n0\r\n\r\n")
 }
 
 func isDone(c <-chan struct{}) bool {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -11,7 +11,6 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/sequencer"
 	"github.com/nutmegdock/nutmegdock/internal/event"
-	"github.com/nutmegdock/nutmegdock/internal/sender"
 )
 
 const (
@@ -83,7 +82,7 @@
 	next        *candidate
 	isAbandoned bool
 	// response is that of the current attempt if it began as a candidate.
-	response *sender.Response
+	response *endpointResponse
 	// isFinal is set once no other endpoint can continue the response: a part of a large one has been sent, or the caller
 	// has left.
 	isFinal bool
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -12,8 +12,6 @@
 	"github.com/nutmegdock/nutmegdock/internal/chargedreader"
 	"github.com/nutmegdock/nutmegdock/internal/core/assigner"
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
-	"github.com/nutmegdock/nutmegdock/internal/headercodec"
-	"github.com/nutmegdock/nutmegdock/internal/sender"
 )
 
 // freshWait is the least time that a read waits for bytes that have just been sent. Others may have been left unread for a slow
@@ -26,10 +24,10 @@
 }
 
 // forwardStream forwards the events of a stream as they arrive.
-func (g *Gateway) forwardStream(ctx context.Context, req *request, state *requestState, resp *sender.Response, info headercodec.ResponseInfo) (assigner.Outcome, bool) {
+func (g *Gateway) forwardStream(ctx context.Context, req *request, state *requestState, resp *endpointResponse) (assigner.Outcome, bool) {
 	state.mayHaveRun++
 	if state.headerSent {
-		if err := state.kind.check(resp, info); err != nil {
+		if err := state.kind.check(resp); err != nil {
 			state.lastErr = &outcome.Error{Kind: outcome.Unknown, Reason: outcome.Mismatch, Message: err.Error()}
 			return assigner.Failed, false
 		}
@@ -41,7 +39,7 @@
 			return true
 		}
 		hasEvents = true
-		writeErr := g.forwardEvents(ctx, req, state, resp, info, events)
+		writeErr := g.forwardEvents(ctx, req, state, resp, events)
 		if writeErr != nil {
 			state.recordWriteError(writeErr)
 		}
@@ -73,7 +71,7 @@
 		switch {
 		case isWhole && (hasEvents || resp.IsFramed):
 			if !state.headerSent {
-				g.startStream(req, state, resp, info)
+				g.startStream(req, state, resp)
 			}
 			state.onDelivered = func() { g.recordResponse(req, state, resp.Status) }
 			return assigner.Served, true
@@ -93,13 +91,11 @@
 // DifferentStreamError reports a successful response that does not continue the stream that has begun.
 type DifferentStreamError struct {
 	Got, Want ContentType
-	// LacksSignature is set if the stream began with a signed response and this one has no signature.
-	LacksSignature bool
 }
 
 // Error names both content types.
 func (e *DifferentStreamError) Error() string {
-	return fmt.Sprintf("response with content type %q does not continue a stream with %q, lacks signature: %t", e.Got, e.Want, e.LacksSignature)
+	return fmt.Sprintf("response with content type %q does not continue a stream with %q", e.Got, e.Want)
 }
 
 // ContentType is a media type without its parameters, in lower case.
@@ -113,24 +109,21 @@
 // streamKind is what all responses that make up one stream have in common.
 type streamKind struct {
 	contentType ContentType
-	isSigned    bool
 }
 
 // check returns an error if a response cannot continue a stream of this kind.
-func (k streamKind) check(resp *sender.Response, info headercodec.ResponseInfo) error {
-	got := contentType(resp.Header)
-	lacksSignature := k.isSigned && !info.Signed
-	if got != k.contentType || lacksSignature {
-		return &DifferentStreamError{Got: got, Want: k.contentType, LacksSignature: lacksSignature}
+func (k streamKind) check(resp *endpointResponse) error {
+	if got := contentType(resp.Header); got != k.contentType {
+		return &DifferentStreamError{Got: got, Want: k.contentType}
 	}
 	return nil
 }
 
 // startStream sends the response header when the first event has arrived, or the end of an empty stream.
-func (g *Gateway) startStream(req *request, state *requestState, resp *sender.Response, info headercodec.ResponseInfo) {
+func (g *Gateway) startStream(req *request, state *requestState, resp *endpointResponse) {
 	state.headerSent = true
-	state.kind = streamKind{contentType: contentType(resp.Header), isSigned: info.Signed}
-	state.release = info.Release
+	state.kind = streamKind{contentType: contentType(resp.Header)}
+	state.release = resp.info.Release
 	state.relocation.setStarted(state)
 	state.timeToFirstEvent = time.Since(req.arrivedAt)
 	g.Meter.ObserveFirstEvent(state.timeToFirstEvent)
@@ -138,9 +131,9 @@
 }
 
 // forwardEvents sends complete events to the caller.
-func (g *Gateway) forwardEvents(ctx context.Context, req *request, state *requestState, resp *sender.Response, info headercodec.ResponseInfo, out []byte) error {
+func (g *Gateway) forwardEvents(ctx context.Context, req *request, state *requestState, resp *endpointResponse, out []byte) error {
 	if !state.headerSent {
-		g.startStream(req, state, resp, info)
+		g.startStream(req, state, resp)
 	}
 	now := time.Now()
 	state.onEvent()
--- a/internal/headercodec/headercodec.go
+++ b/internal/headercodec/headercodec.go
@@ -49,8 +49,12 @@
 	NotRun bool
 	// IsOtherEndpoint is set if the response comes from an endpoint other than the one addressed.
 	IsOtherEndpoint bool
-	// Signed is set if the response carries the endpoint's signature.
+	// IDs lists the ids of the requests that the response is to, without empty ones. A sound response has one.
+	IDs []ident.RequestID
+	// Signed is set if the response carries the endpoint's signature: exactly one, which is not empty.
 	Signed bool
+	// IsEncoded is set if the body has a content encoding.
+	IsEncoded bool
 	// Release is the release that served the request; zero if unknown.
 	Release fleetconfig.Release
 	// IsLeaving is set if the endpoint says that it is leaving.
@@ -73,8 +77,6 @@
 	ReadRequest func(r *http.Request) CallerRequest
 	// EndpointHeader returns the headers of the request to an endpoint.
 	EndpointHeader func(r *http.Request, h EndpointRequest) http.Header
-	// IsResponseTo reports whether a response belongs to the request.
-	IsResponseTo func(id ident.RequestID, h http.Header) bool
 	// ReadResponse decodes a response header.
 	ReadResponse func(status int, h http.Header) ResponseInfo
 	// SetRetryAfter sets the headers that state when a caller may retry. With a delay of zero it sets none.
--- a/internal/sender/brokenhead_test.go
+++ b/internal/sender/brokenhead_test.go
@@ -25,7 +25,7 @@
 			}}
 			var refused []string
 			s := &sender.Sender{Dial: e.dial, OnRefusal: func(address string, _ *headchecker.Error) { refused = append(refused, address) }}
-			_, err := s.Send(t.Context(), sender.Attempt{Address: "endpoint", Method: http.MethodGet, Target: "/", Host: "h.example", Matches: func(h http.Header) bool { return h.Get("Id") == "1" }})
+			_, err := s.Send(t.Context(), sender.Attempt{Address: "endpoint", Method: http.MethodGet, Target: "/", Host: "h.example", Check: checkID})
 			var o *outcome.Error
 			is.True(errors.As(err, &o))
 			is.Equal(o.Kind, outcome.Unknown)
--- a/internal/sender/endless_test.go
+++ b/internal/sender/endless_test.go
@@ -69,7 +69,7 @@
 	s := &sender.Sender{Dial: e.dial}
 	return s.Send(ctx, sender.Attempt{
 		Address: "endpoint", Method: http.MethodGet, Target: "/", Host: "h.example",
-		Matches: func(h http.Header) bool { return h.Get("Id") == "1" },
+		Check: checkID,
 	})
 }
 
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -15,6 +15,7 @@
 	"strings"
 	"time"
 
+	"github.com/nutmegdock/nutmegdock/internal/core/attributor"
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
 	"github.com/nutmegdock/nutmegdock/internal/dialer"
 	"github.com/nutmegdock/nutmegdock/internal/headchecker"
@@ -43,8 +44,9 @@
 	// that moment. Nil means an empty header.
 	Header func() http.Header
 	Body   []byte
-	// Matches reports whether a response with this header belongs to the request.
-	Matches func(h http.Header) bool
+	// Check returns an attributor.Error for a response that is not that of the endpoint to the request. One to another request
+	// is skipped. Nil means that every response is taken.
+	Check func(status int, h http.Header) error
 	// BeforeWrite is called once the endpoint is connected. It returns the reason for not sending the request, or an empty
 	// one. Nil means that the request is sent.
 	BeforeWrite func() outcome.Reason
@@ -167,7 +169,11 @@
 		if resp.StatusCode < http.StatusOK {
 			continue // informational, and without a body
 		}
-		if attempt.Matches == nil || attempt.Matches(resp.Header) {
+		isSkipped, err := attempt.check(resp)
+		if err != nil {
+			return nil, newError(ctx, outcome.Unknown, outcome.Mismatch, fmt.Errorf("endpoint %s: %w", attempt.Address, err))
+		}
+		if !isSkipped {
 			return &Response{
 				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, body: resp.Body, conn: conn,
 				IsFramed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
@@ -188,6 +194,19 @@
 	return nil, newError(ctx, outcome.Unknown, outcome.Mismatch, fmt.Errorf("endpoint %s responded to a different request", attempt.Address))
 }
 
+// check returns an error for a response that is not the endpoint's, unless it is to be skipped because it is to another request.
+func (a Attempt) check(resp *http.Response) (isSkipped bool, err error) {
+	if a.Check == nil {
+		return false, nil
+	}
+	err = a.Check(resp.StatusCode, resp.Header)
+	var refused *attributor.Error
+	if errors.As(err, &refused) && refused.Reason == attributor.OtherRequest {
+		return true, nil
+	}
+	return false, err
+}
+
 // write writes the parts of a request. If it fails, the read of the response fails as well.
 func write(conn net.Conn, attempt Attempt, parts ...[]byte) {
 	buffers := net.Buffers(parts)
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -17,6 +17,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/nutmegdock/nutmegdock/internal/core/attributor"
+	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
 	"github.com/nutmegdock/nutmegdock/internal/dialer"
 	"github.com/nutmegdock/nutmegdock/internal/sender"
@@ -57,10 +59,15 @@
 	s := &sender.Sender{Dial: (&dialer.Dialer{}).DialContext}
 	return s.Send(ctx, sender.Attempt{
 		Address: address, Method: http.MethodPost, Target: "/a%2Fb/?q=1", Host: "h.example", Header: func() http.Header { return http.Header{"Id": {"1"}} }, Body: body,
-		Matches: func(h http.Header) bool { return h.Get("Id") == "1" },
+		Check: checkID,
 	})
 }
 
+// checkID takes responses to the request with the id 1.
+func checkID(status int, h http.Header) error {
+	return attributor.Check(attributor.Origin{Status: status, IDs: []ident.RequestID{ident.RequestID(h.Get("Id"))}, Signed: true}, "1")
+}
+
 const responseHeader = "HTTP/1.1 200 OK\r\nId: 1\r\n"
 
 // An attempt that may have run is never reported as not run, and is not sent again.
