Content proves an entry of a manifest only at its place

Cause: an entry counted as proven once the host held any content with its digest. Content of another place or release is right for its digest and says nothing about the place. The chunk was then never read, the entry was passed on as proven, archived, and engines' copies were compared with it.

Each entry is bound to its place now: the digest by which a chunk is held, asked for, announced and proven is that of content, model, release and number. A wrong entry is matched by nothing, and the list is read again, as it was for any other corrupt digest. Lists of other hosts and of the archive are refused unless they are bound. Archive follows a list that is replaced.

Tests changed: HeldChunk is asked with the digest of the place; PutChunk takes the chunk.

--- a/internal/chunkreplicator/archive.go
+++ b/internal/chunkreplicator/archive.go
@@ -43,6 +43,9 @@
 	if err == nil {
 		err = r.checkShape(a)
 	}
+	if err == nil {
+		err = checkBound(a, s)
+	}
 	if err != nil {
 		event.ArchiveReadFailed.Log(r.Logger.WithError(err), nil)
 		return a, err
@@ -162,18 +165,13 @@
 	if r.Archiver == nil || r.isArchived(s) {
 		return
 	}
-	a, _, err := r.ResolveManifest(ctx, s)
-	if err != nil {
-		event.ReleaseArchiveFailed.Log(r.Logger.WithError(err), nil)
-		return
-	}
 	archivedCount := 0
 	for p := 0; p < r.Archiver.Partitions && ctx.Err() == nil && !superseded(); {
 		if !owns(p) {
 			p++
 			continue
 		}
-		if err := r.archivePartition(ctx, s, a, p); err != nil {
+		if err := r.archivePartition(ctx, s, p); err != nil {
 			event.ReleaseArchiveFailed.Log(r.Logger.WithError(err).WithField("partition", p), nil)
 			select {
 			case <-ctx.Done():
@@ -187,7 +185,12 @@
 	event.ReleaseArchived.Log(r.Logger.WithFields(log.Fields{"model": string(s.Model), "release": int64(s.Release), "partitions": archivedCount}), nil)
 }
 
-func (r *Replicator) archivePartition(ctx context.Context, s fleetconfig.ServedModel, a manifest.Artifact, partition int) error {
+func (r *Replicator) archivePartition(ctx context.Context, s fleetconfig.ServedModel, partition int) error {
+	// The manifest may have been replaced since the last attempt.
+	a, _, err := r.ResolveManifest(ctx, s)
+	if err != nil {
+		return err
+	}
 	if missing := len(r.cache.Missing(a)); missing > 0 {
 		return fmt.Errorf("archive release %d of %s: no content has matched %d of %d entries of the manifest", s.Release, s.Model, missing, len(a.Chunks))
 	}
--- a/internal/chunkreplicator/chunkreplicator.go
+++ b/internal/chunkreplicator/chunkreplicator.go
@@ -258,7 +258,7 @@
 	})
 	var sizeErr *bodyreader.SizeError
 	if errors.As(err, &sizeErr) || err == nil && !matches(k, data) {
-		r.recordMismatch(s, number, k, len(data))
+		r.recordMismatch(s, number, k, data)
 	}
 	if err != nil {
 		if ctx.Err() != nil || !errors.Is(err, context.Canceled) {
@@ -292,7 +292,7 @@
 	if !matches(c, data) {
 		return &chunkcache.CorruptError{Digest: c.Digest}
 	}
-	return r.cache.PutChunk(c.Digest, data)
+	return r.cache.PutChunk(c, data)
 }
 
 // HeldChunk returns a chunk that this host holds.
--- a/internal/chunkreplicator/chunkreplicator_test.go
+++ b/internal/chunkreplicator/chunkreplicator_test.go
@@ -35,6 +35,21 @@
 	return out
 }
 
+// manifestOf returns the manifest of a release, as the origin sends it.
+func manifestOf(s fleetconfig.ServedModel) manifest.Artifact {
+	a := manifest.Artifact{Name: string(s.Model), Version: fmt.Sprint(s.Release)}
+	for i := range chunks {
+		a.Chunks = append(a.Chunks, manifest.Chunk{Digest: manifest.DigestOf(content(s, i)), Size: chunkBytes})
+		a.Size += chunkBytes
+	}
+	return a
+}
+
+// heldChunk returns the content that a host holds for one place of a release.
+func heldChunk(r *chunkreplicator.Replicator, s fleetconfig.ServedModel, number int) ([]byte, bool) {
+	return r.HeldChunk(manifestOf(s).Bind().Chunks[number].Digest)
+}
+
 // origin is a fake origin with faults.
 type origin struct {
 	reads, manifests atomic.Int64
@@ -52,11 +67,7 @@
 	if o.isDown.Load() {
 		return manifest.Artifact{}, errDown
 	}
-	a := manifest.Artifact{Name: string(s.Model), Version: fmt.Sprint(s.Release)}
-	for i := range chunks {
-		a.Chunks = append(a.Chunks, manifest.Chunk{Digest: manifest.DigestOf(content(s, i)), Size: chunkBytes})
-		a.Size += chunkBytes
-	}
+	a := manifestOf(s)
 	switch {
 	case o.corruptManifests.Add(-1) < 0:
 	case o.spoil != nil:
@@ -176,7 +187,7 @@
 	o.isDown.Store(true)
 	fetch(t, s, all[1:]...)
 	is.True(all[2].HasManifest(s))
-	data, ok := all[2].HeldChunk(manifest.DigestOf(content(s, 3)))
+	data, ok := heldChunk(all[2], s, 3)
 	is.True(ok)
 	is.Equal(data, content(s, 3))
 }
@@ -202,7 +213,7 @@
 	is.True(!all[0].HasManifest(fleetconfig.ServedModel{Model: "m", Release: 2}))
 	is.True(all[0].HasManifest(fleetconfig.ServedModel{Model: "m", Release: 3}))
 	is.True(all[0].HasManifest(fleetconfig.ServedModel{Model: "m", Release: 4}))
-	_, ok := all[0].HeldChunk(manifest.DigestOf(content(fleetconfig.ServedModel{Model: "m", Release: 1}, 0)))
+	_, ok := heldChunk(all[0], fleetconfig.ServedModel{Model: "m", Release: 1}, 0)
 	is.True(!ok)
 }
 
--- a/internal/chunkreplicator/manifests.go
+++ b/internal/chunkreplicator/manifests.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/apex/log"
@@ -20,7 +21,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/rpc"
 )
 
-// heldManifest is the manifest of a release and its digest.
+// heldManifest is the manifest of a release, bound to it, and its digest.
 type heldManifest struct {
 	verifier *manifestverifier.Verifier
 	digest   ident.Digest
@@ -36,7 +37,7 @@
 
 // matches reports whether content is that of an entry of a manifest.
 func matches(c manifest.Chunk, data []byte) bool {
-	return ident.Bytes(len(data)) == c.Size && manifest.DigestOf(data) == c.Digest
+	return ident.Bytes(len(data)) == c.Size && c.Matches(data)
 }
 
 // manifestOf returns the current manifest of a release and its digest; false if this host has none.
@@ -130,8 +131,11 @@
 }
 
 // recordMismatch records that content of a chunk that the origin sent does not match its entry.
-func (r *Replicator) recordMismatch(s fleetconfig.ServedModel, number int, c manifest.Chunk, size int) {
-	event.OriginChunkMismatch.Log(r.Logger, log.Fields{"model": string(s.Model), "release": int64(s.Release), "chunk": number, "digest": string(c.Digest[:12]), "size": size, "want": int64(c.Size)})
+func (r *Replicator) recordMismatch(s fleetconfig.ServedModel, number int, c manifest.Chunk, data []byte) {
+	event.OriginChunkMismatch.Log(r.Logger, log.Fields{
+		"model": string(s.Model), "release": int64(s.Release), "chunk": number, "size": len(data), "want": int64(c.Size),
+		"digest": string(c.Content[:12]), "got": string(manifest.DigestOf(data)[:12]),
+	})
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if held := r.manifests[s]; held != nil {
@@ -248,16 +252,52 @@
 	defer cancel()
 	r.manifestReads.Inc()
 	a, err := r.ReadManifest(ctx, origin, s)
-	if err != nil || r.checkShape(a) == nil {
-		return a, err
+	if err == nil && r.checkShape(a) != nil {
+		// The configuration may be wrong. A manifest that the origin repeats is used, and is provisional like any other.
+		first := a
+		r.manifestReads.Inc()
+		if a, err = r.ReadManifest(ctx, origin, s); err == nil && !slices.Equal(first.Chunks, a.Chunks) {
+			err = r.checkShape(a)
+		}
 	}
-	// The configuration may be wrong. A manifest that the origin repeats is used, and is provisional like any other.
-	r.manifestReads.Inc()
-	again, err := r.ReadManifest(ctx, origin, s)
-	if err == nil && !slices.Equal(a.Chunks, again.Chunks) {
-		err = r.checkShape(again)
+	if err == nil {
+		err = checkRelease(a, s)
+	}
+	return a.Bind(), err
+}
+
+// ReleaseError reports a manifest that is not that of the release, or not one that this program has bound to it.
+type ReleaseError struct {
+	Want          fleetconfig.ServedModel
+	Name, Version string
+	Number        int
+}
+
+// Error names the release and what the manifest states.
+func (e *ReleaseError) Error() string {
+	return fmt.Sprintf("manifest of release %d of %s states version %q of %q, chunk %d is not bound to its place", e.Want.Release, e.Want.Model, e.Version, e.Name, e.Number)
+}
+
+// checkRelease returns a ReleaseError for a manifest of another release.
+func checkRelease(a manifest.Artifact, s fleetconfig.ServedModel) error {
+	if a.Name != string(s.Model) || a.Version != strconv.FormatInt(int64(s.Release), 10) {
+		return &ReleaseError{Want: s, Name: a.Name, Version: a.Version}
+	}
+	return nil
+}
+
+// checkBound returns an error for a manifest of another host or of the archive whose entries are not all bound to their places
+// in the release: what has matched such an entry may be the content of another place.
+func checkBound(a manifest.Artifact, s fleetconfig.ServedModel) error {
+	if err := checkRelease(a, s); err != nil {
+		return err
+	}
+	for i, c := range a.Chunks {
+		if c.Content == "" {
+			return &ReleaseError{Want: s, Name: a.Name, Version: a.Version, Number: i}
+		}
 	}
-	return again, err
+	return a.Validate()
 }
 
 // checkShape compares a manifest with the configuration. No content proves that all entries are there.
@@ -305,7 +345,7 @@
 	if err := r.checkShape(a.Manifest); err != nil {
 		return reading{}, fmt.Errorf("manifest of host %s: %w", control, err)
 	}
-	return reading{manifest: a.Manifest, matched: a.Matched}, a.Manifest.Validate()
+	return reading{manifest: a.Manifest, matched: a.Matched}, checkBound(a.Manifest, s)
 }
 
 // handleManifest returns a manifest that this host holds.
--- a/internal/chunkreplicator/manifests_test.go
+++ b/internal/chunkreplicator/manifests_test.go
@@ -1,11 +1,15 @@
 package chunkreplicator_test
 
 import (
+	"bytes"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/nutmegdock/nutmegdock/internal/chunkreplicator"
 	"github.com/nutmegdock/nutmegdock/internal/core/fleetconfig"
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 	"github.com/nutmegdock/nutmegdock/internal/core/manifest"
@@ -40,7 +44,7 @@
 			fetch(t, s, all...)
 			for _, r := range all {
 				for i := range chunks {
-					_, ok := r.HeldChunk(manifest.DigestOf(content(s, i)))
+					_, ok := heldChunk(r, s, i)
 					is.True(ok)
 				}
 			}
@@ -51,6 +55,95 @@
 	}
 }
 
+// foreignDigests put the digests of content that hosts hold for other places, or for the release before, into a manifest.
+var foreignDigests = map[string]func(a *manifest.Artifact){
+	"of the place before":       func(a *manifest.Artifact) { a.Chunks[7] = a.Chunks[6] },
+	"of the place after":        func(a *manifest.Artifact) { a.Chunks[7] = a.Chunks[8] },
+	"of one place at all":       func(a *manifest.Artifact) { fill(a.Chunks, a.Chunks[5]) },
+	"exchanged":                 func(a *manifest.Artifact) { a.Chunks[7], a.Chunks[9] = a.Chunks[9], a.Chunks[7] },
+	"of the release before":     func(a *manifest.Artifact) { a.Chunks[7] = manifestOf(former).Chunks[7] },
+	"all of the release before": func(a *manifest.Artifact) { a.Chunks = manifestOf(former).Chunks },
+}
+
+var former = fleetconfig.ServedModel{Model: "m", Release: 1}
+
+func fill(chunks []manifest.Chunk, c manifest.Chunk) {
+	for i := range chunks {
+		chunks[i] = c
+	}
+}
+
+// Engines took a wrong chunk for good: an entry whose digest is that of other content which hosts hold counted as proven, was
+// passed on, and was archived. Hosts get the right content for each place, in time, with few more reads of the origin.
+func TestManifestsWithForeignDigestsAreReplaced(t *testing.T) {
+	for name, spoil := range foreignDigests {
+		for corrupt, maxTime := range map[int64]time.Duration{1: 4 * time.Second, 2: 6 * time.Second, 6: 8 * time.Second} {
+			t.Run(fmt.Sprint(name, ", reads ", corrupt), func(t *testing.T) {
+				t.Parallel()
+				is := is.NewRelaxed(t)
+				o, s := &origin{spoil: spoil}, &fakeStore{}
+				all := hosts(t, o, 2, 3)
+				all[0].Archiver = s.archiver()
+				fetch(t, former, all...)
+				o.corruptManifests.Store(corrupt)
+				o.reads.Store(0)
+				o.manifests.Store(0)
+				release := fleetconfig.ServedModel{Model: "m", Release: 2}
+				startTime := time.Now()
+				fetch(t, release, all...)
+				is.True(time.Since(startTime) < maxTime)
+				for _, r := range all {
+					checkHeld(t, r, release)
+				}
+				// The two seed hosts read the manifest, and each host may read it once more. Each seed host reads a chunk once, and
+				// again for each manifest that it does not fit.
+				is.True(o.manifests.Load() <= corrupt+2+int64(len(all)))
+				if strings.HasPrefix(name, "of the") {
+					is.True(o.reads.Load() <= 2*(chunks+2+corrupt))
+				}
+				// What the archive holds is right as well.
+				all[0].Archive(t.Context(), release, func(int) bool { return true }, func() bool { return false })
+				o.isDown.Store(true)
+				restarted := hosts(t, o, 1, 0)[0]
+				restarted.Archiver = s.archiver()
+				fetch(t, release, restarted)
+				checkHeld(t, restarted, release)
+			})
+		}
+	}
+}
+
+// checkHeld checks that a host uses the right manifest of a release, and holds the right content for each place.
+func checkHeld(t *testing.T, r *chunkreplicator.Replicator, s fleetconfig.ServedModel) {
+	is := is.NewRelaxed(t)
+	a, _, err := r.ResolveManifest(t.Context(), s)
+	is.NoErr(err)
+	is.Equal(a.Chunks, manifestOf(s).Bind().Chunks)
+	for i, c := range a.Chunks {
+		data, ok := r.HeldChunk(c.Digest)
+		is.True(ok && bytes.Equal(data, content(s, i)))
+	}
+}
+
+// An archived manifest whose entries are not bound to their places may have been archived by a program that took an entry for
+// proven once any content matched it.
+func TestUnboundManifestOfArchiveIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	o, s := &origin{}, &fakeStore{}
+	release := fleetconfig.ServedModel{Model: "m", Release: 2}
+	a := manifestOf(release)
+	a.Chunks[7] = a.Chunks[6]
+	for p := range s.archiver().Partitions {
+		is.NoErr(s.archiver().SavePartition(t.Context(), release, a, p, func(i int) ([]byte, bool) {
+			return content(release, map[bool]int{true: 6, false: i}[i == 7]), true
+		}))
+	}
+	r := hosts(t, o, 1, 0)[0]
+	r.Archiver = s.archiver()
+	fetch(t, release, r)
+	checkHeld(t, r, release)
+}
+
 // A manifest that no content has matched must not be written to the store.
 func TestUnprovenManifestIsNotArchived(t *testing.T) {
 	is := is.New(t)
--- a/internal/core/chunkcache/chunkcache.go
+++ b/internal/core/chunkcache/chunkcache.go
@@ -10,7 +10,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/manifest"
 )
 
-// Cache stores content by digest and rejects content that does not match its digest. Set its fields before use.
+// Cache stores chunks by their digests and rejects content that does not match. Set its fields before use.
 type Cache struct {
 	// Limit is the maximum total size of the chunks; zero means no limit.
 	Limit ident.Bytes
@@ -58,8 +58,9 @@
 
 // PutChunk verifies and stores a chunk. If the limit is reached, it evicts chunks that are not pinned; if that does not
 // free enough space, it returns a FullError.
-func (c *Cache) PutChunk(d ident.Digest, data []byte) error {
-	if manifest.DigestOf(data) != d {
+func (c *Cache) PutChunk(chunk manifest.Chunk, data []byte) error {
+	d := chunk.Digest
+	if !chunk.Matches(data) {
 		return &CorruptError{Digest: d}
 	}
 	c.mu.Lock()
--- a/internal/core/chunkcache/chunkcache_test.go
+++ b/internal/core/chunkcache/chunkcache_test.go
@@ -24,7 +24,7 @@
 func TestPutChunkRejectsCorruptContent(t *testing.T) {
 	is := is.New(t)
 	cache := &Cache{}
-	err := cache.PutChunk(manifest.DigestOf([]byte("right")), []byte("wrong"))
+	err := cache.PutChunk(manifest.Chunk{Digest: manifest.DigestOf([]byte("right"))}, []byte("wrong"))
 	var corrupt *CorruptError
 	is.True(errors.As(err, &corrupt))
 	is.Equal(cache.Size(), ident.Bytes(0))
@@ -38,14 +38,14 @@
 	cache.PutArtifact(d1, old)
 	is.NoErr(cache.Pin([]ident.Digest{d1}))
 	for _, p := range []string{"aa", "bb", "cc"} {
-		is.NoErr(cache.PutChunk(manifest.DigestOf([]byte(p)), []byte(p)))
+		is.NoErr(cache.PutChunk(manifest.Chunk{Digest: manifest.DigestOf([]byte(p))}, []byte(p)))
 	}
 	var full *FullError
-	is.True(errors.As(cache.PutChunk(manifest.DigestOf([]byte("dd")), []byte("dd")), &full))
+	is.True(errors.As(cache.PutChunk(manifest.Chunk{Digest: manifest.DigestOf([]byte("dd"))}, []byte("dd")), &full))
 	cache.PutArtifact(d2, next)
 	is.NoErr(cache.Pin([]ident.Digest{d2}))
 	for _, p := range []string{"dd", "ee"} {
-		is.NoErr(cache.PutChunk(manifest.DigestOf([]byte(p)), []byte(p)))
+		is.NoErr(cache.PutChunk(manifest.Chunk{Digest: manifest.DigestOf([]byte(p))}, []byte(p)))
 	}
 	is.Equal(len(cache.Missing(next)), 0)
 	is.Equal(cache.Size(), ident.Bytes(6))
@@ -61,7 +61,7 @@
 	cache.PutArtifact(d, a)
 	first := cache.Delta([]ident.Digest{d}, Cursor{})
 	is.True(first.Full)
-	is.NoErr(cache.PutChunk(manifest.DigestOf([]byte("aa")), []byte("aa")))
+	is.NoErr(cache.PutChunk(manifest.Chunk{Digest: manifest.DigestOf([]byte("aa"))}, []byte("aa")))
 	next := cache.Delta([]ident.Digest{d}, first.Next)
 	is.Equal(next.Added, [][]int{{0, 2}})
 	is.True(cache.Delta([]ident.Digest{d}, next.Next).IsEmpty())
--- a/internal/core/manifest/manifest.go
+++ b/internal/core/manifest/manifest.go
@@ -1,4 +1,8 @@
 // Package manifest describes artifacts: the weights of a model version or an adapter version, split into chunks.
+//
+// The manifest of a published artifact is known by its own digest, so that its entries are right if the digest is. Nothing
+// vouches for a list of chunks that was read from elsewhere. Its entries are bound to their places: the digest of an entry is
+// that of the content and of the place, so that content which is right in another place does not match it.
 package manifest
 
 import (
@@ -17,10 +21,25 @@
 	MaxChunks                 = 1 << 16
 )
 
-// Chunk is one piece of an artifact, addressed by the digest of its content.
+// Chunk is one piece of an artifact, addressed by its digest.
 type Chunk struct {
+	// Digest is the digest of the content, or, if Content is set, that of the content and of the place of the chunk.
 	Digest ident.Digest `json:"digest"`
 	Size   ident.Bytes  `json:"size"`
+	// Content is the digest of the content of a chunk that is bound to its place.
+	Content ident.Digest `json:"content,omitempty"`
+}
+
+// Matches reports whether data is the content of the chunk. It does not compare the size.
+func (c Chunk) Matches(data []byte) bool {
+	return DigestOf(data) == c.contentDigest()
+}
+
+func (c Chunk) contentDigest() ident.Digest {
+	if c.Content != "" {
+		return c.Content
+	}
+	return c.Digest
 }
 
 // Artifact lists the chunks of one model version or one adapter version, in order.
@@ -63,6 +82,22 @@
 	return fmt.Sprintf("manifest of %q: %s; publish it again", e.Artifact, e.Reason)
 }
 
+// Bind returns the artifact with each chunk bound to its place: its number in this version. Chunks that are bound stay so.
+func (a Artifact) Bind() Artifact {
+	chunks := make([]Chunk, len(a.Chunks))
+	for i, c := range a.Chunks {
+		content := c.contentDigest()
+		chunks[i] = Chunk{Digest: a.boundDigest(i, content), Size: c.Size, Content: content}
+	}
+	a.Chunks = chunks
+	return a
+}
+
+// boundDigest returns the digest of a chunk that is bound to its place.
+func (a Artifact) boundDigest(number int, content ident.Digest) ident.Digest {
+	return DigestOf(fmt.Appendf(nil, "%q %q %d %s", a.Name, a.Version, number, content))
+}
+
 // DigestOf returns the SHA-256 digest of data.
 func DigestOf(data []byte) ident.Digest {
 	sum := sha256.Sum256(data)
@@ -86,8 +121,8 @@
 	return a, a.Validate()
 }
 
-// Validate returns an Error for the first rule that the artifact violates. A chunk may occur more than once, because
-// sections of a file may be equal; all its entries must then state the same size.
+// Validate returns an Error for the first rule that the artifact violates. A chunk that is not bound to its place may occur more
+// than once, because sections of a file may be equal; all its entries must then state the same size.
 func (a Artifact) Validate() error {
 	if len(a.Chunks) == 0 || len(a.Chunks) > MaxChunks {
 		return &Error{Artifact: a.Name, Reason: fmt.Sprintf("has %d chunks, want 1 to %d", len(a.Chunks), MaxChunks)}
@@ -98,6 +133,9 @@
 		if !c.Digest.IsValid() {
 			return &Error{Artifact: a.Name, Reason: fmt.Sprintf("chunk %d has no valid digest", i)}
 		}
+		if c.Content != "" && (!c.Content.IsValid() || c.Digest != a.boundDigest(i, c.Content)) {
+			return &Error{Artifact: a.Name, Reason: fmt.Sprintf("chunk %d is not bound to its place", i)}
+		}
 		if c.Size <= 0 || c.Size > MaxChunkBytes {
 			return &Error{Artifact: a.Name, Reason: fmt.Sprintf("chunk %d has %d bytes, want 1 to %d", i, c.Size, MaxChunkBytes)}
 		}
--- a/internal/core/manifest/manifest_test.go
+++ b/internal/core/manifest/manifest_test.go
@@ -13,7 +13,7 @@
 
 func sample() Artifact {
 	a, b := DigestOf([]byte("a")), DigestOf([]byte("b"))
-	return Artifact{Name: "m", Version: "1", Size: 4, Chunks: []Chunk{{a, 1}, {b, 2}, {a, 1}}}
+	return Artifact{Name: "m", Version: "1", Size: 4, Chunks: []Chunk{{Digest: a, Size: 1}, {Digest: b, Size: 2}, {Digest: a, Size: 1}}}
 }
 
 func TestDecodeRejectsInvalidManifest(t *testing.T) {
@@ -31,6 +31,9 @@
 		"short digest":                     {func(a *Artifact) { a.Chunks[0].Digest = "ab" }, "no valid digest"},
 		"digest not hex":                   {func(a *Artifact) { a.Chunks[0].Digest = ident.Digest(strings.Repeat("g", 64)) }, "no valid digest"},
 		"no version":                       {func(a *Artifact) { a.Version = "" }, "no version"},
+		"bound to other place":             {func(a *Artifact) { *a = a.Bind(); a.Chunks[0] = a.Chunks[2] }, "not bound"},
+		"bound to other version":           {func(a *Artifact) { *a = a.Bind(); a.Version = "2" }, "not bound"},
+		"bound to short digest":            {func(a *Artifact) { *a = a.Bind(); a.Chunks[1].Content = "ab" }, "not bound"},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -84,3 +87,22 @@
 		}
 	})
 }
+
+// Content that is held for one place was taken for that of another place with the same digest.
+func TestBoundChunksOfEqualContentDiffer(t *testing.T) {
+	is := is.New(t)
+	a := sample().Bind()
+	is.NoErr(a.Validate())
+	is.True(a.Chunks[0].Digest != a.Chunks[2].Digest)
+	is.True(a.Chunks[0].Matches([]byte("a")) && a.Chunks[2].Matches([]byte("a")))
+	is.True(!a.Chunks[0].Matches([]byte("b")))
+	is.Equal(a.Bind(), a)
+	next := sample()
+	next.Version = "2"
+	is.True(next.Bind().Chunks[0].Digest != a.Chunks[0].Digest)
+	data, err := a.Encode()
+	is.NoErr(err)
+	decoded, err := Decode(data, DigestOf(data))
+	is.NoErr(err)
+	is.Equal(decoded, a)
+}
--- a/internal/core/manifestverifier/manifestverifier.go
+++ b/internal/core/manifestverifier/manifestverifier.go
@@ -1,8 +1,10 @@
 // Package manifestverifier decides which manifest of a release one host uses.
 //
 // Nothing vouches for a manifest that was read from outside: it can be corrupt and still have the right form. What proves
-// an entry is content that matches its digest. So a manifest is provisional until the host holds all of its chunks. Until
-// then, entries that no content has matched can be replaced by those of another read; the others never are.
+// an entry is content that was read for the place of the entry, and that matches it: content that is held for another place,
+// or for another release, proves nothing. Entries are bound to their places, so that only such content matches their digests.
+// A manifest is provisional until the host holds all of its chunks. Until then, entries that no content has matched can be
+// replaced by those of another read; the others never are.
 package manifestverifier
 
 import (
@@ -18,13 +20,15 @@
 	// is matched by nothing.
 	mismatchLimit = 2
 	// minReadInterval and maxReadInterval bound the time between two reads of the manifest from the origin. The interval
-	// doubles with each read that changes nothing.
-	minReadInterval = 500 * time.Millisecond
-	maxReadInterval = 8 * time.Second
+	// grows by readIntervalGrowth with each read that changes nothing: a release must be in use some seconds after it is named,
+	// also if the first reads are corrupt, and a chunk that stays corrupt must not cost a read each time.
+	minReadInterval    = 200 * time.Millisecond
+	maxReadInterval    = 16 * time.Second
+	readIntervalGrowth = 2.25
 	// minQueryInterval and maxQueryInterval bound the time without a new chunk after which other hosts are queried for
 	// their manifest.
 	minQueryInterval = 500 * time.Millisecond
-	maxQueryInterval = 4 * time.Second
+	maxQueryInterval = time.Second
 )
 
 // Step is what a host has to do to find out whether its manifest is corrupt.
@@ -99,7 +103,7 @@
 		v.nextQuery = now.Add(v.queryInterval)
 	}
 	if v.isSuspect() && !now.Before(v.nextRead) {
-		v.readInterval = min(max(2*v.readInterval, minReadInterval), maxReadInterval)
+		v.readInterval = min(max(time.Duration(readIntervalGrowth*float64(v.readInterval)), minReadInterval), maxReadInterval)
 		v.nextRead = now.Add(v.readInterval)
 		return ReadOrigin
 	}
@@ -121,9 +125,16 @@
 }
 
 // RecordOrigin takes a manifest that was read from the origin and returns the number of entries that it changed: those
-// that differ and that no content has matched.
+// that differ and that no content has matched. A chunk whose entry it repeats is read once more before the manifest is read
+// again.
 func (v *Verifier) RecordOrigin(a manifest.Artifact) (changed int) {
-	clear(v.mismatches)
+	for i := range v.mismatches {
+		if i < len(a.Chunks) && i < len(v.current.Chunks) && a.Chunks[i] == v.current.Chunks[i] {
+			v.mismatches[i] = min(v.mismatches[i], mismatchLimit-1)
+		} else {
+			delete(v.mismatches, i)
+		}
+	}
 	changed = v.merge(a, func(int) bool { return true })
 	if changed > 0 {
 		v.readInterval = 0
--- a/internal/engineagent/verification.go
+++ b/internal/engineagent/verification.go
@@ -171,7 +171,7 @@
 // verifyChunk reads a chunk back from the engine's staging area.
 func (h *Agent) verifyChunk(ctx context.Context, s fleetconfig.ServedModel, number int, c manifest.Chunk) (record func(), err error) {
 	data, read, err := h.readStaged(ctx, s, number, c.Size)
-	isIntact := err == nil && manifest.DigestOf(data) == c.Digest
+	isIntact := err == nil && c.Matches(data)
 	if err == nil && !isIntact {
 		event.StagedChunkCorrupt.Log(h.Logger.WithField("chunk", strconv.Itoa(number)), nil)
 	}
--- a/internal/fetcher/fetcher.go
+++ b/internal/fetcher/fetcher.go
@@ -287,7 +287,7 @@
 	})
 	if err == nil {
 		r.received.add(r.Self, fetch.Source, peer, ident.Bytes(len(data)))
-		err = r.Cache.PutChunk(fetch.Chunk.Digest, data)
+		err = r.Cache.PutChunk(fetch.Chunk, data)
 	}
 	r.finish(fetch, base, err)
 }
--- a/internal/measure/burst/data_test.go
+++ b/internal/measure/burst/data_test.go
@@ -128,7 +128,7 @@
 	if h.sim.rng.Float64() < h.sim.corruptShare || (source != nil && source.isFaulty) {
 		data = h.sim.corruptContent(data)
 	}
-	err := h.cache.PutChunk(f.Chunk.Digest, data)
+	err := h.cache.PutChunk(f.Chunk, data)
 	var corrupt *chunkcache.CorruptError
 	switch {
 	case err == nil:
