--- a/internal/core/attributor/attributor.go
+++ b/internal/core/attributor/attributor.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"net/http"
 
 	"github.com/nutmegdock/nutmegdock/internal/core/ident"
 )
@@ -62,7 +61,7 @@
 // needs none. Only success needs a signature.
 func Check(o Origin, id ident.RequestID) error {
 	refuse := func(r Reason) error { return &Error{Reason: r, Origin: o, ID: id} }
-	isSuccess := o.Status >= http.StatusOK && o.Status < http.StatusMultipleChoices
+	isSuccess := o.Status/100 == 2
 	switch {
 	case len(o.IDs) > 1:
 		return refuse(ManyIDs)
