--- a/review/rig3/fleet.go
+++ b/review/rig3/fleet.go
@@ -113,7 +113,11 @@
 }
 
 // loopback returns an address of a host: kind 1 for entry hosts, 2 for endpoints, 5 for the store addresses of entry hosts.
-func loopback(kind, i int) string { return fmt.Sprintf("127.41.%d.%d", kind, 10+i) }
+// Each run has addresses of its own.
+func loopback(kind, i int) string {
+	const firstNetwork, networks, firstHost = 20, 200, 10
+	return fmt.Sprintf("127.%d.%d.%d", firstNetwork+os.Getpid()%networks, kind, firstHost+i)
+}
 
 const zone = "rijeka-1"
 
