Positions of changes are carried from the store, never counted

Cause: nobody knew where a change stands in the log of its topic. A host took a batch with as many changes as offsets for records of the log, in their order. A host that had one of two records got it again in place of the other, and both counted as current.

Change: each change has a position that bounds its place in the log. The store states it (records and newest values), and hosts pass on what they were told; a change without one stands before the end of what was read, which may send it once too often but never hides it. For hosts of earlier versions, which count, a merged list never has as many changes as offsets.

--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -32,6 +32,7 @@
 	RecordsSourceChanged   = Event{1729, log.InfoLevel, "records of the store are read from another source"}
 	RecordsRead            = Event{1730, log.InfoLevel, "changes read"}
 	SnapshotRead           = Event{1759, log.InfoLevel, "all values of a topic read"}
+	RecordsMissed          = Event{1774, log.WarnLevel, "state of a topic lacked changes that the log holds before its offset; they are applied now"}
 	RecordsReadFailed      = Event{1755, log.WarnLevel, "changes could not be read from a source"}
 	FleetStateFromStore    = Event{1750, log.InfoLevel, "fleet state read from the store"}
 	EndpointLimited        = Event{1746, log.InfoLevel, "endpoint has changed the limit on its requests"}
--- a/internal/storerelayer/fleet_test.go
+++ b/internal/storerelayer/fleet_test.go
@@ -94,7 +94,7 @@
 func (s *keyedStore) write(topic, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.records[topic] = append(s.records[topic], watcher.Change{Key: key, Value: value})
+	s.records[topic] = append(s.records[topic], watcher.Change{Key: key, Value: value, Position: watcher.Position(len(s.records[topic]) + 1)})
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -102,9 +102,9 @@
 func (s *keyedStore) snapshot(topic string) watcher.Snapshot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := watcher.Snapshot{Values: make(map[string][]byte), NextOffset: int64(len(s.records[topic]))}
+	out := watcher.Snapshot{Values: make(map[string][]byte), Positions: make(map[string]watcher.Position), NextOffset: int64(len(s.records[topic]))}
 	for _, c := range s.records[topic] {
-		out.Values[c.Key] = c.Value
+		out.Values[c.Key], out.Positions[c.Key] = c.Value, c.Position
 		if len(c.Value) == 0 {
 			delete(out.Values, c.Key)
 		}
--- a/internal/storerelayer/serve.go
+++ b/internal/storerelayer/serve.go
@@ -86,14 +86,14 @@
 			return answer{resp: messages.RecordsResponse{Unknown: true}}
 		case t.epoch > epoch:
 			return answer{resp: messages.RecordsResponse{NextOffset: q.FromOffset, Epoch: int64(t.epoch)}, isFinal: true}
-		case t.epoch < epoch, q.FromOffset > t.nextOffset, q.FromOffset < t.firstOffset && !t.isWhole:
+		case t.epoch < epoch, q.FromOffset > t.nextOffset, !t.isHeld(q.FromOffset) && !t.isWhole:
 			return answer{resp: messages.RecordsResponse{Unknown: true}, isFinal: true}
 		case q.FromOffset == t.nextOffset:
 			return answer{resp: messages.RecordsResponse{NextOffset: t.nextOffset, Epoch: q.Epoch}, isFinal: t.refreshes != refreshes}
 		}
-		isAll := q.FromOffset < t.firstOffset
+		isAll := !t.isHeld(q.FromOffset)
 		return answer{
-			resp:    messages.RecordsResponse{NextOffset: t.nextOffset, Epoch: q.Epoch, Whole: isAll},
+			resp:    messages.RecordsResponse{NextOffset: t.nextOffset, Since: t.since(q.FromOffset), Epoch: q.Epoch, Whole: isAll},
 			records: t.packedFrom(q.FromOffset, isAll), isFinal: true,
 		}
 	})
--- a/internal/storerelayer/storerelayer.go
+++ b/internal/storerelayer/storerelayer.go
@@ -4,6 +4,7 @@
 package storerelayer
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -267,6 +268,11 @@
 	isCurrent := t.selector.RecordAnswer(now, d, b.Age, b.IsPending) || b.Epoch > epoch
 	t.addDelay(b, calledAt, r.elapsed(), r.drift(), held, isCurrent)
 	t.apply(from, b)
+	for i := range b.Changes {
+		if c := &b.Changes[i]; c.Position != 0 {
+			c.Position = 0 // it serves the hosts that read from this one
+		}
+	}
 	return b, nil
 }
 
@@ -299,14 +305,15 @@
 	if err != nil {
 		return watcher.Batch{}, err
 	}
-	return r.difference(t, s)
+	return r.difference(name, d.Source, s)
 }
 
 // difference returns a snapshot as the changes of the state that this host holds.
-func (r *Relayer) difference(t *topic, s watcher.Snapshot) (watcher.Batch, error) {
+func (r *Relayer) difference(name, source string, s watcher.Snapshot) (watcher.Batch, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	b := watcher.Batch{NextOffset: s.NextOffset, Epoch: s.Epoch, Age: s.Age}
+	t := r.topic(name)
+	b := watcher.Batch{NextOffset: s.NextOffset, Since: s.NextOffset, Epoch: s.Epoch, Age: s.Age}
 	switch {
 	case s.Epoch > t.epoch:
 		return watcher.Batch{NextOffset: t.nextOffset, Epoch: s.Epoch}, nil
@@ -315,7 +322,8 @@
 	case s.NextOffset < t.nextOffset:
 		return b, fmt.Errorf("snapshot of offset %d is older than offset %d", s.NextOffset, t.nextOffset)
 	}
-	b.Changes = t.difference(s.Values)
+	b.Changes = t.difference(s)
+	r.logMissed(name, source, t, t.missed(b.Changes))
 	return b, nil
 }
 
@@ -376,7 +384,7 @@
 	}
 	held = time.Duration(resp.HeldMs) * time.Millisecond
 	b = watcher.Batch{
-		Changes: records, NextOffset: resp.NextOffset, Epoch: watcher.Epoch(resp.Epoch), IsRelayed: true,
+		Changes: records, NextOffset: resp.NextOffset, Since: cmp.Or(resp.Since, resp.NextOffset), Epoch: watcher.Epoch(resp.Epoch), IsRelayed: true,
 		Age: time.Duration(resp.AgeMs) * time.Millisecond, IsPending: resp.Pending,
 	}
 	if !resp.Whole {
@@ -389,17 +397,21 @@
 	if !isWhole {
 		return b, held, &watcher.GapError{Topic: name, From: from}
 	}
-	b, err = r.difference(t, watcher.Snapshot{Values: valuesOf(records), NextOffset: b.NextOffset, Epoch: b.Epoch, Age: b.Age})
+	b, err = r.difference(name, d.Source, snapshotOf(records, resp))
 	b.IsRelayed = true
 	return b, held, err
 }
 
-func valuesOf(records []watcher.Change) map[string][]byte {
-	out := make(map[string][]byte, len(records))
+// snapshotOf returns the snapshot that a response of another host contains.
+func snapshotOf(records []watcher.Change, resp messages.RecordsResponse) watcher.Snapshot {
+	s := watcher.Snapshot{
+		Values: make(map[string][]byte, len(records)), Positions: make(map[string]watcher.Position, len(records)),
+		NextOffset: resp.NextOffset, Epoch: watcher.Epoch(resp.Epoch), Age: time.Duration(resp.AgeMs) * time.Millisecond,
+	}
 	for _, c := range records {
-		out[c.Key] = c.Value
+		s.Values[c.Key], s.Positions[c.Key] = c.Value, c.Position
 	}
-	return out
+	return s
 }
 
 // ReadSnapshot returns a snapshot of a topic. If no source is current, it returns the newest one that another host holds.
@@ -485,9 +497,7 @@
 		return watcher.Snapshot{}, &UnknownError{Host: d.Source, Topic: name}
 	}
 	records, err := recordpacker.Unpack(resp.Data, resp.Compressed)
-	return watcher.Snapshot{
-		Values: valuesOf(records), NextOffset: resp.NextOffset, Epoch: watcher.Epoch(resp.Epoch), Age: time.Duration(resp.AgeMs) * time.Millisecond,
-	}, err
+	return snapshotOf(records, resp), err
 }
 
 // ReadList returns a snapshot of a small topic at the start of a host, when the other hosts are not known: from the store, or from a
@@ -586,6 +596,16 @@
 	event.RecordsRead.Log(r.Logger, f)
 }
 
+// logMissed logs changes that this host should have had before, with the first key and its position.
+func (r *Relayer) logMissed(name, source string, t *topic, missed []watcher.Change) {
+	if len(missed) == 0 || r.Logger == nil {
+		return
+	}
+	event.RecordsMissed.Log(r.Logger, log.Fields{
+		"topic": name, "source": source, "from": t.nextOffset, "changes": len(missed), "key": missed[0].Key, "position": int64(missed[0].Position),
+	})
+}
+
 // logSnapshot logs a snapshot that was read, with the time since the first try and that of the last one. The source is empty if no source
 // was current.
 func (r *Relayer) logSnapshot(name, source string, s watcher.Snapshot, total, took time.Duration) {
--- a/internal/storerelayer/topic.go
+++ b/internal/storerelayer/topic.go
@@ -14,25 +14,31 @@
 // maxTombstones limits the keys without a value that are held, so that hosts behind this one learn that they have been removed.
 const maxTombstones = 1024
 
-// snapshotOffset stands for the offset of a value that was read with a snapshot.
-const snapshotOffset = -1
+// maxGaps limits the gaps that are held.
+const maxGaps = 64
 
-// entry is the newest change of a key, with the offset of that change or a later one that was read with it.
-type entry struct {
-	watcher.Change
-	offset int64
+// gap is a range of offsets, without its ends, whose changes were read merged from a state that does not show each: a host at such an
+// offset may hold a key that was added and removed within the gap.
+type gap struct {
+	from, to int64
 }
 
+// wholeOffset stands for the start of the log in packed.
+const wholeOffset = -1
+
 // topic holds the newest value of each key of a topic.
 type topic struct {
 	selector sourceselector.Selector
 	// epoch is the epoch of the store that the offsets belong to, and latestEpoch the latest one that a source has stated.
 	epoch, latestEpoch watcher.Epoch
-	// entries holds all changes from firstOffset to nextOffset, each key once, and all keys if isWhole is set.
+	// entries holds the newest change of each key that has changed from firstOffset to nextOffset, and all keys if isWhole is set. Each
+	// has a position.
 	firstOffset, nextOffset int64
-	entries                 map[string]entry
+	entries                 map[string]watcher.Change
 	isWhole                 bool
 	tombstones              int
+	// gaps lists the offsets from which changes cannot be served, in ascending order.
+	gaps []gap
 	// readAt is when the last call succeeded, as Elapsed gives it, and hasFailed is set if it was not current, or a call has failed since. The
 	// records were complete at completeAt, which is earlier if another host gave them. hasRead is set after the first call. drift is
 	// the drift of the clocks at readAt.
@@ -55,13 +61,39 @@
 }
 
 func newTopic(period time.Duration) *topic {
-	return &topic{selector: sourceselector.Selector{Period: period}, changed: make(chan struct{}), entries: make(map[string]entry)}
+	return &topic{selector: sourceselector.Selector{Period: period}, changed: make(chan struct{}), entries: make(map[string]watcher.Change)}
 }
 
 // reset drops all records. The next one has the given offset.
 func (t *topic) reset(offset int64) {
-	t.firstOffset, t.nextOffset, t.entries, t.isWhole, t.tombstones = offset, offset, make(map[string]entry), false, 0
-	t.packed = nil
+	t.firstOffset, t.nextOffset, t.entries, t.isWhole, t.tombstones = offset, offset, make(map[string]watcher.Change), false, 0
+	t.packed, t.gaps = nil, nil
+}
+
+// isHeld reports whether the changes from an offset on are held.
+func (t *topic) isHeld(offset int64) bool {
+	if offset < t.firstOffset {
+		return false
+	}
+	return !slices.ContainsFunc(t.gaps, func(g gap) bool { return g.from < offset && offset < g.to })
+}
+
+// since returns the offset from which on there are no gaps, for changes from an offset on.
+func (t *topic) since(offset int64) int64 {
+	if n := len(t.gaps); n > 0 {
+		return max(offset, t.gaps[n-1].to)
+	}
+	return offset
+}
+
+// addGap records that the changes between two offsets are held for a host at one of them alone.
+func (t *topic) addGap(from, to int64) {
+	if to <= from+1 {
+		return
+	}
+	if t.gaps = append(t.gaps, gap{from: from, to: to}); len(t.gaps) > maxGaps {
+		t.firstOffset, t.gaps = max(t.firstOffset, t.gaps[0].to), slices.Clone(t.gaps[1:])
+	}
 }
 
 // notify wakes the hosts that wait for news.
@@ -127,15 +159,13 @@
 	if t.nextOffset != from {
 		t.reset(from)
 	}
-	isExact := b.NextOffset-from == int64(len(b.Changes))
-	for i, c := range b.Changes {
-		e := entry{Change: c, offset: b.NextOffset - 1}
-		if isExact {
-			e.offset = from + int64(i)
-		}
-		t.put(e)
+	for _, c := range b.Changes {
+		// A change from before the batch is one that this host had missed: hosts that read from this one may have missed it as well.
+		c.Position = max(cmp.Or(c.Position, watcher.Position(b.NextOffset)), watcher.Position(from+1))
+		t.put(c)
 	}
 	t.nextOffset = b.NextOffset
+	t.addGap(from, b.Since)
 	if len(b.Changes) > 0 {
 		t.packed = nil
 	}
@@ -144,30 +174,33 @@
 	}
 }
 
-func (t *topic) put(e entry) {
-	if old, ok := t.entries[e.Key]; ok && len(old.Value) == 0 {
+func (t *topic) put(c watcher.Change) {
+	if old, ok := t.entries[c.Key]; ok && len(old.Value) == 0 {
 		t.tombstones--
 	}
-	if len(e.Value) == 0 {
+	if len(c.Value) == 0 {
 		t.tombstones++
 	}
-	t.entries[e.Key] = e
+	t.entries[c.Key] = c
 }
 
 // dropTombstones forgets which keys have been removed. Hosts that are behind then get all values.
 func (t *topic) dropTombstones() {
-	for key, e := range t.entries {
-		if len(e.Value) == 0 {
+	for key, c := range t.entries {
+		if len(c.Value) == 0 && c.Position <= watcher.Position(t.nextOffset) {
 			delete(t.entries, key)
+			t.tombstones--
 		}
 	}
-	t.firstOffset, t.tombstones, t.packed = t.nextOffset, 0, nil
+	t.firstOffset, t.packed, t.gaps = t.nextOffset, nil, nil
 }
 
-// setSnapshot replaces the state, unless it is newer, and returns the state that is held then.
+// setSnapshot replaces the state, unless it is newer, and returns the state that is held then, without positions.
 func (t *topic) setSnapshot(s watcher.Snapshot, now, drift time.Duration) watcher.Snapshot {
 	defer t.notify()
 	t.latestEpoch = max(t.latestEpoch, s.Epoch)
+	positions := s.Positions
+	s.Positions = nil
 	if s.Epoch < t.epoch {
 		return s
 	}
@@ -178,7 +211,7 @@
 	t.reset(s.NextOffset)
 	t.isWhole = true
 	for key, value := range s.Values {
-		t.entries[key] = entry{Change: watcher.Change{Key: key, Value: value}, offset: snapshotOffset}
+		t.entries[key] = watcher.Change{Key: key, Value: value, Position: cmp.Or(positions[key], watcher.Position(s.NextOffset))}
 	}
 	t.setComplete(now, now-s.Age, drift, true)
 	return s
@@ -187,24 +220,24 @@
 // snapshot returns the state.
 func (t *topic) snapshot() watcher.Snapshot {
 	s := watcher.Snapshot{Values: make(map[string][]byte, len(t.entries)), NextOffset: t.nextOffset, Epoch: t.epoch}
-	for key, e := range t.entries {
-		if len(e.Value) > 0 {
-			s.Values[key] = e.Value
+	for key, c := range t.entries {
+		if len(c.Value) > 0 {
+			s.Values[key] = c.Value
 		}
 	}
 	return s
 }
 
-// difference returns the changes that make the state equal to the given values.
-func (t *topic) difference(values map[string][]byte) []watcher.Change {
+// difference returns the changes that make the state equal to a snapshot.
+func (t *topic) difference(s watcher.Snapshot) []watcher.Change {
 	var out []watcher.Change
-	for key, value := range values {
-		if e, ok := t.entries[key]; !ok || !bytes.Equal(e.Value, value) {
-			out = append(out, watcher.Change{Key: key, Value: value})
+	for key, value := range s.Values {
+		if old, ok := t.entries[key]; !ok || !bytes.Equal(old.Value, value) {
+			out = append(out, watcher.Change{Key: key, Value: value, Position: s.Positions[key]})
 		}
 	}
-	for key, e := range t.entries {
-		if _, ok := values[key]; !ok && len(e.Value) > 0 {
+	for key, old := range t.entries {
+		if _, ok := s.Values[key]; !ok && len(old.Value) > 0 {
 			out = append(out, watcher.Change{Key: key})
 		}
 	}
@@ -212,29 +245,57 @@
 	return out
 }
 
-// changesFrom returns the newest change of each key that has changed since an offset, or all values if isAll is set.
-func (t *topic) changesFrom(offset int64, isAll bool) []watcher.Change {
-	var found []entry
-	for _, e := range t.entries {
-		if isAll && len(e.Value) > 0 || !isAll && e.offset >= offset {
-			found = append(found, e)
+// missed returns those of the changes of a snapshot that stand before nextOffset by what the source states, so that this host
+// should have had them.
+func (t *topic) missed(changes []watcher.Change) []watcher.Change {
+	next := watcher.Position(t.nextOffset)
+	var out []watcher.Change
+	for _, c := range changes {
+		if c.Position > 0 && c.Position <= next && t.entries[c.Key].Position <= next {
+			out = append(out, c)
 		}
 	}
-	slices.SortFunc(found, func(a, b entry) int { return cmp.Or(cmp.Compare(a.offset, b.offset), cmp.Compare(a.Key, b.Key)) })
-	out := make([]watcher.Change, 0, len(found))
-	for _, e := range found {
-		if isAll {
-			e.Delay = 0
+	return out
+}
+
+// changesFrom returns the newest change of each key that may have changed since an offset, or all values if isAll is set.
+func (t *topic) changesFrom(offset int64, isAll bool) []watcher.Change {
+	out := make([]watcher.Change, 0, len(t.entries))
+	for _, c := range t.entries {
+		if isAll && len(c.Value) > 0 || !isAll && c.Position > watcher.Position(offset) {
+			if isAll {
+				c.Delay = 0
+			}
+			out = append(out, c)
 		}
-		out = append(out, e.Change)
+	}
+	slices.SortFunc(out, func(a, b watcher.Change) int {
+		return cmp.Or(cmp.Compare(a.Position, b.Position), cmp.Compare(a.Key, b.Key))
+	})
+	if !isAll {
+		out = t.avoidCount(offset, out)
 	}
 	return out
 }
 
+// avoidCount repeats a change if there are as many as offsets but not one for each. Hosts of earlier versions do not read positions: they
+// take such a list for the records of the log.
+func (t *topic) avoidCount(offset int64, changes []watcher.Change) []watcher.Change {
+	if int64(len(changes)) != t.nextOffset-offset {
+		return changes
+	}
+	for i, c := range changes {
+		if c.Position != watcher.Position(offset+int64(i)+1) {
+			return append(changes, changes[len(changes)-1])
+		}
+	}
+	return changes
+}
+
 // packedFrom returns the changes from an offset on, or all values.
 func (t *topic) packedFrom(offset int64, isAll bool) *recordpacker.Packer {
 	if isAll {
-		offset = snapshotOffset
+		offset = wholeOffset
 	}
 	if t.packed == nil {
 		t.packed = make(map[int64]*recordpacker.Packer)
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -27,9 +27,16 @@
 // A store that states no epoch has epoch zero.
 type Epoch int64
 
+// Position bounds the place of a change in the log of its topic: the change stands before the offset Position. The store
+// states the offset after the record of the change. A host states what it was told, or a later offset if it was told none.
+// Zero means that the source states nothing; the change then stands before the end of what was read.
+type Position int64
+
 // Snapshot is a snapshot of all values. NextOffset is the offset of the first change after it.
 type Snapshot struct {
-	Values     map[string][]byte
+	Values map[string][]byte
+	// Positions holds the positions of the newest changes of keys, as far as the source states them.
+	Positions  map[string]Position
 	NextOffset int64
 	Epoch      Epoch
 	// Age is the time since the values were known to be the newest.
@@ -42,13 +49,18 @@
 	Value []byte
 	// Delay is how long before the change was found it may have been made, beyond the delay of calls that succeed at once.
 	Delay time.Duration `json:",omitempty"`
+	// Position bounds where the change stands in the log.
+	Position Position `json:"at,omitempty"`
 }
 
 // Batch is a sequence of changes. NextOffset is the offset that follows it.
 type Batch struct {
 	Changes    []Change
 	NextOffset int64
-	Epoch      Epoch
+	// Since is the offset from which on the changes include every key that has changed, however far behind a host is. Before it, they are
+	// those of a host at the start of the batch: a key that was added and removed since then is not among them. Zero means all offsets.
+	Since int64
+	Epoch Epoch
 	// IsRelayed says that another host has passed the changes on.
 	IsRelayed bool
 	// Age is the time since there were no further changes, as far as the source knows.
