A body that ends with its connection is whole only if its peer has ended it

What callers saw: an engine answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got the part as a complete answer, or an empty success (MIXED).

Cause: the kernel reports a reset to one call only. The write that was under way took it, and its error was dropped; the read then returned the end of the stream, and nothing told that from the peer's own end. The same held in all HTTP clients, once a head had arrived.

Change: endverifier decides it, below everything that reads responses (the connections of sender and of roundtripper): whole answers, streams, skipped answers, forwarder, calls to the store, the origin and other hosts. The end counts only if the peer's has been received: by the state of the connection, or, after a reset that followed the end, by the number of bytes that the kernel has received, in which the end counts as one. Wrappers give access to the connection below. Where the system does not tell, an end amid a write, or after one that failed, counts as a reset. The error is a ResetError; another attempt is made where that is allowed, and others get 502 or an answer that visibly ends early.

--- a/internal/bytecounter/bytecounter.go
+++ b/internal/bytecounter/bytecounter.go
@@ -76,6 +76,11 @@
 	counter *Counter
 }
 
+// NetConn returns the connection below.
+func (c *conn) NetConn() net.Conn {
+	return c.Conn
+}
+
 // Read counts the bytes received.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- /dev/null
+++ b/internal/forwarder/earlyend_test.go
@@ -0,0 +1,50 @@
+package forwarder_test
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/nutmegdock/nutmegdock/internal/bytecounter"
+	"github.com/nutmegdock/nutmegdock/internal/dialer"
+	"github.com/nutmegdock/nutmegdock/internal/endtest"
+	"github.com/nutmegdock/nutmegdock/internal/forwarder"
+)
+
+// Guards against a part of a response that is taken as whole, because the write of the request heard of the reset and the read did not, in
+// all HTTP clients.
+func TestEarlyResponseWithoutLength(t *testing.T) {
+	const repeats = 10
+	for name, client := range map[string]*http.Client{
+		"requests": forwarder.NewClient(), "single use": forwarder.NewSingleUseClient(), "counted": new(bytecounter.Counter).Client(),
+		"calls": (&dialer.Dialer{}).Client(), "calls without keep-alive": (&dialer.Dialer{}).NoKeepAliveClient(),
+	} {
+		for _, form := range endtest.Forms {
+			t.Run(name+", "+form.Name, func(t *testing.T) {
+				is := is.New(t)
+				ln, err := net.Listen("tcp", "127.0.0.1:0")
+				is.NoErr(err)
+				defer ln.Close()
+				go form.Serve(ln, "", "body")
+				for range repeats {
+					resp, err := (&forwarder.Forwarder{HTTP: client}).Send(t.Context(), forwarder.Request{
+						Method: http.MethodPost, URL: "http://" + ln.Addr().String(), Header: http.Header{},
+						Body: bytes.NewReader(make([]byte, endtest.UploadBytes)), Length: endtest.UploadBytes,
+					})
+					if err != nil && !form.IsWhole {
+						continue // the reset came before the head was read
+					}
+					is.NoErr(err)
+					data, err := io.ReadAll(resp.Body)
+					is.Equal(err == nil, form.IsWhole)
+					is.True(err != nil || string(data) == "body")
+					_ = resp.Body.Close()
+				}
+			})
+		}
+	}
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -77,6 +78,8 @@
 
 // testFleet is a gateway with endpoints whose responses are scripted.
 type testFleet struct {
+	// bodyBytes limits the bodies of requests; zero selects a low limit.
+	bodyBytes int64
 	*httptest.Server
 	gateway   *gateway.Gateway
 	endpoints []fleetconfig.Endpoint
@@ -226,7 +229,7 @@
 func (f *testFleet) configure(revision fleetconfig.Revision) bool {
 	config := &fleetconfig.Config{
 		Revision: revision, Keys: map[fleetconfig.Key]*fleetconfig.Organisation{"k": {Name: "o"}},
-		Limits: fleetconfig.Limits{BodyBytes: 100}, Pools: map[ident.Pool]*fleetconfig.Pool{"p": {Name: "p"}},
+		Limits: fleetconfig.Limits{BodyBytes: cmp.Or(f.bodyBytes, 100)}, Pools: map[ident.Pool]*fleetconfig.Pool{"p": {Name: "p"}},
 	}
 	list := make([]fleetconfig.Route, len(routes))
 	for i, r := range routes {
--- a/internal/roundtripper/roundtripper.go
+++ b/internal/roundtripper/roundtripper.go
@@ -1,4 +1,5 @@
-// Package roundtripper sends HTTP requests over connections whose responses are checked before net/http reads them.
+// Package roundtripper sends HTTP requests over connections whose responses are checked before net/http reads them, and whose end is
+// verified.
 package roundtripper
 
 import (
@@ -10,6 +11,7 @@
 	"net/http/httptrace"
 	"sync/atomic"
 
+	"github.com/nutmegdock/nutmegdock/internal/endverifier"
 	"github.com/nutmegdock/nutmegdock/internal/headchecker"
 	"github.com/nutmegdock/nutmegdock/internal/headreader"
 )
@@ -88,8 +90,9 @@
 }
 
 func newConn(netConn net.Conn) *conn {
-	c := &conn{Conn: netConn}
-	c.head.Source = netConn
+	verified := endverifier.New(netConn)
+	c := &conn{Conn: verified}
+	c.head.Source = verified
 	return c
 }
 
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -18,6 +18,7 @@
 	"github.com/nutmegdock/nutmegdock/internal/core/attributor"
 	"github.com/nutmegdock/nutmegdock/internal/core/outcome"
 	"github.com/nutmegdock/nutmegdock/internal/dialer"
+	"github.com/nutmegdock/nutmegdock/internal/endverifier"
 	"github.com/nutmegdock/nutmegdock/internal/headchecker"
 	"github.com/nutmegdock/nutmegdock/internal/headreader"
 )
@@ -73,8 +74,8 @@
 	checkEnd func(end error) error
 }
 
-// Read reads the body. It returns a BodySizeError for a body that exceeds the maximum size, and a headchecker.Error at the end
-// of one with a trailer that is not valid.
+// Read reads the body. It returns a BodySizeError for a body that exceeds the maximum size, a headchecker.Error at the end
+// of one with a trailer that is not valid, and an endverifier.ResetError for one that was to end with its connection and was cut.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
 	r.received += n
@@ -96,7 +97,7 @@
 // Send sends the request and returns the header of its response. The connection is closed when ctx ends. Its
 // error is an outcome.Error.
 func (s *Sender) Send(ctx context.Context, attempt Attempt) (*Response, error) {
-	conn, err := s.Dial(ctx, "tcp", attempt.Address)
+	netConn, err := s.Dial(ctx, "tcp", attempt.Address)
 	if err != nil {
 		reason := outcome.Unreachable
 		if dialer.IsLocal(err) {
@@ -104,6 +105,7 @@
 		}
 		return nil, newError(ctx, outcome.NotRun, reason, err)
 	}
+	conn := endverifier.New(netConn)
 	if attempt.BeforeWrite != nil {
 		if reason := attempt.BeforeWrite(); reason != "" {
 			_ = conn.Close() // nothing was sent
@@ -147,7 +149,7 @@
 }
 
 // exchange writes the request and reads the header of its response. It skips responses to other requests.
-func (s *Sender) exchange(ctx context.Context, conn net.Conn, attempt Attempt) (*Response, error) {
+func (s *Sender) exchange(ctx context.Context, conn *endverifier.Conn, attempt Attempt) (*Response, error) {
 	// The request is written concurrently with the read, since an endpoint may respond before it has read a long
 	// body.
 	header, err := encodeHeader(attempt)
@@ -207,10 +209,9 @@
 	return false, err
 }
 
-// write writes the parts of a request. If it fails, the read of the response fails as well.
-func write(conn net.Conn, attempt Attempt, parts ...[]byte) {
-	buffers := net.Buffers(parts)
-	_, _ = buffers.WriteTo(conn)
+// write writes the parts of a request. If it fails, the read of the response fails as well, unless that had ended before.
+func write(conn *endverifier.Conn, attempt Attempt, parts ...[]byte) {
+	_, _ = conn.WriteBuffers(parts)
 	if attempt.OnWritten != nil {
 		attempt.OnWritten()
 	}
