--- a/internal/storerelayer/position_test.go
+++ b/internal/storerelayer/position_test.go
@@ -28,6 +28,8 @@
 	records []watcher.Change
 	// isStated says that positions are stated, as the store does.
 	isStated bool
+	// betweenPages writes records between the pages of a snapshot; nil means that it has one page.
+	betweenPages func()
 }
 
 func (l *recordLog) write(key, value string) {
@@ -63,6 +65,26 @@
 	return s
 }
 
+// pages returns the newest values as the store does: the keys up to secondPage as they were before those after it.
+func (l *recordLog) pages(context.Context, string) (watcher.Snapshot, error) {
+	const secondPage = "key4"
+	s := l.at(int64(len(l.records)))
+	if l.betweenPages == nil {
+		return s, nil
+	}
+	l.betweenPages()
+	later := l.at(int64(len(l.records)))
+	isLater := func(key string) bool { return key > secondPage }
+	maps.DeleteFunc(s.Values, func(key string, _ []byte) bool { return isLater(key) })
+	for key, value := range later.Values {
+		if isLater(key) {
+			s.Values[key], s.Positions[key] = value, later.Positions[key]
+		}
+	}
+	s.EndOffset = later.NextOffset
+	return s, nil
+}
+
 // follower is a host with the values that its watcher has applied.
 type follower struct {
 	relayer *Relayer
@@ -92,8 +114,7 @@
 	}
 	for i := range hosts {
 		hosts[i] = &follower{values: make(map[string][]byte), relayer: &Relayer{
-			ReadStore:         l.read,
-			ReadStoreSnapshot: func(context.Context, string) (watcher.Snapshot, error) { return l.at(int64(len(l.records))), nil },
+			ReadStore: l.read, ReadStoreSnapshot: l.pages,
 			QueryReader: func(ctx context.Context, host string, q messages.RecordsQuery) (messages.RecordsResponse, error) {
 				return answer(host, func(r *Relayer) (messages.RecordsResponse, error) { return r.ServeRecords(ctx, q) })
 			},
@@ -149,19 +170,29 @@
 				hosts := newFollowers(l, rapid.IntRange(2, 6).Draw(rt, "hosts"), earlier)
 				sources := rapid.SampledFrom([][]string{{"log", "host"}, {"whole", "host"}, {"log", "whole", "host", "snapshot"}}).Draw(rt, "sources")
 				steps := append([]string{"record", "record", "host"}, sources...)
+				write := func() {
+					key, value := fmt.Sprint("key", rapid.IntRange(0, keys).Draw(rt, "key")), ""
+					if key == "key0" {
+						key = "" // another writer's record
+					}
+					if rapid.IntRange(0, 3).Draw(rt, "removed") > 0 {
+						value = fmt.Sprint(len(l.records))
+					}
+					l.write(key, value)
+				}
+				if rapid.Bool().Draw(rt, "pages") {
+					l.betweenPages = func() {
+						for range rapid.IntRange(0, 3).Draw(rt, "between pages") {
+							write()
+						}
+					}
+				}
 				for step := range 200 {
 					host := hosts[rapid.IntRange(0, len(hosts)-1).Draw(rt, "host")]
 					store := sourceselector.Decision{Source: sourceselector.Store}
 					switch rapid.SampledFrom(steps).Draw(rt, "step") {
 					case "record":
-						key, value := fmt.Sprint("key", rapid.IntRange(0, keys).Draw(rt, "key")), ""
-						if key == "key0" {
-							key = "" // another writer's record
-						}
-						if rapid.IntRange(0, 3).Draw(rt, "removed") > 0 {
-							value = fmt.Sprint(step)
-						}
-						l.write(key, value)
+						write()
 					case "log":
 						host.readChanges(t.Context(), store)
 					case "whole":
@@ -233,6 +264,23 @@
 	}
 }
 
+// Guards against a host that keeps a removed key for good, because a later page of a snapshot showed it to that host alone.
+func TestPagesOfSnapshotAreOneState(t *testing.T) {
+	is := is.New(t)
+	l := &recordLog{isStated: true}
+	hosts := newFollowers(l, 2, 0)
+	store := sourceselector.Decision{Source: sourceselector.Store, IsWhole: true}
+	hosts[1].readSnapshot(t.Context(), store)
+	l.betweenPages = func() { l.write("key5", "1") }
+	hosts[0].readSnapshot(t.Context(), store)
+	l.betweenPages = nil
+	l.write("key5", "")
+	hosts[1].readChanges(t.Context(), store)
+	hosts[0].readChanges(t.Context(), sourceselector.Decision{Source: "1"})
+	is.Equal(hosts[0].offset, int64(2))
+	is.Equal(hosts[0].check(l), "")
+}
+
 // Guards against a host of an earlier version that takes merged changes for the log's records, because there are as many as offsets.
 func TestMergedChangesAreNotAsManyAsOffsets(t *testing.T) {
 	is := is.New(t)
--- a/internal/storerelayer/storerelayer.go
+++ b/internal/storerelayer/storerelayer.go
@@ -301,13 +301,34 @@
 	if !isWhole {
 		return r.ReadStore(ctx, name, epoch, from, wait)
 	}
-	s, err := r.ReadStoreSnapshot(ctx, name)
+	s, err := r.readStoreSnapshot(ctx, name)
 	if err != nil {
 		return watcher.Batch{}, err
 	}
 	return r.difference(name, d.Source, s)
 }
 
+// readStoreSnapshot reads a snapshot from the store. If its values were read one after the other, it adds the changes made meanwhile, so
+// that it is the state at its offset: hosts that read from this one take it for that.
+func (r *Relayer) readStoreSnapshot(ctx context.Context, name string) (watcher.Snapshot, error) {
+	s, err := r.ReadStoreSnapshot(ctx, name)
+	for err == nil && s.NextOffset < s.EndOffset {
+		var b watcher.Batch
+		b, err = r.ReadStore(ctx, name, s.Epoch, s.NextOffset, 0)
+		switch {
+		case err != nil:
+		case b.Epoch != s.Epoch:
+			err = &watcher.EpochError{Topic: name, Epoch: s.Epoch, Seen: b.Epoch}
+		case b.NextOffset <= s.NextOffset:
+			err = &watcher.GapError{Topic: name, From: s.NextOffset}
+		default:
+			s.Add(b)
+		}
+	}
+	s.EndOffset = 0
+	return s, err
+}
+
 // difference returns a snapshot as the changes of the state that this host holds.
 func (r *Relayer) difference(name, source string, s watcher.Snapshot) (watcher.Batch, error) {
 	r.mu.Lock()
@@ -468,7 +489,7 @@
 	if d.Source == sourceselector.Store {
 		limited, cancel := idletimer.New(ctx, storeIdleTimeout, storeIdleTimeout, maxCallTime, r.fetching(name))
 		defer cancel()
-		s, err = r.ReadStoreSnapshot(limited, name)
+		s, err = r.readStoreSnapshot(limited, name)
 	} else {
 		s, err = r.querySnapshot(ctx, d, name)
 	}
@@ -513,7 +534,7 @@
 	go func() {
 		limited, stop := idletimer.New(ctx, listTimeout, listTimeout, maxCallTime, nil)
 		defer stop()
-		s, err := r.ReadStoreSnapshot(limited, name)
+		s, err := r.readStoreSnapshot(limited, name)
 		fromStore <- result{s, err}
 	}()
 	go func() {
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -38,11 +38,28 @@
 	// Positions holds the positions of the newest changes of keys, as far as the source states them.
 	Positions  map[string]Position
 	NextOffset int64
-	Epoch      Epoch
+	// EndOffset is later than NextOffset if the values were read one after the other: changes between the two offsets may be among them.
+	EndOffset int64
+	Epoch     Epoch
 	// Age is the time since the values were known to be the newest.
 	Age time.Duration
 }
 
+// Add adds the changes that follow a snapshot.
+func (s *Snapshot) Add(b Batch) {
+	for _, c := range b.Changes {
+		delete(s.Values, c.Key)
+		delete(s.Positions, c.Key)
+		if len(c.Value) > 0 {
+			s.Values[c.Key] = c.Value
+		}
+		if c.Position > 0 && len(c.Value) > 0 && s.Positions != nil {
+			s.Positions[c.Key] = c.Position
+		}
+	}
+	s.NextOffset = b.NextOffset
+}
+
 // Change is a new value of a key. A nil or empty value deletes the key.
 type Change struct {
 	Key   string
