--- a/internal/storerelayer/position_test.go
+++ b/internal/storerelayer/position_test.go
@@ -232,6 +232,7 @@
 		"removal of such a key, through a host between":   "a=1 1<log a= 0<whole 2<0 1<2",
 		"removal of such a key, and a record after it":    "a=1 1<log a= 0<whole b=1 0<log 2<0 1<2",
 		"record of another writer between two of the log": "a=1 2<log =1 b=2 0<log 1<0 2<1",
+		"record of another writer before two of the log":  "=1 0<log b= 2<log a=2 1<log 0<1 2<0",
 	} {
 		for _, earlier := range []int{0, 2, 4} {
 			t.Run(fmt.Sprint(name, ", earlier versions ", earlier), func(t *testing.T) {
