--- a/internal/messages/records.go
+++ b/internal/messages/records.go
@@ -25,7 +25,8 @@
 // them. Data is a list in CBOR, compressed if Compressed is set.
 type RecordsResponse struct {
 	NextOffset int64 `json:"next"`
-	// Since is the offset from which on Data serves a host at any offset, and not only one at that of the query; zero stands for NextOffset.
+	// Since is the offset from which on Data serves a host at any offset. Before it, Data serves hosts at the offset of the query alone.
+	// Zero stands for NextOffset.
 	Since int64 `json:"since,omitempty"`
 	// Epoch is the epoch of the store that the records belong to. If it is later than that of the query, there are none.
 	Epoch int64 `json:"epoch,omitempty"`
--- a/internal/storerelayer/storerelayer.go
+++ b/internal/storerelayer/storerelayer.go
@@ -426,11 +426,11 @@
 // snapshotOf returns the snapshot that a response of another host contains.
 func snapshotOf(records []watcher.Change, resp messages.RecordsResponse) watcher.Snapshot {
 	s := watcher.Snapshot{
-		Values: make(map[string][]byte, len(records)), Positions: make(map[string]watcher.Position, len(records)),
-		NextOffset: resp.NextOffset, Epoch: watcher.Epoch(resp.Epoch), Age: time.Duration(resp.AgeMs) * time.Millisecond,
+		Values: make(map[string][]byte, len(records)), NextOffset: resp.NextOffset, Epoch: watcher.Epoch(resp.Epoch),
+		Age: time.Duration(resp.AgeMs) * time.Millisecond,
 	}
 	for _, c := range records {
-		s.Values[c.Key], s.Positions[c.Key] = c.Value, c.Position
+		s.Values[c.Key] = c.Value
 	}
 	return s
 }
--- a/internal/storerelayer/topic.go
+++ b/internal/storerelayer/topic.go
@@ -17,8 +17,8 @@
 // maxGaps limits the gaps that are held.
 const maxGaps = 64
 
-// gap is a range of offsets, without its ends, whose changes were read merged from a state that does not show each: a host at such an
-// offset may hold a key that was added and removed within the gap.
+// gap is a range of offsets, without its ends, that was read as the difference of two states: a host at such an offset may hold a key
+// that was added and removed within the gap, of which nothing is known.
 type gap struct {
 	from, to int64
 }
@@ -37,7 +37,7 @@
 	entries                 map[string]watcher.Change
 	isWhole                 bool
 	tombstones              int
-	// gaps lists the offsets from which changes cannot be served, in ascending order.
+	// gaps lists, in ascending order, the offsets from which changes cannot be served although they are not before firstOffset.
 	gaps []gap
 	// readAt is when the last call succeeded, as Elapsed gives it, and hasFailed is set if it was not current, or a call has failed since. The
 	// records were complete at completeAt, which is earlier if another host gave them. hasRead is set after the first call. drift is
@@ -245,7 +245,7 @@
 	return out
 }
 
-// missed returns those of the changes of a snapshot that stand before nextOffset by what the source states, so that this host
+// missed returns those of the changes of a snapshot of the store that stand before nextOffset by what the source states, so that this host
 // should have had them.
 func (t *topic) missed(changes []watcher.Change) []watcher.Change {
 	next := watcher.Position(t.nextOffset)
@@ -264,7 +264,8 @@
 	for _, c := range t.entries {
 		if isAll && len(c.Value) > 0 || !isAll && c.Position > watcher.Position(offset) {
 			if isAll {
-				c.Delay = 0
+				// The values stand before nextOffset, and no host serves changes from before the offset of a snapshot.
+				c.Delay, c.Position = 0, 0
 			}
 			out = append(out, c)
 		}
@@ -273,14 +274,14 @@
 		return cmp.Or(cmp.Compare(a.Position, b.Position), cmp.Compare(a.Key, b.Key))
 	})
 	if !isAll {
-		out = t.avoidCount(offset, out)
+		out = t.repeatIfAmbiguous(offset, out)
 	}
 	return out
 }
 
-// avoidCount repeats a change if there are as many as offsets but not one for each. Hosts of earlier versions do not read positions: they
-// take such a list for the records of the log.
-func (t *topic) avoidCount(offset int64, changes []watcher.Change) []watcher.Change {
+// repeatIfAmbiguous repeats the last change if there are as many changes as offsets but not one for each. Hosts of earlier versions, which
+// do not read positions, would take such a list for the records of the log.
+func (t *topic) repeatIfAmbiguous(offset int64, changes []watcher.Change) []watcher.Change {
 	if int64(len(changes)) != t.nextOffset-offset {
 		return changes
 	}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -35,7 +35,7 @@
 // Snapshot is a snapshot of all values. NextOffset is the offset of the first change after it.
 type Snapshot struct {
 	Values map[string][]byte
-	// Positions holds the positions of the newest changes of keys, as far as the source states them.
+	// Positions holds the positions of the newest changes of keys if the source is the store. Hosts state none.
 	Positions  map[string]Position
 	NextOffset int64
 	// EndOffset is later than NextOffset if the values were read one after the other: changes between the two offsets may be among them.
@@ -45,7 +45,7 @@
 	Age time.Duration
 }
 
-// Add adds the changes that follow a snapshot.
+// Add applies the changes that follow the snapshot.
 func (s *Snapshot) Add(b Batch) {
 	for _, c := range b.Changes {
 		delete(s.Values, c.Key)
@@ -74,8 +74,8 @@
 type Batch struct {
 	Changes    []Change
 	NextOffset int64
-	// Since is the offset from which on the changes include every key that has changed, however far behind a host is. Before it, they are
-	// those of a host at the start of the batch: a key that was added and removed since then is not among them. Zero means all offsets.
+	// Since is the offset from which on the changes serve a host at any offset. A host between the start of the batch and Since may hold
+	// a key that was added and removed in between, which the changes lack. Zero means that they serve all.
 	Since int64
 	Epoch Epoch
 	// IsRelayed says that another host has passed the changes on.
