endtest starts its server itself

Cause: two tests opened, served and closed the same listener in the same words.

Change: Form.Start does it. The checks are as they were; no program changes.

--- a/internal/endtest/endtest.go
+++ b/internal/endtest/endtest.go
@@ -70,8 +70,17 @@
 	f.end(c)
 }
 
-// Serve responds to the head of one request on each connection, until the listener is closed.
-func (f Form) Serve(ln net.Listener, fields, body string) {
+// Start starts a server that responds to the head of one request on each connection, until stop is called.
+func (f Form) Start(fields, body string) (address string, stop func(), err error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, fmt.Errorf("start server: %w", err)
+	}
+	go f.serve(ln, fields, body)
+	return ln.Addr().String(), func() { _ = ln.Close() }, nil
+}
+
+func (f Form) serve(ln net.Listener, fields, body string) {
 	for {
 		netConn, err := ln.Accept()
 		if err != nil {
--- a/internal/endverifier/endverifier_test.go
+++ b/internal/endverifier/endverifier_test.go
@@ -41,12 +41,11 @@
 		for _, form := range endtest.Forms {
 			t.Run(name+", "+form.Name, func(t *testing.T) {
 				is := is.New(t)
-				ln, err := net.Listen("tcp", "127.0.0.1:0")
+				address, stop, err := form.Start("", "body")
 				is.NoErr(err)
-				defer ln.Close()
-				go form.Serve(ln, "", "body")
+				defer stop()
 				for range repeats {
-					netConn, err := net.Dial("tcp", ln.Addr().String())
+					netConn, err := net.Dial("tcp", address)
 					is.NoErr(err)
 					c := endverifier.New(wrap(netConn))
 					written := make(chan struct{})
--- a/internal/forwarder/earlyend_test.go
+++ b/internal/forwarder/earlyend_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 
@@ -26,13 +25,12 @@
 		for _, form := range endtest.Forms {
 			t.Run(name+", "+form.Name, func(t *testing.T) {
 				is := is.New(t)
-				ln, err := net.Listen("tcp", "127.0.0.1:0")
+				address, stop, err := form.Start("", "body")
 				is.NoErr(err)
-				defer ln.Close()
-				go form.Serve(ln, "", "body")
+				defer stop()
 				for range repeats {
 					resp, err := (&forwarder.Forwarder{HTTP: client}).Send(t.Context(), forwarder.Request{
-						Method: http.MethodPost, URL: "http://" + ln.Addr().String(), Header: http.Header{},
+						Method: http.MethodPost, URL: "http://" + address, Header: http.Header{},
 						Body: bytes.NewReader(make([]byte, endtest.UploadBytes)), Length: endtest.UploadBytes,
 					})
 					if err != nil && (!form.IsWhole || form.HasReset) {
